Let the module say when the list is asked for again, out of step

On a fleet where the list has to be asked for, the socket side retried a failed watch on its own: 50 ms doubling to 1 s, in step over all mixers, and from 50 ms again after every call that had waited over 1 s. The module's own answer to that (Subscribe after a Failed list) was dropped by the reducer. Now the end of a watch is a failed list to the module, which says when the next begins; first calls are spread as well.

Ruled out: an outage of discovery (it answers 20 calls a second once they are spread).

The tests fail with the first call unspread (20 of 40 first calls in one half second).

--- a/crates/cottonhill/src/program.rs
+++ b/crates/cottonhill/src/program.rs
@@ -110,6 +110,7 @@
         });
     }
     tracing::info!(name, %listen, known = known.endpoints.len(), open_cap = site.open_cap, "starting");
+    tracing::debug!(?settings, ?site, "settings in force");
     let clock = Clock::start();
     let recorder = match &usage {
         Some(usage) => {
--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -57,7 +57,11 @@
 /// First tries by which the usual patience may lead, so that a change among the clients is seen soon.
 const PATIENCE_VOTES: u32 = 16;
 /// Shares of the time within which the list has to be asked for: wait after one failed call, and at the most.
-const ASK_AGAIN: (f64, f64) = (0.06, 0.5);
+const ASK_AGAIN: (f64, f64) = (0.2, 0.6);
+/// Share of that time over which the first calls are spread: many start together, with a list of old.
+const ASK_FIRST: f64 = 0.3;
+/// The time for a list that is pushed, ns: only a dead watch has to be asked for again, and nobody waits for it.
+const PUSHED_WITHIN: f64 = 2.0 * SECOND as f64;
 /// Share of the time after which an idle connection is closed past which one has long been unused.
 const STALE: f64 = 0.04;
 /// Weight of one attempt in the share lost, and the share on such connections from which on that is trouble.
@@ -199,13 +203,7 @@
 
 impl Coordinator {
     pub fn new(settings: Settings, seed: u64) -> Self {
-        Coordinator {
-            ask_at: settings.list_on_request.then_some(0),
-            settings,
-            seed,
-            random: seed,
-            ..Coordinator::default()
-        }
+        Coordinator { settings, seed, random: seed, ..Coordinator::default() }
     }
 
     /// How much is kept of queries, attempts and replicas.
@@ -217,7 +215,10 @@
     /// Takes what happened at `now`, in order, and appends what to do about it to `actions`.
     pub fn handle(&mut self, now: Nanos, events: &[Event], actions: &mut Vec<Action>) {
         self.now = now;
-        self.born = if self.born == 0 { now } else { self.born };
+        if self.born == 0 {
+            self.born = now;
+            self.ask_at = self.settings.list_on_request.then(|| now + self.ask_wait(0.0, ASK_FIRST));
+        }
         if self.ask_at.is_some_and(|at| at <= now) {
             self.ask_at = None;
             actions.push(Action::Subscribe { on: true });
@@ -278,6 +279,10 @@
         if kind == ListKind::Failed {
             return self.ask_later();
         }
+        if kind != ListKind::Remembered {
+            // What was asked for is here: to ask again would be one more call.
+            self.ask_at = None;
+        }
         self.asks_failed = if kind == ListKind::Remembered { self.asks_failed } else { 0 };
         if kind != ListKind::Changes {
             let listed: BTreeSet<ReplicaId> = members.iter().map(|m| m.replica).collect();
@@ -306,15 +311,25 @@
     /// The list is one service for all: those that fail and ask again at once keep it so busy that most never
     /// get an answer, and go on without the list. Each waits, at a moment of its own, longer each time.
     fn ask_later(&mut self) {
-        if self.ask_at.is_some() || !self.settings.list_on_request {
+        if self.ask_at.is_some() {
             return;
         }
-        let within = (self.settings.list_within as f64).max(FADE_AIMS * self.shortest_aim());
         let most = (ASK_AGAIN.0 * f64::from(1u32 << self.asks_failed.min(16))).min(ASK_AGAIN.1);
+        self.ask_at = Some(self.now + self.ask_wait(0.5 * most, 1.5 * most));
+        self.asks_failed += 1;
+    }
+
+    /// A wait of our own between these shares of the time within which the list has to be asked for.
+    fn ask_wait(&mut self, least: f64, most: f64) -> Nanos {
+        let within = if self.settings.list_on_request {
+            (self.settings.list_within as f64).max(FADE_AIMS * self.shortest_aim())
+        } else {
+            PUSHED_WITHIN
+        };
         let mut random = fastrand::Rng::with_seed(self.random);
-        self.ask_at = Some(self.now + (within * most * (0.5 + random.f64())) as Nanos);
+        let share = least + (most - least) * random.f64();
         self.random = random.get_seed();
-        self.asks_failed += 1;
+        (within * share) as Nanos
     }
 
     fn take_query(&mut self, event: &Event) {
--- a/crates/mixer/src/routing/messages.rs
+++ b/crates/mixer/src/routing/messages.rs
@@ -43,13 +43,15 @@
         link: LinkId,
     },
     Listed(Listing),
+    /// The watch on the list has ended; another is begun when the module asks for it.
+    WatchEnded,
     Datagram {
         from: u32,
         bytes: Vec<u8>,
     },
-    /// The configuration was read again and names discovery's address; none if it does not do.
+    /// The configuration was read again; whether it does.
     Reloaded {
-        discovery: Option<SocketAddr>,
+        usable: bool,
     },
     /// A planned end.
     Terminate,
@@ -83,9 +85,8 @@
         to: Option<u32>,
         bytes: Vec<u8>,
     },
-    /// Watch the list of leaf servers there, from this version on, and no longer where it was watched.
+    /// Watch the list of leaf servers from this version on, where discovery is now, in place of any other watch.
     Watch {
-        address: SocketAddr,
         from: u64,
     },
     StopListening,
--- a/crates/mixer/src/routing/state/attempts.rs
+++ b/crates/mixer/src/routing/state/attempts.rs
@@ -36,18 +36,22 @@
         }
         self.pending.insert(link);
         self.alarms.insert((until, Alarm::Attempt(attempt)));
-        self.attempts.insert(attempt, Attempt { replica, link, until, shard, text });
+        self.attempts.insert(attempt, Attempt { replica, link, sent: now, until, shard, text });
     }
 
     /// An attempt that found no connection; it ends like any other, or the module would wait for it.
     pub(super) fn not_placed(&mut self, (part, attempt): AttemptId, replica: ReplicaId, outcome: Outcome) {
+        tracing::debug!(part, attempt, replica = replica.0, ?outcome, "attempt not placed");
         self.count(outcome);
         self.events.push(Event::Ended { part, attempt, replica, outcome, report: LoadReport::new() });
     }
 
     /// The one end of an attempt that was placed.
-    pub(super) fn ended(&mut self, id: AttemptId, outcome: Outcome, report: LoadReport) {
+    pub(super) fn ended(&mut self, now: Nanos, id: AttemptId, outcome: Outcome, report: LoadReport) {
         let Some(attempt) = self.attempts.remove(&id) else { return };
+        let (replica, shard, age_us) =
+            (attempt.replica.0, attempt.shard, now.saturating_sub(attempt.sent) / 1000);
+        tracing::debug!(part = id.0, attempt = id.1, replica, shard, age_us, ?outcome, "attempt ended");
         self.alarms.remove(&(attempt.until, Alarm::Attempt(id)));
         self.count(outcome);
         let (replica, (part, attempt)) = (attempt.replica, id);
@@ -82,7 +86,7 @@
             self.counters.connections.silent += u64::from(it.is_silent() && !before);
         }
         self.pending.insert(link);
-        self.ended(id, outcome, LoadReport::new());
+        self.ended(now, id, outcome, LoadReport::new());
     }
 
     /// What has waited past its time must not go out, though its alarm has yet to ring: the socket may be
--- a/crates/mixer/src/routing/state/links.rs
+++ b/crates/mixer/src/routing/state/links.rs
@@ -6,13 +6,14 @@
 use crate::protocol::leaf::{End, FromLeaf};
 use crate::routing::link::{Answered, Link};
 use crate::routing::messages::{Effect, LinkId};
-use std::net::SocketAddr;
 
 impl State {
     pub(super) fn take_list(&mut self, now: Nanos, listing: &Listing) {
         self.counters.lists += 1;
         let (kind, members, stopped) = self.replicas.take(listing);
         self.listed |= self.replicas.any_ready();
+        let (index, lines, stopped_lines) = (listing.index, members.len(), stopped.len());
+        tracing::info!(index, whole = listing.snapshot, lines, stopped = stopped_lines, "list taken");
         self.events.push(Event::List { kind, members });
         // What waits for a replica that drains or is gone never goes out: the rule counts its first byte.
         for id in stopped {
@@ -29,13 +30,13 @@
 
     /// The list, its version, connections and queries stay; only where the list comes from changes. It is
     /// asked for anew even at the same address: whoever reloads may want just that.
-    pub(super) fn reloaded(&mut self, discovery: Option<SocketAddr>) {
-        let Some(address) = discovery else {
+    pub(super) fn reloaded(&mut self, usable: bool) {
+        if !usable {
             self.counters.reloads.bad += 1;
             return;
-        };
+        }
         self.counters.reloads.taken += 1;
-        self.effects.push(Effect::Watch { address, from: self.replicas.index });
+        self.effects.push(Effect::Watch { from: self.replicas.index });
     }
 
     pub(super) fn heard(&mut self, now: Nanos, link: LinkId, frame: FromLeaf) {
@@ -59,7 +60,7 @@
                     part.value.get_or_insert_with(|| String::from_utf8_lossy(&value).into_owned());
                 }
                 let report = self.report(&report);
-                self.ended(attempt, outcome, report);
+                self.ended(now, attempt, outcome, report);
             }
             FromLeaf::Probed { ok, report } => {
                 let Some(probe) = it.probed() else { return };
@@ -81,10 +82,10 @@
         let failed = it.spoilt(id);
         let others = it.written();
         if let Some(failed) = failed {
-            self.ended(failed, Outcome::Error, LoadReport::new());
+            self.ended(now, failed, Outcome::Error, LoadReport::new());
         }
         for other in others.into_iter().filter(|other| Some(*other) != failed) {
-            self.ended(other, Outcome::Cancelled, LoadReport::new());
+            self.ended(now, other, Outcome::Cancelled, LoadReport::new());
         }
         self.close_link(now, link);
     }
@@ -111,7 +112,7 @@
         let (attempts, probes) = it.end();
         for (attempt, may_have_run) in attempts {
             let outcome = if may_have_run { Outcome::Broken } else { Outcome::Unreachable };
-            self.ended(attempt, outcome, LoadReport::new());
+            self.ended(now, attempt, outcome, LoadReport::new());
         }
         for probe in probes {
             self.probe_ended(now, probe, Outcome::Unreachable, "");
--- a/crates/mixer/src/routing/state/mod.rs
+++ b/crates/mixer/src/routing/state/mod.rs
@@ -73,6 +73,7 @@
 struct Attempt {
     replica: ReplicaId,
     link: LinkId,
+    sent: Nanos,
     until: Nanos,
     shard: u32,
     text: Bytes,
@@ -152,9 +153,14 @@
             most_clients: descriptors * CLIENT_HUNDREDTHS / 100,
             replicas: Replicas::new(site.zones.clone()),
             site,
+            // Where the list has to be asked for, the module does so in its first turn.
+            effects: if settings.list_on_request {
+                Vec::new()
+            } else {
+                vec![Effect::Watch { from: known.index }]
+            },
             module: Coordinator::new(settings, seed),
             events: Vec::new(),
-            effects: Vec::new(),
             alarms: BTreeSet::new(),
             links: BTreeMap::new(),
             clients: BTreeMap::new(),
@@ -241,7 +247,10 @@
             }
             Input::Listed(listing) => self.take_list(now, &listing),
             Input::Datagram { from, bytes } => self.events.push(Event::Message { from, bytes }),
-            Input::Reloaded { discovery } => self.reloaded(discovery),
+            Input::WatchEnded => {
+                self.events.push(Event::List { kind: ListKind::Failed, members: Vec::new() })
+            }
+            Input::Reloaded { usable } => self.reloaded(usable),
             Input::Terminate => self.terminate(now),
             Input::Turn => self.turn(now),
         }
--- a/crates/mixer/src/routing/state/turns.rs
+++ b/crates/mixer/src/routing/state/turns.rs
@@ -87,8 +87,9 @@
             Action::Wake { token, after } => {
                 self.alarms.insert((now + after, Alarm::Wake(token)));
             }
-            // Discovery pushes its list here, and the watch asks again by itself.
-            Action::Subscribe { .. } | Action::FetchList => {}
+            Action::Subscribe { on: true } => self.effects.push(Effect::Watch { from: self.replicas.index }),
+            // A watch lasts until it ends by itself, and brings all that a single call would.
+            Action::Subscribe { on: false } | Action::FetchList => {}
             Action::Probe { replica } => self.probe(now, replica),
             Action::CloseIdle { replica } => {
                 let links = self.replicas.get(replica).map(|r| r.links.clone()).unwrap_or_default();
--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -94,7 +94,8 @@
     links: HashMap<LinkId, leaf::Handle>,
     udp: Option<Udp>,
     listener: AbortHandle,
-    watch: AbortHandle,
+    discovery: SocketAddr,
+    watch: Option<AbortHandle>,
     ledger: Option<Ledger>,
     exited: bool,
 }
@@ -114,10 +115,6 @@
     }
 }
 
-fn watch(shared: &Shared, address: SocketAddr, from: u64) -> AbortHandle {
-    tokio::task::spawn_local(watch::follow(shared.clone(), address, from)).abort_handle()
-}
-
 /// The next message of a connection: none at its end, or the time it was late. `begun` is when what is
 /// being read began; from then on the whole of it has to come within `most`, however many bytes come on the
 /// way. It outlives this call, which may be dropped for something more urgent.
@@ -161,10 +158,11 @@
     };
     let listener = tokio::task::spawn_local(clients::listen(shared.clone(), listener, state.most_clients()));
     let listener = listener.abort_handle();
-    let watch = watch(&shared, addresses.discovery, state.list_index());
     beside.fronts.into_iter().for_each(|start| start(Door::new(shared.clone())));
     let ledger = beside.recorder.map(Ledger::new);
-    let mut driver = Driver { shared, links: HashMap::new(), udp, listener, watch, ledger, exited: false };
+    let (discovery, links) = (addresses.discovery, HashMap::new());
+    let mut driver = Driver { shared, links, udp, listener, discovery, watch: None, ledger, exited: false };
+    driver.put(&mut state, clock.now(), Input::Turn);
     while !driver.exited {
         // One timer for both: to arm another for each turn costs more than what it is for.
         let held = driver.ledger.as_ref().and_then(Ledger::until);
@@ -219,13 +217,14 @@
         }
     }
 
-    /// Datagrams go by the new addresses at once; where the list comes from is state, for the reducer.
+    /// Datagrams go by the new addresses at once; the list is watched anew when the reducer says so.
     fn reload(&mut self, addresses: Option<Addresses>) -> Input {
         if let Some((udp, addresses)) = self.udp.as_mut().zip(addresses.as_ref()) {
             udp.task.abort();
             *udp = Udp::start(&self.shared, udp.socket.clone(), addresses);
         }
-        Input::Reloaded { discovery: addresses.map(|addresses| addresses.discovery) }
+        self.discovery = addresses.as_ref().map_or(self.discovery, |addresses| addresses.discovery);
+        Input::Reloaded { usable: addresses.is_some() }
     }
 
     fn perform(&mut self, effect: Effect) {
@@ -268,9 +267,11 @@
                     book.send(socket, to, &bytes);
                 }
             }
-            Effect::Watch { address, from } => {
-                self.watch.abort();
-                self.watch = watch(&self.shared, address, from);
+            Effect::Watch { from } => {
+                let task = tokio::task::spawn_local(watch::follow(self.shared.clone(), self.discovery, from));
+                if let Some(before) = self.watch.replace(task.abort_handle()) {
+                    before.abort();
+                }
             }
             Effect::StopListening => {
                 self.listener.abort();
--- a/crates/mixer/src/transport/watch.rs
+++ b/crates/mixer/src/transport/watch.rs
@@ -1,4 +1,4 @@
-//! The watch on discovery: one long answer, asked for again whenever it ends or falls silent.
+//! The watch on discovery: one long answer. When to ask for it again is for the module to say.
 
 use super::Shared;
 use crate::protocol::discovery;
@@ -8,27 +8,17 @@
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout, Duration, Instant};
+use tokio::time::{timeout, Duration};
 
 /// A line comes every 2 s, empty if nothing has changed; well past that the watch is held to be dead.
 const SILENT: Duration = Duration::from_millis(4500);
 const CONNECT: Duration = Duration::from_secs(1);
-/// Between two tries: at first, and at the most. Each failure doubles it; a watch that lasted longer than the
-/// most does not count as one, or the list would be late after every silence.
-const AGAIN: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
-
-/// Follows the list from version `index` on, for ever.
+/// Follows the list from version `index` on until the watch ends or falls silent.
 pub async fn follow(shared: Shared, address: SocketAddr, mut index: u64) {
-    let mut wait = AGAIN.0;
-    loop {
-        let began = Instant::now();
-        let end = watch(&shared, address, &mut index).await;
-        if let Err(e) = end {
-            tracing::info!(%address, index, "watch on discovery ended: {e}");
-        }
-        wait = if began.elapsed() > AGAIN.1 { AGAIN.0 } else { (wait * 2).min(AGAIN.1) };
-        sleep(wait).await;
+    if let Err(e) = watch(&shared, address, &mut index).await {
+        tracing::info!(%address, index, "watch on discovery ended: {e}");
     }
+    let _ = shared.inputs.send(Input::WatchEnded).await;
 }
 
 async fn watch(shared: &Shared, address: SocketAddr, index: &mut u64) -> io::Result<()> {
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -2,7 +2,7 @@
 
 mod bed;
 
-use bed::{Bed, MS, START};
+use bed::{Bed, MS, SETTINGS, START};
 use cottonhill_mixer::protocol::http::Rejection;
 use cottonhill_mixer::protocol::leaf::{End, ToLeaf};
 use cottonhill_mixer::protocol::query::{Asked, AskedPart, Query, Reply};
@@ -394,6 +394,45 @@
     assert!(bed.exited && bed.replies[&busy].len() == 1);
 }
 
+/// Discovery is one service for all mixers: those whose watch was turned away and that ask again in step keep
+/// it so busy that none gets a list.
+#[test]
+fn the_list_is_watched_when_the_module_says_so_and_not_in_step() {
+    let text = format!("{SETTINGS}discovery=on_request\nguarantees.ask_within_ns=10000000000\n");
+    let mut times = Vec::new();
+    for seed in 0..20 {
+        let mut bed = Bed::seeded(&text, 1, seed);
+        let mut failed = 0;
+        while bed.now < START + 60_000 * MS {
+            bed.pass(50);
+            if bed.watches.len() > failed {
+                failed = bed.watches.len();
+                bed.put(Input::WatchEnded);
+            }
+        }
+        assert!(
+            (5..=20).contains(&failed),
+            "it goes on asking, ever more rarely: {failed} calls in a minute"
+        );
+        times.extend(bed.watches[..2].to_vec());
+    }
+    times.sort_unstable();
+    let most = times.iter().map(|at| times.iter().filter(|t| (*at..at + 500 * MS).contains(t)).count()).max();
+    assert!(most <= Some(times.len() / 3), "no half second sees most of the first calls: {most:?}");
+}
+
+/// Where discovery pushes its list, a watch that ended is nobody's burden: the list must not be late.
+#[test]
+fn a_pushed_list_is_watched_from_the_start_and_again_soon() {
+    let mut bed = Bed::new(1);
+    assert_eq!(bed.watches, [START]);
+    bed.put(Input::WatchEnded);
+    bed.pass(1000);
+    assert_eq!(bed.watches.len(), 2);
+    bed.put(Input::Reloaded { usable: true });
+    assert_eq!(bed.watches.len(), 3, "a new address is watched at once");
+}
+
 /// The whole list: replica 2 alone, at this address.
 fn only_the_second(address: &str) -> Input {
     let line = serde_json::json!({"name": "s-2", "address": address, "group": 0, "status": "up"});
