Count slow start by the time a mixer has run, not by the whole warming time

The share of a cold replica is reckoned from what its likes answered to this mixer. That count was divided by at least the warming time, so a mixer that has just restarted granted next to nothing.

Ruled out: refusals by cold replicas (none), and a missing list (each mixer had it).

The test fails without the change: 4 parts for a replica that bears about 20.

--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -636,7 +636,7 @@
         let warmth = from + (1.0 - from) * age as f64 / self.settings.cold_time as f64;
         let ready = self.replicas.values().filter(|r| r.standing == Standing::Ready).count().max(1);
         let span = self.settings.fall_time.max(1);
-        let counted = self.memory().min((self.now - self.born).max(self.settings.cold_time) as f64);
+        let counted = self.memory().min((self.now - self.born).max(span) as f64);
         let usual = self.served.0 / ready as f64 * span as f64 / counted;
         let seed = self.seed ^ replica.started ^ (self.now / span).rotate_left(32);
         let turn = fastrand::Rng::with_seed(seed).f64();
--- a/crates/decisions/tests/module.rs
+++ b/crates/decisions/tests/module.rs
@@ -797,6 +797,20 @@
     assert!((1..=6).contains(&cold), "{cold} parts for one that bears about four");
 }
 
+/// One that has run for less than the time of warming up took its answers for those of all that time: after a
+/// restart it left fresh replicas idle, beside old ones that drowned.
+#[test]
+fn one_that_has_just_started_gives_a_cold_replica_its_due() {
+    let mut bed = Bed::new(cold(), 1);
+    (0..100).for_each(|i| {
+        bed.served(i * 20, 10);
+    });
+    bed.list(ListKind::Changes, vec![Member { started: START + 1_990 * MS, ..member(2) }]);
+    let burst: Vec<_> = (0..40).flat_map(|i| sends(&bed.query(2000 + i, 0, &[1.0]).1)).collect();
+    let cold = burst.iter().filter(|(_, replica)| *replica == ReplicaId(2)).count();
+    assert!((10..=21).contains(&cold), "{cold} parts for one that bears about twenty");
+}
+
 /// Something on the way drops unused connections unseen: what is sent on one is lost, though the replica
 /// lives. Rounds of a query whose attempts on unused connections break; in which connections are renewed.
 fn unused_connections_break(rounds: u64, renewed_break: bool) -> Vec<bool> {
