Read a list from discovery however its message is laid out

Seen: by reading. The watch was read line by line and each line parsed as JSON, so the first line of an indented list ("{") ended the watch with `EOF while parsing`, and so did every watch after it: such a mixer never takes a list. Ruled out: that chunk bounds or pieces are at fault; a list on one line is read over any bound (test of before). At fault: `WatchCodec::decode` in protocol/http.rs (a message ended at the first line's end, and at 64 KiB). Mended: a message ends where its outermost bracket closes, so one without a line's end before the end of the answer is taken too; 1 MiB at most.

--- a/crates/mixer/src/protocol/discovery.rs
+++ b/crates/mixer/src/protocol/discovery.rs
@@ -32,8 +32,8 @@
     pub endpoints: Vec<Endpoint>,
 }
 
-/// Reads one line of a watch; none for the empty line that only shows that the watch lives.
-pub fn line(bytes: &[u8]) -> Result<Option<Listing>, String> {
+/// Reads one message of a watch; none for the empty line that only shows that the watch lives.
+pub fn message(bytes: &[u8]) -> Result<Option<Listing>, String> {
     let bytes = bytes.trim_ascii();
     if bytes.is_empty() {
         return Ok(None);
--- a/crates/mixer/src/protocol/http.rs
+++ b/crates/mixer/src/protocol/http.rs
@@ -297,11 +297,57 @@
     pub from: u64,
 }
 
-/// The client's side of one watch: a request out, then lines as they come.
+/// The longest that one message of a watch may be: the whole list of some thousand leaf servers, indented.
+const MOST_LIST: usize = 1024 * 1024;
+
+/// The client's side of one watch: a request out, then messages as they come.
 #[derive(Default)]
 pub struct WatchCodec {
     body: Option<Body>,
-    line: BytesMut,
+    text: BytesMut,
+    scan: Scan,
+    /// The line is still open on which a message has ended.
+    told: bool,
+}
+
+/// How far a message has been looked through for its end: where its outermost bracket closes, however many
+/// lines it takes.
+#[derive(Default)]
+struct Scan {
+    at: usize,
+    depth: usize,
+    in_string: bool,
+    escaped: bool,
+}
+
+impl Scan {
+    /// Goes on to the end of a message or of a line; none while neither is there.
+    fn on(&mut self, text: &[u8]) -> Option<Found> {
+        while let Some(byte) = text.get(self.at) {
+            self.at += 1;
+            if self.in_string {
+                self.in_string = self.escaped || *byte != b'"';
+                self.escaped = !self.escaped && *byte == b'\\';
+                continue;
+            }
+            match byte {
+                b'"' => self.in_string = true,
+                b'{' | b'[' => self.depth += 1,
+                b'}' | b']' if self.depth <= 1 => return Some(Found::Message),
+                b'}' | b']' => self.depth -= 1,
+                b'\n' if self.depth == 0 => return Some(Found::Line),
+                b'\n' => return Some(Found::LineInside),
+                _ => {}
+            }
+        }
+        None
+    }
+}
+
+enum Found {
+    Message,
+    Line,
+    LineInside,
 }
 
 impl Encoder<WatchRequest> for WatchCodec {
@@ -320,6 +366,11 @@
 }
 
 impl WatchCodec {
+    /// The head of the answer is there.
+    pub fn has_begun(&self) -> bool {
+        self.body.is_some()
+    }
+
     fn read_head(src: &mut BytesMut) -> io::Result<Option<Body>> {
         let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
         let mut parsed = httparse::Response::new(&mut headers);
@@ -340,7 +391,7 @@
 }
 
 impl Decoder for WatchCodec {
-    /// One line without its end; empty ones are the agent's sign of life.
+    /// One message, however many lines it takes; an empty one is the agent's sign of life.
     type Item = Bytes;
     type Error = io::Error;
 
@@ -349,11 +400,18 @@
             self.body = Self::read_head(src)?;
         }
         let Some(body) = &mut self.body else { return Ok(None) };
-        let whole = body.read(src, &mut self.line, MOST_BODY).map_err(|e| invalid(format!("{e:?}")))?;
-        if let Some(end) = self.line.iter().position(|b| *b == b'\n') {
-            let line = Bytes::copy_from_slice(&self.line[..end]);
-            self.line.advance(end + 1);
-            return Ok(Some(line));
+        let whole = body.read(src, &mut self.text, MOST_LIST).map_err(|e| invalid(format!("{e:?}")))?;
+        while let Some(found) = self.scan.on(&self.text) {
+            if matches!(found, Found::LineInside) {
+                return Ok(Some(Bytes::new()));
+            }
+            let end = std::mem::take(&mut self.scan).at;
+            let text = self.text.split_to(end).freeze();
+            let rest = std::mem::replace(&mut self.told, matches!(found, Found::Message));
+            // What follows a message up to the end of its line is no line of its own.
+            if !rest || !text.trim_ascii().is_empty() {
+                return Ok(Some(text));
+            }
         }
         if whole {
             return Err(ErrorKind::UnexpectedEof.into());
--- a/crates/mixer/src/transport/watch.rs
+++ b/crates/mixer/src/transport/watch.rs
@@ -37,7 +37,7 @@
     loop {
         let line = timeout(SILENT, connection.next()).await.map_err(|_| ErrorKind::TimedOut)?;
         let Some(line) = line else { return Err(ErrorKind::UnexpectedEof.into()) };
-        let listing = discovery::line(&line?).map_err(|e| io::Error::new(ErrorKind::InvalidData, e))?;
+        let listing = discovery::message(&line?).map_err(|e| io::Error::new(ErrorKind::InvalidData, e))?;
         if let Some(listing) = listing {
             let next = listing.index;
             let _ = shared.inputs.send(Input::Listed(listing)).await;
--- a/crates/mixer/tests/protocol.rs
+++ b/crates/mixer/tests/protocol.rs
@@ -94,7 +94,7 @@
         let mut buffer = BytesMut::from(&frame[..]);
         let mut codec = LeafCodec::default();
         while let Ok(Some(_)) = codec.decode(&mut buffer) {}
-        let _ = discovery::line(&noise);
+        let _ = discovery::message(&noise);
     }
 }
 
@@ -223,13 +223,37 @@
 1a\r\nt\":false,\"endpoints\":[]}\n\n\r\n";
     for sizes in [[1], [9], [1000]] {
         let lines = feed(&mut WatchCodec::default(), text, &sizes);
-        let lines: Vec<_> = lines.iter().map(|line| discovery::line(line).unwrap()).collect();
+        let lines: Vec<_> = lines.iter().map(|line| discovery::message(line).unwrap()).collect();
         assert_eq!(lines.len(), 3);
         assert_eq!(lines[1].as_ref().map(|l| (l.index, l.snapshot)), Some((43, false)));
     }
     assert!(WatchCodec::default().decode(&mut BytesMut::from("HTTP/1.1 503 No\r\n\r\n")).is_err());
 }
 
+#[test]
+fn a_list_is_read_however_it_is_laid_out() {
+    let list = serde_json::json!({"index": 43, "snapshot": true, "endpoints": [
+        {"name": "s-}\"{", "address": "10.1.0.18:7070", "zone": "a\\", "group": 3, "status": "up", "since_ms": 0},
+        {"name": "s-2", "address": "10.1.0.19:7070", "zone": "a", "group": 4, "status": "draining"}]});
+    let (plain, indented) = (list.to_string(), serde_json::to_string_pretty(&list).unwrap());
+    let head = "HTTP/1.1 200 OK\r\n";
+    let body = format!("\n{indented}\n\n{plain}\n{plain}{}\r\n", indented.replace('\n', "\r\n"));
+    let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n", body.len());
+    let with_length = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len() + 1);
+    // The last one has no end of its own: it is whole where its last bracket closes.
+    let to_the_end = format!("{head}\r\n{}", body.trim_end());
+    for text in [chunked, with_length, to_the_end] {
+        for sizes in [[1], [9], [10_000]] {
+            let messages = feed(&mut WatchCodec::default(), text.as_bytes(), &sizes);
+            let lists = messages.iter().filter_map(|message| discovery::message(message).unwrap());
+            let lists: Vec<_> = lists.map(|list| (list.index, list.endpoints.len())).collect();
+            assert_eq!(lists, [(43, 2); 4], "{text}");
+        }
+    }
+    let noise = feed(&mut WatchCodec::default(), format!("{head}\r\nnoise\n").as_bytes(), &[3]);
+    assert!(discovery::message(&noise[0]).is_err(), "what is no list is not taken for a sign of life");
+}
+
 #[test]
 fn settings_as_json_mean_the_same_as_on_the_wire() {
     let settings = serde_json::json!({
