Open a lost watch anew in time: silence, calls and waits together fit the told time

On top came a wait of 0.2 to 0.6 s, doubling to 1.8 s, and up to 1 s for the next connection: two calls that fail after a silence are past 6 s, and a drain that is pushed counts as told at once, to be obeyed 2 s later. Ruled out: that the agent must be spared (WIRE: it answers at once and at no cost where lists are pushed); lists that have to be asked for keep their longer waits. Also the end of a watch that a reload had replaced was taken for the end of the new one, which was then opened again. A watch has a number.

--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -61,8 +61,9 @@
 const ASK_AGAIN: (f64, f64) = (0.2, 0.6);
 /// Share of that time over which the first calls are spread: many start together, with a list of old.
 const ASK_FIRST: f64 = 0.3;
-/// The time for a list that is pushed, ns: only a dead watch has to be asked for again, and nobody waits for it.
-const PUSHED_WITHIN: f64 = 2.0 * SECOND as f64;
+/// Shares of the time in which a drain has to be obeyed: wait before a watch on a pushed list is opened anew. What
+/// is pushed counts as told with or without a watch, and its agent serves this co-ordinator alone: no doubling.
+const WATCH_AGAIN: (f64, f64) = (0.05, 0.25);
 /// Share of the time after which an idle connection is closed past which one has long been unused.
 const STALE: f64 = 0.04;
 /// Weight of one attempt in the share lost, and the share on such connections from which on that is trouble.
@@ -316,7 +317,9 @@
             return;
         }
         let most = (ASK_AGAIN.0 * f64::from(1u32 << self.asks_failed.min(16))).min(ASK_AGAIN.1);
-        self.ask_at = Some(self.now + self.ask_wait(0.5 * most, 1.5 * most));
+        let asked_for = self.settings.list_on_request;
+        let (least, most) = if asked_for { (0.5 * most, 1.5 * most) } else { WATCH_AGAIN };
+        self.ask_at = Some(self.now + self.ask_wait(least, most));
         self.asks_failed += 1;
     }
 
@@ -325,7 +328,7 @@
         let within = if self.settings.list_on_request {
             (self.settings.list_within as f64).max(FADE_AIMS * self.shortest_aim())
         } else {
-            PUSHED_WITHIN
+            self.settings.drain_grace as f64
         };
         let mut random = fastrand::Rng::with_seed(self.random);
         let share = least + (most - least) * random.f64();
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -89,6 +89,8 @@
     pub budget: Option<Budget>,
     /// Connections without use are closed after so long.
     pub idle_time: Nanos,
+    /// Nothing new may go to a replica so long after it was told to drain or be gone.
+    pub drain_grace: Nanos,
     /// The list of replicas has to be asked for.
     pub list_on_request: bool,
     /// One that has not asked for so long is held to know what was listed that long ago.
--- a/crates/mixer/src/routing/messages.rs
+++ b/crates/mixer/src/routing/messages.rs
@@ -43,8 +43,10 @@
         link: LinkId,
     },
     Listed(Listing),
-    /// The watch on the list has ended; another is begun when the module asks for it.
-    WatchEnded,
+    /// This watch on the list has ended; another is begun when the module asks for it.
+    WatchEnded {
+        watch: u64,
+    },
     Datagram {
         from: u32,
         bytes: Vec<u8>,
@@ -86,8 +88,11 @@
         bytes: Vec<u8>,
     },
     /// Watch the list of leaf servers from this version on, where discovery is now, in place of any other watch.
+    /// Its first answer has to come within this time.
     Watch {
+        watch: u64,
         from: u64,
+        answer_within: Nanos,
     },
     StopListening,
     /// One query has ended; comes before its reply, which waits for the record.
--- a/crates/mixer/src/routing/state/links.rs
+++ b/crates/mixer/src/routing/state/links.rs
@@ -36,7 +36,14 @@
             return;
         }
         self.counters.reloads.taken += 1;
-        self.effects.push(Effect::Watch { from: self.replicas.index });
+        self.watch_list();
+    }
+
+    /// Watches the list from the version that is held on, in place of any other watch.
+    pub(super) fn watch_list(&mut self) {
+        self.watch += 1;
+        let (watch, from, answer_within) = (self.watch, self.replicas.index, self.answer_within);
+        self.effects.push(Effect::Watch { watch, from, answer_within });
     }
 
     pub(super) fn heard(&mut self, now: Nanos, link: LinkId, frame: FromLeaf) {
--- a/crates/mixer/src/routing/state/mod.rs
+++ b/crates/mixer/src/routing/state/mod.rs
@@ -34,6 +34,10 @@
 /// Connections closed for each that opens, as long as there are any to close: what piles up goes faster
 /// than it comes.
 const CLOSED_AT_ONCE: usize = 2;
+/// How long a watch may take to answer: the agent that pushes the list does so at once, and has more to tell as
+/// soon as discovery is back; a list that has to be asked for is one service that serves its callers in turn.
+const ANSWER_PUSHED: Nanos = 1_000 * MS;
+const ANSWER_ASKED: Nanos = 4_500 * MS;
 /// The most that one message between mixers may hold.
 const MOST_DATAGRAM: usize = 256;
 /// Share of the idle time after which we close a connection, in tenths: the other end does so at the latest
@@ -135,6 +139,9 @@
     most_links: usize,
     most_clients: usize,
     listed: bool,
+    /// The number of the watch that is open, and how long one may take to answer.
+    watch: u64,
+    answer_within: Nanos,
     terminated: Option<Nanos>,
     closing: bool,
     exited: bool,
@@ -148,17 +155,16 @@
     pub fn new(
         now: Nanos, site: Site, settings: Settings, seed: u64, known: &Listing, descriptors: usize,
     ) -> State {
+        // Where the list has to be asked for, the module does so in its first turn.
+        let asked_for = settings.list_on_request;
         let mut state = State {
             most_links: descriptors * LINK_HUNDREDTHS / 100,
             most_clients: descriptors * CLIENT_HUNDREDTHS / 100,
             replicas: Replicas::new(site.zones.clone()),
             site,
-            // Where the list has to be asked for, the module does so in its first turn.
-            effects: if settings.list_on_request {
-                Vec::new()
-            } else {
-                vec![Effect::Watch { from: known.index }]
-            },
+            effects: Vec::new(),
+            watch: 0,
+            answer_within: if settings.list_on_request { ANSWER_ASKED } else { ANSWER_PUSHED },
             module: Coordinator::new(settings, seed),
             events: Vec::new(),
             alarms: BTreeSet::new(),
@@ -181,6 +187,9 @@
             recording: None,
         };
         let (_, members, _) = state.replicas.take(known);
+        if !asked_for {
+            state.watch_list();
+        }
         state.listed = state.replicas.any_ready();
         state.events.push(Event::List { kind: ListKind::Remembered, members });
         state.turn(now);
@@ -247,7 +256,9 @@
             }
             Input::Listed(listing) => self.take_list(now, &listing),
             Input::Datagram { from, bytes } => self.events.push(Event::Message { from, bytes }),
-            Input::WatchEnded => {
+            // One that was replaced may say so late: that is no news of the one in its place.
+            Input::WatchEnded { watch } if watch != self.watch => {}
+            Input::WatchEnded { .. } => {
                 self.events.push(Event::List { kind: ListKind::Failed, members: Vec::new() })
             }
             Input::Reloaded { usable } => self.reloaded(usable),
--- a/crates/mixer/src/routing/state/turns.rs
+++ b/crates/mixer/src/routing/state/turns.rs
@@ -87,7 +87,7 @@
             Action::Wake { token, after } => {
                 self.alarms.insert((now + after, Alarm::Wake(token)));
             }
-            Action::Subscribe { on: true } => self.effects.push(Effect::Watch { from: self.replicas.index }),
+            Action::Subscribe { on: true } => self.watch_list(),
             // A watch lasts until it ends by itself, and brings all that a single call would.
             Action::Subscribe { on: false } | Action::FetchList => {}
             Action::Probe { replica } => self.probe(now, replica),
--- a/crates/mixer/src/settings.rs
+++ b/crates/mixer/src/settings.rs
@@ -103,6 +103,10 @@
         fall_time: pairs.time("guarantees.fall_ns")?,
         budget: budget(&pairs)?,
         idle_time: pairs.time("limits.conn_idle_ns")?,
+        drain_grace: pairs
+            .get("guarantees.stop_sending_within_ns")?
+            .filter(|it| *it > 0)
+            .unwrap_or(DRAIN_GRACE),
         list_on_request: pairs.0.get("discovery") == Some(&"on_request"),
         list_within: pairs.time("guarantees.ask_within_ns")?,
     })
@@ -210,5 +214,6 @@
 
 /// Where the settings are silent: bounds that keep memory and waits in hand.
 const OPEN_CAP: usize = 4096;
+const DRAIN_GRACE: u64 = 2_000_000_000;
 const CONNECT_TIMEOUT: u64 = 250_000_000;
 const IDLE_TIME: u64 = 30_000_000_000;
--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -267,8 +267,11 @@
                     book.send(socket, to, &bytes);
                 }
             }
-            Effect::Watch { from } => {
-                let task = tokio::task::spawn_local(watch::follow(self.shared.clone(), self.discovery, from));
+            Effect::Watch { watch, from, answer_within } => {
+                let answer_within = Duration::from_nanos(answer_within);
+                let watch = watch::Watch { number: watch, from, answer_within };
+                let task =
+                    tokio::task::spawn_local(watch::follow(self.shared.clone(), self.discovery, watch));
                 if let Some(before) = self.watch.replace(task.abort_handle()) {
                     before.abort();
                 }
--- a/crates/mixer/tests/bed/mod.rs
+++ b/crates/mixer/tests/bed/mod.rs
@@ -43,6 +43,8 @@
     pub marks: Vec<Mark>,
     /// When the list was watched anew.
     pub watches: Vec<u64>,
+    /// The number of the last one.
+    pub watch: u64,
     told: BTreeMap<String, String>,
     writing: BTreeSet<LinkId>,
     clients: u64,
@@ -90,6 +92,7 @@
             records: Vec::new(),
             marks: Vec::new(),
             watches: Vec::new(),
+            watch: 0,
             told: (1..=replicas).map(|r| (address(r), "up".to_string())).collect(),
             writing: BTreeSet::new(),
             clients: 0,
@@ -151,7 +154,10 @@
                 self.links.remove(&link);
                 self.out.remove(&link);
             }
-            Effect::Watch { .. } => self.watches.push(self.now),
+            Effect::Watch { watch, .. } => {
+                self.watches.push(self.now);
+                self.watch = watch;
+            }
             Effect::Datagram { .. } => {}
             Effect::StopListening => self.listening = false,
             Effect::Exit(_) => self.exited = true,
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -407,7 +407,7 @@
             bed.pass(50);
             if bed.watches.len() > failed {
                 failed = bed.watches.len();
-                bed.put(Input::WatchEnded);
+                bed.put(Input::WatchEnded { watch: bed.watch });
             }
         }
         assert!(
@@ -426,13 +426,23 @@
 fn a_pushed_list_is_watched_from_the_start_and_again_soon() {
     let mut bed = Bed::new(1);
     assert_eq!(bed.watches, [START]);
-    bed.put(Input::WatchEnded);
+    bed.put(Input::WatchEnded { watch: bed.watch });
     bed.pass(1000);
     assert_eq!(bed.watches.len(), 2);
     bed.put(Input::Reloaded { usable: true });
     assert_eq!(bed.watches.len(), 3, "a new address is watched at once");
 }
 
+#[test]
+fn the_end_of_a_watch_that_was_replaced_begins_no_other() {
+    let mut bed = Bed::new(1);
+    let replaced = bed.watch;
+    bed.put(Input::Reloaded { usable: true });
+    bed.put(Input::WatchEnded { watch: replaced });
+    bed.pass(20_000);
+    assert_eq!(bed.watches.len(), 2, "the one in its place is kept");
+}
+
 /// The whole list: replica 2 alone, at this address.
 fn only_the_second(address: &str) -> Input {
     let line = serde_json::json!({"name": "s-2", "address": address, "group": 0, "status": "up"});
