Write nothing before the turn, and nothing that waits for a query that has ended

Each input was followed by writing at once, so a connection that came up before a client's end, a drain or a whole list of the same batch wrote what these forbid. And what waited for a connection outlived its query: cancelled only in the next turn, and not at all where the settings allow no cancelling; an answered query still sent its light parts when their connection came up. At fault: `pump` after every input in `State::apply`; `end_query`, which forgot the parts and left their attempts. Mended: frames are handed out at the turn only, after all that came in with them; `end_query` ends unsent attempts.

--- a/crates/mixer/src/routing/link.rs
+++ b/crates/mixer/src/routing/link.rs
@@ -237,6 +237,11 @@
         self.out.iter().find(|(_, out)| out.attempt == attempt).map(|(wire, _)| wire.clone())
     }
 
+    /// Whether an attempt is here and has not gone to the socket yet.
+    pub fn is_unsent(&self, attempt: AttemptId) -> bool {
+        self.out.values().any(|out| out.attempt == attempt && out.given.is_none())
+    }
+
     /// The attempts that have not gone to the socket yet.
     pub fn unsent(&self) -> Vec<AttemptId> {
         let calls = self.waiting.iter().filter_map(|job| match job {
--- a/crates/mixer/src/routing/state/clients.rs
+++ b/crates/mixer/src/routing/state/clients.rs
@@ -1,7 +1,7 @@
 //! Clients: their connections, what they ask, and the replies.
 
 use super::{Alarm, Client, Part, Query, State, CLIENT_IDLE, CLOSED_AT_ONCE, MARGIN, MS};
-use crate::interface::{Event, Nanos, RequestId};
+use crate::interface::{Event, Nanos, Outcome as Attempted, RequestId};
 use crate::protocol::http::Rejection;
 use crate::protocol::query::{Asked, Query as AskedQuery, Reply};
 use crate::routing::messages::{ClientId, Effect};
@@ -127,12 +127,12 @@
         tracing::debug!(id, name = asked.name, class, patience_ms, open_parts, "query taken");
     }
 
-    pub(super) fn client_closed(&mut self, client: ClientId) {
+    pub(super) fn client_closed(&mut self, now: Nanos, client: ClientId) {
         let Some(client) = self.clients.remove(&client) else { return };
         if let Some(id) = client.query {
             self.counters.answered.client_gone += 1;
             self.events.push(Event::ClientGone { id });
-            if let Some((query, parts)) = self.end_query(id) {
+            if let Some((query, parts)) = self.end_query(now, id) {
                 self.record(&query, &parts, Outcome::Left);
             }
         }
@@ -145,9 +145,18 @@
         self.effects.push(Effect::Reply { client, reply, close });
     }
 
-    /// Forgets a query and its parts; attempts still out end on their own.
-    pub(super) fn end_query(&mut self, id: RequestId) -> Option<(Query, Vec<Part>)> {
+    /// Forgets a query and its parts. Attempts still out end on their own; what still waits for a connection never
+    /// goes out, whether or not what is out may be cancelled.
+    pub(super) fn end_query(&mut self, now: Nanos, id: RequestId) -> Option<(Query, Vec<Part>)> {
         let query = self.queries.remove(&id)?;
+        for part in &query.parts {
+            let own: Vec<_> = self.attempts.range((*part, 0)..=(*part, u8::MAX)).collect();
+            let unsent = |link: &LinkId, id| self.links.get(link).is_some_and(|(_, it)| it.is_unsent(id));
+            let waiting = own.into_iter().filter(|(id, attempt)| unsent(&attempt.link, **id));
+            for attempt in waiting.map(|(id, _)| *id).collect::<Vec<_>>() {
+                self.end_attempt(now, attempt, Attempted::Cancelled);
+            }
+        }
         self.alarms.remove(&(query.deadline, Alarm::LastMoment(id)));
         self.names.remove(&query.name);
         self.note_over(id, query.arrived);
--- a/crates/mixer/src/routing/state/mod.rs
+++ b/crates/mixer/src/routing/state/mod.rs
@@ -228,9 +228,10 @@
     /// The only way in: takes one input at `now` and returns what is to be done about it.
     pub fn apply(&mut self, now: Nanos, input: Input) -> Vec<Effect> {
         match input {
+        let turn = matches!(input, Input::Turn);
             Input::ClientOpened { client } => self.client_opened(now, client),
             Input::Asked { client, arrived, asked } => self.asked(now, client, arrived, asked),
-            Input::ClientClosed { client } => self.client_closed(client),
+            Input::ClientClosed { client } => self.client_closed(now, client),
             Input::LinkOpened { link } => {
                 if let Some((_, it)) = self.links.get_mut(&link) {
                     it.opened(now);
@@ -265,7 +266,9 @@
             Input::Terminate => self.terminate(now),
             Input::Turn => self.turn(now),
         }
-        self.pump(now);
+        if turn {
+            self.pump(now);
+        }
         self.leave();
         std::mem::take(&mut self.effects)
     }
--- a/crates/mixer/src/routing/state/turns.rs
+++ b/crates/mixer/src/routing/state/turns.rs
@@ -114,7 +114,7 @@
     pub(super) fn finish(
         &mut self, now: Nanos, id: RequestId, word: impl FnOnce(&mut Self, &(Query, Vec<Part>)) -> Reply,
     ) {
-        let Some(ended) = self.end_query(id) else { return };
+        let Some(ended) = self.end_query(now, id) else { return };
         let reply = word(self, &ended);
         self.record(&ended.0, &ended.1, usage::outcome(&reply));
         if tracing::enabled!(tracing::Level::DEBUG) {
