Hold what the socket was given to have run when we close its connection ourselves

A spoilt answer or a silent connection makes us close; an attempt whose frame the socket had taken, with the word of it still on its way to the reducer, counted as never sent. A part that may not be repeated then went out a second time, and its query could be refused as harmless to repeat. Ruled out: connections that end by themselves: the socket's task tells of each whole frame before it tells of the end. At fault: `Link::end` (written only by `LinkWrote`), used for both ends alike. Mended: where we close, what was given to the socket may have run. Tests: the model of a connection has both ends now; `what_the_socket_was_given_when_we_close_may_have_run`.

--- a/crates/mixer/src/routing/link.rs
+++ b/crates/mixer/src/routing/link.rs
@@ -251,9 +251,12 @@
         calls.flatten().map(|(attempt, _)| *attempt).collect()
     }
 
-    /// The connection is over: all attempts on it, with whether they may have run, and all probes.
-    pub fn end(self) -> (Vec<(AttemptId, bool)>, Vec<u64>) {
-        let attempts = self.out.values().map(|out| (out.attempt, out.written)).collect();
+    /// The connection is over: all attempts on it, with whether they may have run, and all probes. Where the socket
+    /// has said so itself, it has told of each frame that it took whole before; where we close (`ours`), its word
+    /// may still be on the way.
+    pub fn end(self, ours: bool) -> (Vec<(AttemptId, bool)>, Vec<u64>) {
+        let may_have_run = |out: &Out| out.written || ours && out.given.is_some();
+        let attempts = self.out.values().map(|out| (out.attempt, may_have_run(out))).collect();
         let queued = self.waiting.iter().chain(&self.writing).filter_map(|job| match job {
             Job::Probe(probe) => Some(*probe),
             _ => None,
--- a/crates/mixer/src/routing/state/clients.rs
+++ b/crates/mixer/src/routing/state/clients.rs
@@ -4,7 +4,7 @@
 use crate::interface::{Event, Nanos, Outcome as Attempted, RequestId};
 use crate::protocol::http::Rejection;
 use crate::protocol::query::{Asked, Query as AskedQuery, Reply};
-use crate::routing::messages::{ClientId, Effect};
+use crate::routing::messages::{ClientId, Effect, LinkId};
 use crate::routing::usage::Outcome;
 use std::rc::Rc;
 
--- a/crates/mixer/src/routing/state/links.rs
+++ b/crates/mixer/src/routing/state/links.rs
@@ -108,7 +108,9 @@
         self.site.report.iter().map(value).collect::<Option<_>>().unwrap_or_default()
     }
 
-    pub(super) fn link_ended(&mut self, now: Nanos, link: LinkId) {
+    /// Ends a connection that has broken, or (`ours`) that we close: the socket may have taken a frame's last byte
+    /// and not have said so yet.
+    pub(super) fn link_ended(&mut self, now: Nanos, link: LinkId, ours: bool) {
         let Some((id, it)) = self.links.remove(&link) else { return };
         if let Some(at) = it.idle_alarm {
             self.alarms.remove(&(at, Alarm::Idle(link)));
@@ -116,7 +118,7 @@
         if let Some(replica) = self.replicas.get_mut(id) {
             replica.links.retain(|other| *other != link);
         }
-        let (attempts, probes) = it.end();
+        let (attempts, probes) = it.end(ours);
         for (attempt, may_have_run) in attempts {
             let outcome = if may_have_run { Outcome::Broken } else { Outcome::Unreachable };
             self.ended(now, attempt, outcome, LoadReport::new());
@@ -129,7 +131,7 @@
     /// Closes a connection of ours, for whatever is still on it as if it had broken.
     pub(super) fn close_link(&mut self, now: Nanos, link: LinkId) {
         self.effects.push(Effect::CloseLink { link });
-        self.link_ended(now, link);
+        self.link_ended(now, link, true);
     }
 
     pub(super) fn open_link(&mut self, now: Nanos, id: ReplicaId) -> Option<LinkId> {
--- a/crates/mixer/src/routing/state/mod.rs
+++ b/crates/mixer/src/routing/state/mod.rs
@@ -225,10 +225,11 @@
         &self.counters
     }
 
-    /// The only way in: takes one input at `now` and returns what is to be done about it.
+    /// The only way in: takes one input at `now` and returns what is to be done about it. Nothing is written before
+    /// the turn: a client that has gone, a drain or an end that came in with a connection goes before it.
     pub fn apply(&mut self, now: Nanos, input: Input) -> Vec<Effect> {
-        match input {
         let turn = matches!(input, Input::Turn);
+        match input {
             Input::ClientOpened { client } => self.client_opened(now, client),
             Input::Asked { client, arrived, asked } => self.asked(now, client, arrived, asked),
             Input::ClientClosed { client } => self.client_closed(now, client),
@@ -253,7 +254,7 @@
                         Phase::Open => connections.broken += 1,
                     }
                 }
-                self.link_ended(now, link);
+                self.link_ended(now, link, false);
             }
             Input::Listed(listing) => self.take_list(now, &listing),
             Input::Datagram { from, bytes } => self.events.push(Event::Message { from, bytes }),
--- a/crates/mixer/tests/connection.rs
+++ b/crates/mixer/tests/connection.rs
@@ -70,7 +70,7 @@
     #![proptest_config(config(512))]
 
     #[test]
-    fn a_connection_keeps_to_its_model(steps in prop::collection::vec(step(), 1..60)) {
+    fn a_connection_keeps_to_its_model(steps in prop::collection::vec(step(), 1..60), ours in any::<bool>()) {
         let (mut link, mut model) = (Link::new(0), Model::default());
         for (n, step) in steps.into_iter().enumerate() {
             let now = n as u64 * MS;
@@ -146,9 +146,11 @@
             let busy = !(model.stages.is_empty() && model.frames.is_empty() && model.probes.is_empty());
             prop_assert_eq!(link.is_idle(), !busy && model.writing.is_none());
         }
-        let (mut ended, _) = link.end();
+        let (mut ended, _) = link.end(ours);
         ended.sort();
-        let left = model.stages.iter().map(|(attempt, stage)| (*attempt, *stage == Stage::Written));
+        // Where we close, the socket's word of a frame that it took may still be on the way.
+        let may_have_run = |stage| stage == Stage::Written || ours && stage == Stage::Writing;
+        let left = model.stages.iter().map(|(attempt, stage)| (*attempt, may_have_run(*stage)));
         prop_assert_eq!(ended, left.collect::<Vec<_>>());
     }
 
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -4,7 +4,7 @@
 
 use bed::{Bed, MS, SETTINGS, START};
 use cottonhill_mixer::protocol::http::Rejection;
-use cottonhill_mixer::protocol::leaf::{End, ToLeaf};
+use cottonhill_mixer::protocol::leaf::{End, FromLeaf, ToLeaf};
 use cottonhill_mixer::protocol::query::{Asked, AskedPart, Query, Reply};
 use cottonhill_mixer::routing::{Effect, Input};
 
@@ -196,6 +196,23 @@
     assert_eq!(calls(&bed).len(), before, "what waited for its connection is over with its query");
 }
 
+/// The socket has taken a frame's last byte and has not said so yet when a spoilt answer ends the connection.
+#[test]
+fn what_the_socket_was_given_when_we_close_may_have_run() {
+    let text = SETTINGS.replace("classes.1.semantics=read_like", "classes.1.semantics=non_idempotent");
+    let mut bed = Bed::with(&text, 2);
+    bed.stuck = true;
+    let client = bed.ask(1, &[1.0]);
+    bed.open_all();
+    assert_eq!(calls(&bed).len(), 1);
+    let link = calls(&bed)[0].0;
+    bed.put(Input::LinkHeard { link, frame: FromLeaf::Spoilt(None) });
+    bed.open_all();
+    bed.pass(6000);
+    assert_eq!(calls(&bed).len(), 1, "it may have run: not once more");
+    assert!(matches!(bed.reply(client), Some(Reply::Failed)), "and no word that trying again is harmless");
+}
+
 #[test]
 fn an_idle_connection_is_closed_before_its_other_end_does_so() {
     let mut bed = Bed::new(1);
