Read a client's connection on to its end: while a request waits and when it is closed

Requests read before the shutdown were dropped behind the last answer. - At the end of the grace the listener went with what still waited to be accepted. Ruled out: that the reducer reacts late; it is told of the client's end only when the socket's task reads it. At fault: `converse` (reads on only while nothing is ahead; stamps a request when its turn comes), `attend` and `next_request` (drop the connection), `StopListening` (aborts `listen`), all in transport/clients.rs. Mended: requests are read ahead with the time of their coming, 256 or 64 KiB of bodies at most, past which the connection is only read for its end; our side is shut first and the rest read and thrown away for 1 s at most; the place of such a connection is given up first when places run out. What waits to be accepted is taken.

--- a/crates/mixer/src/protocol/http.rs
+++ b/crates/mixer/src/protocol/http.rs
@@ -257,6 +257,7 @@
         408 => "Request Timeout",
         409 => "Conflict",
         413 => "Content Too Large",
+        429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
         503 => "Service Unavailable",
         504 => "Gateway Timeout",
--- a/crates/mixer/src/transport/clients.rs
+++ b/crates/mixer/src/transport/clients.rs
@@ -1,10 +1,11 @@
 //! The listener and the clients' connections.
 
 use super::{Shared, MOST_COMMANDS};
-use crate::protocol::http::{Rejection, Request, Response, ServerCodec};
+use crate::protocol::http::{Rejection, Request, Response, ServerCodec, MOST_BODY};
 use crate::protocol::query::{self, Reply};
 use crate::routing::{ClientId, Input};
-use futures_util::{SinkExt, StreamExt};
+use futures_util::{FutureExt, SinkExt, StreamExt};
+use std::collections::VecDeque;
 use std::io;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -22,7 +23,7 @@
 const WHOLE_REQUEST: Duration = Duration::from_secs(2);
 /// A client reads its answer within this, or its connection is given up.
 const SLOW_READER: Duration = Duration::from_secs(5);
-/// How long bytes of a rejected request are still read and thrown away.
+/// How long bytes are still read and thrown away after the last answer.
 const LINGER: Duration = Duration::from_secs(1);
 /// After a failed accept (no descriptors left) before the next.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
@@ -31,103 +32,157 @@
 /// there no end to it, a flood would take the descriptors that connections to leaf servers need.
 const MOST_CLOSING: usize = 16;
 
-/// Accepts until it is aborted.
+/// Requests that a client may send ahead of its answers, and the bytes of their bodies.
+const MOST_AHEAD: usize = 256;
+const MOST_AHEAD_BYTES: usize = MOST_BODY;
+
+/// Accepts until no more connections are to be taken, and then what waits to be accepted: a listener that closes
+/// resets it.
 pub async fn listen(shared: Shared, listener: TcpListener, most: usize) {
-    loop {
-        while shared.clients.borrow().len() >= most + MOST_CLOSING {
-            shared.client_ended.notified().await;
-        }
-        let stream = loop {
+    let mut stopped = shared.stopped.subscribe();
+    let accepting = async {
+        loop {
+            let full = shared.clients.borrow().len() >= most;
+            if full && shared.lingering.get() > 0 {
+                shared.room_needed.notify_one();
+            }
+            while shared.clients.borrow().len() >= most + MOST_CLOSING {
+                shared.client_ended.notified().await;
+            }
             match listener.accept().await {
-                Ok((stream, _)) => break stream,
+                Ok((stream, _)) => take(&shared, stream),
                 Err(e) => {
                     tracing::warn!("accept: {e}");
                     sleep(ACCEPT_AGAIN).await;
                 }
             }
-        };
-        let client = shared.client();
-        let (commands, receiver) = mpsc::channel(MOST_COMMANDS);
-        shared.clients.borrow_mut().insert(client, commands);
-        tokio::task::spawn_local(attend(shared.clone(), client, stream, receiver));
+        }
+    };
+    tokio::select! {
+        () = accepting => {}
+        _ = stopped.wait_for(|stopped| *stopped) => {}
+    }
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        take(&shared, stream);
     }
 }
 
+fn take(shared: &Shared, stream: TcpStream) {
+    let client = shared.client();
+    let (commands, receiver) = mpsc::channel(MOST_COMMANDS);
+    shared.clients.borrow_mut().insert(client, commands);
+    tokio::task::spawn_local(attend(shared.clone(), client, stream, receiver));
+}
+
 type Connection = Framed<TcpStream, ServerCodec>;
 type Incoming = Result<Request, Rejection>;
 
+/// Who ends a connection.
+enum End {
+    /// The client has closed it.
+    Left,
+    /// We do, with no answer under way or not.
+    Closed { answered: bool },
+}
+
 async fn attend(shared: Shared, client: ClientId, stream: TcpStream, mut commands: mpsc::Receiver<Command>) {
     // A reply must not wait for more to fill a packet.
     let _ = stream.set_nodelay(true);
     let mut connection = shared.pool.frame::<Response, _, _>(stream, ServerCodec::default());
     let _ = shared.inputs.send(Input::ClientOpened { client }).await;
-    match converse(&shared, client, &mut connection, &mut commands).await {
-        Ok(()) if connection.codec().is_dead() => linger(&mut connection, &mut commands).await,
-        Ok(()) => {}
+    let ended = converse(&shared, client, &mut connection, &mut commands).await;
+    // Nothing goes out for it any more; only its place is still taken.
+    let _ = shared.inputs.send(Input::ClientClosed { client }).await;
+    match ended {
+        Ok(End::Closed { answered: true }) => linger(&shared, &mut connection).await,
+        Ok(_) => {}
         Err(e) => tracing::debug!(client, "client connection: {e}"),
     }
     shared.pool.recover(connection);
     shared.clients.borrow_mut().remove(&client);
     shared.client_ended.notify_one();
-    let _ = shared.inputs.send(Input::ClientClosed { client }).await;
 }
 
 /// One request at a time until either side has had enough.
 async fn converse(
     shared: &Shared, client: ClientId, connection: &mut Connection, commands: &mut mpsc::Receiver<Command>,
-) -> io::Result<()> {
-    let mut early: Option<Incoming> = None;
+) -> io::Result<End> {
+    let (mut ahead, mut ahead_bytes) = (VecDeque::new(), 0);
     let mut begun = Some(Instant::now());
+    let (mut answered, mut closing) = (false, false);
     loop {
-        let incoming = match early.take() {
-            Some(incoming) => Some(incoming),
-            None => next_request(connection, commands, begun.take()).await?,
+        let (arrived, incoming) = match ahead.pop_front() {
+            Some(next) => next,
+            None if closing => return Ok(End::Closed { answered }),
+            None => match next_request(connection, commands, begun.take()).await? {
+                Next::Request(incoming) => (shared.clock.now(), incoming),
+                Next::Left => return Ok(End::Left),
+                Next::Close => return Ok(End::Closed { answered }),
+            },
         };
-        let Some(incoming) = incoming else { return Ok(()) };
-        let arrived = shared.clock.now();
+        ahead_bytes -= incoming.as_ref().map_or(0, |request: &Request| request.body.len()).min(ahead_bytes);
         let keep = incoming.as_ref().is_ok_and(|request| request.keep_alive);
         let asked = incoming.and_then(|request| query::read(&request, &shared.names));
         // Who sends what can't be used does so again as soon as it is told: not on this connection.
         let keep = keep && asked.is_ok();
         if shared.inputs.send(Input::Asked { client, arrived, asked }).await.is_err() {
-            return Ok(());
+            return Ok(End::Closed { answered });
         }
-        let (response, close) = loop {
+        let (reply, close) = loop {
             tokio::select! {
                 biased;
                 command = commands.recv() => match command {
-                    Some(Command::Reply(reply, close)) => {
-                        let close = close || !keep;
-                        break (query::render(&reply, close), close);
-                    }
+                    Some(Command::Reply(reply, close)) => break (reply, close),
                     // Crossed by this request, which is taken now; its reply will close.
                     Some(Command::Close) => {}
-                    None => return Ok(()),
+                    None => return Ok(End::Closed { answered }),
                 },
-                // Reading on shows at once when the client leaves; a request sent early waits its turn.
-                next = connection.next(), if early.is_none() => match next {
-                    Some(next) => early = Some(next?),
-                    None => return Ok(()),
+                // Reading on shows at once when the client leaves; requests sent early wait their turn, and
+                // their time runs.
+                next = connection.next() => match next {
+                    Some(next) => {
+                        let next: Incoming = next?;
+                        ahead_bytes += next.as_ref().map_or(0, |request| request.body.len());
+                        if next.is_ok() && (ahead.len() >= MOST_AHEAD || ahead_bytes > MOST_AHEAD_BYTES) {
+                            connection.codec_mut().give_up();
+                            let why = "too many requests ahead of their answers";
+                            ahead.push_back((shared.clock.now(), Err(Rejection { status: 429, why })));
+                        } else {
+                            ahead.push_back((shared.clock.now(), next));
+                        }
+                    }
+                    None => return Ok(End::Left),
                 },
             }
         };
-        respond(connection, response).await?;
-        if close {
-            return Ok(());
+        if close && !closing {
+            // What was read is answered; what comes from now on is not ours to take.
+            closing = true;
+            connection.codec_mut().give_up();
+        }
+        let last = !keep || closing && ahead.is_empty();
+        respond(connection, query::render(&reply, last)).await?;
+        answered = true;
+        if last {
+            return Ok(End::Closed { answered });
         }
     }
 }
 
-/// A client whose request was cut short may still be sending it. Closing on unread bytes would reset the
-/// connection, and the reset can overtake the answer that says what was wrong.
-async fn linger(connection: &mut Connection, commands: &mut mpsc::Receiver<Command>) {
+/// Ends our side and reads on until the client has ended its own. Closing on unread bytes, or on such as are still
+/// on their way, would reset the connection, and the reset can overtake the last answer. What is read now is thrown
+/// away: the client sees that the end has crossed it.
+async fn linger(shared: &Shared, connection: &mut Connection) {
+    connection.codec_mut().give_up();
     let _ = connection.get_mut().shutdown().await;
     let rest = async { while let Some(Ok(_)) = connection.next().await {} };
+    shared.lingering.set(shared.lingering.get() + 1);
     tokio::select! {
         _ = timeout(LINGER, rest) => {}
         // Its place is needed.
-        _ = commands.recv() => {}
+        () = shared.room_needed.notified() => {}
     }
+    shared.lingering.set(shared.lingering.get() - 1);
 }
 
 async fn respond(connection: &mut Connection, response: Response) -> io::Result<()> {
@@ -142,22 +197,37 @@
     connection.codec().in_request() || !connection.read_buffer().is_empty()
 }
 
-/// The next request; none when the client has closed, says nothing on a new connection (which `opened`
-/// then), or the connection is to end between requests.
+/// What comes on a connection that rests.
+enum Next {
+    Request(Incoming),
+    /// The client has closed.
+    Left,
+    /// It says nothing on a new connection, or the connection is to end between requests.
+    Close,
+}
+
+impl Next {
+    fn read(incoming: Option<io::Result<Incoming>>) -> io::Result<Next> {
+        Ok(incoming.transpose()?.map_or(Next::Left, Next::Request))
+    }
+}
+
+/// Waits for the next request, on a connection that has just `opened` for no longer than for a whole one.
 async fn next_request(
     connection: &mut Connection, commands: &mut mpsc::Receiver<Command>, opened: Option<Instant>,
-) -> io::Result<Option<Incoming>> {
+) -> io::Result<Next> {
     let mut begun = opened.or_else(|| in_request(connection).then(Instant::now));
     loop {
         tokio::select! {
             biased;
             next = super::message(connection, &mut begun, WHOLE_REQUEST) => match next {
-                Ok(next) => return next.transpose(),
+                Ok(next) => return Next::read(next),
                 Err(_) if in_request(connection) => {
                     connection.codec_mut().give_up();
-                    return Ok(Some(Err(Rejection { status: 408, why: "the request took too long" })));
+                    let late = Rejection { status: 408, why: "the request took too long" };
+                    return Ok(Next::Request(Err(late)));
                 }
-                Err(_) if opened.is_some() => return Ok(None),
+                Err(_) if opened.is_some() => return Ok(Next::Close),
                 // Readiness was out of date: nothing has begun.
                 Err(_) => begun = None,
             },
@@ -166,11 +236,11 @@
                 // need.
                 Some(Command::Close) => {
                     let whole = timeout(Duration::ZERO, connection.next()).await;
-                    return whole.map_or(Ok(None), Option::transpose);
+                    return whole.map_or(Ok(Next::Close), Next::read);
                 }
                 // No request is waiting, so no reply is due.
                 Some(Command::Reply(..)) => {}
-                None => return Ok(None),
+                None => return Ok(Next::Close),
             },
         }
     }
--- a/crates/mixer/src/transport/mod.rs
+++ b/crates/mixer/src/transport/mod.rs
@@ -28,7 +28,7 @@
 use tokio::sync::{mpsc, watch as latest, Notify};
 use tokio::task::AbortHandle;
 use tokio::time::error::Elapsed;
-use tokio::time::{sleep, sleep_until, timeout_at, Duration, Instant};
+use tokio::time::{sleep_until, timeout, timeout_at, Duration, Instant};
 use tokio_util::codec::{Decoder, Framed};
 
 /// Inputs that may wait; past it the sockets are read no further until the reducer has caught up.
@@ -37,8 +37,9 @@
 const MOST_BATCH: usize = 256;
 /// Commands that may wait at one connection. The reducer gives each a frame or reply at a time.
 const MOST_COMMANDS: usize = 4;
-/// How long the last replies have to leave, should the end come before they did.
-const LAST_FLUSH: Duration = Duration::from_millis(50);
+/// How long the last replies have to leave, and their clients to close: less than what is left at the end of the
+/// longest deadline before a kill may follow.
+const LAST_FLUSH: Duration = Duration::from_millis(500);
 
 /// Whom the mixer speaks to.
 #[derive(Clone, Debug)]
@@ -65,6 +66,9 @@
     clients: Rc<RefCell<HashMap<ClientId, mpsc::Sender<clients::Command>>>>,
     /// Told whenever a client's connection has ended: there may be room for one more.
     client_ended: Rc<Notify>,
+    /// Connections that only wait for their client to close, and told when the place of one is needed.
+    lingering: Rc<Cell<usize>>,
+    room_needed: Rc<Notify>,
     names: Rc<Names>,
     last_client: Rc<Cell<ClientId>>,
     /// Set once no more connections are to be taken.
@@ -93,7 +97,6 @@
     shared: Shared,
     links: HashMap<LinkId, leaf::Handle>,
     udp: Option<Udp>,
-    listener: AbortHandle,
     discovery: SocketAddr,
     watch: Option<AbortHandle>,
     ledger: Option<Ledger>,
@@ -148,6 +151,8 @@
         inputs,
         clients: Rc::default(),
         client_ended: Rc::default(),
+        lingering: Rc::default(),
+        room_needed: Rc::default(),
         names: Rc::new(names),
         last_client: Rc::default(),
         stopped: Rc::new(latest::channel(false).0),
@@ -156,12 +161,11 @@
         Some(at) => Some(Udp::start(&shared, Rc::new(UdpSocket::bind(at).await?), &addresses)),
         None => None,
     };
-    let listener = tokio::task::spawn_local(clients::listen(shared.clone(), listener, state.most_clients()));
-    let listener = listener.abort_handle();
+    tokio::task::spawn_local(clients::listen(shared.clone(), listener, state.most_clients()));
     beside.fronts.into_iter().for_each(|start| start(Door::new(shared.clone())));
     let ledger = beside.recorder.map(Ledger::new);
     let (discovery, links) = (addresses.discovery, HashMap::new());
-    let mut driver = Driver { shared, links, udp, listener, discovery, watch: None, ledger, exited: false };
+    let mut driver = Driver { shared, links, udp, discovery, watch: None, ledger, exited: false };
     driver.put(&mut state, clock.now(), Input::Turn);
     while !driver.exited {
         // One timer for both: to arm another for each turn costs more than what it is for.
@@ -198,7 +202,12 @@
         driver.release();
     }
     driver.close_ledger();
-    sleep(LAST_FLUSH).await;
+    let gone = async {
+        while !driver.shared.clients.borrow().is_empty() {
+            driver.shared.client_ended.notified().await;
+        }
+    };
+    let _ = timeout(LAST_FLUSH, gone).await;
     Ok(())
 }
 
@@ -277,7 +286,6 @@
                 }
             }
             Effect::StopListening => {
-                self.listener.abort();
                 self.shared.stopped.send_replace(true);
             }
             Effect::Exit(counters) => {
