Test what a whole fleet sends a cold replica in any window of the rule

Suspected: a fraction of a part is drawn anew in each window, and the rule's window slides over two of them, so that 25 to 300 mixers together could send up to twice the budget. The guess does not hold and nothing is changed; the measurement stays as a test.

--- a/crates/decisions/tests/module.rs
+++ b/crates/decisions/tests/module.rs
@@ -799,6 +799,58 @@
     assert!(together <= 5, "{together} parts at once from fifty that have just started");
 }
 
+/// The most parts that all co-ordinators together send a replica that starts, in any window of the rule, over what
+/// it bears in that window. Each serves warm replicas at an even rate first; then a burst comes.
+fn most_over_what_a_cold_one_bears(coordinators: u32, seed: u64) -> f64 {
+    const WARM: u64 = 4;
+    let (cold, rate) = (cold(), 20.0);
+    let each = rate * WARM as f64 / f64::from(coordinators);
+    let mut at: Vec<u64> = Vec::new();
+    for n in 0..coordinators {
+        let settings = Settings { coordinators, ..cold.clone() };
+        let module = Coordinator::new(settings, seed * 1000 + u64::from(n));
+        let mut bed = Bed { module, now: START, next: 1 };
+        bed.list(ListKind::Remembered, (1..=WARM).map(member).collect());
+        let offset = u64::from(n) * 997 % (1000.0 / each) as u64;
+        (0..(160.0 * each) as u64).for_each(|i| {
+            bed.served(offset + (i as f64 * 1000.0 / each) as u64, 10);
+        });
+        let told = 160_500 + u64::from(n) * 37 % 500;
+        bed.now = START + told * MS;
+        let fresh = Member { started: START + 160_000 * MS, ..member(9) };
+        bed.list(ListKind::Changes, vec![fresh]);
+        for ms in (told..told + 6_000).step_by(100) {
+            let (id, actions) = bed.query(ms + u64::from(n) % 100, 0, &[0.5, 0.5]);
+            let sent = sends(&actions);
+            at.extend(sent.iter().filter(|(_, replica)| replica.0 == 9).map(|_| bed.now));
+            let ends = sent.iter().map(|(part, to)| ended(*part, 0, *to, Outcome::Cancelled));
+            let mut ends: Vec<Event> = ends.collect();
+            ends.push(Event::ClientGone { id });
+            bed.at(ms + u64::from(n) % 100, &ends);
+        }
+    }
+    at.sort_unstable();
+    let over = at.iter().map(|end| {
+        let sent = at.iter().filter(|t| **t <= *end && *end - **t < cold.fall_time).count() as f64;
+        let age = (*end - START) as f64 / MS as f64 - 160_000.0;
+        let warmth = 0.2 + 0.8 * age / 10_000.0;
+        let bears = 4.0 * warmth * rate;
+        sent - (bears + 2.0 * bears.sqrt() + 2.0)
+    });
+    over.fold(f64::NEG_INFINITY, f64::max)
+}
+
+/// Each one's fraction of a part is drawn anew in every window, and the rule's window slides over two of them.
+#[test]
+fn a_cold_replica_bears_what_a_whole_fleet_sends_it_in_any_window() {
+    for coordinators in [2, 6, 25, 100, 300] {
+        for seed in 0..2 {
+            let over = most_over_what_a_cold_one_bears(coordinators, seed);
+            assert!(over <= 0.0, "{coordinators} co-ordinators: {over:.1} parts more than chance allows");
+        }
+    }
+}
+
 /// What a cold replica bears was reckoned from sends kept for the span of a budget: five times too many.
 #[test]
 fn a_long_budget_span_does_not_swell_what_a_cold_replica_may_get() {
