Tell a refused client when to come back only where the settings allow it

Seen: by reading. WIRE: `limits.retry_after` says whether clients receive `come_back_ns`. It was not read: on purpose, by a comment in settings.rs, so a site that forbids the advice got it all the same. At fault: `longest_retry_advice` and `come_back` in settings.rs. Test: `where_the_settings_allow_no_advice_a_refused_client_gets_none`.

--- a/crates/mixer/src/routing/state/clients.rs
+++ b/crates/mixer/src/routing/state/clients.rs
@@ -75,7 +75,7 @@
             self.counters.taken.over_cap += 1;
             tracing::info!(queries = self.queries.len(), open_parts, "over the cap: query refused");
             self.turned_away(arrived, &asked);
-            let come_back = Some(self.site.come_back);
+            let come_back = self.site.come_back;
             self.reply(now, client, Reply::Refused { come_back });
             return;
         }
@@ -90,7 +90,7 @@
             self.counters.taken.too_late += 1;
             tracing::info!(timeout_ms = asked.timeout / MS, "no time left: query refused");
             self.turned_away(arrived, &asked);
-            return self.reply(now, client, Reply::Refused { come_back: Some(self.site.come_back) });
+            return self.reply(now, client, Reply::Refused { come_back: self.site.come_back });
         }
         let id = self.id();
         self.last_group = self.last_group.wrapping_add(1);
--- a/crates/mixer/src/settings.rs
+++ b/crates/mixer/src/settings.rs
@@ -95,8 +95,7 @@
         repeats_marked: pairs.flag("callers.marks_retry")?,
         second_copies: pairs.flag("limits.may_duplicate")?,
         may_probe: pairs.flag("limits.may_probe")?,
-        // Whatever `limits.retry_after` says: who is given up on is told at once, and when to come back.
-        longest_retry_advice: pairs.time("limits.max_retry_after_ns")?,
+        longest_retry_advice: come_back(&pairs)?.unwrap_or_default(),
         cold_from: pairs.number("guarantees.cold_from")?,
         cold_time: pairs.time("guarantees.cold_ns")?,
         fall_multiple: pairs.number("guarantees.fall_multiple")?,
@@ -112,6 +111,13 @@
     })
 }
 
+/// The longest advice on when to come back; none where the settings allow none.
+fn come_back(pairs: &Pairs) -> Result<Option<u64>, String> {
+    let longest = pairs.time("limits.max_retry_after_ns")?;
+    let allowed = pairs.flag("limits.retry_after")?;
+    Ok(Some(longest).filter(|longest| allowed && *longest > 0))
+}
+
 fn number32(pairs: &Pairs, key: &str) -> Result<u32, String> {
     u32::try_from(pairs.positive(key)?).map_err(|_| format!("setting {key} is out of range"))
 }
@@ -172,7 +178,8 @@
     pub open_cap: usize,
     pub connect_timeout: u64,
     pub idle_time: u64,
-    pub come_back: u64,
+    /// What a refused client is told at most of when to come back, where it may be told.
+    pub come_back: Option<u64>,
     pub peers: bool,
     pub may_probe: bool,
     /// Names of the values in a load report; none where nothing is reported.
@@ -204,7 +211,7 @@
         open_cap: pairs.get("limits.open_cap")?.unwrap_or(OPEN_CAP),
         connect_timeout: pairs.get("limits.connect_timeout_ns")?.unwrap_or(CONNECT_TIMEOUT),
         idle_time: pairs.get("limits.conn_idle_ns")?.unwrap_or(IDLE_TIME),
-        come_back: pairs.time("limits.max_retry_after_ns")?,
+        come_back: come_back(&pairs)?,
         peers: pairs.flag("limits.peers")?,
         may_probe: pairs.flag("limits.may_probe")?,
         report: pairs.list("reporting.fields"),
--- a/crates/mixer/tests/bed/mod.rs
+++ b/crates/mixer/tests/bed/mod.rs
@@ -22,7 +22,7 @@
 extra.partial_earns=0.9,0.9\nextra.second_step=0,0\nreplicas_of_me=1\ntick_ns=5000000\n\
 limits.cancelling=true\nlimits.may_duplicate=true\nlimits.max_attempts=4\nlimits.streams_per_conn=4\n\
 limits.connect_timeout_ns=250000000\nlimits.conn_idle_ns=30000000000\nlimits.open_cap=60\n\
-limits.max_retry_after_ns=500000000\nlocalities=north,south\n";
+limits.max_retry_after_ns=500000000\nlimits.retry_after=true\nlocalities=north,south\n";
 
 pub struct Bed {
     pub state: State,
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -213,6 +213,18 @@
     assert!(matches!(bed.reply(client), Some(Reply::Failed)), "and no word that trying again is harmless");
 }
 
+#[test]
+fn where_the_settings_allow_no_advice_a_refused_client_gets_none() {
+    let mut bed = Bed::with(&SETTINGS.replace("retry_after=true", "retry_after=false"), 0);
+    let given_up = bed.ask(1, &[1.0]);
+    let over_cap = bed.ask(1, &[1.0 / 64.0; 64]);
+    let late = bed.connect();
+    bed.ask_on(late, 1, &[1.0], 1);
+    for client in [given_up, over_cap, late] {
+        assert_eq!(bed.reply(client), Some(&Reply::Refused { come_back: None }));
+    }
+}
+
 #[test]
 fn an_idle_connection_is_closed_before_its_other_end_does_so() {
     let mut bed = Bed::new(1);
--- a/crates/standins/src/installation.rs
+++ b/crates/standins/src/installation.rs
@@ -111,7 +111,7 @@
                 "partial_earns": CLASSES.map(|_| 0.9), "second_step": CLASSES.map(|_| 0)},
             "limits": {"cancelling": true, "may_duplicate": true, "max_attempts": 4, "streams_per_conn": 32,
                 "connect_timeout_ns": 250 * MS, "conn_idle_ns": 30_000 * MS, "open_cap": 4096,
-                "max_retry_after_ns": 300 * MS},
+                "max_retry_after_ns": 300 * MS, "retry_after": true},
             "guarantees": {"cold_from": 0.5, "cold_ns": 1000 * MS, "fall_multiple": 6.0, "fall_ns": 2000 * MS},
         }
     })
