Keep a repeat inside its window when its connection comes up late, and say so when refusing

Seen: by reading. A keyed part may be repeated only within `dedup_window_ns` of the first attempt that may have run. The module looked at that when it decided; the repeat then waited for its connection (up to `connect_timeout_ns`) or behind a frame that the socket did not take, and went out past the window: it runs twice. And a query whose parts may have run was refused as harmless to repeat with an advice to come back past the window. Ruled out: the leaf server's clock: the window counts from our decision, which comes before the frame. At fault: `Action::Send` without a last moment to begin; `give_up` asked only of classes that may not be repeated at all. Mended: `begin_by`, looked at when the frame goes; past it the attempt is known not to have run. A refusal that would bring the client back past the window says that the query has failed. Test: `a_repeat_does_not_go_out_on_a_connection_that_came_up_past_its_window` (150 ms late with a window of 100 ms).

--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -260,7 +260,7 @@
 /// Appends one action of instance `who` to a reply.
 pub fn write_action(reply: &mut Reply, who: u16, action: &Action) {
     match action {
-        Action::Send { part, replica, until } => {
+        Action::Send { part, replica, until, .. } => {
             reply.record(1, who, &[&part.to_le_bytes(), &address(*replica), &until.to_le_bytes()]);
         }
         Action::Refuse { query, come_back } => {
--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -665,6 +665,7 @@
         }
         let Some(id) = self.choose(part) else { return false };
         let number = part.attempts.len() as u8;
+        let begin_by = self.repeat_until(part, query.class);
         if number > 0 {
             self.extras.push_back(self.now);
         }
@@ -679,7 +680,7 @@
                 replica.sends.pop_front();
             }
         }
-        actions.push(Action::Send { part: part.id, replica: id, until });
+        actions.push(Action::Send { part: part.id, replica: id, until, begin_by });
         true
     }
 
@@ -716,15 +717,22 @@
     }
 
     /// No repeat of an unsafe part that may have run, of a keyed one only while repeats are dropped.
-    fn may_repeat(&self, part: &Part, class: usize) -> bool {
-        let class = &self.settings.classes[class];
+    fn may_repeat(&self, part: &Part, index: usize) -> bool {
+        let class = &self.settings.classes[index];
         let cap = self.settings.max_attempts.unwrap_or(u32::MAX) as usize;
-        part.attempts.len() < cap
-            && part.attempts.iter().find(|a| !a.never_ran).is_none_or(|first| match class.effect {
-                Effect::Unsafe => false,
-                Effect::Keyed => self.now <= first.sent + class.repeat_window,
-                Effect::Safe => true,
-            })
+        let repeats = match class.effect {
+            Effect::Unsafe => part.attempts.iter().all(|a| a.never_ran),
+            Effect::Keyed => self.repeat_until(part, index).is_none_or(|until| self.now <= until),
+            Effect::Safe => true,
+        };
+        part.attempts.len() < cap && repeats
+    }
+
+    /// Until when one more attempt is dropped as a repeat; none where it need not be.
+    fn repeat_until(&self, part: &Part, class: usize) -> Option<Nanos> {
+        let class = &self.settings.classes[class];
+        let first = part.attempts.iter().find(|a| !a.never_ran).filter(|_| class.effect == Effect::Keyed)?;
+        Some(first.sent + class.repeat_window)
     }
 
     fn may_try(&self, part: &Part, class: usize) -> bool {
@@ -971,14 +979,23 @@
         }
     }
 
-    /// Ends a query without an answer, at once. Safe to try again unless an unsafe part may have run.
+    /// Ends a query without an answer, at once. It says that trying again is harmless only where that is so.
     fn give_up(&mut self, mut query: Query, actions: &mut Vec<Action>) {
         let class = &self.settings.classes[query.class];
         let may_have_run = query.parts.iter().flat_map(|p| &p.attempts).any(|a| !a.never_ran);
-        if class.effect == Effect::Unsafe && may_have_run {
+        let advice = Some(self.settings.longest_retry_advice).filter(|longest| *longest > 0);
+        let back = self.now + advice.unwrap_or_default();
+        let runs_again = match class.effect {
+            Effect::Unsafe => may_have_run,
+            // A client that comes back past the window finds no repeat dropped.
+            Effect::Keyed => {
+                query.parts.iter().any(|p| self.repeat_until(p, query.class).is_some_and(|at| at < back))
+            }
+            Effect::Safe => false,
+        };
+        if runs_again {
             actions.push(Action::Fail { query: query.id });
         } else {
-            let advice = Some(self.settings.longest_retry_advice).filter(|longest| *longest > 0);
             actions.push(Action::Refuse { query: query.id, come_back: advice });
         }
         self.withdraw(&mut query, actions);
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -214,11 +214,12 @@
 /// What a co-ordinator asks for, carried out in this order at the time of its batch.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Send a part to a replica; drop the attempt at `until`.
+    /// Send a part to a replica; drop the attempt at `until`, and at `begin_by` if it has not gone out by then.
     Send {
         part: RequestId,
         replica: ReplicaId,
         until: Nanos,
+        begin_by: Option<Nanos>,
     },
     Cancel {
         part: RequestId,
--- a/crates/mixer/src/routing/state/attempts.rs
+++ b/crates/mixer/src/routing/state/attempts.rs
@@ -8,7 +8,9 @@
 use std::rc::Rc;
 
 impl State {
-    pub(super) fn send(&mut self, now: Nanos, id: RequestId, replica: ReplicaId, until: Nanos) {
+    pub(super) fn send(
+        &mut self, now: Nanos, id: RequestId, replica: ReplicaId, until: Nanos, begin_by: Option<Nanos>,
+    ) {
         let Some(part) = self.parts.get_mut(&id) else {
             self.counters.faults.stray += 1;
             tracing::error!(id, "a send for a part that is over");
@@ -36,7 +38,7 @@
         }
         self.pending.insert(link);
         self.alarms.insert((until, Alarm::Attempt(attempt)));
-        self.attempts.insert(attempt, Attempt { replica, link, sent: now, until, shard, text });
+        self.attempts.insert(attempt, Attempt { replica, link, sent: now, until, begin_by, shard, text });
     }
 
     /// An attempt that found no connection; it ends like any other, or the module would wait for it.
@@ -89,12 +91,14 @@
         self.ended(now, id, outcome, LoadReport::new());
     }
 
-    /// What has waited past its time must not go out, though its alarm has yet to ring: the socket may be
+    /// What has waited past its time, or past that in which a repeat of it is dropped, must not go out, though its alarm has yet to ring: the socket may be
     /// free for it a moment before the turn.
     pub(super) fn drop_expired(&mut self, now: Nanos, link: LinkId) {
         let unsent = self.links.get(&link).map(|(_, it)| it.unsent()).unwrap_or_default();
         for id in unsent {
-            if self.attempts.get(&id).is_some_and(|attempt| attempt.until <= now) {
+            let late =
+                |attempt: &Attempt| attempt.until <= now || attempt.begin_by.is_some_and(|by| by < now);
+            if self.attempts.get(&id).is_some_and(late) {
                 self.end_attempt(now, id, Outcome::TimedOut);
             }
         }
--- a/crates/mixer/src/routing/state/mod.rs
+++ b/crates/mixer/src/routing/state/mod.rs
@@ -79,6 +79,7 @@
     link: LinkId,
     sent: Nanos,
     until: Nanos,
+    begin_by: Option<Nanos>,
     shard: u32,
     text: Bytes,
 }
--- a/crates/mixer/src/routing/state/turns.rs
+++ b/crates/mixer/src/routing/state/turns.rs
@@ -71,7 +71,7 @@
 
     pub(super) fn act(&mut self, now: Nanos, action: Action) {
         match action {
-            Action::Send { part, replica, until } => self.send(now, part, replica, until),
+            Action::Send { part, replica, until, begin_by } => self.send(now, part, replica, until, begin_by),
             Action::Cancel { part, attempt } => self.end_attempt(now, (part, attempt), Outcome::Cancelled),
             Action::Answer { query, whole } => {
                 self.finish(now, query, |state, query| state.answer(query, whole));
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -225,6 +225,29 @@
     }
 }
 
+/// Repeats are dropped for a while after a part may first have run: one that is late by a connection that came up
+/// late would run again.
+#[test]
+fn a_repeat_does_not_go_out_on_a_connection_that_came_up_past_its_window() {
+    let keyed = "classes.1.semantics=idempotency_key\nclasses.1.dedup_window_ns=100000000";
+    let text = SETTINGS.replace("classes.1.semantics=read_like", keyed);
+    for (up_after, sent) in [(60, 2), (150, 1)] {
+        let mut bed = Bed::with(&text, 2);
+        let client = bed.ask(1, &[1.0]);
+        let first = *bed.links.keys().next().unwrap();
+        bed.open(first);
+        bed.pass(10);
+        bed.answer(first, End::Err);
+        bed.pass(20);
+        assert_eq!(bed.links.len(), 2, "the repeat waits for its connection");
+        bed.pass(up_after - 30);
+        bed.open_all();
+        assert_eq!(calls(&bed).len(), sent, "up after {up_after} ms");
+        bed.pass(200);
+        assert_eq!(matches!(bed.reply(client), Some(Reply::Failed)), sent == 1, "{:?}", bed.reply(client));
+    }
+}
+
 #[test]
 fn an_idle_connection_is_closed_before_its_other_end_does_so() {
     let mut bed = Bed::new(1);
