Let in fewer queries of a class once full replicas lose them, and more as they are answered

All queries that were sent lost some part to full replicas 62 to 70 ms after they came, with some 1,140 ms left; what is cancelled goes on at its leaf server and fills it. At fault: `begin` in choice.rs admitted all that was not hopeless by the pace of single replicas, of which one mixer of 300 sees each every few seconds. Mended: a class whose queries full replicas lose has places; a query takes one and gives it back unless lost so.

--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -71,6 +71,11 @@
 const LOSS: (f64, f64, f64) = (0.05, 0.2, 0.7);
 /// Aims for which they are renewed after that was seen.
 const RENEW_AIMS: f64 = 15.0;
+/// Places of a class beside those of its open queries once full replicas have lost one, and what a query that is
+/// answered in time adds to its own: where more than a third are lost, fewer are let in.
+const PLACES: (f64, f64) = (2.0, 0.1);
+/// One query is let in at least so often, ns.
+const LET_IN: f64 = 3.5 * SECOND as f64;
 /// Beats (our own timer) kept free before a moment that must not be missed.
 const SPARE_BEATS: Nanos = 2;
 
@@ -119,6 +124,8 @@
     out: bool,
     never_ran: bool,
     broke: bool,
+    /// Turned away by a full replica.
+    full: bool,
 }
 
 #[derive(Debug, Default)]
@@ -145,6 +152,8 @@
     hasty: bool,
     /// The aim had passed when it came; `aim` is its deadline then.
     late: bool,
+    /// It has taken a place of its class.
+    placed: bool,
     step: u8,
     step_began: Nanos,
     first_whole: bool,
@@ -185,6 +194,8 @@
     /// The usual patience of first tries of a class and tenant, and by how many votes it leads.
     patience: BTreeMap<(usize, usize), (Nanos, u32)>,
     usual_density: Option<f64>,
+    /// For each class that has lost queries to full replicas, its free places and when they were counted.
+    places: BTreeMap<usize, (f64, Nanos)>,
     /// A replica fell silent since probes were last thought of, and when they were last sent.
     struck: bool,
     probed: Nanos,
@@ -260,6 +271,7 @@
             Event::Ended { part, attempt, outcome, .. } => self.take_outcome(*part, *attempt, *outcome),
             Event::ClientGone { id } => {
                 if let Some(mut query) = self.queries.remove(id) {
+                    self.settle(&query, false, 0.0);
                     self.withdraw(&mut query, actions);
                     self.forget(&query);
                     fresh.remove(id);
@@ -400,6 +412,7 @@
         if let Some(attempt) = part.attempts.get_mut(number as usize) {
             attempt.out = false;
             attempt.broke = outcome == Outcome::Broken;
+            attempt.full = outcome == Outcome::Refused;
             attempt.never_ran = matches!(outcome, Outcome::Refused | Outcome::Unreachable | Outcome::NotSent);
         }
         if outcome == Outcome::Ok && !part.landed && part.attempts.iter().any(|a| a.out) {
@@ -447,9 +460,10 @@
     fn begin(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(mut query) = self.queries.remove(&id) else { return };
         if query.step == 1 {
-            if self.hopeless(&mut query) {
+            if self.hopeless(&mut query) || !self.let_in(query.class) {
                 return self.give_up(query, actions);
             }
+            query.placed = self.places.contains_key(&query.class);
             self.select(&mut query);
         }
         for i in by_weight(&query).into_iter().rev() {
@@ -489,6 +503,38 @@
         left + 1e-4 < least
     }
 
+    /// Overload: a part that is lost to full replicas takes with it the work on all others of its query, which goes on
+    /// and fills the replicas that they are at. From the first such loss on a class has so many places, and each of
+    /// its queries takes one; those that come to nothing give none back, until far more are free than are taken.
+    fn let_in(&mut self, class: usize) -> bool {
+        let Some((places, at)) = self.places.get_mut(&class) else { return true };
+        // One at least every now and then, or nobody would learn that the overload is over.
+        *places = places.max((*places + (self.now - *at) as f64 / LET_IN).min(1.0));
+        *at = self.now;
+        let enough = *places >= 1.0;
+        *places -= if enough { 1.0 } else { 0.0 };
+        enough
+    }
+
+    /// Gives a query's place back, with something beside for one that was answered; `lost` to full replicas, it
+    /// gives none.
+    fn settle(&mut self, query: &Query, lost: bool, beside: f64) {
+        let class = query.class;
+        let open = self.queries.values().filter(|other| other.class == class).count() as f64;
+        let places = self.places.get_mut(&class);
+        match places {
+            None if lost => drop(self.places.insert(class, (PLACES.0 + open, self.now))),
+            Some((places, _)) if lost && !query.placed => *places = (*places - 1.0).max(0.0),
+            Some((places, _)) if !lost => {
+                *places += beside + f64::from(u8::from(query.placed));
+                if *places >= 2.0 * PLACES.0 + open {
+                    self.places.remove(&class);
+                }
+            }
+            _ => {}
+        }
+    }
+
     /// Worth of a part against the usual: queries that earn much for little work may wait in longer queues.
     fn density(&mut self, query: &Query) -> f64 {
         let worth = self.settings.classes[query.class].worth.unwrap_or(1.0);
@@ -975,6 +1021,9 @@
             query.first_whole = whole;
             self.queries.insert(query.id, query);
         } else {
+            let earned =
+                if self.now <= query.aim { 1.0 } else { self.settings.classes[query.class].late_worth };
+            self.settle(&query, false, PLACES.1 * earned);
             self.forget(&query);
         }
     }
@@ -998,6 +1047,9 @@
         } else {
             actions.push(Action::Refuse { query: query.id, come_back: advice });
         }
+        let full = |p: &Part| !p.landed && p.attempts.iter().any(|a| a.full);
+        let lost = query.parts.iter().any(full);
+        self.settle(&query, lost, 0.0);
         self.withdraw(&mut query, actions);
         self.forget(&query);
     }
--- a/crates/decisions/tests/module.rs
+++ b/crates/decisions/tests/module.rs
@@ -879,6 +879,53 @@
     assert!((10..=21).contains(&cold), "{cold} parts for one that bears about twenty");
 }
 
+/// Twenty queries a second of three parts, each ended 20 ms after it was sent, the first part of a query so: how many
+/// of them were let in, by second.
+fn let_in(bed: &mut Bed, seconds: std::ops::Range<u64>, first: Outcome) -> Vec<usize> {
+    let mut let_in = Vec::new();
+    for second in seconds {
+        let mut count = 0;
+        for i in 0..20 {
+            let ms = second * 1000 + i * 50;
+            let (id, mut actions) = bed.query(ms, 0, &[0.4, 0.3, 0.3]);
+            count += usize::from(!sends(&actions).is_empty());
+            let mut attempts = std::collections::BTreeMap::new();
+            for step in 1..5 {
+                let end = |(part, replica): (u64, ReplicaId)| {
+                    let attempt = attempts.entry(part).and_modify(|n| *n += 1).or_insert(0);
+                    ended(part, *attempt, replica, if part == id + 1 { first } else { Outcome::Ok })
+                };
+                let ends: Vec<Event> = sends(&actions).into_iter().map(end).collect();
+                actions = bed.at(ms + step * 10, &ends);
+            }
+            bed.at(ms + 49, &[Event::ClientGone { id }]);
+        }
+        let_in.push(count);
+    }
+    let_in
+}
+
+/// A query that loses one part to full replicas has the work on all its others done for nothing: let in as before, the
+/// queries of an overload keep each other from being answered.
+#[test]
+fn queries_lost_to_full_replicas_let_fewer_in_until_some_are_answered_again() {
+    let quick = Settings { max_attempts: Some(2), ..settings(vec![class(400, 1.0)]) };
+    let mut bed = Bed::new(quick.clone(), 3);
+    assert_eq!(let_in(&mut bed, 0..3, Outcome::Ok), [20; 3]);
+    let full = let_in(&mut bed, 3..15, Outcome::Refused);
+    assert!(full[1..].iter().sum::<usize>() <= 12, "{full:?}");
+    assert!(
+        full.windows(4).all(|four| four.iter().sum::<usize>() > 0),
+        "nobody is turned away throughout: {full:?}"
+    );
+    let after = let_in(&mut bed, 15..25, Outcome::Ok);
+    assert_eq!(after[9], 20, "{after:?}");
+    // Lost to a dead replica, it says nothing of the load on the others.
+    let mut bed = Bed::new(quick, 3);
+    let dead = let_in(&mut bed, 0..5, Outcome::Unreachable);
+    assert!(dead.iter().sum::<usize>() > 50, "{dead:?}");
+}
+
 /// Something on the way drops unused connections unseen: what is sent on one is lost, though the replica
 /// lives. Rounds of a query whose attempts on unused connections break; in which connections are renewed.
 fn unused_connections_break(rounds: u64, renewed_break: bool) -> Vec<bool> {
