Send nothing to where a replica was before it moved

Seen: by reading. When a list gave a known replica another address, its connections were forgotten and what waited on them stayed: it went out to the old address as soon as the connection came up, and a drain or an end of the replica did not find it any more. Ruled out: new attempts, which go to the new address (test of before). At fault: `Replicas::member`, which cleared the links; `take_list`, which looked only at those of stopped replicas. Mended: a list names the connections on which nothing new may go out, the old ones of a moved replica among them; these are closed once idle. Test: `what_waits_for_a_connection_does_not_go_where_its_replica_was_before`.

--- a/crates/mixer/src/routing/replicas.rs
+++ b/crates/mixer/src/routing/replicas.rs
@@ -52,28 +52,31 @@
         self.known.values().any(|r| r.standing == Standing::Ready)
     }
 
-    /// Takes a list over. Returns its lines for the module and the replicas that may get nothing new now.
-    pub fn take(&mut self, listing: &Listing) -> (ListKind, Vec<Member>, Vec<ReplicaId>) {
+    /// Takes a list over. Returns its lines for the module and the connections on which nothing new may go out now:
+    /// to replicas that drain or are gone, and to where one was before it moved.
+    pub fn take(&mut self, listing: &Listing) -> (ListKind, Vec<Member>, Vec<LinkId>) {
         self.index = listing.index;
         // Those gone for longer than since the last list have nothing left to end.
         self.known.retain(|_, r| r.standing != Standing::Gone || !r.links.is_empty());
         let known = &self.known;
         self.numbers.retain(|_, id| known.contains_key(id));
-        let members: Vec<Member> = listing.endpoints.iter().filter_map(|e| self.member(e)).collect();
         let mut stopped = Vec::new();
+        let members = listing.endpoints.iter().filter_map(|e| self.member(e, &mut stopped));
+        let members: Vec<Member> = members.collect();
         if listing.snapshot {
             let listed: BTreeSet<ReplicaId> = members.iter().map(|m| m.replica).collect();
-            for (id, replica) in self.known.iter_mut().filter(|(id, _)| !listed.contains(id)) {
+            for (_, replica) in self.known.iter_mut().filter(|(id, _)| !listed.contains(id)) {
                 replica.standing = Standing::Gone;
-                stopped.push(*id);
+                stopped.extend(&replica.links);
             }
         }
-        stopped.extend(members.iter().filter(|m| m.standing != Standing::Ready).map(|m| m.replica));
+        let ended = members.iter().filter(|m| m.standing != Standing::Ready);
+        stopped.extend(ended.filter_map(|m| self.known.get(&m.replica)).flat_map(|r| &r.links));
         let kind = if listing.snapshot { ListKind::Full } else { ListKind::Changes };
         (kind, members, stopped)
     }
 
-    fn member(&mut self, endpoint: &Endpoint) -> Option<Member> {
+    fn member(&mut self, endpoint: &Endpoint, stopped: &mut Vec<LinkId>) -> Option<Member> {
         let standing = match endpoint.status {
             Status::Up => Standing::Ready,
             Status::Draining => Standing::Draining,
@@ -99,7 +102,7 @@
         let replica = self.known.entry(id).or_insert(Replica { address, zone, standing, links: Vec::new() });
         if replica.address != address {
             // It has moved: its old connections lead elsewhere and only end what is out on them.
-            replica.links.clear();
+            stopped.append(&mut replica.links);
         }
         (replica.address, replica.zone, replica.standing) = (address, zone, standing);
         Some(Member {
--- a/crates/mixer/src/routing/state/attempts.rs
+++ b/crates/mixer/src/routing/state/attempts.rs
@@ -125,8 +125,9 @@
                 }
             } else if it.is_idle() {
                 it.idle_since = now;
-                let standing = self.replicas.get(id).map(|r| r.standing);
-                if standing != Some(Standing::Ready) {
+                let replica = self.replicas.get(id).filter(|r| r.standing == Standing::Ready);
+                // One that has moved does not know its old connections.
+                if !replica.is_some_and(|r| r.links.contains(&link)) {
                     self.close_link(now, link);
                 } else {
                     let due = now + self.site.idle_time / 10 * IDLE_TENTHS;
--- a/crates/mixer/src/routing/state/links.rs
+++ b/crates/mixer/src/routing/state/links.rs
@@ -15,16 +15,14 @@
         let (index, lines, stopped_lines) = (listing.index, members.len(), stopped.len());
         tracing::info!(index, whole = listing.snapshot, lines, stopped = stopped_lines, "list taken");
         self.events.push(Event::List { kind, members });
-        // What waits for a replica that drains or is gone never goes out: the rule counts its first byte.
-        for id in stopped {
-            let links = self.replicas.get(id).map(|r| r.links.clone()).unwrap_or_default();
-            for link in links {
-                let unsent = self.links.get(&link).map(|(_, it)| it.unsent()).unwrap_or_default();
-                for attempt in unsent {
-                    self.end_attempt(now, attempt, Outcome::NotSent);
-                }
-                self.pending.insert(link);
+        // What waits for a replica that drains, is gone or was elsewhere never goes out: the rule counts its first
+        // byte.
+        for link in stopped {
+            let unsent = self.links.get(&link).map(|(_, it)| it.unsent()).unwrap_or_default();
+            for attempt in unsent {
+                self.end_attempt(now, attempt, Outcome::NotSent);
             }
+            self.pending.insert(link);
         }
     }
 
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -142,6 +142,22 @@
     assert!(bed.replies[&first].is_empty(), "nobody is there to be told");
 }
 
+#[test]
+fn what_waits_for_a_connection_does_not_go_where_its_replica_was_before() {
+    let mut bed = Bed::new(2);
+    bed.ask(1, &[0.5, 0.5]);
+    bed.told("127.0.0.9:7070", "up");
+    let old: Vec<u64> = bed.links.keys().copied().collect();
+    bed.put(only_the_second("127.0.0.9:7070"));
+    bed.told(&bed::address(2), "removed");
+    bed.open_all();
+    bed.pass(100);
+    assert!(calls(&bed).iter().all(|(link, _)| !old.contains(link)), "{:?}", calls(&bed));
+    assert!(old.iter().all(|link| !bed.links.contains_key(link)), "nothing is left to do on them");
+    bed.open_all();
+    assert_eq!(calls(&bed).len(), 2, "both at the new address");
+}
+
 /// What waits at a connection when several inputs come at once: nothing may be written that any of them forbids.
 #[test]
 fn a_client_that_left_and_a_drain_come_before_a_connection_that_came_up_with_them() {
