--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -71,11 +71,11 @@
 const LOSS: (f64, f64, f64) = (0.05, 0.2, 0.7);
 /// Aims for which they are renewed after that was seen.
 const RENEW_AIMS: f64 = 15.0;
-/// Places of a class beside those of its open queries once full replicas have lost one, and what a query that is
-/// answered in time adds to its own: where more than a third are lost, fewer are let in.
-const PLACES: (f64, f64) = (2.0, 0.1);
-/// One query is let in at least so often, ns.
-const LET_IN: f64 = 3.5 * SECOND as f64;
+/// Permits of a class beside those of its open queries once full replicas have lost one, and what a query that is
+/// answered in time adds to its own: where more than one in eleven is lost, fewer are admitted.
+const PERMITS: (f64, f64) = (2.0, 0.1);
+/// One query is admitted at least so often, ns: under the 4 s in which a mixer may not turn away all that it gets.
+const ADMIT_EVERY: f64 = 3.5 * SECOND as f64;
 /// Beats (our own timer) kept free before a moment that must not be missed.
 const SPARE_BEATS: Nanos = 2;
 
@@ -152,8 +152,8 @@
     hasty: bool,
     /// The aim had passed when it came; `aim` is its deadline then.
     late: bool,
-    /// It has taken a place of its class.
-    placed: bool,
+    /// It has taken a permit of its class.
+    permitted: bool,
     step: u8,
     step_began: Nanos,
     first_whole: bool,
@@ -194,8 +194,8 @@
     /// The usual patience of first tries of a class and tenant, and by how many votes it leads.
     patience: BTreeMap<(usize, usize), (Nanos, u32)>,
     usual_density: Option<f64>,
-    /// For each class that has lost queries to full replicas, its free places and when they were counted.
-    places: BTreeMap<usize, (f64, Nanos)>,
+    /// For each class that has lost queries to full replicas, its free permits and when they were counted.
+    permits: BTreeMap<usize, (f64, Nanos)>,
     /// A replica fell silent since probes were last thought of, and when they were last sent.
     struck: bool,
     probed: Nanos,
@@ -460,10 +460,10 @@
     fn begin(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(mut query) = self.queries.remove(&id) else { return };
         if query.step == 1 {
-            if self.hopeless(&mut query) || !self.let_in(query.class) {
+            if self.hopeless(&mut query) || !self.admit(query.class) {
                 return self.give_up(query, actions);
             }
-            query.placed = self.places.contains_key(&query.class);
+            query.permitted = self.permits.contains_key(&query.class);
             self.select(&mut query);
         }
         for i in by_weight(&query).into_iter().rev() {
@@ -504,31 +504,31 @@
     }
 
     /// Overload: a part that is lost to full replicas takes with it the work on all others of its query, which goes on
-    /// and fills the replicas that they are at. From the first such loss on a class has so many places, and each of
+    /// and fills the replicas that they are at. From the first such loss on a class has so many permits, and each of
     /// its queries takes one; those that come to nothing give none back, until far more are free than are taken.
-    fn let_in(&mut self, class: usize) -> bool {
-        let Some((places, at)) = self.places.get_mut(&class) else { return true };
+    fn admit(&mut self, class: usize) -> bool {
+        let Some((permits, at)) = self.permits.get_mut(&class) else { return true };
         // One at least every now and then, or nobody would learn that the overload is over.
-        *places = places.max((*places + (self.now - *at) as f64 / LET_IN).min(1.0));
+        *permits = permits.max((*permits + (self.now - *at) as f64 / ADMIT_EVERY).min(1.0));
         *at = self.now;
-        let enough = *places >= 1.0;
-        *places -= if enough { 1.0 } else { 0.0 };
+        let enough = *permits >= 1.0;
+        *permits -= if enough { 1.0 } else { 0.0 };
         enough
     }
 
-    /// Gives a query's place back, with something beside for one that was answered; `lost` to full replicas, it
+    /// Gives a query's permit back, with something beside for one that was answered; `lost` to full replicas, it
     /// gives none.
     fn settle(&mut self, query: &Query, lost: bool, beside: f64) {
         let class = query.class;
         let open = self.queries.values().filter(|other| other.class == class).count() as f64;
-        let places = self.places.get_mut(&class);
-        match places {
-            None if lost => drop(self.places.insert(class, (PLACES.0 + open, self.now))),
-            Some((places, _)) if lost && !query.placed => *places = (*places - 1.0).max(0.0),
-            Some((places, _)) if !lost => {
-                *places += beside + f64::from(u8::from(query.placed));
-                if *places >= 2.0 * PLACES.0 + open {
-                    self.places.remove(&class);
+        let permits = self.permits.get_mut(&class);
+        match permits {
+            None if lost => drop(self.permits.insert(class, (PERMITS.0 + open, self.now))),
+            Some((permits, _)) if lost && !query.permitted => *permits = (*permits - 1.0).max(0.0),
+            Some((permits, _)) if !lost => {
+                *permits += beside + f64::from(u8::from(query.permitted));
+                if *permits >= 2.0 * PERMITS.0 + open {
+                    self.permits.remove(&class);
                 }
             }
             _ => {}
@@ -1023,7 +1023,7 @@
         } else {
             let earned =
                 if self.now <= query.aim { 1.0 } else { self.settings.classes[query.class].late_worth };
-            self.settle(&query, false, PLACES.1 * earned);
+            self.settle(&query, false, PERMITS.1 * earned);
             self.forget(&query);
         }
     }
--- a/crates/decisions/tests/module.rs
+++ b/crates/decisions/tests/module.rs
@@ -880,9 +880,9 @@
 }
 
 /// Twenty queries a second of three parts, each ended 20 ms after it was sent, the first part of a query so: how many
-/// of them were let in, by second.
-fn let_in(bed: &mut Bed, seconds: std::ops::Range<u64>, first: Outcome) -> Vec<usize> {
-    let mut let_in = Vec::new();
+/// of them were admitted, by second.
+fn admitted(bed: &mut Bed, seconds: std::ops::Range<u64>, first: Outcome) -> Vec<usize> {
+    let mut admitted = Vec::new();
     for second in seconds {
         let mut count = 0;
         for i in 0..20 {
@@ -900,29 +900,29 @@
             }
             bed.at(ms + 49, &[Event::ClientGone { id }]);
         }
-        let_in.push(count);
+        admitted.push(count);
     }
-    let_in
+    admitted
 }
 
-/// A query that loses one part to full replicas has the work on all its others done for nothing: let in as before, the
+/// A query that loses one part to full replicas has the work on all its others done for nothing: admitted as before, the
 /// queries of an overload keep each other from being answered.
 #[test]
-fn queries_lost_to_full_replicas_let_fewer_in_until_some_are_answered_again() {
+fn after_queries_lost_to_full_replicas_fewer_are_admitted_until_some_are_answered() {
     let quick = Settings { max_attempts: Some(2), ..settings(vec![class(400, 1.0)]) };
     let mut bed = Bed::new(quick.clone(), 3);
-    assert_eq!(let_in(&mut bed, 0..3, Outcome::Ok), [20; 3]);
-    let full = let_in(&mut bed, 3..15, Outcome::Refused);
+    assert_eq!(admitted(&mut bed, 0..3, Outcome::Ok), [20; 3]);
+    let full = admitted(&mut bed, 3..15, Outcome::Refused);
     assert!(full[1..].iter().sum::<usize>() <= 12, "{full:?}");
     assert!(
         full.windows(4).all(|four| four.iter().sum::<usize>() > 0),
         "nobody is turned away throughout: {full:?}"
     );
-    let after = let_in(&mut bed, 15..25, Outcome::Ok);
+    let after = admitted(&mut bed, 15..25, Outcome::Ok);
     assert_eq!(after[9], 20, "{after:?}");
     // Lost to a dead replica, it says nothing of the load on the others.
     let mut bed = Bed::new(quick, 3);
-    let dead = let_in(&mut bed, 0..5, Outcome::Unreachable);
+    let dead = admitted(&mut bed, 0..5, Outcome::Unreachable);
     assert!(dead.iter().sum::<usize>() > 50, "{dead:?}");
 }
 
