--- a/crates/mixer/tests/moments.rs
+++ b/crates/mixer/tests/moments.rs
@@ -211,3 +211,69 @@
         assert_eq!(end.map_err(|e: io::Error| e.kind()), Ok(0));
     });
 }
+
+/// The connection is reset: what its other end has not read is lost, as after a crash.
+fn reset(stream: TcpStream) {
+    stream.set_zero_linger().unwrap();
+    drop(stream);
+}
+
+#[test]
+fn a_part_that_may_not_be_repeated_and_may_have_run_is_not_sent_again() {
+    let text = SETTINGS.replace("classes.1.semantics=read_like", "classes.1.semantics=non_idempotent");
+    play(&text, 100, |stage| async move {
+        let mut client = client(stage.mixer).await;
+        client.write_all(query("h1", "").as_bytes()).await.unwrap();
+        let mut leaf = Leaf::next(&stage.leaf).await;
+        assert_eq!(leaf.call().await.0, "h1.3");
+        reset(leaf.stream);
+        let (head, _) = answer(&mut client).await;
+        assert!(head.starts_with("HTTP/1.1 504") && !head.contains("Retry-After"), "{head}");
+        let again = timeout(Duration::from_secs(20), stage.leaf.accept()).await;
+        assert!(again.is_err(), "nobody asks again: {again:?}");
+    });
+}
+
+#[test]
+fn a_part_that_may_be_repeated_is_sent_again_and_told_what_is_left() {
+    play(SETTINGS, 100, |stage| async move {
+        let mut client = client(stage.mixer).await;
+        client.write_all(query("i1", "X-Timeout: 2000m\r\n").as_bytes()).await.unwrap();
+        let mut leaf = Leaf::next(&stage.leaf).await;
+        let (id, first_ms) = leaf.call().await;
+        assert!(first_ms <= 2000, "{first_ms}");
+        sleep(Duration::from_millis(700)).await;
+        reset(leaf.stream);
+        let mut leaf = Leaf::next(&stage.leaf).await;
+        let (again, wait_ms) = leaf.call().await;
+        assert!(again == id && wait_ms <= 1300, "{wait_ms} ms told of 1300 left");
+        leaf.answer(&id).await;
+        assert!(answer(&mut client).await.1.contains("i1.3"));
+    });
+}
+
+#[test]
+fn idle_clients_that_fill_the_places_while_discovery_is_down_shut_out_neither_the_watch_nor_a_new_client() {
+    // Room for 45 clients.
+    play(SETTINGS, 100, |stage| async move {
+        drop(stage.discovery.accept().await.unwrap());
+        let (first, leaf) = resting(&stage, "j-first").await;
+        let leaf = tokio::task::spawn_local(leaf.serve());
+        let mut resting = vec![first];
+        for n in 0..60 {
+            let mut client = client(stage.mixer).await;
+            client.write_all(query(&format!("j{n}"), "").as_bytes()).await.unwrap();
+            assert!(answer(&mut client).await.0.starts_with("HTTP/1.1 200"));
+            resting.push(client);
+            resting.push(stage::client(stage.mixer).await);
+        }
+        let mut watch = stage::Watch::next(&stage.discovery).await;
+        watch.begin().await;
+        watch.write("\n").await;
+        let mut client = client(stage.mixer).await;
+        client.write_all(query("j-last", "").as_bytes()).await.unwrap();
+        assert!(answer(&mut client).await.1.contains("j-last.3"));
+        drop((resting, watch));
+        leaf.abort();
+    });
+}
--- a/crates/mixer/tests/watch.rs
+++ b/crates/mixer/tests/watch.rs
@@ -5,7 +5,7 @@
 
 use bed::SETTINGS;
 use cottonhill_mixer::transport::Told;
-use stage::{addresses, answer, client, line, list, play, query, Watch, NEVER};
+use stage::{addresses, answer, client, line, list, play, query, Leaf, Watch, NEVER};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout, Duration, Instant};
@@ -119,3 +119,23 @@
         let _ = moved.stream.read(&mut []).await;
     });
 }
+
+#[test]
+fn half_a_list_that_ends_in_a_reset_is_not_taken() {
+    play(SETTINGS, 100, |stage| async move {
+        let mut watch = Watch::next(&stage.discovery).await;
+        // No length and no chunks: only the end of the connection says where the body ends.
+        watch.stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").await.unwrap();
+        let whole = list(9, &[]).to_string();
+        watch.stream.write_all(&whole.as_bytes()[..whole.len() - 1]).await.unwrap();
+        sleep(Duration::from_millis(10)).await;
+        watch.stream.set_zero_linger().unwrap();
+        drop(watch);
+        let again = Watch::next(&stage.discovery).await;
+        assert!(again.request.contains("from=2 "), "{}", again.request);
+        let mut client = client(stage.mixer).await;
+        client.write_all(query("still", "").as_bytes()).await.unwrap();
+        let mut leaf = Leaf::next(&stage.leaf).await;
+        assert_eq!(leaf.call().await.0, "still.3", "whom the list of before names is asked");
+    });
+}
