Wait for nothing past the aim while permits are short, and take half a permit for a late answer

What is cancelled stays in them until the time that its attempt told has passed, 1.67 s where the aim is 0.5 s, and a late answer gave back its permit as if nothing were wrong. At fault: `until` in `send`, `useful` in `tend`, the permit returned in `answer`, all as without an overload. Test: `while_permits_are_short_nothing_is_waited_for_past_the_aim`.

--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -71,9 +71,9 @@
 const LOSS: (f64, f64, f64) = (0.05, 0.2, 0.7);
 /// Aims for which they are renewed after that was seen.
 const RENEW_AIMS: f64 = 15.0;
-/// Permits of a class beside those of its open queries once full replicas have lost one, and what a query that is
-/// answered in time adds to its own: where more than one in eleven is lost, fewer are admitted.
-const PERMITS: (f64, f64) = (2.0, 0.1);
+/// Permits of a class beside those of its open queries once full replicas have lost one; what a query answered in time
+/// adds to its own, and one answered late keeps of it: where one in eleven is lost or one in six late, fewer go in.
+const PERMITS: (f64, f64, f64) = (2.0, 0.1, 0.5);
 /// One query is admitted at least so often, ns: under the 4 s in which a mixer may not turn away all that it gets.
 const ADMIT_EVERY: f64 = 3.5 * SECOND as f64;
 /// Beats (our own timer) kept free before a moment that must not be missed.
@@ -516,6 +516,12 @@
         enough
     }
 
+    /// Whether an answer past the aim is worth its work: what waits at full replicas until then keeps others from theirs,
+    /// and nothing but its time takes it out of their queues.
+    fn may_be_late(&self, class: usize) -> bool {
+        self.settings.classes[class].late_worth > 0.0 && !self.permits.contains_key(&class)
+    }
+
     /// Gives a query's permit back, with something beside for one that was answered; `lost` to full replicas, it
     /// gives none.
     fn settle(&mut self, query: &Query, lost: bool, beside: f64) {
@@ -526,7 +532,7 @@
             None if lost => drop(self.permits.insert(class, (PERMITS.0 + open, self.now))),
             Some((permits, _)) if lost && !query.permitted => *permits = (*permits - 1.0).max(0.0),
             Some((permits, _)) if !lost => {
-                *permits += beside + f64::from(u8::from(query.permitted));
+                *permits = (*permits + beside + f64::from(u8::from(query.permitted))).max(0.0);
                 if *permits >= 2.0 * PERMITS.0 + open {
                     self.permits.remove(&class);
                 }
@@ -703,8 +709,7 @@
 
     /// Sends part `i` of the query to the best replica that may have it; false where there is none.
     fn send(&mut self, query: &mut Query, i: usize, actions: &mut Vec<Action>) -> bool {
-        let late_worth = self.settings.classes[query.class].late_worth;
-        let until = if late_worth > 0.0 { query.deadline } else { query.aim };
+        let until = if self.may_be_late(query.class) { query.deadline } else { query.aim };
         let part = &mut query.parts[i];
         if until <= self.now || !self.may_try(part, query.class) {
             return false;
@@ -999,7 +1004,8 @@
         if begun && enough && (whole || all_in || !waiting || self.now >= end) {
             return self.answer(query, whole, actions);
         }
-        let useful = if class.late_worth > 0.0 { last_call } else { query.aim.saturating_sub(self.beat()) };
+        let useful =
+            if self.may_be_late(query.class) { last_call } else { query.aim.saturating_sub(self.beat()) };
         let harm = Self::harmful(&query);
         let idle = query.parts.iter().flat_map(|p| &p.attempts).all(|a| !a.out);
         let lost = begun && (!waiting || landed + open.iter().sum::<f64>() + 1e-4 < least);
@@ -1021,9 +1027,8 @@
             query.first_whole = whole;
             self.queries.insert(query.id, query);
         } else {
-            let earned =
-                if self.now <= query.aim { 1.0 } else { self.settings.classes[query.class].late_worth };
-            self.settle(&query, false, PERMITS.1 * earned);
+            let beside = if self.now <= query.aim { PERMITS.1 } else { -PERMITS.2 };
+            self.settle(&query, false, beside);
             self.forget(&query);
         }
     }
--- a/crates/decisions/tests/module.rs
+++ b/crates/decisions/tests/module.rs
@@ -926,6 +926,23 @@
     assert!(dead.iter().sum::<usize>() > 50, "{dead:?}");
 }
 
+/// Cancelled or not, a part waits at a full replica until its time has passed: in an overload that is the aim's.
+#[test]
+fn while_permits_are_short_nothing_is_waited_for_past_the_aim() {
+    let late = Class { late_worth: 0.3, ..class(400, 1.0) };
+    let mut bed = Bed::new(Settings { max_attempts: Some(2), ..settings(vec![late]) }, 3);
+    let until = |actions: &[Action]| {
+        actions.iter().find_map(|a| if let Action::Send { until, .. } = a { Some(*until) } else { None })
+    };
+    let (_, actions) = bed.query(0, 0, &[0.4, 0.3, 0.3]);
+    assert_eq!(until(&actions), Some(START + 6000 * MS), "its client's time");
+    bed.at(10, &all_end(&sends(&actions), Outcome::Ok));
+    admitted(&mut bed, 1..3, Outcome::Refused);
+    let mut asked = (3000..9000).step_by(50).map(|ms| (ms, bed.query(ms, 0, &[0.4, 0.3, 0.3]).1));
+    let (ms, actions) = asked.find(|(_, actions)| !sends(actions).is_empty()).unwrap();
+    assert_eq!(until(&actions), Some(START + (ms + 400) * MS), "the aim");
+}
+
 /// Something on the way drops unused connections unseen: what is sent on one is lost, though the replica
 /// lives. Rounds of a query whose attempts on unused connections break; in which connections are renewed.
 fn unused_connections_break(rounds: u64, renewed_break: bool) -> Vec<bool> {
