--- a/crates/decisions/src/choice.rs
+++ b/crates/decisions/src/choice.rs
@@ -516,8 +516,8 @@
         enough
     }
 
-    /// Whether an answer past the aim is worth its work: what waits at full replicas until then keeps others from theirs,
-    /// and nothing but its time takes it out of their queues.
+    /// Whether an answer past the aim is worth its work: what waits at full replicas until then keeps others from
+    /// theirs, and nothing but its time takes it out of their queues.
     fn may_be_late(&self, class: usize) -> bool {
         self.settings.classes[class].late_worth > 0.0 && !self.permits.contains_key(&class)
     }
--- a/crates/decisions/tests/module.rs
+++ b/crates/decisions/tests/module.rs
@@ -905,8 +905,8 @@
     admitted
 }
 
-/// A query that loses one part to full replicas has the work on all its others done for nothing: admitted as before, the
-/// queries of an overload keep each other from being answered.
+/// A query that loses one part to full replicas has the work on all its others done for nothing: admitted as before,
+/// the queries of an overload keep each other from being answered.
 #[test]
 fn after_queries_lost_to_full_replicas_fewer_are_admitted_until_some_are_answered() {
     let quick = Settings { max_attempts: Some(2), ..settings(vec![class(400, 1.0)]) };
--- a/crates/mixer/src/routing/state/attempts.rs
+++ b/crates/mixer/src/routing/state/attempts.rs
@@ -91,8 +91,8 @@
         self.ended(now, id, outcome, LoadReport::new());
     }
 
-    /// What has waited past its time, or past that in which a repeat of it is dropped, must not go out, though its alarm has yet to ring: the socket may be
-    /// free for it a moment before the turn.
+    /// What has waited past its time, or past that in which a repeat of it is dropped, must not go out, though its
+    /// alarm has yet to ring: the socket may be free for it a moment before the turn.
     pub(super) fn drop_expired(&mut self, now: Nanos, link: LinkId) {
         let unsent = self.links.get(&link).map(|(_, it)| it.unsent()).unwrap_or_default();
         for id in unsent {
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/mixer/tests/reducer.rs
@@ -185,7 +185,8 @@
     let (address, _) = bed.links[&link].clone();
     let other = if address == bed::address(1) { 2 } else { 1 };
     let mut effects = Vec::new();
-    let line = serde_json::json!({"name": format!("s-{other}"), "address": bed::address(other), "group": 0, "status": "up"});
+    let line = serde_json::json!(
+        {"name": format!("s-{other}"), "address": bed::address(other), "group": 0, "status": "up"});
     let whole = serde_json::json!({"index": 9, "snapshot": true, "endpoints": [line]});
     let list = Input::Listed(serde_json::from_value(whole).expect("a list"));
     for input in [Input::LinkOpened { link }, list, Input::Turn] {
