Name programs and packages after what they do; old environment variables warn

Cause: everything was called cottonhill, a name that says nothing about the thing. Change: packages query-aggregator, aggregator-policy, aggregator-core, simulator-adapter, usage-ledger, opensearch-gateway, ini-config, aggregator-testkit, and the programs demo, prove-ledger, bench-ledger and prove-opensearch. Fixed names stay: the gRPC package cottonhill.usage.v1, and what the OpenSearch front shows (cluster name, build type). COTTONHILL_SETTINGS, COTTONHILL_LOG and log targets of the old crates go on working; one line warns about the variables (legacy_names.rs, tested).

--- a/Makefile
+++ b/Makefile
@@ -14,20 +14,20 @@
 
 # A whole installation on loopback, until Ctrl-C.
 demo: build
-	exec target/release/cottonhill-demo
+	exec target/release/demo
 
 # One mixer with the configuration that BALANCER_CONFIG names.
 run: build
-	exec target/release/cottonhill
+	exec target/release/query-aggregator
 
 # Three mixers, two of everything that can go wrong, and the totals set beside what the clients sent.
 prove-ledger: build
-	exec target/release/cottonhill-prove-ledger $(ARGS)
+	exec target/release/prove-ledger $(ARGS)
 
 # The log on against off, and the settlement at size.
 bench-ledger: build
-	exec target/release/cottonhill-bench-ledger $(ARGS)
+	exec target/release/bench-ledger $(ARGS)
 
 # The same searches through both fronts, each page against the exact one.
 prove-opensearch: build
-	exec target/release/cottonhill-prove-opensearch $(ARGS)
+	exec target/release/prove-opensearch $(ARGS)
--- a/crates/cottonhill/src/check.rs
+++ b/crates/aggregator/src/check.rs
@@ -1,11 +1,11 @@
-//! `cottonhill check`: what would be in force, and where each value came from.
+//! `query-aggregator check`: what would be in force, and where each value came from.
 
 use crate::output::{self, Done, Failure};
 use crate::{program, settings, Files};
 use comfy_table::Table;
-use cottonhill_ini::Origin;
-use cottonhill_ledger::settings::{Ledger, UsageLog};
-use cottonhill_opensearch::index::Front;
+use ini_config::Origin;
+use opensearch_gateway::index::Front;
+use usage_ledger::settings::{Ledger, UsageLog};
 
 pub fn run(files: &Files) -> Done {
     let own = settings::read(files)?;
--- a/crates/cottonhill/src/commands.rs
+++ b/crates/aggregator/src/commands.rs
@@ -1,21 +1,11 @@
-//! `cottonhill ledger ...`: the settlement, and everything that people ask of the ledger.
+//! `query-aggregator ledger ...`: the settlement, and everything that people ask of the ledger.
 
 use crate::logs::Logs;
 use crate::output::{self, Done, Failure};
 use crate::{settings, Files};
+use aggregator_core::routing::usage;
 use clap::{Subcommand, ValueEnum};
 use comfy_table::Table;
-use cottonhill_ledger::join::Outcome;
-use cottonhill_ledger::log;
-use cottonhill_ledger::period::{stamp, Period};
-use cottonhill_ledger::rate::Counts;
-use cottonhill_ledger::reconcile::{self, ClientUse};
-use cottonhill_ledger::settings::Ledger as Settings;
-use cottonhill_ledger::settle::Bounds;
-use cottonhill_ledger::settlement::{self, Told};
-use cottonhill_ledger::store::{digest, CorrectionLine, Store};
-use cottonhill_ledger::{export, wire};
-use cottonhill_mixer::routing::usage;
 use indicatif::{ProgressBar, ProgressDrawTarget};
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
@@ -24,6 +14,16 @@
 use std::time::{Duration, Instant};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc;
+use usage_ledger::join::Outcome;
+use usage_ledger::log;
+use usage_ledger::period::{stamp, Period};
+use usage_ledger::rate::Counts;
+use usage_ledger::reconcile::{self, ClientUse};
+use usage_ledger::settings::Ledger as Settings;
+use usage_ledger::settle::Bounds;
+use usage_ledger::settlement::{self, Told};
+use usage_ledger::store::{digest, CorrectionLine, Store};
+use usage_ledger::{export, wire};
 
 #[derive(Clone, Copy, Debug, Default, ValueEnum)]
 pub enum Format {
@@ -395,7 +395,7 @@
         None => statements.into_iter().last(),
     };
     let Some((it, ..)) = found else {
-        return Err(Failure::running("there is no such statement: see 'cottonhill ledger periods'"));
+        return Err(Failure::running("there is no such statement: see 'query-aggregator ledger periods'"));
     };
     if matches!(shape.format, Format::Json) {
         let text = serde_json::to_string_pretty(&it).map_err(Failure::running)?;
@@ -459,8 +459,8 @@
     let to = &opened.settings.export;
     let (folder, url) = (to.folder.is_some(), to.url.is_some());
     if !list {
-        let within = cottonhill_ini::time(within)
-            .map_err(|why| Failure::usage(format!("--within {within}: {why}")))?;
+        let within =
+            ini_config::time(within).map_err(|why| Failure::usage(format!("--within {within}: {why}")))?;
         if !folder && !url {
             return Err(Failure::configuration("[export] names neither a folder nor a url"));
         }
@@ -688,7 +688,10 @@
     let mut rows = Rows::new(&RECORD);
     while let Some(batch) = follower.next(4096).map_err(at)? {
         for damage in &batch.damage {
-            eprintln!("cottonhill: {}: damaged from offset {} to {}", damage.segment, damage.from, damage.to);
+            eprintln!(
+                "query-aggregator: {}: damaged from offset {} to {}",
+                damage.segment, damage.from, damage.to
+            );
         }
         let header = batch.header.unwrap_or_default();
         for entry in batch.entries {
--- a/crates/cottonhill/src/fronts.rs
+++ b/crates/aggregator/src/fronts.rs
@@ -2,11 +2,11 @@
 
 use crate::output::Failure;
 use crate::settings;
-use cottonhill_ini::Settings;
-use cottonhill_mixer::transport::StartFront;
-use cottonhill_opensearch::front;
-use cottonhill_opensearch::index::Front;
-use cottonhill_opensearch::tls::Tls;
+use aggregator_core::transport::StartFront;
+use ini_config::Settings;
+use opensearch_gateway::front;
+use opensearch_gateway::index::Front;
+use opensearch_gateway::tls::Tls;
 use std::rc::Rc;
 use tokio::net::TcpListener;
 
--- a/crates/cottonhill/src/logs.rs
+++ b/crates/aggregator/src/logs.rs
@@ -3,8 +3,9 @@
 //! Fields have one name everywhere: `client`, `link`, `id` (a query), `replica`, `class` and `tenant` by number,
 //! `address`, `segment`, `member`, `period`, `error`; a duration ends in its unit (`_ms`).
 
+use crate::legacy_names;
 use crate::output::Failure;
-use cottonhill_ini::{Key, Kind, Section, Settings};
+use ini_config::{Key, Kind, Section, Settings};
 use tracing_subscriber::filter::Targets;
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::reload::Handle;
@@ -20,14 +21,14 @@
             kind: Kind::Choice(&["error", "warn", "info", "debug", "trace"]),
             default: Some("info"),
             live: true,
-            doc: "The least level that is logged. COTTONHILL_LOG in the environment goes before it.",
+            doc: "The least level that is logged. QUERY_AGGREGATOR_LOG in the environment goes before it.",
         },
         Key {
             name: "targets",
             kind: Kind::Text,
             default: Some(""),
             live: true,
-            doc: "Levels of single targets, as in cottonhill_mixer::routing=debug,cottonhill_ledger=warn.",
+            doc: "Levels of single targets, as in aggregator_core::routing=debug,usage_ledger=warn.",
         },
         Key {
             name: "format",
@@ -44,12 +45,13 @@
 
 fn targets(settings: &Settings) -> Result<Targets, Failure> {
     let values = settings.of(&crate::settings::SCHEMA, SECTION.name, "");
-    let environment = std::env::var("COTTONHILL_LOG").ok();
+    let environment = legacy_names::environment_variable(legacy_names::LOG_VARIABLE);
+    let environment = environment.and_then(|value| value.into_string().ok());
     let level = environment.as_deref().filter(|text| !text.is_empty()).or(values.text("level"));
     let level = level.unwrap_or("info").to_string();
     // An empty directive would stand for everything.
     let all = values.text("targets").map_or(level.clone(), |targets| format!("{level},{targets}"));
-    all.parse().map_err(|e| {
+    legacy_names::current_log_targets(&all).parse().map_err(|e| {
         let why = format!("'{all}' does not do: {e}");
         Failure::configuration(settings.problem(SECTION.name, "", "targets", &why))
     })
--- a/crates/cottonhill/src/main.rs
+++ b/crates/aggregator/src/main.rs
@@ -1,8 +1,9 @@
-//! `cottonhill`: the mixer and its ledger on one command line.
+//! `query-aggregator`: the mixer and its ledger on one command line.
 
 mod check;
 mod commands;
 mod fronts;
+mod legacy_names;
 mod logs;
 mod output;
 mod program;
@@ -16,10 +17,10 @@
 
 const EXAMPLES: &str = "\
 Examples:
-  cottonhill check --config mixer.json --settings cottonhill.ini
-  cottonhill serve --config mixer.json
-  cottonhill ledger statement --settings cottonhill.ini --format csv
-  cottonhill completions bash > /etc/bash_completion.d/cottonhill
+  query-aggregator check --config mixer.json --settings query-aggregator.ini
+  query-aggregator serve --config mixer.json
+  query-aggregator ledger statement --settings query-aggregator.ini --format csv
+  query-aggregator completions bash > /etc/bash_completion.d/query-aggregator
 
 Exit codes: 0 done, 1 failed while running, 2 wrong use of the command line, 3 wrong configuration or settings.";
 
@@ -40,7 +41,7 @@
     #[arg(long, env = "BALANCER_CONFIG", global = true, value_name = "FILE")]
     pub config: Option<PathBuf>,
     /// Our own settings, in INI; the defaults hold without it
-    #[arg(long, env = "COTTONHILL_SETTINGS", global = true, value_name = "FILE")]
+    #[arg(long, env = legacy_names::SETTINGS_VARIABLE, global = true, value_name = "FILE")]
     pub settings: Option<PathBuf>,
 }
 
@@ -58,21 +59,28 @@
 }
 
 fn main() -> ExitCode {
-    let line = Line::parse();
+    let mut line = Line::parse();
+    if let Some(warning) = legacy_names::environment_warning() {
+        eprintln!("query-aggregator: warning: {warning}");
+    }
+    if line.files.settings.is_none() {
+        let path = legacy_names::environment_variable(legacy_names::SETTINGS_VARIABLE);
+        line.files.settings = path.map(PathBuf::from);
+    }
     let done = match line.command {
         None | Some(Command::Serve) => program::run(&line.files),
         Some(Command::Check) => check::run(&line.files),
         Some(Command::Ledger(command)) => commands::run(&line.files, command),
         Some(Command::Completions { shell }) => {
             let mut script = Vec::new();
-            clap_complete::generate(shell, &mut Line::command(), "cottonhill", &mut script);
+            clap_complete::generate(shell, &mut Line::command(), "query-aggregator", &mut script);
             output::print(&script)
         }
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(Failure { code, message }) => {
-            eprintln!("cottonhill: {}", message.trim().replace('\n', " "));
+            eprintln!("query-aggregator: {}", message.trim().replace('\n', " "));
             ExitCode::from(code)
         }
     }
--- a/crates/cottonhill/src/program.rs
+++ b/crates/aggregator/src/program.rs
@@ -4,18 +4,18 @@
 use crate::output::{Done, Failure};
 use crate::recorder::UsageLogRecorder;
 use crate::{fronts, settings, Files};
-use cottonhill_ini::Settings;
-use cottonhill_ledger::settings::UsageLog;
-use cottonhill_ledger::writer;
-use cottonhill_mixer::config::Config;
-use cottonhill_mixer::routing::State;
-use cottonhill_mixer::transport::{self, Addresses, Clock, Told};
-use cottonhill_opensearch::tls::Tls;
+use aggregator_core::config::Config;
+use aggregator_core::routing::State;
+use aggregator_core::transport::{self, Addresses, Clock, Told};
+use ini_config::Settings;
+use opensearch_gateway::tls::Tls;
 use std::path::Path;
 use std::rc::Rc;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc;
+use usage_ledger::settings::UsageLog;
+use usage_ledger::writer;
 
 /// Runs the mixer until it is told to end.
 pub fn run(files: &Files) -> Done {
--- a/crates/cottonhill/src/recorder.rs
+++ b/crates/aggregator/src/recorder.rs
@@ -1,12 +1,12 @@
 //! The mixer's records on their way into the usage log.
 
-use cottonhill_ledger::wire::entry::What;
-use cottonhill_ledger::wire::{Outcome as WireOutcome, Record};
-use cottonhill_ledger::writer::{self, Writer};
-use cottonhill_mixer::routing::usage::{Mark, Outcome, Usage};
-use cottonhill_mixer::transport::Recorder;
+use aggregator_core::routing::usage::{Mark, Outcome, Usage};
+use aggregator_core::transport::Recorder;
 use std::time::Duration;
 use tokio::sync::watch;
+use usage_ledger::wire::entry::What;
+use usage_ledger::wire::{Outcome as WireOutcome, Record};
+use usage_ledger::writer::{self, Writer};
 
 const MS: u64 = 1_000_000;
 
--- a/crates/cottonhill/src/settings.rs
+++ b/crates/aggregator/src/settings.rs
@@ -3,9 +3,9 @@
 use crate::logs;
 use crate::output::Failure;
 use crate::Files;
-use cottonhill_ini::{Schema, Settings};
-use cottonhill_ledger::settings as ledger;
-use cottonhill_opensearch::index;
+use ini_config::{Schema, Settings};
+use opensearch_gateway::index;
+use usage_ledger::settings as ledger;
 
 pub const SCHEMA: Schema = Schema(&[
     logs::SECTION,
--- a/crates/cottonhill/tests/commands.rs
+++ b/crates/aggregator/tests/commands.rs
@@ -4,14 +4,18 @@
 use std::path::Path;
 use std::process::{Command, Output, Stdio};
 
-fn cottonhill(words: &[&str]) -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_cottonhill"));
-    command.args(words).env_remove("BALANCER_CONFIG").env_remove("COTTONHILL_SETTINGS");
+fn aggregator(words: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_query-aggregator"));
+    command
+        .args(words)
+        .env_remove("BALANCER_CONFIG")
+        .env_remove("QUERY_AGGREGATOR_SETTINGS")
+        .env_remove("QUERY_AGGREGATOR_LOG");
     command
 }
 
 fn run(words: &[&str]) -> Output {
-    cottonhill(words).output().expect("the program starts")
+    aggregator(words).output().expect("the program starts")
 }
 
 fn errors(output: &Output) -> String {
@@ -100,7 +104,7 @@
 /// The sample names each key there is, with its default; as it stands it changes nothing.
 #[test]
 fn the_sample_settings_document_every_key_with_its_default() {
-    let sample = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/cottonhill.ini");
+    let sample = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/query-aggregator.ini");
     let text = fs::read_to_string(&sample).unwrap();
     let output = run(&["check", "--settings", sample.to_str().unwrap()]);
     assert!(output.status.success(), "{}", errors(&output));
@@ -122,12 +126,44 @@
 #[test]
 fn a_closed_pipe_is_no_failure_and_a_script_completes() {
     let mut child =
-        cottonhill(&["completions", "bash"]).stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap();
+        aggregator(&["completions", "bash"]).stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap();
     drop(child.stdout.take());
     let output = child.wait_with_output().unwrap();
     assert!(output.status.success() && output.stderr.is_empty(), "{output:?}");
     let script = run(&["completions", "zsh"]).stdout;
-    assert!(String::from_utf8(script).unwrap().contains("#compdef cottonhill"));
+    assert!(String::from_utf8(script).unwrap().contains("#compdef query-aggregator"));
     let help = String::from_utf8(run(&["--help"]).stdout).unwrap();
     assert!(help.contains("Examples:") && help.contains("Exit codes:"), "{help}");
 }
+
+/// Unit files written for the old name of the program go on working, with one line that says what to change.
+#[test]
+fn old_environment_variables_are_used_with_one_warning() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("own.ini");
+    fs::write(&path, "[log]\nlevel = info\ntargets = cottonhill_mixer::routing=debug\n").unwrap();
+    let with_old = |variables: &[(&str, &str)]| {
+        let mut command = aggregator(&["check"]);
+        command.env_remove("COTTONHILL_SETTINGS").env_remove("COTTONHILL_LOG");
+        command.envs(variables.iter().copied()).output().expect("the program starts")
+    };
+    let old = with_old(&[("COTTONHILL_SETTINGS", path.to_str().unwrap()), ("COTTONHILL_LOG", "warn")]);
+    assert!(old.status.success(), "{}", errors(&old));
+    assert!(String::from_utf8(old.stdout.clone()).unwrap().contains("own.ini:2"), "{old:?}");
+    let warning = errors(&old);
+    assert_eq!(warning.lines().count(), 1, "{warning}");
+    for name in ["SETTINGS", "LOG"] {
+        assert!(
+            warning.contains(&format!("COTTONHILL_{name} is now called QUERY_AGGREGATOR_{name}")),
+            "{warning}"
+        );
+    }
+    let missing = folder.path().join("missing.ini");
+    let both = [
+        ("COTTONHILL_SETTINGS", missing.to_str().unwrap()),
+        ("QUERY_AGGREGATOR_SETTINGS", path.to_str().unwrap()),
+    ];
+    assert!(with_old(&both).status.success(), "the new name goes before the old one");
+    let neither = with_old(&[]);
+    assert!(neither.status.success() && neither.stderr.is_empty(), "{neither:?}");
+}
--- a/crates/cottonhill/tests/reload.rs
+++ b/crates/aggregator/tests/reload.rs
@@ -20,11 +20,12 @@
 
 impl Program {
     fn start(name: &str, discovery: &str) -> Program {
-        let config = std::env::temp_dir().join(format!("cottonhill-{}-{name}.json", std::process::id()));
+        let config =
+            std::env::temp_dir().join(format!("query-aggregator-{}-{name}.json", std::process::id()));
         fs::write(&config, text(discovery)).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_cottonhill"))
+        let mut child = Command::new(env!("CARGO_BIN_EXE_query-aggregator"))
             .env("BALANCER_CONFIG", &config)
-            .env("COTTONHILL_LOG", "info")
+            .env("QUERY_AGGREGATOR_LOG", "info")
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program starts");
--- a/crates/mixer/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,4 +7,4 @@
 pub mod settings;
 pub mod transport;
 
-pub use cottonhill_decisions::{interface, Coordinator};
+pub use aggregator_policy::{interface, Coordinator};
--- a/crates/mixer/tests/bed/mod.rs
+++ b/crates/core/tests/bed/mod.rs
@@ -3,13 +3,13 @@
 
 #![allow(dead_code)] // Each test file uses its own part of it.
 
+use aggregator_core::protocol::discovery::Listing;
+use aggregator_core::protocol::leaf::{End, FromLeaf, ToLeaf};
+use aggregator_core::protocol::query::{Asked, AskedPart, Query, Reply};
+use aggregator_core::routing::usage::{Mark, Usage};
+use aggregator_core::routing::{ClientId, Effect, Input, LinkId, State};
+use aggregator_core::settings;
 use bytes::Bytes;
-use cottonhill_mixer::protocol::discovery::Listing;
-use cottonhill_mixer::protocol::leaf::{End, FromLeaf, ToLeaf};
-use cottonhill_mixer::protocol::query::{Asked, AskedPart, Query, Reply};
-use cottonhill_mixer::routing::usage::{Mark, Usage};
-use cottonhill_mixer::routing::{ClientId, Effect, Input, LinkId, State};
-use cottonhill_mixer::settings;
 use std::collections::{BTreeMap, BTreeSet};
 
 pub const MS: u64 = 1_000_000;
--- a/crates/mixer/tests/connection.rs
+++ b/crates/core/tests/connection.rs
@@ -3,9 +3,9 @@
 
 mod bed;
 
+use aggregator_core::protocol::leaf::{End, ToLeaf};
+use aggregator_core::routing::link::{Answered, AttemptId, Job, Link};
 use bed::{Bed, MS};
-use cottonhill_mixer::protocol::leaf::{End, ToLeaf};
-use cottonhill_mixer::routing::link::{Answered, AttemptId, Job, Link};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::collections::{BTreeMap, VecDeque};
--- a/crates/mixer/tests/moments.rs
+++ b/crates/core/tests/moments.rs
@@ -4,8 +4,8 @@
 mod bed;
 mod stage;
 
+use aggregator_core::transport::Told;
 use bed::SETTINGS;
-use cottonhill_mixer::transport::Told;
 use stage::{answer, client, play, query, Leaf, Stage, NEVER};
 use std::io;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/crates/mixer/tests/protocol.rs
+++ b/crates/core/tests/protocol.rs
@@ -1,11 +1,11 @@
 //! Codecs and messages as bytes: split anywhere, malformed, too large.
 
+use aggregator_core::config::Config;
+use aggregator_core::protocol::http::{Rejection, Request, Response, ServerCodec, WatchCodec};
+use aggregator_core::protocol::leaf::{CallPart, End, FromLeaf, LeafCodec, ToLeaf};
+use aggregator_core::protocol::query::{self, Asked, Names, Reply};
+use aggregator_core::protocol::{discovery, http};
 use bytes::{Bytes, BytesMut};
-use cottonhill_mixer::config::Config;
-use cottonhill_mixer::protocol::http::{Rejection, Request, Response, ServerCodec, WatchCodec};
-use cottonhill_mixer::protocol::leaf::{CallPart, End, FromLeaf, LeafCodec, ToLeaf};
-use cottonhill_mixer::protocol::query::{self, Asked, Names, Reply};
-use cottonhill_mixer::protocol::{discovery, http};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use tokio_util::codec::{Decoder, Encoder};
--- a/crates/mixer/tests/reducer.rs
+++ b/crates/core/tests/reducer.rs
@@ -2,11 +2,11 @@
 
 mod bed;
 
+use aggregator_core::protocol::http::Rejection;
+use aggregator_core::protocol::leaf::{End, FromLeaf, ToLeaf};
+use aggregator_core::protocol::query::{Asked, AskedPart, Query, Reply};
+use aggregator_core::routing::{Effect, Input};
 use bed::{Bed, MS, SETTINGS, START};
-use cottonhill_mixer::protocol::http::Rejection;
-use cottonhill_mixer::protocol::leaf::{End, FromLeaf, ToLeaf};
-use cottonhill_mixer::protocol::query::{Asked, AskedPart, Query, Reply};
-use cottonhill_mixer::routing::{Effect, Input};
 
 fn calls(bed: &Bed) -> Vec<(u64, String)> {
     let call = |(link, frame): &(u64, ToLeaf)| match frame {
--- a/crates/mixer/tests/sockets.rs
+++ b/crates/core/tests/sockets.rs
@@ -1,9 +1,9 @@
 //! The whole mixer on real sockets of the loopback, with a leaf server and discovery played by the test.
 
-use cottonhill_mixer::protocol::query::Names;
-use cottonhill_mixer::routing::State;
-use cottonhill_mixer::settings;
-use cottonhill_mixer::transport::{self, Addresses, Clock};
+use aggregator_core::protocol::query::Names;
+use aggregator_core::routing::State;
+use aggregator_core::settings;
+use aggregator_core::transport::{self, Addresses, Clock};
 use std::future::Future;
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/crates/mixer/tests/stage/mod.rs
+++ b/crates/core/tests/stage/mod.rs
@@ -3,10 +3,10 @@
 
 #![allow(dead_code)] // Each test file uses its own part of it.
 
-use cottonhill_mixer::protocol::query::Names;
-use cottonhill_mixer::routing::State;
-use cottonhill_mixer::settings;
-use cottonhill_mixer::transport::{self, Addresses, Clock, Told};
+use aggregator_core::protocol::query::Names;
+use aggregator_core::routing::State;
+use aggregator_core::settings;
+use aggregator_core::transport::{self, Addresses, Clock, Told};
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
--- a/crates/mixer/tests/usage.rs
+++ b/crates/core/tests/usage.rs
@@ -2,11 +2,11 @@
 
 mod bed;
 
+use aggregator_core::protocol::leaf::End;
+use aggregator_core::protocol::query::{Asked, AskedPart, Query};
+use aggregator_core::routing::usage::{is_client_key, key_of_client, key_of_query, Outcome};
+use aggregator_core::routing::Input;
 use bed::{Bed, MS, START};
-use cottonhill_mixer::protocol::leaf::End;
-use cottonhill_mixer::protocol::query::{Asked, AskedPart, Query};
-use cottonhill_mixer::routing::usage::{is_client_key, key_of_client, key_of_query, Outcome};
-use cottonhill_mixer::routing::Input;
 
 fn recording(replicas: u64) -> Bed {
     let mut bed = Bed::new(replicas);
--- a/crates/mixer/tests/watch.rs
+++ b/crates/core/tests/watch.rs
@@ -3,8 +3,8 @@
 mod bed;
 mod stage;
 
+use aggregator_core::transport::Told;
 use bed::SETTINGS;
-use cottonhill_mixer::transport::Told;
 use stage::{addresses, answer, client, line, list, play, query, Leaf, Watch, NEVER};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
--- a/crates/opensearch/src/index.rs
+++ b/crates/opensearch-gateway/src/index.rs
@@ -2,7 +2,7 @@
 
 use crate::tenant::{networks, Networks, Table};
 use crate::tls::Files;
-use cottonhill_ini::{Key, Kind, Problems, Schema, Section, Settings};
+use ini_config::{Key, Kind, Problems, Schema, Section, Settings};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/crates/opensearch/tests/language.rs
+++ b/crates/opensearch-gateway/tests/language.rs
@@ -1,7 +1,7 @@
 //! The query language and the merge, without a socket.
 
-use cottonhill_opensearch::dsl::{Problem, Search, MOST_CLAUSES, MOST_DEPTH};
-use cottonhill_opensearch::merge::{merge, read, Relation, ShardAnswer};
+use opensearch_gateway::dsl::{Problem, Search, MOST_CLAUSES, MOST_DEPTH};
+use opensearch_gateway::merge::{merge, read, Relation, ShardAnswer};
 use proptest::prelude::*;
 use serde_json::{json, Value};
 
--- a/crates/decisions/tests/module.rs
+++ b/crates/policy/tests/module.rs
@@ -1,8 +1,8 @@
 //! The decision module with hand-made events: the design's ordinary path, the six rules, and one test for
 //! each failure found, named for the danger.
 
-use cottonhill_decisions::interface::*;
-use cottonhill_decisions::Coordinator;
+use aggregator_policy::interface::*;
+use aggregator_policy::Coordinator;
 
 const MS: u64 = 1_000_000;
 const START: u64 = 100_000 * MS;
--- a/crates/benchlink/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -3,8 +3,8 @@
 
 mod wire;
 
-use cottonhill_decisions::Coordinator;
-use cottonhill_mixer::settings;
+use aggregator_core::settings;
+use aggregator_policy::Coordinator;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, BufReader, BufWriter, Read, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -16,7 +16,7 @@
     match run(&mut BufReader::new(io::stdin().lock()), &mut BufWriter::new(io::stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("cottonhill-benchlink: {message}");
+            eprintln!("simulator-adapter: {message}");
             ExitCode::FAILURE
         }
     }
--- a/crates/benchlink/src/wire.rs
+++ b/crates/simulator-adapter/src/wire.rs
@@ -1,6 +1,6 @@
 //! The layout of batches and replies, byte by byte.
 
-use cottonhill_decisions::interface::*;
+use aggregator_policy::interface::*;
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read};
 
--- a/crates/benchlink/tests/wire.rs
+++ b/crates/simulator-adapter/tests/wire.rs
@@ -9,7 +9,7 @@
 limits.retry_after=true\nlimits.max_retry_after_ns=7\nnever.heard.of=this\n";
 
 fn adapter(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_cottonhill-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_simulator-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/crates/standins/src/bin/cottonhill-bench-ledger.rs
+++ b/crates/testkit/src/bin/bench-ledger.rs
@@ -1,14 +1,8 @@
-//! `cottonhill-bench-ledger`: what the usage log costs a mixer, and how fast the settlement is.
+//! `bench-ledger`: what the usage log costs a mixer, and how fast the settlement is.
 
+use aggregator_testkit::client::{Attempt, Connection, Got, Question};
+use aggregator_testkit::installation::{Installation, Plan, CLASSES, SHARDS, TENANTS};
 use clap::Parser;
-use cottonhill_ledger::log::put_frame;
-use cottonhill_ledger::period::{Calendar, Every, Period};
-use cottonhill_ledger::settings::Price;
-use cottonhill_ledger::settle::Bounds;
-use cottonhill_ledger::store::{Store, Terms};
-use cottonhill_ledger::wire::{entry::What, Batch, Class, Entry, Header, Outcome, Record};
-use cottonhill_standins::client::{Attempt, Connection, Got, Question};
-use cottonhill_standins::installation::{Installation, Plan, CLASSES, SHARDS, TENANTS};
 use hdrhistogram::Histogram;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -17,6 +11,12 @@
 use std::net::SocketAddr;
 use std::process::{Command, ExitCode};
 use std::time::{Duration, Instant};
+use usage_ledger::log::put_frame;
+use usage_ledger::period::{Calendar, Every, Period};
+use usage_ledger::settings::Price;
+use usage_ledger::settle::Bounds;
+use usage_ledger::store::{Store, Terms};
+use usage_ledger::wire::{entry::What, Batch, Class, Entry, Header, Outcome, Record};
 
 /// Measures; it judges nothing.
 #[derive(Parser)]
@@ -285,7 +285,7 @@
     match run(&Line::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("cottonhill-bench-ledger: {e}");
+            eprintln!("bench-ledger: {e}");
             ExitCode::FAILURE
         }
     }
--- a/crates/standins/src/bin/cottonhill-demo.rs
+++ b/crates/testkit/src/bin/demo.rs
@@ -1,8 +1,8 @@
-//! `cottonhill-demo`: a whole installation on loopback, to look at and to ask.
+//! `demo`: a whole installation on loopback, to look at and to ask.
 
+use aggregator_testkit::client::{Attempt, Connection, Got, Question};
+use aggregator_testkit::installation::{Installation, Plan, CLASSES, SHARDS, TENANTS};
 use clap::Parser;
-use cottonhill_standins::client::{Attempt, Connection, Got, Question};
-use cottonhill_standins::installation::{Installation, Plan, CLASSES, SHARDS, TENANTS};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::io::Write;
@@ -120,7 +120,7 @@
          -d '{{\"query\":{{\"match\":{{\"title\":\"river\"}}}},\"size\":3}}'",
         installation.mixers[0].search
     ));
-    let program = cottonhill_standins::process::beside("cottonhill")?;
+    let program = aggregator_testkit::process::beside("query-aggregator")?;
     say("\nWhat it was used for, by tenant, in periods of 10 s:");
     let settings = installation.settings.display();
     say(&format!("  {} ledger statement --settings {settings}", program.display()));
@@ -154,7 +154,7 @@
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(e) => {
-            eprintln!("cottonhill-demo: {e}");
+            eprintln!("demo: {e}");
             ExitCode::FAILURE
         }
     }
--- a/crates/standins/src/bin/cottonhill-prove-ledger.rs
+++ b/crates/testkit/src/bin/prove-ledger.rs
@@ -1,4 +1,4 @@
-//! `cottonhill-prove-ledger`: that the ledger counts what clients sent, exactly, whatever fails meanwhile.
+//! `prove-ledger`: that the ledger counts what clients sent, exactly, whatever fails meanwhile.
 //!
 //! Three mixers, 12 leaf servers in three zones, and clients that retry within and across mixers. One mixer is killed
 //! in the middle of a period, started, killed again as it recovers, and started; a zone is lost across the end of a
@@ -7,14 +7,14 @@
 //! the end the clients' own records are set beside the statements and the documents, by code that shares nothing with
 //! the ledger's.
 
-use clap::Parser;
-use cottonhill_mixer::routing::usage::{key_of_client, key_of_query};
-use cottonhill_standins::client::{Attempt, Connection, Got, Question};
-use cottonhill_standins::installation::{
+use aggregator_core::routing::usage::{key_of_client, key_of_query};
+use aggregator_testkit::client::{Attempt, Connection, Got, Question};
+use aggregator_testkit::installation::{
     free_port, get, now_ms, own_ip, Installation, Plan, CLASSES, SHARDS, TENANTS,
 };
-use cottonhill_standins::leaf::value;
-use cottonhill_standins::receiver::{Kept, Receiver};
+use aggregator_testkit::leaf::value;
+use aggregator_testkit::receiver::{Kept, Receiver};
+use clap::Parser;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::Value;
--- a/crates/standins/src/bin/cottonhill-prove-opensearch.rs
+++ b/crates/testkit/src/bin/prove-opensearch.rs
@@ -1,14 +1,14 @@
-//! `cottonhill-prove-opensearch`: that searches through the OpenSearch-style front are what they ought to be, and are
+//! `prove-opensearch`: that searches through the OpenSearch-style front are what they ought to be, and are
 //! served as the native front serves the same queries.
 //!
 //! The same random searches go through both fronts, to the same leaf servers, while a zone is lost and comes back cold.
 //! Every page is set beside the one computed from the documents over the shards that it claims.
 
+use aggregator_testkit::client::{Attempt, Connection, Got, Question};
+use aggregator_testkit::installation::{Installation, Plan, CLASSES, SHARDS, TENANTS};
+use aggregator_testkit::search::{aggregate, all, cue, page, words, CUES, GENRES, SICK, WORDS};
 use bytes::Bytes;
 use clap::Parser;
-use cottonhill_standins::client::{Attempt, Connection, Got, Question};
-use cottonhill_standins::installation::{Installation, Plan, CLASSES, SHARDS, TENANTS};
-use cottonhill_standins::search::{aggregate, all, cue, page, words, CUES, GENRES, SICK, WORDS};
 use flate2::read::GzDecoder;
 use flate2::write::GzEncoder;
 use flate2::Compression;
--- a/crates/standins/src/installation.rs
+++ b/crates/testkit/src/installation.rs
@@ -123,7 +123,7 @@
     /// # Errors
     /// Something of it can't be started.
     pub async fn start(folder: &Path, plan: Plan) -> io::Result<Installation> {
-        let (ip, program) = (own_ip(), beside("cottonhill")?);
+        let (ip, program) = (own_ip(), beside("query-aggregator")?);
         let discovery = Discovery::start(ip).await?;
         let mut slots = Vec::new();
         for zone in 0..ZONES.len() {
@@ -195,7 +195,10 @@
         let mixer = &mut self.mixers[at];
         let mut command = Command::new(&self.program);
         command.arg("--config").arg(&mixer.config).arg("--settings").arg(&mixer.settings);
-        command.env_remove("BALANCER_CONFIG").env_remove("COTTONHILL_SETTINGS").env_remove("COTTONHILL_LOG");
+        command
+            .env_remove("BALANCER_CONFIG")
+            .env_remove("QUERY_AGGREGATOR_SETTINGS")
+            .env_remove("QUERY_AGGREGATOR_LOG");
         mixer.process = Some(Process::start(&mut command, &mixer.log)?);
         Ok(())
     }
@@ -267,7 +270,7 @@
     pub fn ledger(&self, words: &[&str]) -> Command {
         let mut command = Command::new(&self.program);
         command.arg("ledger").args(words).arg("--settings").arg(&self.settings);
-        command.env_remove("COTTONHILL_LOG");
+        command.env_remove("QUERY_AGGREGATOR_LOG");
         command
     }
 
--- a/crates/ledger/src/settings.rs
+++ b/crates/usage-ledger/src/settings.rs
@@ -1,7 +1,7 @@
 //! The ledger's sections of the settings file, and what they say once read.
 
 use crate::period::{Calendar, Every};
-use cottonhill_ini::{Key, Kind, Problems, Schema, Section, Settings};
+use ini_config::{Key, Kind, Problems, Schema, Section, Settings};
 use jiff::tz::TimeZone;
 use jiff::Timestamp;
 use std::collections::BTreeMap;
--- a/crates/ledger/tests/joining.rs
+++ b/crates/usage-ledger/tests/joining.rs
@@ -1,12 +1,12 @@
 //! Joining, settling and adjusting against a naive model, under random retries, deaths, reorderings and late
 //! arrivals.
 
-use cottonhill_ledger::join::{Id, Joiner, Outcome, Try, Use};
-use cottonhill_ledger::period::Period;
-use cottonhill_ledger::rate::Counts;
-use cottonhill_ledger::settle::{adjustments, closing, Bounds, Closing, Known, Lines, Over, Settling};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
+use usage_ledger::join::{Id, Joiner, Outcome, Try, Use};
+use usage_ledger::period::Period;
+use usage_ledger::rate::Counts;
+use usage_ledger::settle::{adjustments, closing, Bounds, Closing, Known, Lines, Over, Settling};
 
 const SKEW: i64 = 20;
 const WINDOW: i64 = 100;
--- a/crates/ledger/tests/log.rs
+++ b/crates/usage-ledger/tests/log.rs
@@ -1,9 +1,5 @@
 //! The usage log under everything a disk does: torn tails, flipped bytes, no room, no answer at all.
 
-use cottonhill_ledger::log::{self, Follower, Item, Position};
-use cottonhill_ledger::settings::UsageLog;
-use cottonhill_ledger::wire::{entry::What, Outcome, Record};
-use cottonhill_ledger::writer::{self, Disk, Names, Plain, Writer};
 use std::fs::{self, File};
 use std::io::{self, Write};
 use std::path::Path;
@@ -11,6 +7,10 @@
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::Arc;
 use std::time::Duration;
+use usage_ledger::log::{self, Follower, Item, Position};
+use usage_ledger::settings::UsageLog;
+use usage_ledger::wire::{entry::What, Outcome, Record};
+use usage_ledger::writer::{self, Disk, Names, Plain, Writer};
 
 fn settings(directory: &Path, segment_bytes: u64) -> UsageLog {
     UsageLog {
--- a/crates/ledger/tests/store.rs
+++ b/crates/usage-ledger/tests/store.rs
@@ -1,18 +1,18 @@
 //! The settlement's store: what is delivered twice, late, in another order, or never; and crashes between the steps.
 
-use cottonhill_ledger::export::{self, Document};
-use cottonhill_ledger::log::Position;
-use cottonhill_ledger::period::{Calendar, Every, Period};
-use cottonhill_ledger::rate::Counts;
-use cottonhill_ledger::settings::{ExportTo, Price};
-use cottonhill_ledger::settle::Bounds;
-use cottonhill_ledger::store::{CorrectionLine, Statement, Store, Terms};
-use cottonhill_ledger::wire::{entry::What, Batch, Class, Entry, Header, Mark, Outcome, Record};
-use cottonhill_ledger::writer;
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
+use usage_ledger::export::{self, Document};
+use usage_ledger::log::Position;
+use usage_ledger::period::{Calendar, Every, Period};
+use usage_ledger::rate::Counts;
+use usage_ledger::settings::{ExportTo, Price};
+use usage_ledger::settle::Bounds;
+use usage_ledger::store::{CorrectionLine, Statement, Store, Terms};
+use usage_ledger::wire::{entry::What, Batch, Class, Entry, Header, Mark, Outcome, Record};
+use usage_ledger::writer;
 
 const BOUNDS: Bounds = Bounds { horizon: 150, skew: 20 };
 const PERIOD: i64 = 1000;
@@ -48,7 +48,7 @@
         self.store = Store::open(&self.path).unwrap();
     }
 
-    fn take(&mut self, member: &str, batch: &Batch) -> cottonhill_ledger::store::Ingested {
+    fn take(&mut self, member: &str, batch: &Batch) -> usage_ledger::store::Ingested {
         self.store.ingest(member, batch, &calendar(), BOUNDS).unwrap()
     }
 
@@ -196,7 +196,7 @@
 fn gaps_deaths_and_damage_are_told_and_a_removed_tenant_keeps_its_use() {
     let mut bed = Bed::new();
     let mut records = batch(1, vec![What::Record(whole(1, FIRST, 2)), What::Record(whole(5, FIRST + 1, 4))]);
-    records.damage.push(cottonhill_ledger::wire::Damage { segment: "s".into(), from: 3, to: 9 });
+    records.damage.push(usage_ledger::wire::Damage { segment: "s".into(), from: 3, to: 9 });
     bed.take("n0", &records);
     bed.take("n0", &batch(1, vec![mark(7, FIRST + 10, false)]));
     // The next run's settings know one tenant less.
@@ -352,7 +352,7 @@
             }
         }
         let mut all = Counts::default();
-        let mut joiner = cottonhill_ledger::join::Joiner::new(BOUNDS.skew, BOUNDS.horizon);
+        let mut joiner = usage_ledger::join::Joiner::new(BOUNDS.skew, BOUNDS.horizon);
         for one in bed.store.tries(i64::MIN, i64::MAX).unwrap() {
             joiner.take(one, &mut |it| all.add(&it));
         }
