Record the decisions of 64 seeded scenarios, so that a refactoring shows what it changes

Cause: the policy is about to be split by concern, and no test would show a changed decision. Change: recorded_decisions.rs plays 600 batches in each of 64 made-up worlds (classes, idempotency, limits, slow start, list pushed and polled vary) and compares digests of all actions, every 100 batches, with those of the policy as it stands.

--- /dev/null
+++ b/crates/policy/tests/recorded_decisions.rs
@@ -0,0 +1,398 @@
+//! Seeded scenarios whose decisions are compared with those recorded from an earlier version of the policy.
+//!
+//! `recorded_decisions.txt` holds a line for each scenario: its seed, and a digest of all actions after every
+//! [`BATCHES_PER_DIGEST`] batches. A change that decides differently on purpose says so and renews the file with what
+//! the failing test prints; any other difference is a fault of the change.
+
+use aggregator_policy::interface::*;
+use aggregator_policy::Coordinator;
+use fastrand::Rng;
+use std::collections::{BTreeMap, HashSet};
+use xxhash_rust::xxh3::Xxh3;
+
+const MS: Nanos = 1_000_000;
+const SECOND: Nanos = 1_000 * MS;
+const START: Nanos = 1_000_000 * SECOND;
+const SCENARIOS: u64 = 64;
+const BATCHES: usize = 600;
+const BATCHES_PER_DIGEST: usize = 100;
+const RECORDED: &str = include_str!("recorded_decisions.txt");
+
+/// How replicas behave for a while: chances in 100 of each end of an attempt, and the usual latency.
+#[derive(Clone, Copy)]
+struct Weather {
+    refused: u32,
+    error: u32,
+    broken: u32,
+    unreachable: u32,
+    silent: u32,
+    latency: Nanos,
+    queries_per_batch: u32,
+}
+
+fn weather(random: &mut Rng) -> Weather {
+    let calm = Weather {
+        refused: 1,
+        error: 1,
+        broken: 0,
+        unreachable: 0,
+        silent: 1,
+        latency: 30 * MS,
+        queries_per_batch: 1,
+    };
+    match random.u32(..6) {
+        0 => Weather { refused: 40, queries_per_batch: 3, ..calm },
+        1 => Weather { broken: 20, unreachable: 15, ..calm },
+        2 => Weather { silent: 30, latency: 120 * MS, ..calm },
+        3 => Weather { latency: 400 * MS, queries_per_batch: 2, ..calm },
+        4 => Weather { error: 30, refused: 10, ..calm },
+        _ => calm,
+    }
+}
+
+fn class(random: &mut Rng) -> Class {
+    let aim = random.u64(200..2_500) * MS;
+    let partial = random.bool();
+    let need = if random.u32(..4) == 0 { 0.9 } else { 1.0 };
+    Class {
+        aim,
+        aim_stretch: random.bool().then_some(1.5),
+        deadline: aim * random.u64(1..4) + 50 * MS,
+        effect: [Effect::Safe, Effect::Safe, Effect::Keyed, Effect::Unsafe][random.usize(..4)],
+        repeat_window: random.u64(20..3_000) * MS,
+        worth: random.bool().then(|| random.f64() * 4.0),
+        late_worth: if random.bool() { 0.3 } else { 0.0 },
+        need,
+        floor: if partial { 0.6 } else { need },
+        partial_earns: 0.95,
+        second_step: if random.u32(..5) == 0 { 4 } else { 0 },
+    }
+}
+
+fn settings(random: &mut Rng) -> Settings {
+    let cold = random.u32(..3) > 0;
+    Settings {
+        classes: (0..random.usize(1..4)).map(|_| class(random)).collect(),
+        cells: random.u32(1..5),
+        reach: random.u32(1..4),
+        zone: 0,
+        zone_price: if random.bool() { 0.01 } else { 0.0 },
+        call_parts: [None, Some(1), Some(4)][random.usize(..3)],
+        coordinators: [1, 3, 300][random.usize(..3)],
+        tick: random.u64(1..10) * MS,
+        max_attempts: [None, Some(2), Some(3)][random.usize(..3)],
+        may_cancel: random.bool(),
+        repeats_marked: random.bool(),
+        second_copies: random.u32(..4) > 0,
+        may_probe: random.bool(),
+        longest_retry_advice: if random.bool() { 1_500 * MS } else { 0 },
+        cold_from: cold.then_some(0.2),
+        cold_time: 18 * SECOND,
+        fall_multiple: cold.then_some(2.5),
+        fall_time: 3 * SECOND,
+        budget: (random.u32(..3) == 0).then_some(Budget { floor: 3.0, share: 0.1, span: 10 * SECOND }),
+        idle_time: if random.bool() { 3 * SECOND } else { 0 },
+        drain_grace: 2 * SECOND,
+        list_on_request: random.bool(),
+        list_within: 8 * SECOND,
+    }
+}
+
+struct OpenQuery {
+    group: u32,
+    class: usize,
+    parts: Vec<RequestId>,
+    second_step_begun: bool,
+}
+
+/// One policy in a made-up world that answers its actions.
+struct Scenario {
+    random: Rng,
+    settings: Settings,
+    policy: Coordinator,
+    now: Nanos,
+    weather: Weather,
+    members: Vec<Member>,
+    /// What happens later, in order of time and then of planning.
+    planned: BTreeMap<(Nanos, u64), Event>,
+    attempts: BTreeMap<(RequestId, u8), (Nanos, u64)>,
+    attempts_of_part: BTreeMap<RequestId, u8>,
+    queries: BTreeMap<RequestId, OpenQuery>,
+    last_id: u64,
+    last_group: u32,
+    digest: Xxh3,
+}
+
+impl Scenario {
+    fn new(seed: u64) -> Scenario {
+        let mut random = Rng::with_seed(seed);
+        let settings = settings(&mut random);
+        let replicas = random.u64(1..13);
+        let cells = settings.cells;
+        let members = (1..=replicas).map(|replica| Member {
+            replica: ReplicaId(replica),
+            cell: (replica as u32 % cells) as u16,
+            zone: (replica % 2) as u16,
+            started: 0,
+            standing: Standing::Ready,
+        });
+        Scenario {
+            policy: Coordinator::new(settings.clone(), seed.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+            members: members.collect(),
+            weather: weather(&mut random),
+            settings,
+            random,
+            now: START,
+            planned: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            attempts_of_part: BTreeMap::new(),
+            queries: BTreeMap::new(),
+            last_id: 0,
+            last_group: 0,
+            digest: Xxh3::new(),
+        }
+    }
+
+    /// Runs all batches and returns the digests.
+    fn run(&mut self) -> Vec<u64> {
+        let first = Event::List { kind: ListKind::Remembered, members: self.members.clone() };
+        self.batch(&[first]);
+        let mut digests = Vec::new();
+        for number in 1..=BATCHES {
+            let pause = if self.random.u32(..50) == 0 { 900 } else { self.random.u64(1..25) };
+            self.now += pause * MS;
+            if number % 75 == 0 {
+                self.weather = weather(&mut self.random);
+            }
+            let events = self.next_events();
+            self.batch(&events);
+            if number % BATCHES_PER_DIGEST == 0 {
+                digests.push(self.digest.digest());
+            }
+        }
+        digests
+    }
+
+    fn next_events(&mut self) -> Vec<Event> {
+        let mut events = Vec::new();
+        while let Some(entry) = self.planned.first_entry().filter(|entry| entry.key().0 <= self.now) {
+            events.push(entry.remove());
+        }
+        if self.random.u32(..25) == 0 {
+            events.push(self.list_event());
+        }
+        if self.random.u32(..12) == 0 {
+            events.extend(self.client_gone());
+        }
+        for _ in 0..self.random.u32(..=self.weather.queries_per_batch) {
+            self.query(&mut events);
+        }
+        events
+    }
+
+    fn list_event(&mut self) -> Event {
+        if self.random.u32(..3) == 0 {
+            return Event::List { kind: ListKind::Failed, members: Vec::new() };
+        }
+        let changed = self.random.usize(..self.members.len());
+        let member = &mut self.members[changed];
+        match self.random.u32(..4) {
+            0 => member.standing = Standing::Draining,
+            1 => member.standing = Standing::Gone,
+            _ => (member.standing, member.started) = (Standing::Ready, self.now.saturating_sub(300 * MS)),
+        }
+        if self.random.bool() {
+            return Event::List { kind: ListKind::Changes, members: vec![member.clone()] };
+        }
+        let listed = self.members.iter().filter(|member| member.standing != Standing::Gone);
+        Event::List { kind: ListKind::Full, members: listed.cloned().collect() }
+    }
+
+    fn client_gone(&mut self) -> Option<Event> {
+        let ids: Vec<RequestId> = self.queries.keys().copied().collect();
+        let id = *ids.get(self.random.usize(..ids.len().max(1)))?;
+        self.queries.remove(&id);
+        Some(Event::ClientGone { id })
+    }
+
+    fn query(&mut self, events: &mut Vec<Event>) {
+        self.last_id += 1;
+        self.last_group += 1;
+        let (id, group) = (self.last_id, self.last_group);
+        let class = self.random.usize(..self.settings.classes.len());
+        let deadline = self.settings.classes[class].deadline;
+        let repeat = self.random.u32(..4) == 0;
+        let patience = if repeat { self.random.u64(deadline / 8..deadline) } else { deadline };
+        events.push(Event::Query {
+            id,
+            group,
+            class: class as u16,
+            tenant: self.random.u32(..3),
+            patience,
+            work: self.random.bool().then(|| self.random.u64(..40) * MS),
+            repeat,
+        });
+        self.queries.insert(id, OpenQuery { group, class, parts: Vec::new(), second_step_begun: false });
+        let count = self.random.usize(1..9);
+        self.parts(id, count, events);
+    }
+
+    fn parts(&mut self, query: RequestId, count: usize, events: &mut Vec<Event>) {
+        let weights: Vec<f64> = (0..count).map(|_| self.random.f64().powi(3) + 0.01).collect();
+        let sum: f64 = weights.iter().sum();
+        for weight in weights {
+            self.last_id += 1;
+            let Some(open) = self.queries.get_mut(&query) else { return };
+            open.parts.push(self.last_id);
+            let shard = self.random.u32(..12);
+            events.push(Event::Part { id: self.last_id, group: open.group, shard, weight: weight / sum });
+        }
+    }
+
+    fn batch(&mut self, events: &[Event]) {
+        let mut actions = Vec::new();
+        self.policy.handle(self.now, events, &mut actions);
+        for action in &actions {
+            self.record(action);
+            self.react(action);
+        }
+        self.digest.update(&(self.policy.held() as u64).to_le_bytes());
+    }
+
+    fn plan(&mut self, at: Nanos, event: Event) -> (Nanos, u64) {
+        self.last_id += 1;
+        let key = (at.max(self.now), self.last_id);
+        self.planned.insert(key, event);
+        key
+    }
+
+    fn react(&mut self, action: &Action) {
+        match action {
+            Action::Send { part, replica, until, .. } => self.attempt(*part, *replica, *until),
+            Action::Cancel { part, attempt } => {
+                let Some(key) = self.attempts.remove(&(*part, *attempt)) else { return };
+                let Some(Event::Ended { replica, .. }) = self.planned.remove(&key) else { return };
+                let (part, attempt, outcome) = (*part, *attempt, Outcome::Cancelled);
+                let report = LoadReport::new();
+                self.plan(self.now, Event::Ended { part, attempt, replica, outcome, report });
+            }
+            Action::Answer { query, .. } => self.answered(*query),
+            Action::Refuse { query, .. } | Action::Fail { query } => drop(self.queries.remove(query)),
+            Action::Wake { token, after } => {
+                self.plan(self.now + after, Event::Timer { token: *token });
+            }
+            Action::Probe { replica } => {
+                let outcome = if self.random.bool() { Outcome::Ok } else { Outcome::TimedOut };
+                let (replica, latency, report) = (*replica, 40 * MS, LoadReport::new());
+                self.plan(self.now + latency, Event::Probed { replica, outcome, latency, report });
+            }
+            _ => {}
+        }
+    }
+
+    fn attempt(&mut self, part: RequestId, replica: ReplicaId, until: Nanos) {
+        let count = self.attempts_of_part.entry(part).or_insert(0);
+        let attempt = *count;
+        *count += 1;
+        let roll = self.random.u32(..100);
+        let Weather { refused, error, broken, unreachable, silent, latency, .. } = self.weather;
+        let took = latency / 2 + self.random.u64(..latency);
+        let ends = [
+            (refused, Outcome::Refused, 2 * MS),
+            (error, Outcome::Error, took / 4),
+            (broken, Outcome::Broken, took),
+            (unreachable, Outcome::Unreachable, 3 * MS),
+            (silent, Outcome::TimedOut, until.saturating_sub(self.now)),
+        ];
+        let mut least = 0;
+        let end = ends.iter().find(|(chance, ..)| {
+            least += chance;
+            roll < least
+        });
+        let (outcome, after) = end.map_or((Outcome::Ok, took), |(_, outcome, after)| (*outcome, *after));
+        let at = self.now + after;
+        let (outcome, at) = if at > until { (Outcome::TimedOut, until) } else { (outcome, at) };
+        if outcome == Outcome::Ok && self.random.u32(..8) == 0 {
+            self.plan(self.now + after / 2, Event::Began { part, attempt, replica });
+        }
+        let report = LoadReport::new();
+        let key = self.plan(at, Event::Ended { part, attempt, replica, outcome, report });
+        self.attempts.insert((part, attempt), key);
+    }
+
+    fn answered(&mut self, query: RequestId) {
+        let Some(open) = self.queries.get_mut(&query) else { return };
+        if self.settings.classes[open.class].second_step == 0 || open.second_step_begun {
+            self.queries.remove(&query);
+            return;
+        }
+        open.second_step_begun = true;
+        let mut events = Vec::new();
+        let count = self.random.usize(1..5);
+        self.parts(query, count, &mut events);
+        for event in events {
+            self.plan(self.now + MS, event);
+        }
+    }
+
+    /// Adds an action to the digest. The text of a log line is not a decision, that there is one is.
+    fn record(&mut self, action: &Action) {
+        let none = u64::MAX;
+        let words: [u64; 5] = match action {
+            Action::Send { part, replica, until, begin_by } => {
+                [1, *part, replica.0, *until, begin_by.unwrap_or(none)]
+            }
+            Action::Cancel { part, attempt } => [2, *part, u64::from(*attempt), 0, 0],
+            Action::Answer { query, whole } => [3, *query, u64::from(*whole), 0, 0],
+            Action::Refuse { query, come_back } => [4, *query, come_back.unwrap_or(none), 0, 0],
+            Action::Fail { query } => [5, *query, 0, 0, 0],
+            Action::Wake { token, after } => [6, *token, *after, 0, 0],
+            Action::Subscribe { on } => [7, u64::from(*on), 0, 0, 0],
+            Action::FetchList => [8, 0, 0, 0, 0],
+            Action::Probe { replica } => [9, replica.0, 0, 0, 0],
+            Action::CloseIdle { replica } => [10, replica.0, 0, 0, 0],
+            Action::Tell { to, bytes } => [11, to.map_or(none, u64::from), bytes.len() as u64, 0, 0],
+            Action::Log(_) => [12, 0, 0, 0, 0],
+        };
+        words.iter().for_each(|word| self.digest.update(&word.to_le_bytes()));
+    }
+}
+
+fn line(seed: u64, digests: &[u64]) -> String {
+    let digests: Vec<String> = digests.iter().map(|digest| format!("{digest:016x}")).collect();
+    format!("{seed} {}", digests.join(" "))
+}
+
+#[test]
+fn decisions_are_those_that_were_recorded() {
+    let lines: Vec<String> = (1..=SCENARIOS).map(|seed| line(seed, &Scenario::new(seed).run())).collect();
+    let recorded: Vec<&str> = RECORDED.lines().collect();
+    let differing: Vec<&String> = lines.iter().filter(|line| !recorded.contains(&line.as_str())).collect();
+    assert!(
+        differing.is_empty(),
+        "{} scenarios differ; all lines now:\n{}",
+        differing.len(),
+        lines.join("\n")
+    );
+    assert_eq!(recorded.len(), lines.len(), "one recorded line for each scenario");
+}
+
+/// What the recording is worth depends on how much of the policy the scenarios reach.
+#[test]
+fn scenarios_reach_every_action_but_gossip() {
+    let mut reached = HashSet::new();
+    for seed in 1..=SCENARIOS {
+        let mut scenario = Scenario::new(seed);
+        for _ in 0..BATCHES {
+            scenario.now += 10 * MS;
+            let events = scenario.next_events();
+            let mut actions = Vec::new();
+            scenario.policy.handle(scenario.now, &events, &mut actions);
+            for action in &actions {
+                reached.insert(std::mem::discriminant(action));
+                scenario.react(action);
+            }
+        }
+    }
+    assert!(reached.len() >= 9, "only {} kinds of action", reached.len());
+}
