--- a/crates/aggregator/src/check.rs
+++ b/crates/aggregator/src/check.rs
@@ -13,9 +13,16 @@
     Ledger::read(&own, &settings::SCHEMA).map_err(Failure::configuration)?;
     Front::read(&own, &settings::SCHEMA).map_err(Failure::configuration)?;
     let mut table = Table::new();
-    table.load_preset(comfy_table::presets::NOTHING).set_header(["SETTING", "VALUE", "FROM", "CHANGES"]);
+    table
+        .load_preset(comfy_table::presets::NOTHING)
+        .set_header(["SETTING", "VALUE", "FROM", "CHANGES"]);
     let mut row = |name: &str, value: &str, from: &str, live: bool| {
-        table.add_row([name, value, from, if live { "on SIGHUP" } else { "at a start" }]);
+        table.add_row([
+            name,
+            value,
+            from,
+            if live { "on SIGHUP" } else { "at a start" },
+        ]);
     };
     if let Some(path) = &files.config {
         let config = program::read(path)?;
@@ -24,23 +31,72 @@
         row("listen", &config.listen.to_string(), &from, false);
         row("discovery", &addresses.discovery.to_string(), &from, true);
         row("peers", &addresses.peers.len().to_string(), &from, true);
-        row("limits.sockets", &config.descriptors.to_string(), &from, false);
-        row("known", &format!("{} endpoints", config.known.endpoints.len()), &from, false);
-        row("settings.classes", &config.site.classes.join(" "), &from, false);
-        row("settings.orgs", &config.site.tenants.join(" "), &from, false);
-        row("settings.localities", &config.site.zones.join(" "), &from, false);
-        row("settings.extra.ranges", &config.site.shards.to_string(), &from, false);
-        row("settings.limits.open_cap", &config.site.open_cap.to_string(), &from, false);
+        row(
+            "limits.sockets",
+            &config.descriptors.to_string(),
+            &from,
+            false,
+        );
+        row(
+            "known",
+            &format!("{} endpoints", config.known.endpoints.len()),
+            &from,
+            false,
+        );
+        row(
+            "settings.classes",
+            &config.site.classes.join(" "),
+            &from,
+            false,
+        );
+        row(
+            "settings.orgs",
+            &config.site.tenants.join(" "),
+            &from,
+            false,
+        );
+        row(
+            "settings.localities",
+            &config.site.zones.join(" "),
+            &from,
+            false,
+        );
+        row(
+            "settings.extra.ranges",
+            &config.site.shards.to_string(),
+            &from,
+            false,
+        );
+        row(
+            "settings.limits.open_cap",
+            &config.site.open_cap.to_string(),
+            &from,
+            false,
+        );
     } else {
-        row("(configuration)", "(none)", "neither --config nor BALANCER_CONFIG", false);
+        row(
+            "(configuration)",
+            "(none)",
+            "neither --config nor BALANCER_CONFIG",
+            false,
+        );
     }
-    let file = files.settings.as_ref().map(|path| path.display().to_string()).unwrap_or_default();
+    let file = files
+        .settings
+        .as_ref()
+        .map(|path| path.display().to_string())
+        .unwrap_or_default();
     for shown in own.shown(&settings::SCHEMA) {
         let from = match shown.origin {
             Origin::Line(line) => format!("{file}:{line}"),
             Origin::Default => "default".into(),
         };
-        row(&format!("[{}] {}", shown.section, shown.key), &shown.value, &from, shown.live);
+        row(
+            &format!("[{}] {}", shown.section, shown.key),
+            &shown.value,
+            &from,
+            shown.live,
+        );
     }
     output::print(format!("{table}\n").as_bytes())
 }
--- a/crates/aggregator/src/commands.rs
+++ b/crates/aggregator/src/commands.rs
@@ -112,7 +112,10 @@
         shape: Shape,
     },
     /// The key under which the uses of an Idempotency-Key stand in the ledger
-    Key { class: String, idempotency_key: String },
+    Key {
+        class: String,
+        idempotency_key: String,
+    },
 }
 
 /// Rows to print in whatever form is asked for.
@@ -131,7 +134,10 @@
 
 impl Rows {
     fn new(head: &[&'static str]) -> Rows {
-        Rows { head: head.to_vec(), rows: Vec::new() }
+        Rows {
+            head: head.to_vec(),
+            rows: Vec::new(),
+        }
     }
 
     fn print(self, shape: &Shape) -> Done {
@@ -140,22 +146,28 @@
             Format::Table => {
                 let mut table = Table::new();
                 let caps = head.iter().map(|name| name.to_uppercase());
-                table.load_preset(comfy_table::presets::NOTHING).set_header(caps);
+                table
+                    .load_preset(comfy_table::presets::NOTHING)
+                    .set_header(caps);
                 rows.iter().for_each(|row| {
                     table.add_row(row.iter().map(plain));
                 });
                 format!("{table}\n").into_bytes()
             }
             Format::Json => {
-                let object =
-                    |row: Vec<Value>| Value::Object(head.iter().map(|h| h.to_string()).zip(row).collect());
+                let object = |row: Vec<Value>| {
+                    Value::Object(head.iter().map(|h| h.to_string()).zip(row).collect())
+                };
                 let all: Vec<Value> = rows.into_iter().map(object).collect();
                 format!("{:#}\n", Value::Array(all)).into_bytes()
             }
             Format::Csv => {
                 let mut csv = csv::Writer::from_writer(Vec::new());
                 let lines = std::iter::once(head.iter().map(|h| h.to_string()).collect());
-                for line in lines.chain(rows.iter().map(|row| row.iter().map(plain).collect::<Vec<_>>())) {
+                for line in lines.chain(
+                    rows.iter()
+                        .map(|row| row.iter().map(plain).collect::<Vec<_>>()),
+                ) {
                     csv.write_record(line).map_err(Failure::running)?;
                 }
                 csv.into_inner().map_err(Failure::running)?
@@ -184,7 +196,8 @@
 
 impl Opened {
     fn store(&self) -> Result<Store, Failure> {
-        Store::open(&self.path).map_err(|e| Failure::running(format!("{}: {e}", self.path.display())))
+        Store::open(&self.path)
+            .map_err(|e| Failure::running(format!("{}: {e}", self.path.display())))
     }
 
     /// A store that is there already: what only reads must not make one.
@@ -199,16 +212,26 @@
     }
 
     fn bounds(&self) -> Bounds {
-        Bounds { horizon: self.settings.horizon, skew: self.settings.skew }
+        Bounds {
+            horizon: self.settings.horizon,
+            skew: self.settings.skew,
+        }
     }
 
     /// The closed or open period that begins at a time as `periods` shows it.
     fn period(&self, store: &Store, text: &str) -> Result<Period, Failure> {
-        let at: Option<i64> = text.parse().ok().map(|at: jiff::Timestamp| at.as_millisecond());
-        let at =
-            at.ok_or_else(|| Failure::usage(format!("'{text}' is no time, as in 2026-12-01T00:00:00Z")))?;
+        let at: Option<i64> = text
+            .parse()
+            .ok()
+            .map(|at: jiff::Timestamp| at.as_millisecond());
+        let at = at.ok_or_else(|| {
+            Failure::usage(format!("'{text}' is no time, as in 2026-12-01T00:00:00Z"))
+        })?;
         let known = store.periods().map_err(Failure::running)?;
-        let known = known.into_iter().map(|(period, _)| period).find(|period| period.start == at);
+        let known = known
+            .into_iter()
+            .map(|(period, _)| period)
+            .find(|period| period.start == at);
         let period = known.unwrap_or_else(|| self.settings.calendar.at(at));
         if period.start != at {
             let start = period.name();
@@ -230,11 +253,19 @@
 }
 
 pub fn run(files: &Files, command: Ledger) -> Done {
-    if let Ledger::Key { class, idempotency_key } = &command {
+    if let Ledger::Key {
+        class,
+        idempotency_key,
+    } = &command
+    {
         let key = usage::key_of_client(class, idempotency_key);
         return output::print(format!("{key:016x}\n").as_bytes());
     }
-    if let Ledger::Dump { log: Some(directory), shape } = &command {
+    if let Ledger::Dump {
+        log: Some(directory),
+        shape,
+    } = &command
+    {
         return dump_log(directory, shape);
     }
     if let Ledger::Verify { log } = &command {
@@ -245,26 +276,63 @@
         Ledger::Serve => serve(files, opened),
         Ledger::Status(shape) => status(&opened, &shape),
         Ledger::Periods(shape) => periods(&opened, &shape),
-        Ledger::Statement { period, tenant, shape } => statement(&opened, period, tenant, &shape),
-        Ledger::Correct { tenant, period, amount, reason, author, id } => {
+        Ledger::Statement {
+            period,
+            tenant,
+            shape,
+        } => statement(&opened, period, tenant, &shape),
+        Ledger::Correct {
+            tenant,
+            period,
+            amount,
+            reason,
+            author,
+            id,
+        } => {
             let mut store = opened.existing()?;
             let period = opened.period(&store, &period)?;
             let now = settlement::now();
-            let made =
-                || digest(format!("{tenant} {} {amount} {reason} {author} {now}", period.start).as_bytes());
+            let made = || {
+                digest(
+                    format!("{tenant} {} {amount} {reason} {author} {now}", period.start)
+                        .as_bytes(),
+                )
+            };
             let id = id.unwrap_or_else(|| made()[..16].to_string());
-            let correction = CorrectionLine { id: id.clone(), tenant, amount, reason, author };
-            let document = store.correct(&correction, period, now).map_err(Failure::running)?;
+            let correction = CorrectionLine {
+                id: id.clone(),
+                tenant,
+                amount,
+                reason,
+                author,
+            };
+            let document = store
+                .correct(&correction, period, now)
+                .map_err(Failure::running)?;
             let text = match document {
                 Some(document) => {
-                    format!("correction {id}: document {} of {amount} micro-units\n", document.id)
+                    format!(
+                        "correction {id}: document {} of {amount} micro-units\n",
+                        document.id
+                    )
                 }
-                None => format!("correction {id}: it will stand in the statement of {}\n", period.name()),
+                None => format!(
+                    "correction {id}: it will stand in the statement of {}\n",
+                    period.name()
+                ),
             };
             output::print(text.as_bytes())
         }
-        Ledger::Export { list, within, shape } => send(&opened, list, &within, &shape),
-        Ledger::Reconcile { clients, counters, shape } => reconcile(&opened, clients, &counters, &shape),
+        Ledger::Export {
+            list,
+            within,
+            shape,
+        } => send(&opened, list, &within, &shape),
+        Ledger::Reconcile {
+            clients,
+            counters,
+            shape,
+        } => reconcile(&opened, clients, &counters, &shape),
         Ledger::Dump { shape, .. } => dump_store(&opened, &shape),
         Ledger::Verify { .. } | Ledger::Key { .. } => Ok(()),
     }
@@ -273,7 +341,10 @@
 fn serve(files: &Files, opened: Opened) -> Done {
     let own = settings::read(files)?;
     let logs = Logs::start(&own)?;
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build();
     let runtime = runtime.map_err(Failure::running)?;
     runtime.block_on(async move {
         let (tell, told) = mpsc::channel(1);
@@ -349,26 +420,55 @@
     rows.print(shape)?;
     if matches!(shape.format, Format::Table) {
         let (waiting, next) = (
-            store.outbox(opened.settings.export.folder.is_some(), opened.settings.export.url.is_some()),
+            store.outbox(
+                opened.settings.export.folder.is_some(),
+                opened.settings.export.url.is_some(),
+            ),
             store.next_period(&opened.settings.calendar),
         );
-        let next = next.map_err(Failure::running)?.map_or("none".into(), |period| period.name());
+        let next = next
+            .map_err(Failure::running)?
+            .map_or("none".into(), |period| period.name());
         let any = opened.settings.export.folder.is_some() || opened.settings.export.url.is_some();
-        let waiting = if any { waiting.map_err(Failure::running)?.len() } else { 0 };
-        output::print(format!("\nnext period to close: {next}\ndocuments to send: {waiting}\n").as_bytes())?;
+        let waiting = if any {
+            waiting.map_err(Failure::running)?.len()
+        } else {
+            0
+        };
+        output::print(
+            format!("\nnext period to close: {next}\ndocuments to send: {waiting}\n").as_bytes(),
+        )?;
     }
     Ok(())
 }
 
 fn periods(opened: &Opened, shape: &Shape) -> Done {
     let store = opened.existing()?;
-    let mut rows =
-        Rows::new(&["period", "end", "closed", "uses", "adjusted", "ambiguous", "missing", "total", "hash"]);
+    let mut rows = Rows::new(&[
+        "period",
+        "end",
+        "closed",
+        "uses",
+        "adjusted",
+        "ambiguous",
+        "missing",
+        "total",
+        "hash",
+    ]);
     for (it, hash, _) in store.statements().map_err(Failure::running)? {
         let count = |adjusts: bool, of: fn(&Counts) -> i64| -> i64 {
-            it.lines.iter().filter(|line| line.adjusts == adjusts).map(|line| of(&line.counts)).sum()
+            it.lines
+                .iter()
+                .filter(|line| line.adjusts == adjusts)
+                .map(|line| of(&line.counts))
+                .sum()
         };
-        let missing: Vec<&str> = it.members.iter().filter(|m| m.missing).map(|m| m.member.as_str()).collect();
+        let missing: Vec<&str> = it
+            .members
+            .iter()
+            .filter(|m| m.missing)
+            .map(|m| m.member.as_str())
+            .collect();
         rows.rows.push(vec![
             json!(it.period),
             json!(it.end),
@@ -384,7 +484,12 @@
     rows.print(shape)
 }
 
-fn statement(opened: &Opened, period: Option<String>, tenant: Option<String>, shape: &Shape) -> Done {
+fn statement(
+    opened: &Opened,
+    period: Option<String>,
+    tenant: Option<String>,
+    shape: &Shape,
+) -> Done {
     let store = opened.existing()?;
     let statements = store.statements().map_err(Failure::running)?;
     let found = match &period {
@@ -395,7 +500,9 @@
         None => statements.into_iter().last(),
     };
     let Some((it, ..)) = found else {
-        return Err(Failure::running("there is no such statement: see 'query-aggregator ledger periods'"));
+        return Err(Failure::running(
+            "there is no such statement: see 'query-aggregator ledger periods'",
+        ));
     };
     if matches!(shape.format, Format::Json) {
         let text = serde_json::to_string_pretty(&it).map_err(Failure::running)?;
@@ -408,13 +515,22 @@
     let wanted = |name: &str| tenant.as_deref().is_none_or(|tenant| tenant == name);
     for line in it.lines.iter().filter(|line| wanted(&line.tenant)) {
         let kind = if line.adjusts { "adjustment" } else { "use" };
-        let mut row =
-            vec![json!(it.period), json!(line.tenant), json!(line.class), json!(line.period), json!(kind)];
+        let mut row = vec![
+            json!(it.period),
+            json!(line.tenant),
+            json!(line.class),
+            json!(line.period),
+            json!(kind),
+        ];
         row.extend(line.counts.values().map(|value| json!(value)));
         row.push(json!(line.amount));
         rows.rows.push(row);
     }
-    for correction in it.corrections.iter().filter(|correction| wanted(&correction.tenant)) {
+    for correction in it
+        .corrections
+        .iter()
+        .filter(|correction| wanted(&correction.tenant))
+    {
         let mut row = vec![
             json!(it.period),
             json!(correction.tenant),
@@ -428,9 +544,15 @@
     }
     rows.print(shape)?;
     if matches!(shape.format, Format::Table) {
-        let mut text =
-            format!("\nperiod {} to {}, closed {}; rounded {}\n", it.period, it.end, it.closed, it.rounding);
-        for member in it.members.iter().filter(|m| m.missing || m.lost + m.died + m.damaged > 0) {
+        let mut text = format!(
+            "\nperiod {} to {}, closed {}; rounded {}\n",
+            it.period, it.end, it.closed, it.rounding
+        );
+        for member in it
+            .members
+            .iter()
+            .filter(|m| m.missing || m.lost + m.died + m.damaged > 0)
+        {
             let complete = member.complete.as_deref().unwrap_or("never");
             text += &format!(
                 "member {}: {}complete up to {complete}, {} records lost, {} runs died, {} damaged stretches\n",
@@ -442,7 +564,9 @@
             );
         }
         for total in it.tenants.iter().filter(|total| wanted(&total.tenant)) {
-            let allowance = total.allowance.map_or("none".to_string(), |allowance| allowance.to_string());
+            let allowance = total
+                .allowance
+                .map_or("none".to_string(), |allowance| allowance.to_string());
             text += &format!(
                 "tenant {}: {} answered, allowance {allowance}, {} over it, {} micro-units\n",
                 total.tenant, total.answered, total.over, total.amount
@@ -459,10 +583,12 @@
     let to = &opened.settings.export;
     let (folder, url) = (to.folder.is_some(), to.url.is_some());
     if !list {
-        let within =
-            ini_config::time(within).map_err(|why| Failure::usage(format!("--within {within}: {why}")))?;
+        let within = ini_config::time(within)
+            .map_err(|why| Failure::usage(format!("--within {within}: {why}")))?;
         if !folder && !url {
-            return Err(Failure::configuration("[export] names neither a folder nor a url"));
+            return Err(Failure::configuration(
+                "[export] names neither a folder nor a url",
+            ));
         }
         let until = Instant::now() + within;
         let waiting = store.outbox(folder, url).map_err(Failure::running)?;
@@ -470,7 +596,13 @@
         for mut document in waiting {
             loop {
                 let (in_folder, posted, error) = export::send(to, &document);
-                let noted = store.sent(&document.id, in_folder, posted, error.as_deref(), settlement::now());
+                let noted = store.sent(
+                    &document.id,
+                    in_folder,
+                    posted,
+                    error.as_deref(),
+                    settlement::now(),
+                );
                 noted.map_err(Failure::running)?;
                 document.in_folder |= in_folder;
                 document.posted |= posted;
@@ -482,7 +614,9 @@
                         document.id
                     )));
                 }
-                std::thread::sleep(export::wait(to.again, document.attempts).min(Duration::from_secs(5)));
+                std::thread::sleep(
+                    export::wait(to.again, document.attempts).min(Duration::from_secs(5)),
+                );
             }
             bar.inc(1);
         }
@@ -490,14 +624,24 @@
     }
     let mut rows = Rows::new(&["document", "in_folder", "posted", "attempts", "error"]);
     for it in store.outbox(false, false).map_err(Failure::running)? {
-        let row =
-            vec![json!(it.id), json!(it.in_folder), json!(it.posted), json!(it.attempts), json!(it.error)];
+        let row = vec![
+            json!(it.id),
+            json!(it.in_folder),
+            json!(it.posted),
+            json!(it.attempts),
+            json!(it.error),
+        ];
         rows.rows.push(row);
     }
     rows.print(shape)
 }
 
-fn reconcile(opened: &Opened, clients: Option<PathBuf>, counters: &[String], shape: &Shape) -> Done {
+fn reconcile(
+    opened: &Opened,
+    clients: Option<PathBuf>,
+    counters: &[String],
+    shape: &Shape,
+) -> Done {
     let store = opened.existing()?;
     if clients.is_none() && counters.is_empty() {
         return Err(Failure::usage(
@@ -507,7 +651,9 @@
     let mut wrong = 0;
     if let Some(path) = clients {
         let at = |e: csv::Error| Failure::running(format!("{}: {e}", path.display()));
-        let rows = csv::Reader::from_path(&path).map_err(at)?.into_deserialize::<ClientUse>();
+        let rows = csv::Reader::from_path(&path)
+            .map_err(at)?
+            .into_deserialize::<ClientUse>();
         let uses: Vec<ClientUse> = rows.collect::<Result<_, _>>().map_err(at)?;
         let all = (i64::MIN, i64::MAX);
         let calendar = &opened.settings.calendar;
@@ -540,7 +686,9 @@
         if !found.differences.is_empty() {
             let mut rows = Rows::new(&["what", "tenant", "class", "at", "key", "ledger", "client"]);
             for it in &found.differences {
-                let texts = [it.what, &it.tenant, &it.class, &it.at, &it.key, &it.ledger, &it.client];
+                let texts = [
+                    it.what, &it.tenant, &it.class, &it.at, &it.key, &it.ledger, &it.client,
+                ];
                 rows.rows.push(texts.map(|text| json!(text)).to_vec());
             }
             rows.print(shape)?;
@@ -549,20 +697,28 @@
     }
     let standings = store.standings().map_err(Failure::running)?;
     for counter in counters {
-        let (name, file) =
-            counter.split_once('=').ok_or_else(|| Failure::usage(format!("'{counter}' is not NAME=FILE")))?;
-        let text = std::fs::read_to_string(file).map_err(|e| Failure::running(format!("{file}: {e}")))?;
+        let (name, file) = counter
+            .split_once('=')
+            .ok_or_else(|| Failure::usage(format!("'{counter}' is not NAME=FILE")))?;
+        let text =
+            std::fs::read_to_string(file).map_err(|e| Failure::running(format!("{file}: {e}")))?;
         let stats: Value =
             serde_json::from_str(&text).map_err(|e| Failure::running(format!("{file}: {e}")))?;
         let standing = standings.iter().find(|standing| standing.member == name);
         let incarnation = standing.map_or(0, |standing| standing.position.incarnation);
-        let ours = store.recorded(name, incarnation).map_err(Failure::running)?;
+        let ours = store
+            .recorded(name, incarnation)
+            .map_err(Failure::running)?;
         let theirs: BTreeMap<String, u64> =
             serde_json::from_value(stats["recorded_of"].clone()).unwrap_or_default();
         let both: BTreeSet<&String> = ours.keys().chain(theirs.keys()).collect();
-        for of in both.into_iter().filter(|of| ours.get(*of) != theirs.get(*of)) {
+        for of in both
+            .into_iter()
+            .filter(|of| ours.get(*of) != theirs.get(*of))
+        {
             wrong += 1;
-            let [theirs, ours] = [&theirs, &ours].map(|side| side.get(of).copied().unwrap_or_default());
+            let [theirs, ours] =
+                [&theirs, &ours].map(|side| side.get(of).copied().unwrap_or_default());
             let text = format!(
                 "mixer {name}, {of}: it has recorded {theirs} in this run, the ledger holds {ours}\n"
             );
@@ -603,7 +759,10 @@
             }
             // The last one may be in the middle of a write.
             if read.end < bytes.len() && i + 1 < all.len() {
-                wrong.push(format!("{name}: half a record at its end, from offset {}", read.end));
+                wrong.push(format!(
+                    "{name}: half a record at its end, from offset {}",
+                    read.end
+                ));
             }
             segments += 1;
             bar.inc(1);
@@ -612,10 +771,16 @@
     }
     // Without a store named, logs are checked alone.
     let own = settings::read(files)?;
-    let named = Settings::read(&own, &settings::SCHEMA).map_err(Failure::configuration)?.store.is_some();
+    let named = Settings::read(&own, &settings::SCHEMA)
+        .map_err(Failure::configuration)?
+        .store
+        .is_some();
     if named || logs.is_empty() {
         let opened = open(files)?;
-        let (count, found) = opened.existing()?.verify(opened.bounds()).map_err(Failure::running)?;
+        let (count, found) = opened
+            .existing()?
+            .verify(opened.bounds())
+            .map_err(Failure::running)?;
         checked = count;
         wrong.extend(found);
     }
@@ -649,9 +814,14 @@
     "key",
 ];
 
-/// One record in the order of [`RECORD`], wherever it stands: the share is that of a partial answer.
+/// One record in the order of [`RECORD`], wherever it stands: the share is that of a partial
+/// answer.
 fn record_row(
-    at: i64, whose: [Value; 5], outcome: &str, counts: [u32; 4], (repeat, keyed, key): (bool, bool, u64),
+    at: i64,
+    whose: [Value; 5],
+    outcome: &str,
+    counts: [u32; 4],
+    (repeat, keyed, key): (bool, bool, u64),
 ) -> Vec<Value> {
     let mut row = vec![json!(stamp(at))];
     row.extend(whose);
@@ -674,10 +844,21 @@
             Outcome::Failed => ("failed", 0),
             Outcome::Left => ("left", 0),
         };
-        let whose =
-            [name(it.member), json!(it.incarnation), json!(it.sequence), name(it.tenant), name(it.class)];
+        let whose = [
+            name(it.member),
+            json!(it.incarnation),
+            json!(it.sequence),
+            name(it.tenant),
+            name(it.class),
+        ];
         let counts = [share, it.parts, it.attempts, it.crossed];
-        rows.rows.push(record_row(it.at, whose, outcome, counts, (it.repeat, it.keyed, it.key)));
+        rows.rows.push(record_row(
+            it.at,
+            whose,
+            outcome,
+            counts,
+            (it.repeat, it.keyed, it.key),
+        ));
     }
     rows.print(shape)
 }
@@ -695,15 +876,30 @@
         }
         let header = batch.header.unwrap_or_default();
         for entry in batch.entries {
-            let Some(wire::entry::What::Record(it)) = entry.what else { continue };
+            let Some(wire::entry::What::Record(it)) = entry.what else {
+                continue;
+            };
             let outcome = it.outcome().as_str_name().to_lowercase();
-            let class = header.classes.get(it.class as usize).map(|class| class.name.as_str());
+            let class = header
+                .classes
+                .get(it.class as usize)
+                .map(|class| class.name.as_str());
             let tenant = json!(header.tenants.get(it.tenant as usize));
-            let whose =
-                [json!(header.mixer), json!(header.incarnation), json!(it.sequence), tenant, json!(class)];
+            let whose = [
+                json!(header.mixer),
+                json!(header.incarnation),
+                json!(it.sequence),
+                tenant,
+                json!(class),
+            ];
             let counts = [it.share, it.parts, it.attempts, it.crossed];
-            let row =
-                record_row(it.arrived_ms as i64, whose, &outcome, counts, (it.repeat, it.keyed, it.key));
+            let row = record_row(
+                it.arrived_ms as i64,
+                whose,
+                &outcome,
+                counts,
+                (it.repeat, it.keyed, it.key),
+            );
             rows.rows.push(row);
         }
     }
--- a/crates/aggregator/src/fronts.rs
+++ b/crates/aggregator/src/fronts.rs
@@ -19,7 +19,8 @@
 
 /// Opens the listeners of all fronts that are on.
 pub async fn open(own: &Settings) -> Result<Fronts, Failure> {
-    let Some(opensearch) = Front::read(own, &settings::SCHEMA).map_err(Failure::configuration)? else {
+    let Some(opensearch) = Front::read(own, &settings::SCHEMA).map_err(Failure::configuration)?
+    else {
         return Ok(Fronts::default());
     };
     let tls = match opensearch.tls.clone() {
@@ -31,5 +32,10 @@
     let listener = listener.map_err(|e| Failure::running(format!("cannot listen on {at}: {e}")))?;
     tracing::info!(address = %at, indices = opensearch.indices.len(), tls = tls.is_some(), "OpenSearch-style front");
     let with = tls.clone();
-    Ok(Fronts { start: vec![Box::new(move |door| front::start(opensearch, with, listener, door))], tls })
+    Ok(Fronts {
+        start: vec![Box::new(move |door| {
+            front::start(opensearch, with, listener, door)
+        })],
+        tls,
+    })
 }
--- a/crates/aggregator/src/legacy_names.rs
+++ b/crates/aggregator/src/legacy_names.rs
@@ -1,6 +1,7 @@
 //! Names from before the program was called `query-aggregator`, and what they are called now.
 //!
-//! Operators may have the old names in their unit files and settings; every fallback to one is here.
+//! Operators may have the old names in their unit files and settings; every fallback to one is
+//! here.
 
 use std::ffi::OsString;
 
--- a/crates/aggregator/src/logs.rs
+++ b/crates/aggregator/src/logs.rs
@@ -1,7 +1,8 @@
 //! Structured logs on standard error: text or JSON, by level and by target.
 //!
-//! Fields have one name everywhere: `client`, `link`, `id` (a query), `replica`, `class` and `tenant` by number,
-//! `address`, `segment`, `member`, `period`, `error`; a duration ends in its unit (`_ms`).
+//! Fields have one name everywhere: `client`, `link`, `id` (a query), `replica`, `class` and
+//! `tenant` by number, `address`, `segment`, `member`, `period`, `error`; a duration ends in its
+//! unit (`_ms`).
 
 use crate::legacy_names;
 use crate::output::Failure;
@@ -47,24 +48,42 @@
     let values = settings.of(&crate::settings::SCHEMA, SECTION.name, "");
     let environment = legacy_names::environment_variable(legacy_names::LOG_VARIABLE);
     let environment = environment.and_then(|value| value.into_string().ok());
-    let level = environment.as_deref().filter(|text| !text.is_empty()).or(values.text("level"));
+    let level = environment
+        .as_deref()
+        .filter(|text| !text.is_empty())
+        .or(values.text("level"));
     let level = level.unwrap_or("info").to_string();
     // An empty directive would stand for everything.
-    let all = values.text("targets").map_or(level.clone(), |targets| format!("{level},{targets}"));
-    legacy_names::current_log_targets(&all).parse().map_err(|e| {
-        let why = format!("'{all}' does not do: {e}");
-        Failure::configuration(settings.problem(SECTION.name, "", "targets", &why))
-    })
+    let all = values
+        .text("targets")
+        .map_or(level.clone(), |targets| format!("{level},{targets}"));
+    legacy_names::current_log_targets(&all)
+        .parse()
+        .map_err(|e| {
+            let why = format!("'{all}' does not do: {e}");
+            Failure::configuration(settings.problem(SECTION.name, "", "targets", &why))
+        })
 }
 
 impl Logs {
     /// Starts logging; once in a process.
     pub fn start(settings: &Settings) -> Result<Logs, Failure> {
         let (filter, handle) = reload::Layer::new(targets(settings)?);
-        let json = settings.of(&crate::settings::SCHEMA, SECTION.name, "").text("format") == Some("json");
-        let plain = tracing_subscriber::fmt::layer().with_ansi(false).with_writer(std::io::stderr);
-        let layer = if json { plain.json().flatten_event(true).boxed() } else { plain.boxed() };
-        let started = tracing_subscriber::registry().with(layer.with_filter(filter)).try_init();
+        let json = settings
+            .of(&crate::settings::SCHEMA, SECTION.name, "")
+            .text("format")
+            == Some("json");
+        let plain = tracing_subscriber::fmt::layer()
+            .with_ansi(false)
+            .with_writer(std::io::stderr);
+        let layer = if json {
+            plain.json().flatten_event(true).boxed()
+        } else {
+            plain.boxed()
+        };
+        let started = tracing_subscriber::registry()
+            .with(layer.with_filter(filter))
+            .try_init();
         started.map_err(Failure::running)?;
         Ok(Logs(handle))
     }
--- a/crates/aggregator/src/output.rs
+++ b/crates/aggregator/src/output.rs
@@ -12,17 +12,26 @@
 impl Failure {
     /// Something went wrong while running.
     pub fn running(message: impl ToString) -> Failure {
-        Failure { code: 1, message: message.to_string() }
+        Failure {
+            code: 1,
+            message: message.to_string(),
+        }
     }
 
     /// The command line asks for what makes no sense.
     pub fn usage(message: impl ToString) -> Failure {
-        Failure { code: 2, message: message.to_string() }
+        Failure {
+            code: 2,
+            message: message.to_string(),
+        }
     }
 
     /// A file of configuration or settings does not do.
     pub fn configuration(message: impl ToString) -> Failure {
-        Failure { code: 3, message: message.to_string() }
+        Failure {
+            code: 3,
+            message: message.to_string(),
+        }
     }
 }
 
@@ -32,7 +41,9 @@
 pub fn print(bytes: &[u8]) -> Done {
     let mut out = io::stdout().lock();
     match out.write_all(bytes).and_then(|()| out.flush()) {
-        Err(e) if e.kind() != ErrorKind::BrokenPipe => Err(Failure::running(format!("standard output: {e}"))),
+        Err(e) if e.kind() != ErrorKind::BrokenPipe => {
+            Err(Failure::running(format!("standard output: {e}")))
+        }
         _ => Ok(()),
     }
 }
--- a/crates/aggregator/src/program.rs
+++ b/crates/aggregator/src/program.rs
@@ -27,17 +27,26 @@
     let own = settings::read(files)?;
     let usage = UsageLog::read(&own, &settings::SCHEMA).map_err(Failure::configuration)?;
     let logs = Logs::start(&own)?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
     let runtime = runtime.map_err(|e| Failure::running(format!("no runtime: {e}")))?;
-    let running = Running { files: files.clone(), config, own, logs, tls: None };
+    let running = Running {
+        files: files.clone(),
+        config,
+        own,
+        logs,
+        tls: None,
+    };
     tokio::task::LocalSet::new().block_on(&runtime, serve(running, usage))
 }
 
 /// Reads the platform's configuration of a mixer.
 pub fn read(path: &Path) -> Result<Config, Failure> {
     let shown = path.display();
-    let text = std::fs::read_to_string(path)
-        .map_err(|e| Failure::configuration(format!("cannot read the configuration {shown}: {e}")))?;
+    let text = std::fs::read_to_string(path).map_err(|e| {
+        Failure::configuration(format!("cannot read the configuration {shown}: {e}"))
+    })?;
     Config::read(&text).map_err(|e| Failure::configuration(format!("{shown}: {e}")))
 }
 
@@ -51,16 +60,22 @@
 }
 
 impl Running {
-    /// Reads both files again. Of a file that does not do, nothing is taken: the old one stays in force.
+    /// Reads both files again. Of a file that does not do, nothing is taken: the old one stays in
+    /// force.
     fn reload(&self) -> Option<Addresses> {
         match settings::read(&self.files).and_then(|own| self.logs.reload(&own).map(|()| own)) {
             Ok(own) => {
                 let restart = self.own.needs_restart(&own, &settings::SCHEMA).join(", ");
                 if !restart.is_empty() {
-                    tracing::warn!(restart, "changed in the settings, but only a restart takes it up");
+                    tracing::warn!(
+                        restart,
+                        "changed in the settings, but only a restart takes it up"
+                    );
                 }
             }
-            Err(Failure { message, .. }) => tracing::error!("the settings stay as they were: {message}"),
+            Err(Failure { message, .. }) => {
+                tracing::error!("the settings stay as they were: {message}")
+            }
         }
         if let Some(tls) = &self.tls {
             match tls.reload() {
@@ -73,7 +88,10 @@
             Ok(next) => {
                 let restart = self.config.needs_restart(&next).join(", ");
                 if !restart.is_empty() {
-                    tracing::warn!(restart, "changed in the configuration, but only a restart takes it up");
+                    tracing::warn!(
+                        restart,
+                        "changed in the configuration, but only a restart takes it up"
+                    );
                 }
                 tracing::info!(discovery = %next.addresses.discovery, "configuration read again");
                 Some(next.addresses)
@@ -88,13 +106,26 @@
 
 async fn serve(mut running: Running, usage: Option<UsageLog>) -> Done {
     let (tell, told) = mpsc::channel(1);
-    let Config { name, listen, site, settings, seed, descriptors, known, addresses, names } =
-        running.config.clone();
+    let Config {
+        name,
+        listen,
+        site,
+        settings,
+        seed,
+        descriptors,
+        known,
+        addresses,
+        names,
+    } = running.config.clone();
     let fronts = fronts::open(&running.own).await?;
     running.tls = fronts.tls;
     let running = Rc::new(running);
     // A planned end, by the platform or by whoever has it in a terminal; and a new configuration.
-    for kind in [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()] {
+    for kind in [
+        SignalKind::terminate(),
+        SignalKind::interrupt(),
+        SignalKind::hangup(),
+    ] {
         let mut signals = signal(kind).map_err(|e| Failure::running(format!("no signals: {e}")))?;
         let (tell, running) = (tell.clone(), running.clone());
         tokio::task::spawn_local(async move {
@@ -114,9 +145,17 @@
     let clock = Clock::start();
     let recorder = match &usage {
         Some(usage) => {
-            let (classes, give_up, tenants) =
-                (site.classes.clone(), site.deadlines.clone(), site.tenants.clone());
-            let names = writer::Names { mixer: name.clone(), classes, give_up, tenants };
+            let (classes, give_up, tenants) = (
+                site.classes.clone(),
+                site.deadlines.clone(),
+                site.tenants.clone(),
+            );
+            let names = writer::Names {
+                mixer: name.clone(),
+                classes,
+                give_up,
+                tenants,
+            };
             let writer = writer::start(usage, names, clock.now());
             Some(writer.map_err(|e| Failure::running(format!("usage log: {e}")))?)
         }
@@ -127,9 +166,10 @@
         state.record_usage(usage.mark.as_nanos() as u64);
     }
     let listener = TcpListener::bind(listen).await;
-    let listener = listener.map_err(|e| Failure::running(format!("cannot listen on {listen}: {e}")))?;
-    let recorder =
-        recorder.map(|recorder| Box::new(UsageLogRecorder(recorder)) as Box<dyn transport::Recorder>);
+    let listener =
+        listener.map_err(|e| Failure::running(format!("cannot listen on {listen}: {e}")))?;
+    let recorder = recorder
+        .map(|recorder| Box::new(UsageLogRecorder(recorder)) as Box<dyn transport::Recorder>);
     let served = transport::serve(
         state,
         clock,
@@ -137,7 +177,10 @@
         listener,
         addresses,
         told,
-        transport::Beside { recorder, fronts: fronts.start },
+        transport::Beside {
+            recorder,
+            fronts: fronts.start,
+        },
     )
     .await;
     served.map_err(|e| Failure::running(format!("cannot listen for other mixers: {e}")))
--- a/crates/aggregator/src/recorder.rs
+++ b/crates/aggregator/src/recorder.rs
@@ -43,7 +43,8 @@
 
     /// A mark that is lost is made good by the next one.
     fn mark(&mut self, mark: Mark) {
-        self.0.offer(writer::mark(mark.sequence, mark.complete / MS, mark.end));
+        self.0
+            .offer(writer::mark(mark.sequence, mark.complete / MS, mark.end));
     }
 
     fn written(&self) -> watch::Receiver<u64> {
--- a/crates/aggregator/src/settings.rs
+++ b/crates/aggregator/src/settings.rs
@@ -21,9 +21,12 @@
     index::NETWORK,
 ]);
 
-/// Reads the settings that the command line or the environment names; the defaults where neither does.
+/// Reads the settings that the command line or the environment names; the defaults where neither
+/// does.
 pub fn read(files: &Files) -> Result<Settings, Failure> {
-    let Some(path) = &files.settings else { return Ok(Settings::defaults()) };
+    let Some(path) = &files.settings else {
+        return Ok(Settings::defaults());
+    };
     let shown = path.display().to_string();
     let text = std::fs::read_to_string(path)
         .map_err(|e| Failure::configuration(format!("cannot read the settings {shown}: {e}")))?;
--- a/crates/aggregator/tests/commands.rs
+++ b/crates/aggregator/tests/commands.rs
@@ -83,7 +83,10 @@
         let output = run(words);
         let errors = errors(&output);
         assert_eq!(output.status.code(), Some(code), "{words:?}: {errors}");
-        assert!(errors.contains(said) && !errors.contains("panicked"), "{words:?}: {errors}");
+        assert!(
+            errors.contains(said) && !errors.contains("panicked"),
+            "{words:?}: {errors}"
+        );
     }
 }
 
@@ -95,9 +98,20 @@
     let output = run(&["check", "--settings", path.to_str().unwrap()]);
     let text = String::from_utf8(output.stdout).unwrap();
     assert!(output.status.success(), "{text}");
-    let row = |name: &str| text.lines().find(|line| line.contains(name)).unwrap_or_default().to_string();
-    assert!(row("[log] level").contains("warn") && row("[log] level").contains("own.ini:2"), "{text}");
-    assert!(row("[log] format").contains("default") && row("[log] format").contains("at a start"), "{text}");
+    let row = |name: &str| {
+        text.lines()
+            .find(|line| line.contains(name))
+            .unwrap_or_default()
+            .to_string()
+    };
+    assert!(
+        row("[log] level").contains("warn") && row("[log] level").contains("own.ini:2"),
+        "{text}"
+    );
+    assert!(
+        row("[log] format").contains("default") && row("[log] format").contains("at a start"),
+        "{text}"
+    );
     assert!(row("[price lookup] whole").contains("own.ini:5"), "{text}");
 }
 
@@ -111,50 +125,91 @@
     // With every line in force, too.
     let folder = tempfile::tempdir().unwrap();
     let all = folder.path().join("all.ini");
-    let uncommented: String =
-        text.lines().map(|line| format!("{}\n", line.strip_prefix("# ").unwrap_or(line))).collect();
+    let uncommented: String = text
+        .lines()
+        .map(|line| format!("{}\n", line.strip_prefix("# ").unwrap_or(line)))
+        .collect();
     fs::write(&all, uncommented.replace("; ", "#")).unwrap();
     let output = run(&["check", "--settings", all.to_str().unwrap()]);
     let shown = String::from_utf8(output.stdout.clone()).unwrap();
     assert!(output.status.success(), "{}", errors(&output));
-    let left: Vec<&str> =
-        shown.lines().filter(|line| line.starts_with('[') || line.starts_with(" [")).collect();
-    let missing: Vec<&&str> = left.iter().filter(|line| line.contains(" default ")).collect();
-    assert!(left.len() >= 28 && missing.is_empty(), "not in the sample: {missing:#?}");
+    let left: Vec<&str> = shown
+        .lines()
+        .filter(|line| line.starts_with('[') || line.starts_with(" ["))
+        .collect();
+    let missing: Vec<&&str> = left
+        .iter()
+        .filter(|line| line.contains(" default "))
+        .collect();
+    assert!(
+        left.len() >= 28 && missing.is_empty(),
+        "not in the sample: {missing:#?}"
+    );
 }
 
 #[test]
 fn a_closed_pipe_is_no_failure_and_a_script_completes() {
-    let mut child =
-        aggregator(&["completions", "bash"]).stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap();
+    let mut child = aggregator(&["completions", "bash"])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
     drop(child.stdout.take());
     let output = child.wait_with_output().unwrap();
-    assert!(output.status.success() && output.stderr.is_empty(), "{output:?}");
+    assert!(
+        output.status.success() && output.stderr.is_empty(),
+        "{output:?}"
+    );
     let script = run(&["completions", "zsh"]).stdout;
-    assert!(String::from_utf8(script).unwrap().contains("#compdef query-aggregator"));
+    assert!(String::from_utf8(script)
+        .unwrap()
+        .contains("#compdef query-aggregator"));
     let help = String::from_utf8(run(&["--help"]).stdout).unwrap();
-    assert!(help.contains("Examples:") && help.contains("Exit codes:"), "{help}");
+    assert!(
+        help.contains("Examples:") && help.contains("Exit codes:"),
+        "{help}"
+    );
 }
 
-/// Unit files written for the old name of the program go on working, with one line that says what to change.
+/// Unit files written for the old name of the program go on working, with one line that says what
+/// to change.
 #[test]
 fn old_environment_variables_are_used_with_one_warning() {
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("own.ini");
-    fs::write(&path, "[log]\nlevel = info\ntargets = cottonhill_mixer::routing=debug\n").unwrap();
+    fs::write(
+        &path,
+        "[log]\nlevel = info\ntargets = cottonhill_mixer::routing=debug\n",
+    )
+    .unwrap();
     let with_old = |variables: &[(&str, &str)]| {
         let mut command = aggregator(&["check"]);
-        command.env_remove("COTTONHILL_SETTINGS").env_remove("COTTONHILL_LOG");
-        command.envs(variables.iter().copied()).output().expect("the program starts")
+        command
+            .env_remove("COTTONHILL_SETTINGS")
+            .env_remove("COTTONHILL_LOG");
+        command
+            .envs(variables.iter().copied())
+            .output()
+            .expect("the program starts")
     };
-    let old = with_old(&[("COTTONHILL_SETTINGS", path.to_str().unwrap()), ("COTTONHILL_LOG", "warn")]);
+    let old = with_old(&[
+        ("COTTONHILL_SETTINGS", path.to_str().unwrap()),
+        ("COTTONHILL_LOG", "warn"),
+    ]);
     assert!(old.status.success(), "{}", errors(&old));
-    assert!(String::from_utf8(old.stdout.clone()).unwrap().contains("own.ini:2"), "{old:?}");
+    assert!(
+        String::from_utf8(old.stdout.clone())
+            .unwrap()
+            .contains("own.ini:2"),
+        "{old:?}"
+    );
     let warning = errors(&old);
     assert_eq!(warning.lines().count(), 1, "{warning}");
     for name in ["SETTINGS", "LOG"] {
         assert!(
-            warning.contains(&format!("COTTONHILL_{name} is now called QUERY_AGGREGATOR_{name}")),
+            warning.contains(&format!(
+                "COTTONHILL_{name} is now called QUERY_AGGREGATOR_{name}"
+            )),
             "{warning}"
         );
     }
@@ -163,7 +218,13 @@
         ("COTTONHILL_SETTINGS", missing.to_str().unwrap()),
         ("QUERY_AGGREGATOR_SETTINGS", path.to_str().unwrap()),
     ];
-    assert!(with_old(&both).status.success(), "the new name goes before the old one");
+    assert!(
+        with_old(&both).status.success(),
+        "the new name goes before the old one"
+    );
     let neither = with_old(&[]);
-    assert!(neither.status.success() && neither.stderr.is_empty(), "{neither:?}");
+    assert!(
+        neither.status.success() && neither.stderr.is_empty(),
+        "{neither:?}"
+    );
 }
--- a/crates/aggregator/tests/reload.rs
+++ b/crates/aggregator/tests/reload.rs
@@ -1,4 +1,5 @@
-//! The program itself as operators run it: a new configuration by SIGHUP, a bad one, and the end after both.
+//! The program itself as operators run it: a new configuration by SIGHUP, a bad one, and the end
+//! after both.
 
 use serde_json::json;
 use std::fs;
@@ -20,8 +21,10 @@
 
 impl Program {
     fn start(name: &str, discovery: &str) -> Program {
-        let config =
-            std::env::temp_dir().join(format!("query-aggregator-{}-{name}.json", std::process::id()));
+        let config = std::env::temp_dir().join(format!(
+            "query-aggregator-{}-{name}.json",
+            std::process::id()
+        ));
         fs::write(&config, text(discovery)).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_query-aggregator"))
             .env("BALANCER_CONFIG", &config)
@@ -30,14 +33,20 @@
             .spawn()
             .expect("the program starts");
         let log = pipe::Receiver::from_owned_fd(child.stderr.take().unwrap().into()).unwrap();
-        Program { child, config, log: BufReader::new(log).lines() }
+        Program {
+            child,
+            config,
+            log: BufReader::new(log).lines(),
+        }
     }
 
     /// Reads the log up to a line with these words.
     async fn says(&mut self, words: &str) {
         loop {
             let line = tokio::time::timeout(HANGS, self.log.next_line()).await;
-            let line = line.unwrap_or_else(|_| panic!("it never says '{words}'")).unwrap();
+            let line = line
+                .unwrap_or_else(|_| panic!("it never says '{words}'"))
+                .unwrap();
             let line = line.unwrap_or_else(|| panic!("it ended before it said '{words}'"));
             if line.contains(words) {
                 return;
@@ -47,7 +56,11 @@
 
     async fn signal(&mut self, signal: &str, answer: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args([signal, &pid]).status().unwrap().success());
+        assert!(Command::new("kill")
+            .args([signal, &pid])
+            .status()
+            .unwrap()
+            .success());
         self.says(answer).await;
     }
 }
@@ -81,7 +94,10 @@
 
 /// The next watch that is asked for there, and the request.
 async fn watch(listener: &TcpListener) -> (TcpStream, String) {
-    let (mut stream, _) = tokio::time::timeout(HANGS, listener.accept()).await.expect("a watch").unwrap();
+    let (mut stream, _) = tokio::time::timeout(HANGS, listener.accept())
+        .await
+        .expect("a watch")
+        .unwrap();
     let mut request = Vec::new();
     while !request.ends_with(b"\r\n\r\n") {
         request.push(stream.read_u8().await.unwrap());
@@ -99,8 +115,15 @@
     fs::write(&program.config, text(&new.1)).unwrap();
     program.signal("-HUP", "read again").await;
     let (_second, request) = watch(&new.0).await;
-    assert!(request.contains("from=41 "), "it goes on from the list it holds: {request}");
-    assert_eq!(first.read(&mut [0]).await.unwrap(), 0, "the old watch has ended");
+    assert!(
+        request.contains("from=41 "),
+        "it goes on from the list it holds: {request}"
+    );
+    assert_eq!(
+        first.read(&mut [0]).await.unwrap(),
+        0,
+        "the old watch has ended"
+    );
     fs::write(&program.config, text(&old.1)).unwrap();
     program.signal("-HUP", "read again").await;
     let _third = watch(&old.0).await;
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -1,5 +1,5 @@
-//! The configuration: one JSON file, with the settings flattened to the text of the simulator's wire so that
-//! one parser serves both.
+//! The configuration: one JSON file, with the settings flattened to the text of the simulator's
+//! wire so that one parser serves both.
 
 use crate::interface::Settings;
 use crate::protocol::discovery::Listing;
@@ -56,7 +56,8 @@
         let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
         let text = flatten(&file.settings)?;
         let (settings, site) = (settings::parse(&text)?, settings::site(&text)?);
-        let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| format!("bad seed '{}'", file.seed))?;
+        let seed =
+            u64::from_str_radix(&file.seed, 16).map_err(|_| format!("bad seed '{}'", file.seed))?;
         let names = Names {
             classes: site.classes.clone(),
             tenants: site.tenants.clone(),
@@ -70,9 +71,26 @@
             peers: file.peers,
             peers_all: file.peers_all,
         };
-        let descriptors = file.limits.map_or(SOCKETS, |limits| limits.sockets.min(SOCKETS));
-        let File { name, listen, known, .. } = file;
-        Ok(Config { name, listen, site, settings, seed, descriptors, known, addresses, names })
+        let descriptors = file
+            .limits
+            .map_or(SOCKETS, |limits| limits.sockets.min(SOCKETS));
+        let File {
+            name,
+            listen,
+            known,
+            ..
+        } = file;
+        Ok(Config {
+            name,
+            listen,
+            site,
+            settings,
+            seed,
+            descriptors,
+            known,
+            addresses,
+            names,
+        })
     }
 }
 
@@ -83,10 +101,20 @@
             ("name", self.name != next.name),
             ("listen", self.listen != next.listen),
             ("limits", self.descriptors != next.descriptors),
-            ("peer_listen", self.addresses.peer_listen != next.addresses.peer_listen),
-            ("settings", self.site != next.site || self.settings != next.settings),
+            (
+                "peer_listen",
+                self.addresses.peer_listen != next.addresses.peer_listen,
+            ),
+            (
+                "settings",
+                self.site != next.site || self.settings != next.settings,
+            ),
         ];
-        changed.into_iter().filter(|(_, changed)| *changed).map(|(what, _)| what).collect()
+        changed
+            .into_iter()
+            .filter(|(_, changed)| *changed)
+            .map(|(what, _)| what)
+            .collect()
     }
 }
 
@@ -101,12 +129,23 @@
 }
 
 fn put(out: &mut String, path: &str, value: &Value) {
-    let under = |name: &str| if path.is_empty() { name.to_string() } else { format!("{path}.{name}") };
+    let under = |name: &str| {
+        if path.is_empty() {
+            name.to_string()
+        } else {
+            format!("{path}.{name}")
+        }
+    };
     match value {
-        Value::Object(fields) => fields.iter().for_each(|(name, value)| put(out, &under(name), value)),
+        Value::Object(fields) => fields
+            .iter()
+            .for_each(|(name, value)| put(out, &under(name), value)),
         Value::Array(items) if items.iter().any(Value::is_object) => {
             put(out, &under("count"), &items.len().into());
-            items.iter().enumerate().for_each(|(i, item)| put(out, &under(&i.to_string()), item));
+            items
+                .iter()
+                .enumerate()
+                .for_each(|(i, item)| put(out, &under(&i.to_string()), item));
         }
         Value::Array(items) => {
             let items: Vec<String> = items.iter().map(plain).collect();
--- a/crates/core/src/protocol/discovery.rs
+++ b/crates/core/src/protocol/discovery.rs
@@ -24,7 +24,8 @@
     Removed,
 }
 
-/// A message of discovery: with `snapshot` the complete list, else the changes since the one before.
+/// A message of discovery: with `snapshot` the complete list, else the changes since the one
+/// before.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq)]
 pub struct Listing {
     pub index: u64,
@@ -38,5 +39,7 @@
     if bytes.is_empty() {
         return Ok(None);
     }
-    serde_json::from_slice(bytes).map(Some).map_err(|e| e.to_string())
+    serde_json::from_slice(bytes)
+        .map(Some)
+        .map_err(|e| e.to_string())
 }
--- a/crates/core/src/protocol/http.rs
+++ b/crates/core/src/protocol/http.rs
@@ -1,5 +1,6 @@
-//! HTTP/1.1 as the client side and the discovery agent speak it: a server codec for whole requests and a
-//! client codec for one watch. Bodies have a length or come in chunks and hold 64 KiB at most.
+//! HTTP/1.1 as the client side and the discovery agent speak it: a server codec for whole requests
+//! and a client codec for one watch. Bodies have a length or come in chunks and hold 64 KiB at
+//! most.
 
 use crate::interface::Nanos;
 use bytes::{Buf, Bytes, BytesMut};
@@ -37,7 +38,10 @@
 
 impl Request {
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(n, _)| n == name).map(|(_, value)| value.as_str())
+        self.headers
+            .iter()
+            .find(|(n, _)| n == name)
+            .map(|(_, value)| value.as_str())
     }
 }
 
@@ -70,7 +74,12 @@
 
 impl Body {
     /// Moves what has arrived of the body from `src` to `out`; true once the body is whole.
-    fn read(&mut self, src: &mut BytesMut, out: &mut BytesMut, most: usize) -> Result<bool, Broken> {
+    fn read(
+        &mut self,
+        src: &mut BytesMut,
+        out: &mut BytesMut,
+        most: usize,
+    ) -> Result<bool, Broken> {
         loop {
             match self {
                 Body::Length(left) | Body::ChunkData(left) => {
@@ -84,15 +93,25 @@
                     if *left > 0 {
                         return Ok(false);
                     }
-                    *self = if matches!(self, Body::Length(_)) { Body::Done } else { Body::ChunkEnd };
+                    *self = if matches!(self, Body::Length(_)) {
+                        Body::Done
+                    } else {
+                        Body::ChunkEnd
+                    };
                 }
                 Body::ChunkLine => match httparse::parse_chunk_size(src) {
                     Ok(httparse::Status::Complete((line, size))) => {
                         src.advance(line);
                         let size = usize::try_from(size).map_err(|_| Broken::TooLarge)?;
-                        *self = if size == 0 { Body::Trailer } else { Body::ChunkData(size) };
+                        *self = if size == 0 {
+                            Body::Trailer
+                        } else {
+                            Body::ChunkData(size)
+                        };
+                    }
+                    Ok(httparse::Status::Partial) if src.len() <= MOST_CHUNK_LINE => {
+                        return Ok(false)
                     }
-                    Ok(httparse::Status::Partial) if src.len() <= MOST_CHUNK_LINE => return Ok(false),
                     _ => return Err(Broken::Chunk),
                 },
                 Body::ChunkEnd => {
@@ -128,7 +147,10 @@
         let found = if header.name.eq_ignore_ascii_case("content-length") {
             // Digits only: a sign or a list here is how requests are smuggled past a front.
             let digits = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
-            let text = std::str::from_utf8(value).ok().filter(|_| digits).ok_or("bad length")?;
+            let text = std::str::from_utf8(value)
+                .ok()
+                .filter(|_| digits)
+                .ok_or("bad length")?;
             // A length past any number is still only too large.
             Body::Length(text.parse().unwrap_or(usize::MAX))
         } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
@@ -147,8 +169,8 @@
     Ok(body)
 }
 
-/// The server's side of one connection. After a rejection it reads nothing more: where the next request
-/// would begin is not known.
+/// The server's side of one connection. After a rejection it reads nothing more: where the next
+/// request would begin is not known.
 #[derive(Default)]
 pub struct ServerCodec {
     head: Option<(Request, Body)>,
@@ -179,13 +201,21 @@
             Ok(httparse::Status::Complete(length)) => length,
             Ok(httparse::Status::Partial) if src.len() < MOST_HEAD => return Ok(None),
             Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
-                return Err(Rejection { status: 431, why: "head too large" });
+                return Err(Rejection {
+                    status: 431,
+                    why: "head too large",
+                });
             }
             Err(_) => return Err(bad("not an HTTP/1.1 request")),
         };
-        let body = framing(parsed.headers).map_err(bad)?.unwrap_or(Body::Length(0));
+        let body = framing(parsed.headers)
+            .map_err(bad)?
+            .unwrap_or(Body::Length(0));
         if matches!(body, Body::Length(n) if n > MOST_BODY) {
-            return Err(Rejection { status: 413, why: "body too large" });
+            return Err(Rejection {
+                status: 413,
+                why: "body too large",
+            });
         }
         let headers: Vec<(String, String)> = parsed
             .headers
@@ -195,27 +225,49 @@
                 Ok((h.name.to_ascii_lowercase(), value.trim().to_string()))
             })
             .collect::<Result<_, Rejection>>()?;
-        let connection = headers.iter().find(|(n, _)| n == "connection").map(|(_, v)| v.to_ascii_lowercase());
+        let connection = headers
+            .iter()
+            .find(|(n, _)| n == "connection")
+            .map(|(_, v)| v.to_ascii_lowercase());
         let keep_alive = match connection.as_deref() {
             Some(words) if words.contains("close") => false,
             Some(words) if words.contains("keep-alive") => true,
             _ => parsed.version == Some(1),
         };
-        let (method, path) = (parsed.method.unwrap_or_default(), parsed.path.unwrap_or_default());
+        let (method, path) = (
+            parsed.method.unwrap_or_default(),
+            parsed.path.unwrap_or_default(),
+        );
         let (method, path) = (method.to_string(), path.to_string());
         src.advance(length);
-        Ok(Some((Request { method, path, headers, body: Bytes::new(), keep_alive }, body)))
+        Ok(Some((
+            Request {
+                method,
+                path,
+                headers,
+                body: Bytes::new(),
+                keep_alive,
+            },
+            body,
+        )))
     }
 
     fn read(&mut self, src: &mut BytesMut) -> Result<Option<Request>, Rejection> {
         if self.head.is_none() {
             self.head = Self::read_head(src)?;
         }
-        let Some((_, body)) = &mut self.head else { return Ok(None) };
-        let whole = body.read(src, &mut self.body, MOST_BODY).map_err(|broken| match broken {
-            Broken::Chunk => bad("bad chunk"),
-            Broken::TooLarge => Rejection { status: 413, why: "body too large" },
-        })?;
+        let Some((_, body)) = &mut self.head else {
+            return Ok(None);
+        };
+        let whole = body
+            .read(src, &mut self.body, MOST_BODY)
+            .map_err(|broken| match broken {
+                Broken::Chunk => bad("bad chunk"),
+                Broken::TooLarge => Rejection {
+                    status: 413,
+                    why: "body too large",
+                },
+            })?;
         if !whole {
             return Ok(None);
         }
@@ -277,7 +329,10 @@
         );
         if let Some(after) = response.retry_after {
             // Milliseconds, rounded up: advice must not let a client come back before its time.
-            head += &format!("Retry-After: {:.3}\r\n", after.div_ceil(1_000_000) as f64 / 1000.0);
+            head += &format!(
+                "Retry-After: {:.3}\r\n",
+                after.div_ceil(1_000_000) as f64 / 1000.0
+            );
         }
         if let Some(allow) = response.allow {
             head += &format!("Allow: {allow}\r\n");
@@ -298,7 +353,8 @@
     pub from: u64,
 }
 
-/// The longest that one message of a watch may be: the whole list of some thousand leaf servers, indented.
+/// The longest that one message of a watch may be: the whole list of some thousand leaf servers,
+/// indented.
 const MOST_LIST: usize = 1024 * 1024;
 
 /// The client's side of one watch: a request out, then messages as they come.
@@ -311,8 +367,8 @@
     told: bool,
 }
 
-/// How far a message has been looked through for its end: where its outermost bracket closes, however many
-/// lines it takes.
+/// How far a message has been looked through for its end: where its outermost bracket closes,
+/// however many lines it takes.
 #[derive(Default)]
 struct Scan {
     at: usize,
@@ -400,8 +456,12 @@
         if self.body.is_none() {
             self.body = Self::read_head(src)?;
         }
-        let Some(body) = &mut self.body else { return Ok(None) };
-        let whole = body.read(src, &mut self.text, MOST_LIST).map_err(|e| invalid(format!("{e:?}")))?;
+        let Some(body) = &mut self.body else {
+            return Ok(None);
+        };
+        let whole = body
+            .read(src, &mut self.text, MOST_LIST)
+            .map_err(|e| invalid(format!("{e:?}")))?;
         while let Some(found) = self.scan.on(&self.text) {
             if matches!(found, Found::LineInside) {
                 return Ok(Some(Bytes::new()));
--- a/crates/core/src/protocol/leaf.rs
+++ b/crates/core/src/protocol/leaf.rs
@@ -5,8 +5,8 @@
 use std::rc::Rc;
 use tokio_util::codec::{Decoder, Encoder};
 
-/// The longest answer: a value that still fits a body to a client, and its line. Other frames are a few
-/// words.
+/// The longest answer: a value that still fits a body to a client, and its line. Other frames are a
+/// few words.
 const MOST_ANSWER: usize = 64 * 1024 + 512;
 const MOST_WORDS: usize = 1024;
 
@@ -49,8 +49,8 @@
     },
     /// The frame before could not be used; the leaf server closes the connection.
     Complaint(String),
-    /// What can't be read, with the id it is for if that can. Where the next frame begins is not known, so
-    /// the connection is of no more use.
+    /// What can't be read, with the id it is for if that can. Where the next frame begins is not
+    /// known, so the connection is of no more use.
     Spoilt(Option<String>),
 }
 
@@ -78,7 +78,12 @@
             ToLeaf::Call(parts) => {
                 dst.put_u8(b'Q');
                 for part in parts {
-                    let CallPart { id, shard, wait_ms, text } = part;
+                    let CallPart {
+                        id,
+                        shard,
+                        wait_ms,
+                        text,
+                    } = part;
                     dst.put_slice(format!("{id} {shard} d={wait_ms} {}\n", text.len()).as_bytes());
                     dst.put_slice(&text);
                 }
@@ -105,10 +110,12 @@
             src.clear();
             return Ok(None);
         }
-        let Some(head) = src.first_chunk::<4>() else { return Ok(None) };
+        let Some(head) = src.first_chunk::<4>() else {
+            return Ok(None);
+        };
         let length = u32::from_be_bytes(*head) as usize;
-        // Both are checked before the rest is waited for: a length that no frame has would be waited for in
-        // vain.
+        // Both are checked before the rest is waited for: a length that no frame has would be
+        // waited for in vain.
         let fits = match src.get(4) {
             None => (1..=MOST_ANSWER).contains(&length),
             Some(b'A') => (2..=MOST_ANSWER).contains(&length),
@@ -138,16 +145,26 @@
         b'E' => FromLeaf::Complaint(text(&body[1..])),
         _ => {
             let report = text(&body[1..]);
-            FromLeaf::Probed { ok: report != "err", report }
+            FromLeaf::Probed {
+                ok: report != "err",
+                report,
+            }
         }
     }
 }
 
-/// A frame that can't be read, from its letter on. The id is worth something only if it is there to its end.
+/// A frame that can't be read, from its letter on. The id is worth something only if it is there to
+/// its end.
 fn spoilt(body: &[u8]) -> FromLeaf {
     let words = body.strip_prefix(b"A").unwrap_or_default();
-    let id = words.iter().position(|b| *b == b' ').map(|end| &words[..end]);
-    FromLeaf::Spoilt(id.and_then(|id| std::str::from_utf8(id).ok()).map(str::to_string))
+    let id = words
+        .iter()
+        .position(|b| *b == b' ')
+        .map(|end| &words[..end]);
+    FromLeaf::Spoilt(
+        id.and_then(|id| std::str::from_utf8(id).ok())
+            .map(str::to_string),
+    )
 }
 
 /// An answer, if all of its line is as it should be. A report that can't be read is only no report.
@@ -167,5 +184,10 @@
         "busy" => End::Busy,
         _ => return None,
     };
-    Some(FromLeaf::Answer { id: id.to_string(), end, report: report.to_string(), value })
+    Some(FromLeaf::Answer {
+        id: id.to_string(),
+        end,
+        report: report.to_string(),
+        value,
+    })
 }
--- a/crates/core/src/protocol/query.rs
+++ b/crates/core/src/protocol/query.rs
@@ -1,5 +1,5 @@
-//! Queries as clients put them over HTTP, and the replies: the only place that knows this dialect. Another
-//! protocol makes the same [`Asked`] from its own requests and renders the same [`Reply`].
+//! Queries as clients put them over HTTP, and the replies: the only place that knows this dialect.
+//! Another protocol makes the same [`Asked`] from its own requests and renders the same [`Reply`].
 
 use super::http::{bad, Rejection, Request, Response};
 use crate::interface::Nanos;
@@ -92,21 +92,38 @@
     let path = request.path.split(['?', '#']).next().unwrap_or_default();
     let wanted = |method: &'static str, asked: Asked| {
         let fits = request.method == method;
-        fits.then_some(asked).ok_or(Rejection { status: 405, why: "GET" })
+        fits.then_some(asked).ok_or(Rejection {
+            status: 405,
+            why: "GET",
+        })
     };
     match path {
         "/-/ready" => return wanted("GET", Asked::Ready),
         "/-/stats" => return wanted("GET", Asked::Stats),
         _ => {}
     }
-    let first = path.strip_prefix('/').unwrap_or_default().split('/').next().unwrap_or_default();
+    let first = path
+        .strip_prefix('/')
+        .unwrap_or_default()
+        .split('/')
+        .next()
+        .unwrap_or_default();
     let class = names.classes.iter().position(|name| name == first);
-    let class = class.ok_or(Rejection { status: 404, why: "no such class" })?;
+    let class = class.ok_or(Rejection {
+        status: 404,
+        why: "no such class",
+    })?;
     if request.method != "POST" {
-        return Err(Rejection { status: 405, why: "POST" });
+        return Err(Rejection {
+            status: 405,
+            why: "POST",
+        });
     }
-    let name = request.header("x-request-id").ok_or(bad("X-Request-ID is missing"))?;
-    // It goes into lines between mixer and leaf server: a blank or a control character would forge one.
+    let name = request
+        .header("x-request-id")
+        .ok_or(bad("X-Request-ID is missing"))?;
+    // It goes into lines between mixer and leaf server: a blank or a control character would forge
+    // one.
     if name.is_empty() || name.len() > 128 || !name.bytes().all(|b| b.is_ascii_graphic()) {
         return Err(bad("X-Request-ID is not a plain word"));
     }
@@ -117,7 +134,11 @@
     let tenant = match request.header("x-tenant-id") {
         Some(tenant) if !names.tenants.is_empty() => {
             let tenant = tenant.replace([' ', ','], "_");
-            names.tenants.iter().position(|name| *name == tenant).ok_or(bad("unknown tenant"))?
+            names
+                .tenants
+                .iter()
+                .position(|name| *name == tenant)
+                .ok_or(bad("unknown tenant"))?
         }
         None if !names.tenants.is_empty() => return Err(bad("X-Tenant-Id is missing")),
         _ => 0,
@@ -128,7 +149,8 @@
         }
         key => key.map(str::to_string),
     };
-    let body: Body = serde_json::from_slice(&request.body).map_err(|_| bad("body is not a query"))?;
+    let body: Body =
+        serde_json::from_slice(&request.body).map_err(|_| bad("body is not a query"))?;
     Ok(Asked::Query(Query {
         name: name.to_string(),
         class: class as u16,
@@ -160,13 +182,21 @@
         if !(0.0..=1.0 + ROUNDING).contains(&s.weight) {
             return Err(bad("a weight that is no share"));
         }
-        let work = s.cost.filter(|c| *c >= 0.0).map(|c| (c * 1e3).min(LONGEST) as Nanos);
-        Ok(AskedPart { shard: s.shard, weight: s.weight, work })
+        let work = s
+            .cost
+            .filter(|c| *c >= 0.0)
+            .map(|c| (c * 1e3).min(LONGEST) as Nanos);
+        Ok(AskedPart {
+            shard: s.shard,
+            weight: s.weight,
+            work,
+        })
     };
     let parts: Vec<AskedPart> = shards.into_iter().map(part).collect::<Result<_, _>>()?;
     let sum: f64 = parts.iter().map(|part| part.weight).sum();
     let fits = (sum - 1.0).abs() <= ROUNDING;
-    fits.then_some(parts).ok_or(bad("weights that do not add up to 1"))
+    fits.then_some(parts)
+        .ok_or(bad("weights that do not add up to 1"))
 }
 
 /// An hour, in ns, is longer than any deadline or work; more would only overflow sums of times.
@@ -180,7 +210,8 @@
         "u" => 1e3,
         _ => return None,
     };
-    // Digits and a point: what else parses as a number (signs, exponents, nan) no client sends that means it.
+    // Digits and a point: what else parses as a number (signs, exponents, nan) no client sends that
+    // means it.
     let plain = number.bytes().all(|b| b.is_ascii_digit() || b == b'.');
     let number: f64 = number.parse().ok().filter(|_| plain)?;
     Some((number * unit).min(LONGEST) as Nanos)
@@ -198,22 +229,32 @@
 
 /// Renders a reply; `close` says that this connection ends with it.
 pub fn render(reply: &Reply, close: bool) -> Response {
-    let plain = |status: u16, body: Vec<u8>| Response { status, body, close, ..Response::default() };
+    let plain = |status: u16, body: Vec<u8>| Response {
+        status,
+        body,
+        close,
+        ..Response::default()
+    };
     match reply {
         Reply::Answer { whole, hits } => {
-            let body = serde_json::to_vec(&AnswerBody { complete: *whole, hits });
+            let body = serde_json::to_vec(&AnswerBody {
+                complete: *whole,
+                hits,
+            });
             plain(200, body.unwrap_or_default())
         }
-        Reply::Refused { come_back } => {
-            Response { retry_after: *come_back, ..plain(503, note("refused, try again")) }
-        }
+        Reply::Refused { come_back } => Response {
+            retry_after: *come_back,
+            ..plain(503, note("refused, try again"))
+        },
         Reply::Failed => plain(504, note("failed")),
         Reply::Ready(true) => plain(200, b"{\"ready\":true}".to_vec()),
         Reply::Ready(false) => plain(503, b"{\"ready\":false}".to_vec()),
         Reply::Stats(text) => plain(200, text.clone()),
-        Reply::Rejected(Rejection { status: 405, why }) => {
-            Response { allow: Some(why), ..plain(405, note("method not allowed")) }
-        }
+        Reply::Rejected(Rejection { status: 405, why }) => Response {
+            allow: Some(why),
+            ..plain(405, note("method not allowed"))
+        },
         Reply::Rejected(Rejection { status, why }) => plain(*status, note(why)),
     }
 }
--- a/crates/core/src/routing/link.rs
+++ b/crates/core/src/routing/link.rs
@@ -1,5 +1,6 @@
-//! The states of one connection to a leaf server. It holds what waits to be written and what is out, and says
-//! what may be written next; it never touches a socket. Whatever happens, each attempt leaves it once.
+//! The states of one connection to a leaf server. It holds what waits to be written and what is
+//! out, and says what may be written next; it never touches a socket. Whatever happens, each
+//! attempt leaves it once.
 
 use crate::interface::Nanos;
 use std::collections::{BTreeMap, VecDeque};
@@ -35,7 +36,8 @@
     Unknown,
 }
 
-/// An attempt on the connection: since when the socket has its frame, and whether it took the last byte.
+/// An attempt on the connection: since when the socket has its frame, and whether it took the last
+/// byte.
 #[derive(Clone, Debug)]
 struct Out {
     attempt: AttemptId,
@@ -50,15 +52,16 @@
     /// The frame that the socket has and has not yet taken whole.
     writing: Option<Job>,
     out: BTreeMap<Rc<str>, Out>,
-    /// Probes written, in order; answers carry no id, so one that is given up keeps its place as none.
+    /// Probes written, in order; answers carry no id, so one that is given up keeps its place as
+    /// none.
     probes: VecDeque<Option<u64>>,
     /// Ids written here that are over, latest last.
     over: VecDeque<Rc<str>>,
     heard: Nanos,
     /// It swallowed an attempt: nothing new goes out on it until it is heard again.
     silent: bool,
-    /// Since when nothing is out or waiting, and when the alarm rings that looks at it: one at a time,
-    /// however often the connection falls idle.
+    /// Since when nothing is out or waiting, and when the alarm rings that looks at it: one at a
+    /// time, however often the connection falls idle.
     pub idle_since: Nanos,
     pub idle_alarm: Option<Nanos>,
 }
@@ -83,13 +86,18 @@
         self.phase
     }
 
-    /// Whether one more attempt under this wire id may go out on it. Two of one id can't be told apart.
+    /// Whether one more attempt under this wire id may go out on it. Two of one id can't be told
+    /// apart.
     pub fn has_room(&self, streams: usize, wire: &str) -> bool {
         !self.silent && self.load() < streams && !self.out.contains_key(wire)
     }
 
     fn load(&self) -> usize {
-        let probes = self.waiting.iter().chain(&self.writing).filter(|job| matches!(job, Job::Probe(_)));
+        let probes = self
+            .waiting
+            .iter()
+            .chain(&self.writing)
+            .filter(|job| matches!(job, Job::Probe(_)));
         self.out.len() + self.probes.len() + probes.count()
     }
 
@@ -102,15 +110,24 @@
         self.silent
     }
 
-    /// Silent, and nothing is out that might still be answered. What waits are words that give attempts up,
-    /// which the end of the connection says as well; a frame that the socket can't get rid of waits for ever.
+    /// Silent, and nothing is out that might still be answered. What waits are words that give
+    /// attempts up, which the end of the connection says as well; a frame that the socket can't get
+    /// rid of waits for ever.
     pub fn is_spent(&self) -> bool {
         self.silent && self.out.is_empty()
     }
 
-    /// Queues an attempt; it joins the last call that waits, if that has room and holds only this turn's.
+    /// Queues an attempt; it joins the last call that waits, if that has room and holds only this
+    /// turn's.
     pub fn queue(&mut self, attempt: AttemptId, wire: Rc<str>, join: bool, call_parts: usize) {
-        self.out.insert(wire.clone(), Out { attempt, given: None, written: false });
+        self.out.insert(
+            wire.clone(),
+            Out {
+                attempt,
+                given: None,
+                written: false,
+            },
+        );
         match self.waiting.back_mut() {
             Some(Job::Call(call)) if join && call.len() < call_parts => call.push((attempt, wire)),
             _ => self.waiting.push_back(Job::Call(vec![(attempt, wire)])),
@@ -138,7 +155,9 @@
 
     /// Marks the attempts of the frame that the socket has.
     fn mark(&mut self, mark: impl Fn(&mut Out)) {
-        let Some(Job::Call(call)) = &self.writing else { return };
+        let Some(Job::Call(call)) = &self.writing else {
+            return;
+        };
         for (attempt, wire) in call {
             if let Some(out) = self.out.get_mut(wire).filter(|out| out.attempt == *attempt) {
                 mark(out);
@@ -159,8 +178,8 @@
         (self.heard, self.silent) = (now, false);
     }
 
-    /// The attempt that an answer is for. What has not been written yet can't have been answered: that is an
-    /// earlier attempt's answer under the same id.
+    /// The attempt that an answer is for. What has not been written yet can't have been answered:
+    /// that is an earlier attempt's answer under the same id.
     pub fn answered(&mut self, wire: &str) -> Answered {
         match self.out.get_key_value(wire).filter(|(_, out)| out.written) {
             Some((wire, out)) => {
@@ -185,13 +204,22 @@
     pub fn spoilt(&mut self, wire: Option<&str>) -> Option<AttemptId> {
         let written = |out: &&Out| out.written;
         let named = wire.and_then(|wire| self.out.get(wire)).filter(written);
-        let oldest = || self.out.values().filter(written).min_by_key(|out| (out.given, out.attempt));
+        let oldest = || {
+            self.out
+                .values()
+                .filter(written)
+                .min_by_key(|out| (out.given, out.attempt))
+        };
         named.or_else(oldest).map(|out| out.attempt)
     }
 
     /// The attempts whose last byte the socket has taken.
     pub fn written(&self) -> Vec<AttemptId> {
-        self.out.values().filter(|out| out.written).map(|out| out.attempt).collect()
+        self.out
+            .values()
+            .filter(|out| out.written)
+            .map(|out| out.attempt)
+            .collect()
     }
 
     /// The probe that an answer is for; none where it was given up, or none was asked.
@@ -207,12 +235,16 @@
         }
     }
 
-    /// Gives an attempt up. What waits is dropped whole and never goes out; what the socket has is followed
-    /// by a frame that says so. True if it may have run. After `patience` without a sound since the socket
-    /// has it, the connection is held to swallow attempts.
+    /// Gives an attempt up. What waits is dropped whole and never goes out; what the socket has is
+    /// followed by a frame that says so. True if it may have run. After `patience` without a sound
+    /// since the socket has it, the connection is held to swallow attempts.
     pub fn drop_attempt(&mut self, attempt: AttemptId, now: Nanos, patience: Nanos) -> bool {
-        let Some(wire) = self.wire_of(attempt) else { return false };
-        let Some(out) = self.out.remove(&wire) else { return false };
+        let Some(wire) = self.wire_of(attempt) else {
+            return false;
+        };
+        let Some(out) = self.out.remove(&wire) else {
+            return false;
+        };
         let mut waited = false;
         for job in &mut self.waiting {
             if let Job::Call(call) = job {
@@ -221,7 +253,8 @@
                 waited |= call.len() < before;
             }
         }
-        self.waiting.retain(|job| !matches!(job, Job::Call(call) if call.is_empty()));
+        self.waiting
+            .retain(|job| !matches!(job, Job::Call(call) if call.is_empty()));
         if waited {
             return false;
         }
@@ -234,12 +267,17 @@
     }
 
     fn wire_of(&self, attempt: AttemptId) -> Option<Rc<str>> {
-        self.out.iter().find(|(_, out)| out.attempt == attempt).map(|(wire, _)| wire.clone())
+        self.out
+            .iter()
+            .find(|(_, out)| out.attempt == attempt)
+            .map(|(wire, _)| wire.clone())
     }
 
     /// Whether an attempt is here and has not gone to the socket yet.
     pub fn is_unsent(&self, attempt: AttemptId) -> bool {
-        self.out.values().any(|out| out.attempt == attempt && out.given.is_none())
+        self.out
+            .values()
+            .any(|out| out.attempt == attempt && out.given.is_none())
     }
 
     /// The attempts that have not gone to the socket yet.
@@ -251,17 +289,31 @@
         calls.flatten().map(|(attempt, _)| *attempt).collect()
     }
 
-    /// The connection is over: all attempts on it, with whether they may have run, and all probes. Where the socket
-    /// has said so itself, it has told of each frame that it took whole before; where we close (`ours`), its word
-    /// may still be on the way.
+    /// The connection is over: all attempts on it, with whether they may have run, and all probes.
+    /// Where the socket has said so itself, it has told of each frame that it took whole before;
+    /// where we close (`ours`), its word may still be on the way.
     pub fn end(self, ours: bool) -> (Vec<(AttemptId, bool)>, Vec<u64>) {
         let may_have_run = |out: &Out| out.written || ours && out.given.is_some();
-        let attempts = self.out.values().map(|out| (out.attempt, may_have_run(out))).collect();
-        let queued = self.waiting.iter().chain(&self.writing).filter_map(|job| match job {
-            Job::Probe(probe) => Some(*probe),
-            _ => None,
-        });
-        let probes = self.probes.iter().flatten().copied().chain(queued).collect();
+        let attempts = self
+            .out
+            .values()
+            .map(|out| (out.attempt, may_have_run(out)))
+            .collect();
+        let queued = self
+            .waiting
+            .iter()
+            .chain(&self.writing)
+            .filter_map(|job| match job {
+                Job::Probe(probe) => Some(*probe),
+                _ => None,
+            });
+        let probes = self
+            .probes
+            .iter()
+            .flatten()
+            .copied()
+            .chain(queued)
+            .collect();
         (attempts, probes)
     }
 }
--- a/crates/core/src/routing/messages.rs
+++ b/crates/core/src/routing/messages.rs
@@ -9,7 +9,8 @@
 use crate::protocol::query::{Asked, Reply};
 use std::net::SocketAddr;
 
-/// A client's connection and a connection to a leaf server, each by a number that is never used again.
+/// A client's connection and a connection to a leaf server, each by a number that is never used
+/// again.
 pub type ClientId = u64;
 pub type LinkId = u64;
 
@@ -87,8 +88,8 @@
         to: Option<u32>,
         bytes: Vec<u8>,
     },
-    /// Watch the list of leaf servers from this version on, where discovery is now, in place of any other watch.
-    /// Its first answer has to come within this time.
+    /// Watch the list of leaf servers from this version on, where discovery is now, in place of any
+    /// other watch. Its first answer has to come within this time.
     Watch {
         watch: u64,
         from: u64,
--- a/crates/core/src/routing/replicas.rs
+++ b/crates/core/src/routing/replicas.rs
@@ -15,8 +15,8 @@
     pub links: Vec<LinkId>,
 }
 
-/// The replicas listed, and those gone that still have connections. Each name has one number while it is
-/// known; no number is given twice.
+/// The replicas listed, and those gone that still have connections. Each name has one number while
+/// it is known; no number is given twice.
 #[derive(Debug, Default)]
 pub struct Replicas {
     numbers: BTreeMap<String, ReplicaId>,
@@ -32,7 +32,10 @@
 
 impl Replicas {
     pub fn new(zones: Vec<String>) -> Replicas {
-        Replicas { zones, ..Replicas::default() }
+        Replicas {
+            zones,
+            ..Replicas::default()
+        }
     }
 
     pub fn get(&self, id: ReplicaId) -> Option<&Replica> {
@@ -52,16 +55,20 @@
         self.known.values().any(|r| r.standing == Standing::Ready)
     }
 
-    /// Takes a list over. Returns its lines for the module and the connections on which nothing new may go out now:
-    /// to replicas that drain or are gone, and to where one was before it moved.
+    /// Takes a list over. Returns its lines for the module and the connections on which nothing new
+    /// may go out now: to replicas that drain or are gone, and to where one was before it moved.
     pub fn take(&mut self, listing: &Listing) -> (ListKind, Vec<Member>, Vec<LinkId>) {
         self.index = listing.index;
         // Those gone for longer than since the last list have nothing left to end.
-        self.known.retain(|_, r| r.standing != Standing::Gone || !r.links.is_empty());
+        self.known
+            .retain(|_, r| r.standing != Standing::Gone || !r.links.is_empty());
         let known = &self.known;
         self.numbers.retain(|_, id| known.contains_key(id));
         let mut stopped = Vec::new();
-        let members = listing.endpoints.iter().filter_map(|e| self.member(e, &mut stopped));
+        let members = listing
+            .endpoints
+            .iter()
+            .filter_map(|e| self.member(e, &mut stopped));
         let members: Vec<Member> = members.collect();
         if listing.snapshot {
             let listed: BTreeSet<ReplicaId> = members.iter().map(|m| m.replica).collect();
@@ -71,8 +78,16 @@
             }
         }
         let ended = members.iter().filter(|m| m.standing != Standing::Ready);
-        stopped.extend(ended.filter_map(|m| self.known.get(&m.replica)).flat_map(|r| &r.links));
-        let kind = if listing.snapshot { ListKind::Full } else { ListKind::Changes };
+        stopped.extend(
+            ended
+                .filter_map(|m| self.known.get(&m.replica))
+                .flat_map(|r| &r.links),
+        );
+        let kind = if listing.snapshot {
+            ListKind::Full
+        } else {
+            ListKind::Changes
+        };
         (kind, members, stopped)
     }
 
@@ -93,13 +108,21 @@
             );
             return None;
         };
-        let id = *self.numbers.entry(endpoint.name.clone()).or_insert_with(|| {
-            self.last += 1;
-            ReplicaId(self.last)
-        });
+        let id = *self
+            .numbers
+            .entry(endpoint.name.clone())
+            .or_insert_with(|| {
+                self.last += 1;
+                ReplicaId(self.last)
+            });
         let zone = self.zones.iter().position(|zone| *zone == endpoint.zone);
         let zone = zone.map_or(NO_ZONE, |zone| zone as u16);
-        let replica = self.known.entry(id).or_insert(Replica { address, zone, standing, links: Vec::new() });
+        let replica = self.known.entry(id).or_insert(Replica {
+            address,
+            zone,
+            standing,
+            links: Vec::new(),
+        });
         if replica.address != address {
             // It has moved: its old connections lead elsewhere and only end what is out on them.
             stopped.append(&mut replica.links);
--- a/crates/core/src/routing/state/mod.rs
+++ b/crates/core/src/routing/state/mod.rs
@@ -23,25 +23,29 @@
 const MS: Nanos = 1_000_000;
 /// Taken off what a client waits: the ways there and back and a late turn of ours.
 const MARGIN: Nanos = 8 * MS;
-/// After SIGTERM new connections still arrive and clients use theirs for 0.7 s: so long all goes on.
+/// After SIGTERM new connections still arrive and clients use theirs for 0.7 s: so long all goes
+/// on.
 const GRACE: Nanos = 750 * MS;
-/// Of the descriptors, the hundredths that connections to leaf servers may take, and those that clients
-/// may: more than the third that good ones use at most, so that others do not cost them their place.
+/// Of the descriptors, the hundredths that connections to leaf servers may take, and those that
+/// clients may: more than the third that good ones use at most, so that others do not cost them
+/// their place.
 const LINK_HUNDREDTHS: usize = 40;
 const CLIENT_HUNDREDTHS: usize = 45;
-/// From half of what clients may take on, one that has said nothing for so long after an answer is closed.
+/// From half of what clients may take on, one that has said nothing for so long after an answer is
+/// closed.
 const CLIENT_IDLE: Nanos = 2_000 * MS;
-/// Connections closed for each that opens, as long as there are any to close: what piles up goes faster
-/// than it comes.
+/// Connections closed for each that opens, as long as there are any to close: what piles up goes
+/// faster than it comes.
 const CLOSED_AT_ONCE: usize = 2;
-/// How long a watch may take to answer: the agent that pushes the list does so at once, and has more to tell as
-/// soon as discovery is back; a list that has to be asked for is one service that serves its callers in turn.
+/// How long a watch may take to answer: the agent that pushes the list does so at once, and has
+/// more to tell as soon as discovery is back; a list that has to be asked for is one service that
+/// serves its callers in turn.
 const ANSWER_PUSHED: Nanos = 1_000 * MS;
 const ANSWER_ASKED: Nanos = 4_500 * MS;
 /// The most that one message between mixers may hold.
 const MOST_DATAGRAM: usize = 256;
-/// Share of the idle time after which we close a connection, in tenths: the other end does so at the latest
-/// at its end, and what is written from then on is lost.
+/// Share of the idle time after which we close a connection, in tenths: the other end does so at
+/// the latest at its end, and what is written from then on is lost.
 const IDLE_TENTHS: Nanos = 9;
 
 /// A query that waits for its final answer.
@@ -131,10 +135,12 @@
     names: BTreeSet<Rc<str>>,
     attempts: BTreeMap<AttemptId, Attempt>,
     probes: BTreeMap<u64, Probe>,
-    /// Numbers given out so far: to requests, connections, probes, and to queries as groups of parts.
+    /// Numbers given out so far: to requests, connections, probes, and to queries as groups of
+    /// parts.
     last_id: u64,
     last_group: u32,
-    /// Links that have something to write, and those whose last call still takes parts of this turn.
+    /// Links that have something to write, and those whose last call still takes parts of this
+    /// turn.
     pending: BTreeSet<LinkId>,
     joining: BTreeSet<LinkId>,
     most_links: usize,
@@ -152,9 +158,15 @@
 }
 
 impl State {
-    /// Starts with the list as it was last held, which may be old, and as many descriptors as it may hold.
+    /// Starts with the list as it was last held, which may be old, and as many descriptors as it
+    /// may hold.
     pub fn new(
-        now: Nanos, site: Site, settings: Settings, seed: u64, known: &Listing, descriptors: usize,
+        now: Nanos,
+        site: Site,
+        settings: Settings,
+        seed: u64,
+        known: &Listing,
+        descriptors: usize,
     ) -> State {
         // Where the list has to be asked for, the module does so in its first turn.
         let asked_for = settings.list_on_request;
@@ -165,7 +177,11 @@
             site,
             effects: Vec::new(),
             watch: 0,
-            answer_within: if settings.list_on_request { ANSWER_ASKED } else { ANSWER_PUSHED },
+            answer_within: if settings.list_on_request {
+                ANSWER_ASKED
+            } else {
+                ANSWER_PUSHED
+            },
             module: Coordinator::new(settings, seed),
             events: Vec::new(),
             alarms: BTreeSet::new(),
@@ -192,7 +208,10 @@
             state.watch_list();
         }
         state.listed = state.replicas.any_ready();
-        state.events.push(Event::List { kind: ListKind::Remembered, members });
+        state.events.push(Event::List {
+            kind: ListKind::Remembered,
+            members,
+        });
         state.turn(now);
         state
     }
@@ -226,13 +245,18 @@
         &self.counters
     }
 
-    /// The only way in: takes one input at `now` and returns what is to be done about it. Nothing is written before
-    /// the turn: a client that has gone, a drain or an end that came in with a connection goes before it.
+    /// The only way in: takes one input at `now` and returns what is to be done about it. Nothing
+    /// is written before the turn: a client that has gone, a drain or an end that came in with a
+    /// connection goes before it.
     pub fn apply(&mut self, now: Nanos, input: Input) -> Vec<Effect> {
         let turn = matches!(input, Input::Turn);
         match input {
             Input::ClientOpened { client } => self.client_opened(now, client),
-            Input::Asked { client, arrived, asked } => self.asked(now, client, arrived, asked),
+            Input::Asked {
+                client,
+                arrived,
+                asked,
+            } => self.asked(now, client, arrived, asked),
             Input::ClientClosed { client } => self.client_closed(now, client),
             Input::LinkOpened { link } => {
                 if let Some((_, it)) = self.links.get_mut(&link) {
@@ -261,9 +285,10 @@
             Input::Datagram { from, bytes } => self.events.push(Event::Message { from, bytes }),
             // One that was replaced may say so late: that is no news of the one in its place.
             Input::WatchEnded { watch } if watch != self.watch => {}
-            Input::WatchEnded { .. } => {
-                self.events.push(Event::List { kind: ListKind::Failed, members: Vec::new() })
-            }
+            Input::WatchEnded { .. } => self.events.push(Event::List {
+                kind: ListKind::Failed,
+                members: Vec::new(),
+            }),
             Input::Reloaded { usable } => self.reloaded(usable),
             Input::Terminate => self.terminate(now),
             Input::Turn => self.turn(now),
--- a/crates/core/src/routing/state/usage.rs
+++ b/crates/core/src/routing/state/usage.rs
@@ -1,4 +1,5 @@
-//! The ledger's hook: a record for each query that ends, and marks that say up to when the records are complete.
+//! The ledger's hook: a record for each query that ends, and marks that say up to when the records
+//! are complete.
 
 use super::{Alarm, Part, Query, State};
 use crate::interface::{Nanos, RequestId};
@@ -30,7 +31,12 @@
 impl State {
     /// Records use from now on, with a mark each `every`.
     pub fn record_usage(&mut self, every: Nanos) {
-        self.recording = Some(Recording { every, sequence: 0, complete: 0, open: BTreeSet::new() });
+        self.recording = Some(Recording {
+            every,
+            sequence: 0,
+            complete: 0,
+            open: BTreeSet::new(),
+        });
         self.alarms.insert((0, Alarm::Mark));
     }
 
@@ -39,17 +45,27 @@
         if self.recording.is_none() {
             return 0;
         }
-        let class = self.site.classes.get(usize::from(asked.class)).map_or("", String::as_str);
+        let class = self
+            .site
+            .classes
+            .get(usize::from(asked.class))
+            .map_or("", String::as_str);
         match &asked.idempotency_key {
             Some(key) => usage::key_of_client(class, key),
-            None => usage::key_of_query(class, asked.parts.iter().map(|p| (p.shard, p.weight)), &asked.text),
+            None => usage::key_of_query(
+                class,
+                asked.parts.iter().map(|p| (p.shard, p.weight)),
+                &asked.text,
+            ),
         }
     }
 
-    /// When a query counts as arrived: not before what is said to be complete, be it by the time that it waited
-    /// for its turn here.
+    /// When a query counts as arrived: not before what is said to be complete, be it by the time
+    /// that it waited for its turn here.
     pub(super) fn note_open(&mut self, id: RequestId, arrived: Nanos) -> Nanos {
-        let Some(recording) = &mut self.recording else { return arrived };
+        let Some(recording) = &mut self.recording else {
+            return arrived;
+        };
         let arrived = arrived.max(recording.complete);
         recording.open.insert((arrived, id));
         arrived
@@ -62,14 +78,28 @@
     }
 
     fn push(&mut self, mut usage: Usage) {
-        let Some(recording) = &mut self.recording else { return };
+        let Some(recording) = &mut self.recording else {
+            return;
+        };
         recording.sequence += 1;
         usage.sequence = recording.sequence;
         self.counters.recorded += 1;
         // Where the platform names no tenants, all use is one's.
-        let tenant = self.site.tenants.get(usage.tenant as usize).map_or("all", String::as_str);
-        let class = self.site.classes.get(usize::from(usage.class)).map_or("", String::as_str);
-        *self.counters.recorded_of.entry(format!("{tenant} {class}")).or_default() += 1;
+        let tenant = self
+            .site
+            .tenants
+            .get(usage.tenant as usize)
+            .map_or("all", String::as_str);
+        let class = self
+            .site
+            .classes
+            .get(usize::from(usage.class))
+            .map_or("", String::as_str);
+        *self
+            .counters
+            .recorded_of
+            .entry(format!("{tenant} {class}"))
+            .or_default() += 1;
         self.effects.push(Effect::Record(usage));
     }
 
@@ -81,8 +111,16 @@
         let outcome = match outcome {
             Outcome::Partial(_) => {
                 let all: f64 = parts.iter().map(|part| part.weight).sum();
-                let landed: f64 = parts.iter().filter(|p| p.value.is_some()).map(|p| p.weight).sum();
-                Outcome::Partial((landed / all.max(f64::MIN_POSITIVE) * 1e6).round().clamp(0.0, 1e6) as u32)
+                let landed: f64 = parts
+                    .iter()
+                    .filter(|p| p.value.is_some())
+                    .map(|p| p.weight)
+                    .sum();
+                Outcome::Partial(
+                    (landed / all.max(f64::MIN_POSITIVE) * 1e6)
+                        .round()
+                        .clamp(0.0, 1e6) as u32,
+                )
             }
             other => other,
         };
@@ -104,7 +142,9 @@
 
     /// Records a query that was refused before any decision.
     pub(super) fn turned_away(&mut self, arrived: Nanos, asked: &AskedQuery) {
-        let Some(recording) = &self.recording else { return };
+        let Some(recording) = &self.recording else {
+            return;
+        };
         let arrived = arrived.max(recording.complete);
         let key = self.join_key(asked);
         self.push(Usage {
@@ -124,18 +164,30 @@
 
     /// Says up to when the records are complete: the arrival of the oldest open query, else now.
     pub(super) fn mark(&mut self, now: Nanos) {
-        let Some(recording) = self.recording.as_mut().filter(|_| !self.exited) else { return };
+        let Some(recording) = self.recording.as_mut().filter(|_| !self.exited) else {
+            return;
+        };
         let oldest = recording.open.first().map_or(now, |(arrived, _)| *arrived);
         recording.complete = recording.complete.max(oldest);
-        let mark = Mark { sequence: recording.sequence, complete: recording.complete, end: false };
+        let mark = Mark {
+            sequence: recording.sequence,
+            complete: recording.complete,
+            end: false,
+        };
         self.alarms.insert((now + recording.every, Alarm::Mark));
         self.effects.push(Effect::Mark(mark));
     }
 
     /// The last mark.
     pub(super) fn mark_end(&mut self) {
-        let Some(recording) = &self.recording else { return };
-        let mark = Mark { sequence: recording.sequence, complete: recording.complete, end: true };
+        let Some(recording) = &self.recording else {
+            return;
+        };
+        let mark = Mark {
+            sequence: recording.sequence,
+            complete: recording.complete,
+            end: true,
+        };
         self.effects.push(Effect::Mark(mark));
     }
 }
--- a/crates/core/src/routing/usage.rs
+++ b/crates/core/src/routing/usage.rs
@@ -3,8 +3,8 @@
 use crate::interface::Nanos;
 use xxhash_rust::xxh3::Xxh3;
 
-/// What joins the tries of one use: the same at every mixer and in every run, so that a retry elsewhere is known
-/// again. Odd if the client gave it; 0 is no key.
+/// What joins the tries of one use: the same at every mixer and in every run, so that a retry
+/// elsewhere is known again. Odd if the client gave it; 0 is no key.
 pub type JoinKey = u64;
 
 /// The key of a use that its client has named.
@@ -16,7 +16,9 @@
 
 /// The key of a use by what it asks: the class, the parts in any order, and the text.
 pub fn key_of_query(class: &str, parts: impl Iterator<Item = (u32, f64)>, text: &[u8]) -> JoinKey {
-    let mut parts: Vec<_> = parts.map(|(shard, weight)| (shard, weight.to_bits())).collect();
+    let mut parts: Vec<_> = parts
+        .map(|(shard, weight)| (shard, weight.to_bits()))
+        .collect();
     parts.sort_unstable();
     let mut hash = hash_of(class);
     for (shard, weight) in parts {
@@ -74,8 +76,8 @@
     pub keyed: bool,
 }
 
-/// Every query that arrived before `complete` and has ended is recorded with a sequence up to `sequence`, and none
-/// that arrived before it will follow.
+/// Every query that arrived before `complete` and has ended is recorded with a sequence up to
+/// `sequence`, and none that arrived before it will follow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Mark {
     pub sequence: u64,
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -1,6 +1,7 @@
-//! The settings, `path=value` a line, as the module's [`Settings`] and as the [`Site`] that the sockets need.
-//! Keys that are not known are skipped; a key that is missing where it is needed, or out of range, is named
-//! in the error. The simulator's wire carries this text; a real mixer's JSON is flattened to it first.
+//! The settings, `path=value` a line, as the module's [`Settings`] and as the [`Site`] that the
+//! sockets need. Keys that are not known are skipped; a key that is missing where it is needed, or
+//! out of range, is named in the error. The simulator's wire carries this text; a real mixer's JSON
+//! is flattened to it first.
 
 use crate::interface::{Budget, Class, Effect, Settings};
 use std::collections::BTreeMap;
@@ -11,24 +12,35 @@
 impl<'a> Pairs<'a> {
     fn read(text: &'a str) -> Result<Self, String> {
         let lines = text.lines().filter(|line| !line.trim().is_empty());
-        let split = |line| str::split_once(line, '=').ok_or(format!("settings line without '=': {line}"));
+        let split =
+            |line| str::split_once(line, '=').ok_or(format!("settings line without '=': {line}"));
         lines.map(split).collect::<Result<_, _>>().map(Pairs)
     }
 
     /// The items of a list of plain values.
     fn list(&self, key: &str) -> Vec<String> {
         let items = self.0.get(key).into_iter().flat_map(|text| text.split(','));
-        items.filter(|item| !item.is_empty()).map(str::to_string).collect()
+        items
+            .filter(|item| !item.is_empty())
+            .map(str::to_string)
+            .collect()
     }
 
     /// The names of a list of objects.
     fn names(&self, list: &str) -> Result<Vec<String>, String> {
-        let count = self.get::<usize>(&format!("{list}.count"))?.unwrap_or_default();
-        (0..count).map(|i| self.need(&format!("{list}.{i}.name"))).collect()
+        let count = self
+            .get::<usize>(&format!("{list}.count"))?
+            .unwrap_or_default();
+        (0..count)
+            .map(|i| self.need(&format!("{list}.{i}.name")))
+            .collect()
     }
 
     fn get<T: FromStr>(&self, key: &str) -> Result<Option<T>, String> {
-        let parse = |text: &&str| text.parse().map_err(|_| format!("setting {key}: bad value '{text}'"));
+        let parse = |text: &&str| {
+            text.parse()
+                .map_err(|_| format!("setting {key}: bad value '{text}'"))
+        };
         self.0.get(key).map(parse).transpose()
     }
 
@@ -67,20 +79,26 @@
     fn share(&self, key: &str, i: usize) -> Result<f64, String> {
         let number: f64 = self.item(key, i)?;
         let fits = (0.0..=1.0).contains(&number);
-        fits.then_some(number).ok_or(format!("setting {key}: {number} is out of range"))
+        fits.then_some(number)
+            .ok_or(format!("setting {key}: {number} is out of range"))
     }
 
     fn item<T: FromStr>(&self, key: &str, i: usize) -> Result<T, String> {
         let list = self.0.get(key).ok_or(format!("setting {key} is missing"))?;
-        let item = list.split(',').nth(i).ok_or(format!("setting {key} has no item {i}"))?;
-        item.parse().map_err(|_| format!("setting {key}: bad value '{item}'"))
+        let item = list
+            .split(',')
+            .nth(i)
+            .ok_or(format!("setting {key} has no item {i}"))?;
+        item.parse()
+            .map_err(|_| format!("setting {key}: bad value '{item}'"))
     }
 }
 
 pub fn parse(text: &str) -> Result<Settings, String> {
     let pairs = Pairs::read(text)?;
-    let classes: Vec<Class> =
-        (0..pairs.positive("classes.count")? as usize).map(|i| class(&pairs, i)).collect::<Result<_, _>>()?;
+    let classes: Vec<Class> = (0..pairs.positive("classes.count")? as usize)
+        .map(|i| class(&pairs, i))
+        .collect::<Result<_, _>>()?;
     Ok(Settings {
         classes,
         zone: pairs.get("my_zone")?.unwrap_or_default(),
@@ -152,9 +170,11 @@
     let span = pairs.get("guarantees.budget_span_ns")?;
     Ok(match (floor, share, span) {
         (None, None, _) | (_, _, None) => None,
-        (floor, share, Some(span)) => {
-            Some(Budget { floor: floor.unwrap_or_default(), share: share.unwrap_or_default(), span })
-        }
+        (floor, share, Some(span)) => Some(Budget {
+            floor: floor.unwrap_or_default(),
+            share: share.unwrap_or_default(),
+            span,
+        }),
     })
 }
 
@@ -166,7 +186,8 @@
     pub zones: Vec<String>,
     /// Where this mixer is, by number.
     pub zone: u16,
-    /// For each class: the longest that a client waits, the share a whole answer needs, the least share.
+    /// For each class: the longest that a client waits, the share a whole answer needs, the least
+    /// share.
     pub deadlines: Vec<u64>,
     pub needs: Vec<f64>,
     pub floors: Vec<f64>,
@@ -189,7 +210,11 @@
 pub fn site(text: &str) -> Result<Site, String> {
     let pairs = Pairs::read(text)?;
     let classes = pairs.names("classes")?;
-    let each = |key: &str| (0..classes.len()).map(|i| pairs.share(key, i)).collect::<Result<_, _>>();
+    let each = |key: &str| {
+        (0..classes.len())
+            .map(|i| pairs.share(key, i))
+            .collect::<Result<_, _>>()
+    };
     for i in 0..classes.len() {
         // The protocol has no words for a second step; half of one would break answers.
         if pairs.item::<u32>("extra.second_step", i)? > 0 {
@@ -207,9 +232,13 @@
         shards: number32(&pairs, "extra.ranges")?,
         call_parts: pairs.get("extra.bundle_max")?.unwrap_or(1).max(1),
         streams: pairs.get("limits.streams_per_conn")?.unwrap_or(1).max(1),
-        max_attempts: pairs.get("limits.max_attempts")?.unwrap_or(usize::from(u8::MAX)),
+        max_attempts: pairs
+            .get("limits.max_attempts")?
+            .unwrap_or(usize::from(u8::MAX)),
         open_cap: pairs.get("limits.open_cap")?.unwrap_or(OPEN_CAP),
-        connect_timeout: pairs.get("limits.connect_timeout_ns")?.unwrap_or(CONNECT_TIMEOUT),
+        connect_timeout: pairs
+            .get("limits.connect_timeout_ns")?
+            .unwrap_or(CONNECT_TIMEOUT),
         idle_time: pairs.get("limits.conn_idle_ns")?.unwrap_or(IDLE_TIME),
         come_back: come_back(&pairs)?,
         peers: pairs.flag("limits.peers")?,
--- a/crates/core/src/transport/clients.rs
+++ b/crates/core/src/transport/clients.rs
@@ -18,8 +18,8 @@
     Close,
 }
 
-/// A request that has begun is whole within this, or its client is told that it took too long; the first
-/// one on a connection begins with the connection, so one that says nothing is closed.
+/// A request that has begun is whole within this, or its client is told that it took too long; the
+/// first one on a connection begins with the connection, so one that says nothing is closed.
 const WHOLE_REQUEST: Duration = Duration::from_secs(2);
 /// A client reads its answer within this, or its connection is given up.
 const SLOW_READER: Duration = Duration::from_secs(5);
@@ -28,16 +28,17 @@
 /// After a failed accept (no descriptors left) before the next.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
-/// Connections above the most at which no more is accepted: so many are being closed to make room. Were
-/// there no end to it, a flood would take the descriptors that connections to leaf servers need.
+/// Connections above the most at which no more is accepted: so many are being closed to make room.
+/// Were there no end to it, a flood would take the descriptors that connections to leaf servers
+/// need.
 const MOST_CLOSING: usize = 16;
 
 /// Requests that a client may send ahead of its answers, and the bytes of their bodies.
 const MOST_AHEAD: usize = 256;
 const MOST_AHEAD_BYTES: usize = MOST_BODY;
 
-/// Accepts until no more connections are to be taken, and then what waits to be accepted: a listener that closes
-/// resets it.
+/// Accepts until no more connections are to be taken, and then what waits to be accepted: a
+/// listener that closes resets it.
 pub async fn listen(shared: Shared, listener: TcpListener, most: usize) {
     let mut stopped = shared.stopped.subscribe();
     let accepting = async {
@@ -85,10 +86,17 @@
     Closed { answered: bool },
 }
 
-async fn attend(shared: Shared, client: ClientId, stream: TcpStream, mut commands: mpsc::Receiver<Command>) {
+async fn attend(
+    shared: Shared,
+    client: ClientId,
+    stream: TcpStream,
+    mut commands: mpsc::Receiver<Command>,
+) {
     // A reply must not wait for more to fill a packet.
     let _ = stream.set_nodelay(true);
-    let mut connection = shared.pool.frame::<Response, _, _>(stream, ServerCodec::default());
+    let mut connection = shared
+        .pool
+        .frame::<Response, _, _>(stream, ServerCodec::default());
     let _ = shared.inputs.send(Input::ClientOpened { client }).await;
     let ended = converse(&shared, client, &mut connection, &mut commands).await;
     // Nothing goes out for it any more; only its place is still taken.
@@ -105,7 +113,10 @@
 
 /// One request at a time until either side has had enough.
 async fn converse(
-    shared: &Shared, client: ClientId, connection: &mut Connection, commands: &mut mpsc::Receiver<Command>,
+    shared: &Shared,
+    client: ClientId,
+    connection: &mut Connection,
+    commands: &mut mpsc::Receiver<Command>,
 ) -> io::Result<End> {
     let (mut ahead, mut ahead_bytes) = (VecDeque::new(), 0);
     let mut begun = Some(Instant::now());
@@ -120,12 +131,24 @@
                 Next::Close => return Ok(End::Closed { answered }),
             },
         };
-        ahead_bytes -= incoming.as_ref().map_or(0, |request: &Request| request.body.len()).min(ahead_bytes);
+        ahead_bytes -= incoming
+            .as_ref()
+            .map_or(0, |request: &Request| request.body.len())
+            .min(ahead_bytes);
         let keep = incoming.as_ref().is_ok_and(|request| request.keep_alive);
         let asked = incoming.and_then(|request| query::read(&request, &shared.names));
         // Who sends what can't be used does so again as soon as it is told: not on this connection.
         let keep = keep && asked.is_ok();
-        if shared.inputs.send(Input::Asked { client, arrived, asked }).await.is_err() {
+        if shared
+            .inputs
+            .send(Input::Asked {
+                client,
+                arrived,
+                asked,
+            })
+            .await
+            .is_err()
+        {
             return Ok(End::Closed { answered });
         }
         let (reply, close) = loop {
@@ -137,8 +160,8 @@
                     Some(Command::Close) => {}
                     None => return Ok(End::Closed { answered }),
                 },
-                // Reading on shows at once when the client leaves; requests sent early wait their turn, and
-                // their time runs.
+                // Reading on shows at once when the client leaves; requests sent early wait their
+                // turn, and their time runs.
                 next = connection.next() => match next {
                     Some(next) => {
                         let next: Incoming = next?;
@@ -169,9 +192,9 @@
     }
 }
 
-/// Ends our side and reads on until the client has ended its own. Closing on unread bytes, or on such as are still
-/// on their way, would reset the connection, and the reset can overtake the last answer. What is read now is thrown
-/// away: the client sees that the end has crossed it.
+/// Ends our side and reads on until the client has ended its own. Closing on unread bytes, or on
+/// such as are still on their way, would reset the connection, and the reset can overtake the last
+/// answer. What is read now is thrown away: the client sees that the end has crossed it.
 async fn linger(shared: &Shared, connection: &mut Connection) {
     connection.codec_mut().give_up();
     let _ = connection.get_mut().shutdown().await;
@@ -212,9 +235,12 @@
     }
 }
 
-/// Waits for the next request, on a connection that has just `opened` for no longer than for a whole one.
+/// Waits for the next request, on a connection that has just `opened` for no longer than for a
+/// whole one.
 async fn next_request(
-    connection: &mut Connection, commands: &mut mpsc::Receiver<Command>, opened: Option<Instant>,
+    connection: &mut Connection,
+    commands: &mut mpsc::Receiver<Command>,
+    opened: Option<Instant>,
 ) -> io::Result<Next> {
     let mut begun = opened.or_else(|| in_request(connection).then(Instant::now));
     loop {
@@ -232,8 +258,8 @@
                 Err(_) => begun = None,
             },
             command = commands.recv() => match command {
-                // A request that is here whole is taken; half of one has no right to a place that others
-                // need.
+                // A request that is here whole is taken; half of one has no right to a place that
+                // others need.
                 Some(Command::Close) => {
                     let whole = timeout(Duration::ZERO, connection.next()).await;
                     return whole.map_or(Ok(Next::Close), Next::read);
--- a/crates/core/src/transport/clock.rs
+++ b/crates/core/src/transport/clock.rs
@@ -13,8 +13,13 @@
 
 impl Clock {
     pub fn start() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { began: Instant::now(), unix: unix.as_nanos() as Nanos }
+        let unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Clock {
+            began: Instant::now(),
+            unix: unix.as_nanos() as Nanos,
+        }
     }
 
     pub fn now(&self) -> Nanos {
--- a/crates/core/src/transport/door.rs
+++ b/crates/core/src/transport/door.rs
@@ -1,4 +1,5 @@
-//! A way in for fronts of other protocols: what they ask goes through the same reducer as what native clients do.
+//! A way in for fronts of other protocols: what they ask goes through the same reducer as what
+//! native clients do.
 
 use super::clients::Command;
 use super::{Shared, MOST_COMMANDS};
@@ -8,7 +9,8 @@
 use std::rc::Rc;
 use tokio::sync::mpsc;
 
-/// Asks queries of the reducer, each as a client of its own. Only for tasks of the mixer's own `LocalSet`.
+/// Asks queries of the reducer, each as a client of its own. Only for tasks of the mixer's own
+/// `LocalSet`.
 #[derive(Clone)]
 pub struct Door {
     shared: Shared,
@@ -24,7 +26,12 @@
     fn drop(&mut self) {
         self.shared.clients.borrow_mut().remove(&self.client);
         self.shared.client_ended.notify_one();
-        let (inputs, closed) = (self.shared.inputs.clone(), Input::ClientClosed { client: self.client });
+        let (inputs, closed) = (
+            self.shared.inputs.clone(),
+            Input::ClientClosed {
+                client: self.client,
+            },
+        );
         if let Err(mpsc::error::TrySendError::Full(closed)) = inputs.try_send(closed) {
             tokio::task::spawn_local(async move {
                 let _ = inputs.send(closed).await;
@@ -53,10 +60,25 @@
         let client = self.shared.client();
         let (commands, mut replies) = mpsc::channel(MOST_COMMANDS);
         self.shared.clients.borrow_mut().insert(client, commands);
-        let visit = Visit { shared: self.shared.clone(), client };
-        let _ = visit.shared.inputs.send(Input::ClientOpened { client }).await;
+        let visit = Visit {
+            shared: self.shared.clone(),
+            client,
+        };
+        let _ = visit
+            .shared
+            .inputs
+            .send(Input::ClientOpened { client })
+            .await;
         let asked = Ok(Asked::Query(query));
-        let _ = visit.shared.inputs.send(Input::Asked { client, arrived, asked }).await;
+        let _ = visit
+            .shared
+            .inputs
+            .send(Input::Asked {
+                client,
+                arrived,
+                asked,
+            })
+            .await;
         loop {
             match replies.recv().await {
                 Some(Command::Reply(reply, _)) => return *reply,
--- a/crates/core/src/transport/leaf.rs
+++ b/crates/core/src/transport/leaf.rs
@@ -11,8 +11,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::Duration;
 
-/// A frame that has begun comes whole within this. Answers are a packet each: the rest of one that was cut
-/// short never comes, and all that is out on the connection would wait for it.
+/// A frame that has begun comes whole within this. Answers are a packet each: the rest of one that
+/// was cut short never comes, and all that is out on the connection would wait for it.
 const WHOLE_FRAME: Duration = Duration::from_millis(100);
 
 /// A connection as the driver holds it; letting it go closes the connection.
@@ -22,8 +22,8 @@
 }
 
 impl Handle {
-    /// The reducer hands over one frame at a time, so there is always room; were there none, the connection
-    /// would have to end, since a frame must not be lost in silence.
+    /// The reducer hands over one frame at a time, so there is always room; were there none, the
+    /// connection would have to end, since a frame must not be lost in silence.
     pub fn write(&self, frame: ToLeaf) {
         if self.frames.try_send(frame).is_err() && !self.is_over() {
             tracing::error!("a connection to a leaf server has too many frames waiting");
@@ -50,15 +50,23 @@
         }
         let _ = shared.inputs.send(Input::LinkClosed { link }).await;
     });
-    Handle { frames, task: task.abort_handle() }
+    Handle {
+        frames,
+        task: task.abort_handle(),
+    }
 }
 
 async fn speak(
-    shared: &Shared, link: LinkId, address: SocketAddr, mut frames: mpsc::Receiver<ToLeaf>,
+    shared: &Shared,
+    link: LinkId,
+    address: SocketAddr,
+    mut frames: mpsc::Receiver<ToLeaf>,
 ) -> io::Result<()> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
-    let mut connection = shared.pool.frame::<ToLeaf, _, _>(stream, LeafCodec::default());
+    let mut connection = shared
+        .pool
+        .frame::<ToLeaf, _, _>(stream, LeafCodec::default());
     let mut begun = None;
     let _ = shared.inputs.send(Input::LinkOpened { link }).await;
     let ended = loop {
--- a/crates/core/src/transport/ledger.rs
+++ b/crates/core/src/transport/ledger.rs
@@ -1,4 +1,5 @@
-//! Replies that wait for their record of use: what a client is told is in the log first, unless the log stalls.
+//! Replies that wait for their record of use: what a client is told is in the log first, unless the
+//! log stalls.
 
 use crate::protocol::query::Reply;
 use crate::routing::usage::{Mark, Usage};
@@ -43,7 +44,14 @@
 impl Ledger {
     pub fn new(recorder: Box<dyn Recorder>) -> Ledger {
         let (written, stall) = (recorder.written(), recorder.stall());
-        Ledger { recorder, written, stall, held: VecDeque::new(), next: None, stalled: None }
+        Ledger {
+            recorder,
+            written,
+            stall,
+            held: VecDeque::new(),
+            next: None,
+            stalled: None,
+        }
     }
 
     pub fn record(&mut self, usage: Usage) {
@@ -56,7 +64,12 @@
     }
 
     /// Holds a reply until its record is written; gives it back if there is nothing to wait for.
-    pub fn hold(&mut self, client: ClientId, reply: Reply, close: bool) -> Option<(ClientId, Reply, bool)> {
+    pub fn hold(
+        &mut self,
+        client: ClientId,
+        reply: Reply,
+        close: bool,
+    ) -> Option<(ClientId, Reply, bool)> {
         let reply = (client, reply, close);
         let written = *self.written.borrow();
         match self.next.take() {
@@ -65,7 +78,11 @@
                 Some(reply)
             }
             Some(sequence) if written < sequence => {
-                self.held.push_back(Held { sequence, until: Instant::now() + self.stall, reply });
+                self.held.push_back(Held {
+                    sequence,
+                    until: Instant::now() + self.stall,
+                    reply,
+                });
                 None
             }
             _ => Some(reply),
@@ -91,7 +108,9 @@
         }
         if self.written.changed().await.is_err() {
             // The writer is gone: there is nothing to wait for.
-            self.held.iter_mut().for_each(|held| held.until = Instant::now());
+            self.held
+                .iter_mut()
+                .for_each(|held| held.until = Instant::now());
         }
     }
 
@@ -166,7 +185,11 @@
     async fn replies_wait_for_their_records_in_order_but_no_longer_than_a_stall() {
         let without = std::rc::Rc::<std::cell::Cell<u32>>::default();
         let (written, _keep) = watch::channel(0);
-        let slow = Slow { room: true, written: written.clone(), without: without.clone() };
+        let slow = Slow {
+            room: true,
+            written: written.clone(),
+            without: without.clone(),
+        };
         let mut ledger = Ledger::new(Box::new(slow));
         for sequence in 1..=3 {
             ledger.record(usage(sequence));
@@ -184,7 +207,10 @@
         let began = Instant::now();
         tokio::time::sleep_until(ledger.until().unwrap()).await;
         assert_eq!(ledger.release().map(|r| r.0), Some(3));
-        assert_eq!((began.elapsed(), without.get()), (Duration::from_millis(5), 1));
+        assert_eq!(
+            (began.elapsed(), without.get()),
+            (Duration::from_millis(5), 1)
+        );
         // It has stalled: nothing waits until it moves.
         ledger.record(usage(4));
         assert!(ledger.hold(4, Reply::Failed, false).is_some());
@@ -197,7 +223,11 @@
     #[tokio::test]
     async fn a_reply_whose_record_is_lost_goes_at_once() {
         let (written, _keep) = watch::channel(0);
-        let mut ledger = Ledger::new(Box::new(Slow { room: false, written, without: Default::default() }));
+        let mut ledger = Ledger::new(Box::new(Slow {
+            room: false,
+            written,
+            without: Default::default(),
+        }));
         ledger.record(usage(1));
         assert!(ledger.hold(1, Reply::Failed, false).is_some());
     }
--- a/crates/core/src/transport/mod.rs
+++ b/crates/core/src/transport/mod.rs
@@ -1,5 +1,5 @@
-//! Sockets, timers and buffers. Everything here reports what happened as an [`Input`] and does what an
-//! [`Effect`] says; nothing is decided here.
+//! Sockets, timers and buffers. Everything here reports what happened as an [`Input`] and does what
+//! an [`Effect`] says; nothing is decided here.
 
 mod clients;
 mod clock;
@@ -37,8 +37,8 @@
 const MOST_BATCH: usize = 256;
 /// Commands that may wait at one connection. The reducer gives each a frame or reply at a time.
 const MOST_COMMANDS: usize = 4;
-/// How long the last replies have to leave, and their clients to close: less than what is left at the end of the
-/// longest deadline before a kill may follow.
+/// How long the last replies have to leave, and their clients to close: less than what is left at
+/// the end of the longest deadline before a kill may follow.
 const LAST_FLUSH: Duration = Duration::from_millis(500);
 
 /// Whom the mixer speaks to.
@@ -66,7 +66,8 @@
     clients: Rc<RefCell<HashMap<ClientId, mpsc::Sender<clients::Command>>>>,
     /// Told whenever a client's connection has ended: there may be room for one more.
     client_ended: Rc<Notify>,
-    /// Connections that only wait for their client to close, and told when the place of one is needed.
+    /// Connections that only wait for their client to close, and told when the place of one is
+    /// needed.
     lingering: Rc<Cell<usize>>,
     room_needed: Rc<Notify>,
     names: Rc<Names>,
@@ -113,16 +114,23 @@
 impl Udp {
     fn start(shared: &Shared, socket: Rc<UdpSocket>, addresses: &Addresses) -> Udp {
         let book = peers::Book::new(addresses);
-        let task = tokio::task::spawn_local(peers::listen(shared.clone(), socket.clone(), book.clone()));
-        Udp { socket, book, task: task.abort_handle() }
+        let task =
+            tokio::task::spawn_local(peers::listen(shared.clone(), socket.clone(), book.clone()));
+        Udp {
+            socket,
+            book,
+            task: task.abort_handle(),
+        }
     }
 }
 
-/// The next message of a connection: none at its end, or the time it was late. `begun` is when what is
-/// being read began; from then on the whole of it has to come within `most`, however many bytes come on the
-/// way. It outlives this call, which may be dropped for something more urgent.
+/// The next message of a connection: none at its end, or the time it was late. `begun` is when what
+/// is being read began; from then on the whole of it has to come within `most`, however many bytes
+/// come on the way. It outlives this call, which may be dropped for something more urgent.
 async fn message<C: Decoder>(
-    connection: &mut Framed<TcpStream, C>, begun: &mut Option<Instant>, most: Duration,
+    connection: &mut Framed<TcpStream, C>,
+    begun: &mut Option<Instant>,
+    most: Duration,
 ) -> Result<Option<Result<C::Item, C::Error>>, Elapsed> {
     let since = match *begun {
         Some(since) => since,
@@ -141,8 +149,13 @@
 
 /// Serves on `listener` until the reducer asks for the end. Must run inside a `LocalSet`.
 pub async fn serve(
-    mut state: State, clock: Clock, names: Names, listener: TcpListener, addresses: Addresses,
-    mut told: mpsc::Receiver<Told>, beside: Beside,
+    mut state: State,
+    clock: Clock,
+    names: Names,
+    listener: TcpListener,
+    addresses: Addresses,
+    mut told: mpsc::Receiver<Told>,
+    beside: Beside,
 ) -> io::Result<()> {
     let (inputs, mut arrived) = mpsc::channel(MOST_INPUTS);
     let shared = Shared {
@@ -158,19 +171,43 @@
         stopped: Rc::new(latest::channel(false).0),
     };
     let udp = match addresses.peer_listen {
-        Some(at) => Some(Udp::start(&shared, Rc::new(UdpSocket::bind(at).await?), &addresses)),
+        Some(at) => Some(Udp::start(
+            &shared,
+            Rc::new(UdpSocket::bind(at).await?),
+            &addresses,
+        )),
         None => None,
     };
-    tokio::task::spawn_local(clients::listen(shared.clone(), listener, state.most_clients()));
-    beside.fronts.into_iter().for_each(|start| start(Door::new(shared.clone())));
+    tokio::task::spawn_local(clients::listen(
+        shared.clone(),
+        listener,
+        state.most_clients(),
+    ));
+    beside
+        .fronts
+        .into_iter()
+        .for_each(|start| start(Door::new(shared.clone())));
     let ledger = beside.recorder.map(Ledger::new);
     let (discovery, links) = (addresses.discovery, HashMap::new());
-    let mut driver = Driver { shared, links, udp, discovery, watch: None, ledger, exited: false };
+    let mut driver = Driver {
+        shared,
+        links,
+        udp,
+        discovery,
+        watch: None,
+        ledger,
+        exited: false,
+    };
     driver.put(&mut state, clock.now(), Input::Turn);
     while !driver.exited {
         // One timer for both: to arm another for each turn costs more than what it is for.
         let held = driver.ledger.as_ref().and_then(Ledger::until);
-        let due = state.next_due().map(|at| clock.instant(at)).into_iter().chain(held).min();
+        let due = state
+            .next_due()
+            .map(|at| clock.instant(at))
+            .into_iter()
+            .chain(held)
+            .min();
         tokio::select! {
             biased;
             Some(told) = told.recv() => {
@@ -226,19 +263,28 @@
         }
     }
 
-    /// Datagrams go by the new addresses at once; the list is watched anew when the reducer says so.
+    /// Datagrams go by the new addresses at once; the list is watched anew when the reducer says
+    /// so.
     fn reload(&mut self, addresses: Option<Addresses>) -> Input {
         if let Some((udp, addresses)) = self.udp.as_mut().zip(addresses.as_ref()) {
             udp.task.abort();
             *udp = Udp::start(&self.shared, udp.socket.clone(), addresses);
         }
-        self.discovery = addresses.as_ref().map_or(self.discovery, |addresses| addresses.discovery);
-        Input::Reloaded { usable: addresses.is_some() }
+        self.discovery = addresses
+            .as_ref()
+            .map_or(self.discovery, |addresses| addresses.discovery);
+        Input::Reloaded {
+            usable: addresses.is_some(),
+        }
     }
 
     fn perform(&mut self, effect: Effect) {
         match effect {
-            Effect::Reply { client, reply, close } => {
+            Effect::Reply {
+                client,
+                reply,
+                close,
+            } => {
                 let ready = match &mut self.ledger {
                     Some(ledger) => ledger.hold(client, reply, close),
                     None => Some((client, reply, close)),
@@ -263,7 +309,8 @@
             }
             Effect::Connect { link, address } => {
                 self.links.retain(|_, handle| !handle.is_over());
-                self.links.insert(link, leaf::open(self.shared.clone(), link, address));
+                self.links
+                    .insert(link, leaf::open(self.shared.clone(), link, address));
             }
             Effect::Write { link, frame } => {
                 if let Some(handle) = self.links.get(&link) {
@@ -276,11 +323,22 @@
                     book.send(socket, to, &bytes);
                 }
             }
-            Effect::Watch { watch, from, answer_within } => {
+            Effect::Watch {
+                watch,
+                from,
+                answer_within,
+            } => {
                 let answer_within = Duration::from_nanos(answer_within);
-                let watch = watch::Watch { number: watch, from, answer_within };
-                let task =
-                    tokio::task::spawn_local(watch::follow(self.shared.clone(), self.discovery, watch));
+                let watch = watch::Watch {
+                    number: watch,
+                    from,
+                    answer_within,
+                };
+                let task = tokio::task::spawn_local(watch::follow(
+                    self.shared.clone(),
+                    self.discovery,
+                    watch,
+                ));
                 if let Some(before) = self.watch.replace(task.abort_handle()) {
                     before.abort();
                 }
@@ -316,7 +374,8 @@
 
     fn tell_client(&self, client: ClientId, command: clients::Command) {
         if let Some(commands) = self.shared.clients.borrow().get(&client) {
-            // Full only if a task is stuck on a client that reads nothing; that client loses its answer.
+            // Full only if a task is stuck on a client that reads nothing; that client loses its
+            // answer.
             if commands.try_send(command).is_err() {
                 tracing::debug!(client, "a client's connection is over or stuck");
             }
--- a/crates/core/src/transport/peers.rs
+++ b/crates/core/src/transport/peers.rs
@@ -15,7 +15,10 @@
 
 impl Book {
     pub fn new(addresses: &Addresses) -> Book {
-        Book { peers: addresses.peers.clone(), all: addresses.peers_all }
+        Book {
+            peers: addresses.peers.clone(),
+            all: addresses.peers_all,
+        }
     }
 
     pub fn send(&self, socket: &UdpSocket, to: Option<u32>, bytes: &[u8]) {
@@ -33,9 +36,14 @@
     let mut buffer = [0; super::pool::BUFFER];
     loop {
         // An error here reports on a datagram sent before, to a mixer that is down.
-        let Ok((length, sender)) = socket.recv_from(&mut buffer).await else { continue };
+        let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
         if let Some(from) = book.peers.iter().position(|peer| *peer == sender) {
-            let input = Input::Datagram { from: from as u32, bytes: buffer[..length].to_vec() };
+            let input = Input::Datagram {
+                from: from as u32,
+                bytes: buffer[..length].to_vec(),
+            };
             let _ = shared.inputs.send(input).await;
         }
     }
--- a/crates/core/src/transport/pool.rs
+++ b/crates/core/src/transport/pool.rs
@@ -16,7 +16,10 @@
 
 impl Pool {
     fn take(&self) -> BytesMut {
-        self.0.borrow_mut().pop().unwrap_or_else(|| BytesMut::with_capacity(BUFFER))
+        self.0
+            .borrow_mut()
+            .pop()
+            .unwrap_or_else(|| BytesMut::with_capacity(BUFFER))
     }
 
     /// One that had to grow for a large message is let go, or all would end up large.
@@ -29,7 +32,11 @@
     }
 
     /// A connection that writes messages of type `M`.
-    pub fn frame<M, T: AsyncRead + AsyncWrite, C: Encoder<M>>(&self, io: T, codec: C) -> Framed<T, C> {
+    pub fn frame<M, T: AsyncRead + AsyncWrite, C: Encoder<M>>(
+        &self,
+        io: T,
+        codec: C,
+    ) -> Framed<T, C> {
         let mut parts = FramedParts::new::<M>(io, codec);
         parts.read_buf = self.take();
         parts.write_buf = self.take();
--- a/crates/core/src/transport/watch.rs
+++ b/crates/core/src/transport/watch.rs
@@ -10,12 +10,14 @@
 use tokio::net::TcpStream;
 use tokio::time::{timeout, Duration};
 
-/// A line comes every 2 s, empty if nothing has changed; well past that the watch is held to be dead.
+/// A line comes every 2 s, empty if nothing has changed; well past that the watch is held to be
+/// dead.
 const SILENT: Duration = Duration::from_secs(3);
 /// The agent is on this machine: what does not come up within this never will.
 const CONNECT: Duration = Duration::from_millis(500);
 
-/// One watch: its number, the version of the list that it goes on from, and how long its answer may take.
+/// One watch: its number, the version of the list that it goes on from, and how long its answer may
+/// take.
 pub struct Watch {
     pub number: u64,
     pub from: u64,
@@ -28,24 +30,44 @@
     if let Err(e) = open(&shared, address, &mut index, watch.answer_within).await {
         tracing::info!(%address, index, "watch on discovery ended: {e}");
     }
-    let _ = shared.inputs.send(Input::WatchEnded { watch: watch.number }).await;
+    let _ = shared
+        .inputs
+        .send(Input::WatchEnded {
+            watch: watch.number,
+        })
+        .await;
 }
 
 async fn open(
-    shared: &Shared, address: SocketAddr, index: &mut u64, answer_within: Duration,
+    shared: &Shared,
+    address: SocketAddr,
+    index: &mut u64,
+    answer_within: Duration,
 ) -> io::Result<()> {
-    let stream = timeout(CONNECT, TcpStream::connect(address)).await.map_err(|_| ErrorKind::TimedOut)??;
-    let mut connection = shared.pool.frame::<WatchRequest, _, _>(stream, WatchCodec::default());
+    let stream = timeout(CONNECT, TcpStream::connect(address))
+        .await
+        .map_err(|_| ErrorKind::TimedOut)??;
+    let mut connection = shared
+        .pool
+        .frame::<WatchRequest, _, _>(stream, WatchCodec::default());
     let watched = read(shared, address, index, &mut connection, answer_within).await;
     shared.pool.recover(connection);
     watched
 }
 
 async fn read(
-    shared: &Shared, address: SocketAddr, index: &mut u64,
-    connection: &mut tokio_util::codec::Framed<TcpStream, WatchCodec>, answer_within: Duration,
+    shared: &Shared,
+    address: SocketAddr,
+    index: &mut u64,
+    connection: &mut tokio_util::codec::Framed<TcpStream, WatchCodec>,
+    answer_within: Duration,
 ) -> io::Result<()> {
-    connection.send(WatchRequest { host: address.to_string(), from: *index }).await?;
+    connection
+        .send(WatchRequest {
+            host: address.to_string(),
+            from: *index,
+        })
+        .await?;
     let mut patience = answer_within;
     loop {
         let message = match timeout(patience, connection.next()).await {
@@ -58,8 +80,11 @@
             Err(_) => return Err(ErrorKind::TimedOut.into()),
         };
         patience = SILENT;
-        let Some(message) = message else { return Err(ErrorKind::UnexpectedEof.into()) };
-        let listing = discovery::message(&message?).map_err(|e| io::Error::new(ErrorKind::InvalidData, e))?;
+        let Some(message) = message else {
+            return Err(ErrorKind::UnexpectedEof.into());
+        };
+        let listing =
+            discovery::message(&message?).map_err(|e| io::Error::new(ErrorKind::InvalidData, e))?;
         if let Some(listing) = listing {
             let next = listing.index;
             let _ = shared.inputs.send(Input::Listed(listing)).await;
--- a/crates/core/tests/bed/mod.rs
+++ b/crates/core/tests/bed/mod.rs
@@ -1,5 +1,5 @@
-//! A reducer with hand-made inputs in place of sockets. It carries the effects out as sockets would, and
-//! checks at each step what must hold at every one.
+//! A reducer with hand-made inputs in place of sockets. It carries the effects out as sockets
+//! would, and checks at each step what must hold at every one.
 
 #![allow(dead_code)] // Each test file uses its own part of it.
 
@@ -61,8 +61,10 @@
             "type": "m", "group": 0, "status": status, "weight": 1.0, "since_ms": since / MS})
     };
     let lines: Vec<_> = lines.iter().map(line).collect();
-    serde_json::from_value(serde_json::json!({"index": index, "snapshot": snapshot, "endpoints": lines}))
-        .expect("a list")
+    serde_json::from_value(
+        serde_json::json!({"index": index, "snapshot": snapshot, "endpoints": lines}),
+    )
+    .expect("a list")
 }
 
 impl Bed {
@@ -75,10 +77,20 @@
     }
 
     pub fn seeded(text: &str, replicas: u64, seed: u64) -> Bed {
-        let (site, decisions) = (settings::site(text).unwrap(), settings::parse(text).unwrap());
+        let (site, decisions) = (
+            settings::site(text).unwrap(),
+            settings::parse(text).unwrap(),
+        );
         let lines: Vec<_> = (1..=replicas).map(|r| (r, "up", 0)).collect();
         let mut bed = Bed {
-            state: State::new(START, site, decisions, seed, &listing(1, true, &lines), 1024),
+            state: State::new(
+                START,
+                site,
+                decisions,
+                seed,
+                &listing(1, true, &lines),
+                1024,
+            ),
             now: START,
             replies: BTreeMap::new(),
             left: BTreeSet::new(),
@@ -93,7 +105,9 @@
             marks: Vec::new(),
             watches: Vec::new(),
             watch: 0,
-            told: (1..=replicas).map(|r| (address(r), "up".to_string())).collect(),
+            told: (1..=replicas)
+                .map(|r| (address(r), "up".to_string()))
+                .collect(),
             writing: BTreeSet::new(),
             clients: 0,
             index: 1,
@@ -113,8 +127,15 @@
         match effect {
             Effect::Record(usage) => self.records.push(usage),
             Effect::Mark(mark) => self.marks.push(mark),
-            Effect::Reply { client, reply, close } => {
-                self.replies.entry(client).or_default().push((self.now, reply));
+            Effect::Reply {
+                client,
+                reply,
+                close,
+            } => {
+                self.replies
+                    .entry(client)
+                    .or_default()
+                    .push((self.now, reply));
                 if close {
                     self.put(Input::ClientClosed { client });
                 }
@@ -124,7 +145,11 @@
                 self.put(Input::ClientClosed { client });
             }
             Effect::Connect { link, address } => {
-                assert_eq!(self.told[&address.to_string()], "up", "no new connection where nothing may go");
+                assert_eq!(
+                    self.told[&address.to_string()],
+                    "up",
+                    "no new connection where nothing may go"
+                );
                 self.links.insert(link, (address.to_string(), false));
             }
             Effect::Write { link, frame } => {
@@ -134,9 +159,16 @@
                 let out = self.out.entry(link).or_default();
                 match &frame {
                     ToLeaf::Call(parts) => {
-                        assert_eq!(self.told[address], "up", "nothing new goes to what drains or is gone");
+                        assert_eq!(
+                            self.told[address], "up",
+                            "nothing new goes to what drains or is gone"
+                        );
                         for part in parts {
-                            assert!(!out.contains(&part.id.to_string()), "{} is out there", part.id);
+                            assert!(
+                                !out.contains(&part.id.to_string()),
+                                "{} is out there",
+                                part.id
+                            );
                             out.push(part.id.to_string());
                         }
                         assert!(out.len() <= 4, "no more than streams_per_conn");
@@ -176,7 +208,9 @@
 
     pub fn connect(&mut self) -> ClientId {
         self.clients += 1;
-        self.put(Input::ClientOpened { client: self.clients });
+        self.put(Input::ClientOpened {
+            client: self.clients,
+        });
         self.clients
     }
 
@@ -187,8 +221,11 @@
     }
 
     pub fn ask_on(&mut self, client: ClientId, class: u16, weights: &[f64], timeout_ms: u64) {
-        let part =
-            |(shard, weight): (usize, &f64)| AskedPart { shard: shard as u32, weight: *weight, work: None };
+        let part = |(shard, weight): (usize, &f64)| AskedPart {
+            shard: shard as u32,
+            weight: *weight,
+            work: None,
+        };
         let query = Query {
             name: format!("q{client}"),
             class,
@@ -200,7 +237,11 @@
             text: Bytes::from_static(b"c41e77d0"),
         };
         self.replies.entry(client).or_default();
-        self.put(Input::Asked { client, arrived: self.now, asked: Ok(Asked::Query(query)) });
+        self.put(Input::Asked {
+            client,
+            arrived: self.now,
+            asked: Ok(Asked::Query(query)),
+        });
     }
 
     pub fn open(&mut self, link: LinkId) {
@@ -211,7 +252,12 @@
     }
 
     pub fn open_all(&mut self) {
-        self.links.keys().copied().collect::<Vec<_>>().into_iter().for_each(|link| self.open(link));
+        self.links
+            .keys()
+            .copied()
+            .collect::<Vec<_>>()
+            .into_iter()
+            .for_each(|link| self.open(link));
     }
 
     /// The oldest part out at a connection ends.
@@ -225,22 +271,39 @@
 
     pub fn answer_to(&mut self, link: LinkId, id: &str, end: End) {
         let value = Bytes::from(format!("doc {id}"));
-        let frame = FromLeaf::Answer { id: id.to_string(), end, report: "-".into(), value };
+        let frame = FromLeaf::Answer {
+            id: id.to_string(),
+            end,
+            report: "-".into(),
+            value,
+        };
         self.put(Input::LinkHeard { link, frame });
     }
 
     /// All that is out is answered.
     pub fn answer_all(&mut self) {
-        while let Some(link) = self.out.iter().find(|(_, out)| !out.is_empty()).map(|(link, _)| *link) {
+        while let Some(link) = self
+            .out
+            .iter()
+            .find(|(_, out)| !out.is_empty())
+            .map(|(link, _)| *link)
+        {
             self.answer(link, End::Ok);
         }
     }
 
     /// Something comes that can't be read, with or without the id of the oldest part out.
     pub fn spoil(&mut self, link: LinkId, named: bool) {
-        let id = self.out.get(&link).and_then(|out| out.first().cloned()).filter(|_| named);
+        let id = self
+            .out
+            .get(&link)
+            .and_then(|out| out.first().cloned())
+            .filter(|_| named);
         if self.links[&link].1 {
-            self.put(Input::LinkHeard { link, frame: FromLeaf::Spoilt(id) });
+            self.put(Input::LinkHeard {
+                link,
+                frame: FromLeaf::Spoilt(id),
+            });
         }
     }
 
@@ -258,7 +321,11 @@
     pub fn list(&mut self, replica: u64, status: &str, since: u64) {
         self.index += 1;
         self.told(&address(replica), status);
-        self.put(Input::Listed(listing(self.index, false, &[(replica, status, since)])));
+        self.put(Input::Listed(listing(
+            self.index,
+            false,
+            &[(replica, status, since)],
+        )));
     }
 
     /// Some client leaves.
@@ -272,6 +339,9 @@
     }
 
     pub fn reply(&self, client: ClientId) -> Option<&Reply> {
-        self.replies.get(&client).and_then(|replies| replies.last()).map(|(_, reply)| reply)
+        self.replies
+            .get(&client)
+            .and_then(|replies| replies.last())
+            .map(|(_, reply)| reply)
     }
 }
--- a/crates/core/tests/connection.rs
+++ b/crates/core/tests/connection.rs
@@ -1,5 +1,6 @@
-//! A model of the states of one connection to a leaf server, against which random steps are checked; and the
-//! whole reducer under random steps, against the promises that the sockets must keep.
+//! A model of the states of one connection to a leaf server, against which random steps are
+//! checked; and the whole reducer under random steps, against the promises that the sockets must
+//! keep.
 
 mod bed;
 
@@ -11,7 +12,12 @@
 use std::collections::{BTreeMap, VecDeque};
 
 fn config(cases: u32) -> ProptestConfig {
-    ProptestConfig { cases, rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..Default::default() }
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..Default::default()
+    }
 }
 
 #[derive(Clone, Debug)]
--- a/crates/core/tests/reducer.rs
+++ b/crates/core/tests/reducer.rs
@@ -1,4 +1,5 @@
-//! The reducer with hand-made inputs: what the sockets owe their clients and leaf servers, one test a danger.
+//! The reducer with hand-made inputs: what the sockets owe their clients and leaf servers, one test
+//! a danger.
 
 mod bed;
 
@@ -40,7 +41,10 @@
     bed.open_all();
     bed.answer_all();
     bed.ask(1, &[1.0]);
-    assert_eq!((bed.links.len(), bed.state.counters().connections.opened), (1, 1));
+    assert_eq!(
+        (bed.links.len(), bed.state.counters().connections.opened),
+        (1, 1)
+    );
     assert_eq!(calls(&bed).len(), 3);
 }
 
@@ -70,7 +74,10 @@
     bed.list(1, "draining", 0);
     bed.open(link);
     bed.pass(3000);
-    assert!(calls(&bed).is_empty(), "its first byte would break the rule");
+    assert!(
+        calls(&bed).is_empty(),
+        "its first byte would break the rule"
+    );
     assert_eq!(bed.state.counters().ended.not_sent, 1);
 }
 
@@ -80,13 +87,25 @@
     bed.ask(1, &[1.0]);
     let link = *bed.links.keys().next().unwrap();
     bed.break_off(link);
-    assert_eq!((bed.state.counters().ended.unreachable, bed.state.counters().ended.broken), (1, 0));
+    assert_eq!(
+        (
+            bed.state.counters().ended.unreachable,
+            bed.state.counters().ended.broken
+        ),
+        (1, 0)
+    );
     let mut bed = Bed::new(1);
     bed.ask(1, &[1.0]);
     bed.open_all();
     let link = *bed.links.keys().next().unwrap();
     bed.break_off(link);
-    assert_eq!((bed.state.counters().ended.unreachable, bed.state.counters().ended.broken), (0, 1));
+    assert_eq!(
+        (
+            bed.state.counters().ended.unreachable,
+            bed.state.counters().ended.broken
+        ),
+        (0, 1)
+    );
 }
 
 #[test]
@@ -98,9 +117,15 @@
     // The only replica answers nothing until the client gives up.
     bed.pass(6000);
     assert!(bed.reply(client).is_some());
-    assert!(!bed.links.contains_key(&old), "closed, since nothing more is out on it");
+    assert!(
+        !bed.links.contains_key(&old),
+        "closed, since nothing more is out on it"
+    );
     bed.ask(1, &[1.0]);
-    assert!(bed.links.keys().all(|link| *link > old), "a new one shows at once whether anyone is there");
+    assert!(
+        bed.links.keys().all(|link| *link > old),
+        "a new one shows at once whether anyone is there"
+    );
 }
 
 #[test]
@@ -111,7 +136,10 @@
     bed.open_all();
     let old = *bed.links.keys().next().unwrap();
     bed.pass(6000);
-    assert!(!bed.links.contains_key(&old), "its machine has vanished with the buffer full");
+    assert!(
+        !bed.links.contains_key(&old),
+        "its machine has vanished with the buffer full"
+    );
 }
 
 #[test]
@@ -121,7 +149,9 @@
     bed.ask(1, &[0.5, 0.5]);
     bed.open_all();
     let link = *bed.links.keys().next().unwrap();
-    let mut effects = bed.state.apply(START + 2100 * MS, Input::LinkWrote { link });
+    let mut effects = bed
+        .state
+        .apply(START + 2100 * MS, Input::LinkWrote { link });
     effects.extend(bed.state.apply(START + 2100 * MS, Input::Turn));
     effects.retain(|effect| matches!(effect, Effect::Write { .. }));
     assert_eq!(effects, [], "its time was the aim of 2 s");
@@ -136,7 +166,10 @@
     let link = *bed.links.keys().next().unwrap();
     bed.left.insert(first);
     bed.put(Input::ClientClosed { client: first });
-    assert!(bed.frames.iter().any(|(_, frame)| *frame == ToLeaf::GiveUp("q1.0".into())));
+    assert!(bed
+        .frames
+        .iter()
+        .any(|(_, frame)| *frame == ToLeaf::GiveUp("q1.0".into())));
     bed.answer_to(link, "q1.0", End::Ok);
     assert_eq!(bed.state.counters().ended.ok, 0);
     assert!(bed.replies[&first].is_empty(), "nobody is there to be told");
@@ -152,19 +185,34 @@
     bed.told(&bed::address(2), "removed");
     bed.open_all();
     bed.pass(100);
-    assert!(calls(&bed).iter().all(|(link, _)| !old.contains(link)), "{:?}", calls(&bed));
-    assert!(old.iter().all(|link| !bed.links.contains_key(link)), "nothing is left to do on them");
+    assert!(
+        calls(&bed).iter().all(|(link, _)| !old.contains(link)),
+        "{:?}",
+        calls(&bed)
+    );
+    assert!(
+        old.iter().all(|link| !bed.links.contains_key(link)),
+        "nothing is left to do on them"
+    );
     bed.open_all();
     assert_eq!(calls(&bed).len(), 2, "both at the new address");
 }
 
-/// What waits at a connection when several inputs come at once: nothing may be written that any of them forbids.
+/// What waits at a connection when several inputs come at once: nothing may be written that any of
+/// them forbids.
 #[test]
 fn a_client_that_left_and_a_drain_come_before_a_connection_that_came_up_with_them() {
-    let gone =
-        |bed: &Bed, client| (Input::ClientClosed { client }, bed.links.keys().next().copied().unwrap());
+    let gone = |bed: &Bed, client| {
+        (
+            Input::ClientClosed { client },
+            bed.links.keys().next().copied().unwrap(),
+        )
+    };
     for (opened_first, cancelling) in [(true, true), (true, false), (false, true), (false, false)] {
-        let mut bed = Bed::with(&SETTINGS.replace("cancelling=true", &format!("cancelling={cancelling}")), 1);
+        let mut bed = Bed::with(
+            &SETTINGS.replace("cancelling=true", &format!("cancelling={cancelling}")),
+            1,
+        );
         let client = bed.ask(1, &[0.5, 0.5]);
         let (left, link) = gone(&bed, client);
         let mut inputs = vec![left, Input::LinkOpened { link }];
@@ -176,7 +224,11 @@
             effects.extend(bed.state.apply(bed.now, input));
         }
         effects.retain(|effect| matches!(effect, Effect::Write { .. }));
-        assert_eq!(effects, [], "nobody asks for it any more, cancelling or not");
+        assert_eq!(
+            effects,
+            [],
+            "nobody asks for it any more, cancelling or not"
+        );
         assert_eq!(bed.state.counters().ended.cancelled, 2);
     }
     let mut bed = Bed::new(2);
@@ -202,7 +254,10 @@
     let client = bed.ask(0, &[0.7, 0.3]);
     let links: Vec<u64> = bed.links.keys().copied().collect();
     assert_eq!(links.len(), 2, "each part at a replica of its own");
-    let heavy = *links.iter().find(|link| bed.frames.iter().all(|(l, _)| l != *link)).unwrap();
+    let heavy = *links
+        .iter()
+        .find(|link| bed.frames.iter().all(|(l, _)| l != *link))
+        .unwrap();
     bed.open(heavy);
     bed.answer_all();
     bed.pass(10_000);
@@ -210,29 +265,46 @@
     let before = calls(&bed).len();
     bed.open_all();
     bed.pass(1000);
-    assert_eq!(calls(&bed).len(), before, "what waited for its connection is over with its query");
+    assert_eq!(
+        calls(&bed).len(),
+        before,
+        "what waited for its connection is over with its query"
+    );
 }
 
-/// The socket has taken a frame's last byte and has not said so yet when a spoilt answer ends the connection.
+/// The socket has taken a frame's last byte and has not said so yet when a spoilt answer ends the
+/// connection.
 #[test]
 fn what_the_socket_was_given_when_we_close_may_have_run() {
-    let text = SETTINGS.replace("classes.1.semantics=read_like", "classes.1.semantics=non_idempotent");
+    let text = SETTINGS.replace(
+        "classes.1.semantics=read_like",
+        "classes.1.semantics=non_idempotent",
+    );
     let mut bed = Bed::with(&text, 2);
     bed.stuck = true;
     let client = bed.ask(1, &[1.0]);
     bed.open_all();
     assert_eq!(calls(&bed).len(), 1);
     let link = calls(&bed)[0].0;
-    bed.put(Input::LinkHeard { link, frame: FromLeaf::Spoilt(None) });
+    bed.put(Input::LinkHeard {
+        link,
+        frame: FromLeaf::Spoilt(None),
+    });
     bed.open_all();
     bed.pass(6000);
     assert_eq!(calls(&bed).len(), 1, "it may have run: not once more");
-    assert!(matches!(bed.reply(client), Some(Reply::Failed)), "and no word that trying again is harmless");
+    assert!(
+        matches!(bed.reply(client), Some(Reply::Failed)),
+        "and no word that trying again is harmless"
+    );
 }
 
 #[test]
 fn where_the_settings_allow_no_advice_a_refused_client_gets_none() {
-    let mut bed = Bed::with(&SETTINGS.replace("retry_after=true", "retry_after=false"), 0);
+    let mut bed = Bed::with(
+        &SETTINGS.replace("retry_after=true", "retry_after=false"),
+        0,
+    );
     let given_up = bed.ask(1, &[1.0]);
     let over_cap = bed.ask(1, &[1.0 / 64.0; 64]);
     let late = bed.connect();
@@ -242,8 +314,8 @@
     }
 }
 
-/// Repeats are dropped for a while after a part may first have run: one that is late by a connection that came up
-/// late would run again.
+/// Repeats are dropped for a while after a part may first have run: one that is late by a
+/// connection that came up late would run again.
 #[test]
 fn a_repeat_does_not_go_out_on_a_connection_that_came_up_past_its_window() {
     let keyed = "classes.1.semantics=idempotency_key\nclasses.1.dedup_window_ns=100000000";
@@ -261,7 +333,12 @@
         bed.open_all();
         assert_eq!(calls(&bed).len(), sent, "up after {up_after} ms");
         bed.pass(200);
-        assert_eq!(matches!(bed.reply(client), Some(Reply::Failed)), sent == 1, "{:?}", bed.reply(client));
+        assert_eq!(
+            matches!(bed.reply(client), Some(Reply::Failed)),
+            sent == 1,
+            "{:?}",
+            bed.reply(client)
+        );
     }
 }
 
@@ -281,8 +358,15 @@
 fn over_the_cap_a_query_is_refused_at_once_with_advice() {
     let mut bed = Bed::new(1);
     let clients: Vec<u64> = (0..20).map(|_| bed.ask(1, &[0.2; 5])).collect();
-    let at_once = clients.iter().filter(|client| refused(bed.reply(**client))).count();
-    assert_eq!(bed.state.counters().taken.over_cap, 10, "ten queries of five parts fill the cap of 60");
+    let at_once = clients
+        .iter()
+        .filter(|client| refused(bed.reply(**client)))
+        .count();
+    assert_eq!(
+        bed.state.counters().taken.over_cap,
+        10,
+        "ten queries of five parts fill the cap of 60"
+    );
     assert!(at_once >= 10);
 }
 
@@ -332,7 +416,11 @@
 fn not_ready_without_a_list_nor_once_told_to_end() {
     let ready = |bed: &mut Bed| {
         let client = bed.connect();
-        bed.put(Input::Asked { client, arrived: bed.now, asked: Ok(Asked::Ready) });
+        bed.put(Input::Asked {
+            client,
+            arrived: bed.now,
+            asked: Ok(Asked::Ready),
+        });
         bed.reply(client) == Some(&Reply::Ready(true))
     };
     let mut bed = Bed::new(0);
@@ -348,15 +436,17 @@
     let mut bed = Bed::new(1);
     let opened = |client| bed.state.apply(START, Input::ClientOpened { client });
     let closed: Vec<Effect> = (1..=470).flat_map(opened).collect();
-    let oldest: Vec<Effect> = (1..=20).map(|client| Effect::CloseClient { client }).collect();
+    let oldest: Vec<Effect> = (1..=20)
+        .map(|client| Effect::CloseClient { client })
+        .collect();
     assert_eq!(
         closed, oldest,
         "of 1,024 descriptors 460 are for clients, and two go for each that is too many"
     );
 }
 
-/// They come by hundreds and say nothing: the good clients' connections, though idle for longer, are left
-/// alone.
+/// They come by hundreds and say nothing: the good clients' connections, though idle for longer,
+/// are left alone.
 #[test]
 fn who_never_asked_goes_first_when_there_is_no_room() {
     let mut bed = Bed::new(1);
@@ -383,7 +473,10 @@
     assert!(bed.closed.is_empty());
     bed.pass(2000);
     let late: Vec<u64> = (0..150).map(|_| ask_once(&mut bed)).collect();
-    assert!(early[..70].iter().all(|client| bed.closed.contains(client)), "down to half of the room");
+    assert!(
+        early[..70].iter().all(|client| bed.closed.contains(client)),
+        "down to half of the room"
+    );
     assert!(!late.iter().any(|client| bed.closed.contains(client)));
 }
 
@@ -393,7 +486,11 @@
     let client = bed.ask(1, &[1.0]);
     let other = bed.connect();
     let ask_as = |bed: &mut Bed| {
-        let part = AskedPart { shard: 0, weight: 1.0, work: None };
+        let part = AskedPart {
+            shard: 0,
+            weight: 1.0,
+            work: None,
+        };
         let query = Query {
             name: format!("q{client}"),
             class: 1,
@@ -404,10 +501,17 @@
             parts: vec![part],
             text: Default::default(),
         };
-        bed.put(Input::Asked { client: other, arrived: bed.now, asked: Ok(Asked::Query(query)) });
+        bed.put(Input::Asked {
+            client: other,
+            arrived: bed.now,
+            asked: Ok(Asked::Query(query)),
+        });
         bed.reply(other).cloned()
     };
-    assert!(matches!(ask_as(&mut bed), Some(Reply::Rejected(Rejection { status: 409, .. }))));
+    assert!(matches!(
+        ask_as(&mut bed),
+        Some(Reply::Rejected(Rejection { status: 409, .. }))
+    ));
     bed.open_all();
     assert_eq!(calls(&bed).len(), 1, "its parts would have the same names");
     bed.answer_all();
@@ -425,11 +529,20 @@
         let there = bed.out[&link].len() as u64;
         bed.spoil(link, named);
         let ended = bed.state.counters().ended.clone();
-        assert_eq!((ended.error, ended.cancelled, ended.broken), (1, there - 1, 0));
-        assert!(!bed.links.contains_key(&link), "where its next frame begins is not known");
+        assert_eq!(
+            (ended.error, ended.cancelled, ended.broken),
+            (1, there - 1, 0)
+        );
+        assert!(
+            !bed.links.contains_key(&link),
+            "where its next frame begins is not known"
+        );
         bed.open_all();
         bed.answer_all();
-        assert!(matches!(bed.reply(client), Some(Reply::Answer { whole: true, .. })));
+        assert!(matches!(
+            bed.reply(client),
+            Some(Reply::Answer { whole: true, .. })
+        ));
         assert_eq!(bed.now, START, "nothing was waited for");
     }
 }
@@ -445,7 +558,11 @@
     assert_eq!(bed.state.counters().connections.spoilt, 0);
     bed.answer_to(link, "q9.0", End::Ok);
     assert_eq!(bed.state.counters().connections.spoilt, 1);
-    assert_eq!(bed.state.counters().ended.error, 1, "the one that was out has failed");
+    assert_eq!(
+        bed.state.counters().ended.error,
+        1,
+        "the one that was out has failed"
+    );
 }
 
 /// Replicas, clients and queries of ever new names, all day long.
@@ -479,14 +596,20 @@
     bed.answer_all();
     bed.put(Input::Terminate);
     bed.pass(700);
-    assert!(bed.listening && bed.closed.is_empty(), "clients may still come for 0.7 s");
+    assert!(
+        bed.listening && bed.closed.is_empty(),
+        "clients may still come for 0.7 s"
+    );
     let late = bed.ask(1, &[1.0]);
     bed.pass(100);
     assert!(!bed.listening);
     assert_eq!(bed.closed, [idle]);
     assert!(!bed.exited, "a query is still open");
     bed.answer_all();
-    assert!(matches!(bed.reply(late), Some(Reply::Answer { whole: true, .. })));
+    assert!(matches!(
+        bed.reply(late),
+        Some(Reply::Answer { whole: true, .. })
+    ));
     assert!(bed.exited);
 }
 
@@ -498,7 +621,11 @@
     let client = bed.connect();
     bed.ask_on(client, 1, &[1.0], 6000);
     bed.pass(5400);
-    assert_eq!(bed.replies[&client].len(), 1, "SIGKILL may come 6.7 s after SIGTERM");
+    assert_eq!(
+        bed.replies[&client].len(),
+        1,
+        "SIGKILL may come 6.7 s after SIGTERM"
+    );
     assert!(bed.exited);
 }
 
@@ -519,8 +646,8 @@
     assert!(bed.exited && bed.replies[&busy].len() == 1);
 }
 
-/// Discovery is one service for all mixers: those whose watch was turned away and that ask again in step keep
-/// it so busy that none gets a list.
+/// Discovery is one service for all mixers: those whose watch was turned away and that ask again in
+/// step keep it so busy that none gets a list.
 #[test]
 fn the_list_is_watched_when_the_module_says_so_and_not_in_step() {
     let text = format!("{SETTINGS}discovery=on_request\nguarantees.ask_within_ns=10000000000\n");
@@ -542,11 +669,23 @@
         times.extend(bed.watches[..2].to_vec());
     }
     times.sort_unstable();
-    let most = times.iter().map(|at| times.iter().filter(|t| (*at..at + 500 * MS).contains(t)).count()).max();
-    assert!(most <= Some(times.len() / 3), "no half second sees most of the first calls: {most:?}");
+    let most = times
+        .iter()
+        .map(|at| {
+            times
+                .iter()
+                .filter(|t| (*at..at + 500 * MS).contains(t))
+                .count()
+        })
+        .max();
+    assert!(
+        most <= Some(times.len() / 3),
+        "no half second sees most of the first calls: {most:?}"
+    );
 }
 
-/// Where discovery pushes its list, a watch that ended is nobody's burden: the list must not be late.
+/// Where discovery pushes its list, a watch that ended is nobody's burden: the list must not be
+/// late.
 #[test]
 fn a_pushed_list_is_watched_from_the_start_and_again_soon() {
     let mut bed = Bed::new(1);
@@ -580,7 +719,13 @@
     let mut bed = Bed::new(2);
     bed.put(only_the_second(&bed::address(2)));
     bed.ask(1, &[0.5, 0.5]);
-    assert!(bed.links.values().all(|(address, _)| *address == bed::address(2)), "{:?}", bed.links);
+    assert!(
+        bed.links
+            .values()
+            .all(|(address, _)| *address == bed::address(2)),
+        "{:?}",
+        bed.links
+    );
     assert_eq!(bed.state.list_index(), 9);
 }
 
@@ -595,6 +740,9 @@
     let before = bed.frames.len();
     bed.ask(1, &[1.0]);
     bed.open_all();
-    let sent: Vec<&str> = bed.frames[before..].iter().map(|(link, _)| bed.links[link].0.as_str()).collect();
+    let sent: Vec<&str> = bed.frames[before..]
+        .iter()
+        .map(|(link, _)| bed.links[link].0.as_str())
+        .collect();
     assert_eq!(sent, ["127.0.0.9:7070"]);
 }
--- a/crates/core/tests/sockets.rs
+++ b/crates/core/tests/sockets.rs
@@ -1,4 +1,5 @@
-//! The whole mixer on real sockets of the loopback, with a leaf server and discovery played by the test.
+//! The whole mixer on real sockets of the loopback, with a leaf server and discovery played by the
+//! test.
 
 use aggregator_core::protocol::query::Names;
 use aggregator_core::routing::State;
@@ -22,7 +23,8 @@
     (listener, address)
 }
 
-/// Discovery: ends the first watch without a word, answers each later one with the list and leaves it open.
+/// Discovery: ends the first watch without a word, answers each later one with the list and leaves
+/// it open.
 async fn discovery(listener: TcpListener, leaf: SocketAddr) {
     let mut open = Vec::new();
     drop(listener.accept().await);
@@ -33,13 +35,16 @@
 \"group\":0,\"status\":\"up\"}}]}}\n"
         );
         let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-        stream.write_all(format!("{head}{:x}\r\n{line}\r\n", line.len()).as_bytes()).await.unwrap();
+        stream
+            .write_all(format!("{head}{:x}\r\n{line}\r\n", line.len()).as_bytes())
+            .await
+            .unwrap();
         open.push(stream);
     }
 }
 
-/// A leaf server: answers each part with its own id as the value; on its first connection, one whose id
-/// begins with `cut` only to the middle.
+/// A leaf server: answers each part with its own id as the value; on its first connection, one
+/// whose id begins with `cut` only to the middle.
 async fn leaf(listener: TcpListener) {
     for first in [true].into_iter().chain(std::iter::repeat(false)) {
         let (stream, _) = listener.accept().await.unwrap();
@@ -49,14 +54,20 @@
 
 async fn answer_parts(mut stream: TcpStream, first: bool) {
     loop {
-        let Ok(length) = stream.read_u32().await else { return };
+        let Ok(length) = stream.read_u32().await else {
+            return;
+        };
         let mut frame = vec![0; length as usize];
         stream.read_exact(&mut frame).await.unwrap();
         let text = String::from_utf8(frame).unwrap();
         let id = text[1..].split(' ').next().unwrap().to_string();
         let answer = format!("A{id} ok 1 -\n{id}");
         stream.write_u32(answer.len() as u32).await.unwrap();
-        let cut = if first && id.starts_with("cut") { answer.len() / 2 } else { answer.len() };
+        let cut = if first && id.starts_with("cut") {
+            answer.len() / 2
+        } else {
+            answer.len()
+        };
         stream.write_all(&answer.as_bytes()[..cut]).await.unwrap();
     }
 }
@@ -66,8 +77,8 @@
     run(false, client);
 }
 
-/// The same on a clock that stands still while anyone has something to do, and else goes on to the next
-/// timer.
+/// The same on a clock that stands still while anyone has something to do, and else goes on to the
+/// next timer.
 fn against_at_once<F: Future<Output = ()>>(client: impl FnOnce(SocketAddr) -> F) {
     run(true, client);
 }
@@ -76,11 +87,14 @@
     let mut runtime = tokio::runtime::Builder::new_current_thread();
     let runtime = runtime.enable_all().start_paused(paused).build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        let (discovery_at, leaf_at, mixer_at) = (listener().await, listener().await, listener().await);
+        let (discovery_at, leaf_at, mixer_at) =
+            (listener().await, listener().await, listener().await);
         tokio::task::spawn_local(discovery(discovery_at.0, leaf_at.1));
         tokio::task::spawn_local(leaf(leaf_at.0));
-        let (site, decisions) =
-            (settings::site(bed::SETTINGS).unwrap(), settings::parse(bed::SETTINGS).unwrap());
+        let (site, decisions) = (
+            settings::site(bed::SETTINGS).unwrap(),
+            settings::parse(bed::SETTINGS).unwrap(),
+        );
         let names = Names {
             classes: site.classes.clone(),
             deadlines: site.deadlines.clone(),
@@ -88,12 +102,31 @@
             ..Names::default()
         };
         let clock = Clock::start();
-        let state = State::new(clock.now(), site, decisions, 7, &Default::default(), DESCRIPTORS);
+        let state = State::new(
+            clock.now(),
+            site,
+            decisions,
+            7,
+            &Default::default(),
+            DESCRIPTORS,
+        );
         let (peers, discovery) = (Vec::new(), discovery_at.1);
-        let addresses = Addresses { discovery, peer_listen: None, peers, peers_all: None };
+        let addresses = Addresses {
+            discovery,
+            peer_listen: None,
+            peers,
+            peers_all: None,
+        };
         let (_told, terminate) = mpsc::channel(1);
-        let mixer =
-            transport::serve(state, clock, names, mixer_at.0, addresses, terminate, Default::default());
+        let mixer = transport::serve(
+            state,
+            clock,
+            names,
+            mixer_at.0,
+            addresses,
+            terminate,
+            Default::default(),
+        );
         tokio::select! {
             ended = mixer => panic!("the mixer ended: {ended:?}"),
             () = client(mixer_at.1) => {}
@@ -108,7 +141,13 @@
         head.push(stream.read_u8().await.expect("an answer"));
     }
     let head = String::from_utf8(head).unwrap();
-    let length = head.split("Content-Length: ").nth(1).unwrap().split('\r').next().unwrap();
+    let length = head
+        .split("Content-Length: ")
+        .nth(1)
+        .unwrap()
+        .split('\r')
+        .next()
+        .unwrap();
     let mut body = vec![0; length.parse().unwrap()];
     stream.read_exact(&mut body).await.unwrap();
     (head, String::from_utf8(body).unwrap())
@@ -124,7 +163,10 @@
 async fn ready(at: SocketAddr, on: Duration) {
     loop {
         let mut stream = TcpStream::connect(at).await.unwrap();
-        stream.write_all(b"GET /-/ready HTTP/1.1\r\n\r\n").await.unwrap();
+        stream
+            .write_all(b"GET /-/ready HTTP/1.1\r\n\r\n")
+            .await
+            .unwrap();
         if answer(&mut stream).await.0.starts_with("HTTP/1.1 200") {
             return;
         }
@@ -160,7 +202,10 @@
         let mut stream = TcpStream::connect(at).await.unwrap();
         let head = "POST /lookup HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n";
         let body = "x".repeat(1_000_000);
-        stream.write_all((head.to_string() + &body).as_bytes()).await.unwrap();
+        stream
+            .write_all((head.to_string() + &body).as_bytes())
+            .await
+            .unwrap();
         assert!(answer(&mut stream).await.0.starts_with("HTTP/1.1 413"));
     });
 }
@@ -170,15 +215,24 @@
     against(|at| async move {
         ready(at, Duration::ZERO).await;
         let mut stream = TcpStream::connect(at).await.unwrap();
-        stream.write_all(b"\0\0\0 what is this\r\n\r\n").await.unwrap();
+        stream
+            .write_all(b"\0\0\0 what is this\r\n\r\n")
+            .await
+            .unwrap();
         assert!(answer(&mut stream).await.0.starts_with("HTTP/1.1 400"));
         assert_eq!(stream.read(&mut [0]).await.unwrap(), 0);
         let mut stream = TcpStream::connect(at).await.unwrap();
         stream.write_all(query("b1", "").as_bytes()).await.unwrap();
         assert!(answer(&mut stream).await.0.starts_with("HTTP/1.1 200"));
-        stream.write_all(b"GET /-/stats HTTP/1.1\r\n\r\n").await.unwrap();
+        stream
+            .write_all(b"GET /-/stats HTTP/1.1\r\n\r\n")
+            .await
+            .unwrap();
         let stats: serde_json::Value = serde_json::from_str(&answer(&mut stream).await.1).unwrap();
-        assert_eq!((&stats["taken"]["queries"], &stats["taken"]["rejected"]), (&1.into(), &1.into()));
+        assert_eq!(
+            (&stats["taken"]["queries"], &stats["taken"]["rejected"]),
+            (&1.into(), &1.into())
+        );
     });
 }
 
@@ -189,15 +243,25 @@
         let begun = Instant::now();
         let mut silent = TcpStream::connect(at).await.unwrap();
         assert_eq!(silent.read(&mut [0]).await.unwrap(), 0);
-        assert!((2000..2500).contains(&begun.elapsed().as_millis()), "{:?}", begun.elapsed());
+        assert!(
+            (2000..2500).contains(&begun.elapsed().as_millis()),
+            "{:?}",
+            begun.elapsed()
+        );
         // No byte buys more time, on a new connection or on one that was served before.
         let begun = Instant::now();
         let mut stream = TcpStream::connect(at).await.unwrap();
-        stream.write_all(query("slow", "").as_bytes()).await.unwrap();
+        stream
+            .write_all(query("slow", "").as_bytes())
+            .await
+            .unwrap();
         assert!(answer(&mut stream).await.0.starts_with("HTTP/1.1 200"));
         let (mut reading, mut writing) = stream.into_split();
         let slow = async {
-            for byte in b"POST /lookup HTTP/1.1\r\nContent-Length: 900\r\n\r\n".iter().chain(&[b'{'; 900]) {
+            for byte in b"POST /lookup HTTP/1.1\r\nContent-Length: 900\r\n\r\n"
+                .iter()
+                .chain(&[b'{'; 900])
+            {
                 sleep(Duration::from_millis(200)).await;
                 if writing.write_all(&[*byte]).await.is_err() {
                     break;
@@ -210,7 +274,11 @@
             () = slow => panic!("never told"),
         }
         assert_eq!(&told, b"HTTP/1.1 408");
-        assert!((2000..3000).contains(&begun.elapsed().as_millis()), "{:?}", begun.elapsed());
+        assert!(
+            (2000..3000).contains(&begun.elapsed().as_millis()),
+            "{:?}",
+            begun.elapsed()
+        );
     });
 }
 
@@ -223,11 +291,16 @@
         for _ in 0..2 * DESCRIPTORS {
             let mut half = TcpStream::connect(at).await.unwrap();
             // It may have been closed by now, which is as well.
-            let _ = half.write_all(b"POST /lookup HTTP/1.1\r\nContent-Length: 90\r\n\r\n{").await;
+            let _ = half
+                .write_all(b"POST /lookup HTTP/1.1\r\nContent-Length: 90\r\n\r\n{")
+                .await;
             halves.push(half);
         }
         let mut stream = TcpStream::connect(at).await.unwrap();
-        stream.write_all(query("good", "").as_bytes()).await.unwrap();
+        stream
+            .write_all(query("good", "").as_bytes())
+            .await
+            .unwrap();
         assert!(answer(&mut stream).await.0.starts_with("HTTP/1.1 200"));
         assert!(begun.elapsed().as_millis() < 1000, "{:?}", begun.elapsed());
     });
@@ -239,7 +312,10 @@
         ready(at, Duration::from_millis(1)).await;
         let begun = Instant::now();
         let mut stream = TcpStream::connect(at).await.unwrap();
-        stream.write_all(query("cut1", "").as_bytes()).await.unwrap();
+        stream
+            .write_all(query("cut1", "").as_bytes())
+            .await
+            .unwrap();
         let found = answer(&mut stream).await;
         assert!(found.1.contains("\"doc\":\"cut1.3\""), "{found:?}");
         assert!(begun.elapsed().as_millis() < 300, "{:?}", begun.elapsed());
--- a/crates/core/tests/stage/mod.rs
+++ b/crates/core/tests/stage/mod.rs
@@ -1,5 +1,5 @@
-//! A whole mixer on real sockets of the loopback; the test plays everyone else, one step after the other, so that
-//! what crosses does so because the test makes it.
+//! A whole mixer on real sockets of the loopback; the test plays everyone else, one step after the
+//! other, so that what crosses does so because the test makes it.
 
 #![allow(dead_code)] // Each test file uses its own part of it.
 
@@ -34,7 +34,12 @@
 }
 
 pub fn addresses(discovery: SocketAddr) -> Addresses {
-    Addresses { discovery, peer_listen: None, peers: Vec::new(), peers_all: None }
+    Addresses {
+        discovery,
+        peer_listen: None,
+        peers: Vec::new(),
+        peers_all: None,
+    }
 }
 
 /// One leaf server that holds every shard, as a line of the list.
@@ -46,14 +51,21 @@
     serde_json::json!({"index": index, "snapshot": true, "endpoints": lines})
 }
 
-/// Plays `script` with a mixer that was started with one leaf server on its list. The clock stands still while
-/// anyone has something to do, and else goes on to the next timer.
-pub fn play<F: Future<Output = ()>>(text: &str, descriptors: usize, script: impl FnOnce(Stage) -> F) {
+/// Plays `script` with a mixer that was started with one leaf server on its list. The clock stands
+/// still while anyone has something to do, and else goes on to the next timer.
+pub fn play<F: Future<Output = ()>>(
+    text: &str,
+    descriptors: usize,
+    script: impl FnOnce(Stage) -> F,
+) {
     let mut runtime = tokio::runtime::Builder::new_current_thread();
     let runtime = runtime.enable_all().start_paused(true).build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let (discovery, leaf, mixer) = (listener().await, listener().await, listener().await);
-        let (site, decisions) = (settings::site(text).unwrap(), settings::parse(text).unwrap());
+        let (site, decisions) = (
+            settings::site(text).unwrap(),
+            settings::parse(text).unwrap(),
+        );
         let names = Names {
             classes: site.classes.clone(),
             deadlines: site.deadlines.clone(),
@@ -67,7 +79,14 @@
         let to = addresses(discovery.1);
         let served = transport::serve(state, clock, names, mixer.0, to, told, Default::default());
         let served = tokio::task::spawn_local(served);
-        script(Stage { mixer: mixer.1, tell, discovery: discovery.0, leaf: leaf.0, served }).await;
+        script(Stage {
+            mixer: mixer.1,
+            tell,
+            discovery: discovery.0,
+            leaf: leaf.0,
+            served,
+        })
+        .await;
     });
 }
 
@@ -80,17 +99,26 @@
 impl Watch {
     /// The next one that the mixer opens; what it asks for is read.
     pub async fn next(discovery: &TcpListener) -> Watch {
-        let (mut stream, _) = timeout(NEVER, discovery.accept()).await.expect("a watch").unwrap();
+        let (mut stream, _) = timeout(NEVER, discovery.accept())
+            .await
+            .expect("a watch")
+            .unwrap();
         let request = head(&mut stream).await;
         Watch { stream, request }
     }
 
     pub async fn begin(&mut self) {
-        self.stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await.unwrap();
+        self.stream
+            .write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            .await
+            .unwrap();
     }
 
     pub async fn write(&mut self, text: &str) {
-        self.stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await.unwrap();
+        self.stream
+            .write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
+            .await
+            .unwrap();
     }
 }
 
@@ -101,7 +129,10 @@
 
 impl Leaf {
     pub async fn next(leaf: &TcpListener) -> Leaf {
-        let (stream, _) = timeout(NEVER, leaf.accept()).await.expect("a connection").unwrap();
+        let (stream, _) = timeout(NEVER, leaf.accept())
+            .await
+            .expect("a connection")
+            .unwrap();
         stream.set_nodelay(true).unwrap();
         Leaf { stream }
     }
@@ -117,7 +148,10 @@
     /// The part's id and the milliseconds that the mixer waits, of the next call.
     pub async fn call(&mut self) -> (String, u64) {
         loop {
-            let frame = timeout(NEVER, self.frame()).await.expect("a call").expect("a call");
+            let frame = timeout(NEVER, self.frame())
+                .await
+                .expect("a call")
+                .expect("a call");
             if let Some(call) = frame.strip_prefix('Q') {
                 let mut words = call.split(' ');
                 let id = words.next().unwrap().to_string();
@@ -155,7 +189,12 @@
 async fn head(stream: &mut TcpStream) -> String {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
-        head.push(timeout(NEVER, stream.read_u8()).await.expect("bytes").expect("a head"));
+        head.push(
+            timeout(NEVER, stream.read_u8())
+                .await
+                .expect("bytes")
+                .expect("a head"),
+        );
     }
     String::from_utf8(head).unwrap()
 }
@@ -163,7 +202,13 @@
 /// One answer of the mixer: its head and its body.
 pub async fn answer(stream: &mut TcpStream) -> (String, String) {
     let head = head(stream).await;
-    let length = head.split("Content-Length: ").nth(1).unwrap().split('\r').next().unwrap();
+    let length = head
+        .split("Content-Length: ")
+        .nth(1)
+        .unwrap()
+        .split('\r')
+        .next()
+        .unwrap();
     let mut body = vec![0; length.parse().unwrap()];
     stream.read_exact(&mut body).await.unwrap();
     (head, String::from_utf8(body).unwrap())
--- a/crates/core/tests/usage.rs
+++ b/crates/core/tests/usage.rs
@@ -1,4 +1,5 @@
-//! The ledger's hook in the reducer: one record for each query that ends, and marks that keep their word.
+//! The ledger's hook in the reducer: one record for each query that ends, and marks that keep their
+//! word.
 
 mod bed;
 
@@ -16,7 +17,11 @@
 
 fn ask(bed: &mut Bed, name: &str, timeout_ms: u64, key: Option<&str>) -> u64 {
     let client = bed.connect();
-    let part = |shard| AskedPart { shard, weight: 0.5, work: None };
+    let part = |shard| AskedPart {
+        shard,
+        weight: 0.5,
+        work: None,
+    };
     let query = Query {
         name: name.into(),
         class: 1,
@@ -27,7 +32,11 @@
         parts: vec![part(0), part(1)],
         text: bytes::Bytes::from_static(b"text"),
     };
-    bed.put(Input::Asked { client, arrived: bed.now, asked: Ok(Asked::Query(query)) });
+    bed.put(Input::Asked {
+        client,
+        arrived: bed.now,
+        asked: Ok(Asked::Query(query)),
+    });
     client
 }
 
@@ -43,20 +52,41 @@
     // Refused before any decision: no time left, and too much open.
     ask(&mut bed, "late", 1, None);
     let many: Vec<u64> = (0..30).map(|_| bed.ask(1, &[0.5, 0.5])).collect();
-    let over = bed.records.iter().filter(|it| it.outcome == Outcome::Refused).count();
-    assert_eq!(over, 1 + 10, "20 queries of two parts each are all that may be open");
+    let over = bed
+        .records
+        .iter()
+        .filter(|it| it.outcome == Outcome::Refused)
+        .count();
+    assert_eq!(
+        over,
+        1 + 10,
+        "20 queries of two parts each are all that may be open"
+    );
     // Failed or refused once their time is up: none is left without a record.
     bed.pass(7000);
     assert_eq!(bed.records.len(), 3 + many.len());
     let first = &bed.records[0];
-    assert_eq!((first.outcome, first.parts, first.attempts, first.arrived), (Outcome::Whole, 2, 2, START));
+    assert_eq!(
+        (first.outcome, first.parts, first.attempts, first.arrived),
+        (Outcome::Whole, 2, 2, START)
+    );
     assert_eq!(bed.records[1].outcome, Outcome::Left);
     let numbers: Vec<u64> = bed.records.iter().map(|it| it.sequence).collect();
-    assert_eq!(numbers, (1..=numbers.len() as u64).collect::<Vec<_>>(), "without a gap");
+    assert_eq!(
+        numbers,
+        (1..=numbers.len() as u64).collect::<Vec<_>>(),
+        "without a gap"
+    );
     let counters = bed.state.counters();
     assert_eq!(counters.recorded, numbers.len() as u64);
-    assert_eq!(counters.recorded_of.values().sum::<u64>(), counters.recorded);
-    assert_eq!(counters.recorded_of.keys().collect::<Vec<_>>(), ["all lookup"]);
+    assert_eq!(
+        counters.recorded_of.values().sum::<u64>(),
+        counters.recorded
+    );
+    assert_eq!(
+        counters.recorded_of.keys().collect::<Vec<_>>(),
+        ["all lookup"]
+    );
 }
 
 #[test]
@@ -68,10 +98,16 @@
     bed.answer(link, End::Ok);
     bed.pass(5000);
     assert_eq!(bed.records.len(), 1);
-    assert_eq!(bed.records[0].outcome, Outcome::Partial(700_000), "{:?}", bed.records[0]);
+    assert_eq!(
+        bed.records[0].outcome,
+        Outcome::Partial(700_000),
+        "{:?}",
+        bed.records[0]
+    );
 }
 
-/// What a mark calls complete stays so: whatever arrives later counts as later, and what is open holds it back.
+/// What a mark calls complete stays so: whatever arrives later counts as later, and what is open
+/// holds it back.
 #[test]
 fn a_mark_is_never_belied() {
     let mut bed = recording(1);
@@ -80,7 +116,11 @@
     let asked = bed.now;
     bed.pass(1000);
     let held = bed.marks.last().unwrap();
-    assert_eq!((held.complete, held.sequence, held.end), (asked, 0, false), "an open query holds it back");
+    assert_eq!(
+        (held.complete, held.sequence, held.end),
+        (asked, 0, false),
+        "an open query holds it back"
+    );
     bed.open_all();
     bed.answer_all();
     assert!(bed.reply(early).is_some());
@@ -89,7 +129,11 @@
     assert!(complete > asked && bed.marks.last().unwrap().sequence == 1);
     // It waited for its turn since before the mark.
     let client = bed.connect();
-    let part = AskedPart { shard: 0, weight: 1.0, work: None };
+    let part = AskedPart {
+        shard: 0,
+        weight: 1.0,
+        work: None,
+    };
     let query = Query {
         name: "waited".into(),
         class: 1,
@@ -100,13 +144,20 @@
         parts: vec![part],
         text: bytes::Bytes::from_static(b"text"),
     };
-    bed.put(Input::Asked { client, arrived: now - 190 * MS, asked: Ok(Asked::Query(query)) });
+    bed.put(Input::Asked {
+        client,
+        arrived: now - 190 * MS,
+        asked: Ok(Asked::Query(query)),
+    });
     bed.open_all();
     bed.answer_all();
     assert_eq!(bed.records[1].arrived, complete);
     bed.put(Input::Terminate);
     bed.pass(7000);
-    assert!(bed.exited && bed.marks.last().unwrap().end, "the last mark says that nothing follows");
+    assert!(
+        bed.exited && bed.marks.last().unwrap().end,
+        "the last mark says that nothing follows"
+    );
 }
 
 #[test]
@@ -116,7 +167,14 @@
     bed.open_all();
     bed.answer_all();
     bed.pass(1000);
-    assert_eq!((bed.records.len(), bed.marks.len(), bed.state.counters().recorded), (0, 0, 0));
+    assert_eq!(
+        (
+            bed.records.len(),
+            bed.marks.len(),
+            bed.state.counters().recorded
+        ),
+        (0, 0, 0)
+    );
 }
 
 #[test]
@@ -127,7 +185,11 @@
     ask(&mut bed, "c", 1, Some("k"));
     let keys: Vec<u64> = bed.records.iter().map(|it| it.key).collect();
     let parts = [(1, 0.5), (0, 0.5)];
-    assert_eq!(keys[0], key_of_query("lookup", parts.into_iter(), b"text"), "parts in any order");
+    assert_eq!(
+        keys[0],
+        key_of_query("lookup", parts.into_iter(), b"text"),
+        "parts in any order"
+    );
     assert_eq!((keys[0], keys[2]), (keys[1], key_of_client("lookup", "k")));
     assert!(is_client_key(keys[2]) && !is_client_key(keys[0]) && bed.records[2].keyed);
     let others = [
