--- a/crates/ini-config/src/lib.rs
+++ b/crates/ini-config/src/lib.rs
@@ -1,9 +1,9 @@
 //! Our own settings: INI files read against a schema.
 //!
-//! A program states its sections and keys as a [`Schema`]: the kind of each value, its unit, default and whether a
-//! running program takes up a change. [`Settings::read`] checks a whole file against it and reports everything that
-//! is wrong at once, each with file, line, key and the nearest valid name. What is read knows where each value came
-//! from, so that it can be shown.
+//! A program states its sections and keys as a [`Schema`]: the kind of each value, its unit,
+//! default and whether a running program takes up a change. [`Settings::read`] checks a whole file
+//! against it and reports everything that is wrong at once, each with file, line, key and the
+//! nearest valid name. What is read knows where each value came from, so that it can be shown.
 
 mod value;
 
@@ -109,9 +109,15 @@
         let mut section = String::new();
         for (number, line) in text.lines().enumerate() {
             let line = line.trim();
-            if let Some(name) = line.strip_prefix('[').and_then(|rest| rest.split(']').next()) {
+            if let Some(name) = line
+                .strip_prefix('[')
+                .and_then(|rest| rest.split(']').next())
+            {
                 section = name.trim().to_string();
-                sections.entry(section.clone()).or_insert_with(Vec::new).push(number + 1);
+                sections
+                    .entry(section.clone())
+                    .or_insert_with(Vec::new)
+                    .push(number + 1);
             } else if let Some((key, _)) = line.split_once(['=', ':']) {
                 if !line.starts_with([';', '#']) {
                     let at = (section.clone(), key.trim().to_string());
@@ -123,18 +129,25 @@
     }
 
     fn section(&self, name: &str) -> Option<usize> {
-        self.sections.get(name).and_then(|lines| lines.first()).copied()
+        self.sections
+            .get(name)
+            .and_then(|lines| lines.first())
+            .copied()
     }
 
     fn keys(&self, section: &str, key: &str) -> &[usize] {
-        self.keys.get(&(section.to_string(), key.to_string())).map_or(&[], Vec::as_slice)
+        self.keys
+            .get(&(section.to_string(), key.to_string()))
+            .map_or(&[], Vec::as_slice)
     }
 }
 
 /// The valid name that `name` is most like, if it is like any.
 fn nearest<'a>(name: &str, valid: impl Iterator<Item = &'a str>) -> Option<&'a str> {
     let near = valid.map(|valid| (strsim::jaro_winkler(name, valid), valid));
-    near.filter(|(like, _)| *like > 0.7).max_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, valid)| valid)
+    near.filter(|(like, _)| *like > 0.7)
+        .max_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(_, valid)| valid)
 }
 
 fn suggestion<'a>(name: &str, valid: impl Iterator<Item = &'a str> + Clone) -> String {
@@ -147,7 +160,11 @@
 impl Settings {
     /// No file: the defaults.
     pub fn defaults() -> Settings {
-        Settings { file: "no file".into(), given: BTreeMap::new(), names: BTreeMap::new() }
+        Settings {
+            file: "no file".into(),
+            given: BTreeMap::new(),
+            names: BTreeMap::new(),
+        }
     }
 
     /// Reads `text`, which stands in `file`, against `schema`.
@@ -155,12 +172,23 @@
     /// # Errors
     /// Everything in it that is not as the schema says.
     pub fn read(schema: &Schema, file: &str, text: &str) -> Result<Settings, Problems> {
-        let problem = |line: Option<usize>, what: String| Problem { file: file.into(), line, what };
-        let ini = ini::Ini::load_from_str(text)
-            .map_err(|e| Problems(vec![problem(Some(e.line), format!("cannot be read: {}", e.msg))]))?;
+        let problem = |line: Option<usize>, what: String| Problem {
+            file: file.into(),
+            line,
+            what,
+        };
+        let ini = ini::Ini::load_from_str(text).map_err(|e| {
+            Problems(vec![problem(
+                Some(e.line),
+                format!("cannot be read: {}", e.msg),
+            )])
+        })?;
         let lines = Lines::of(text);
         let mut problems = Vec::new();
-        let mut settings = Settings { file: file.into(), ..Settings::defaults() };
+        let mut settings = Settings {
+            file: file.into(),
+            ..Settings::defaults()
+        };
         let mut seen = BTreeSet::new();
         for (header, properties) in ini.iter() {
             let header = header.unwrap_or_default().trim();
@@ -177,7 +205,9 @@
                 continue;
             }
             let line = lines.section(header);
-            let (kind, name) = header.split_once(char::is_whitespace).unwrap_or((header, ""));
+            let (kind, name) = header
+                .split_once(char::is_whitespace)
+                .unwrap_or((header, ""));
             let name = name.trim().trim_matches('"');
             let Some(section) = schema.section(kind) else {
                 let near = suggestion(kind, schema.0.iter().map(|section| section.name));
@@ -185,8 +215,15 @@
                 continue;
             };
             if section.named == name.is_empty() {
-                let form = if section.named { format!("[{kind} NAME]") } else { format!("[{kind}]") };
-                problems.push(problem(line, format!("[{header}] has to be of the form {form}")));
+                let form = if section.named {
+                    format!("[{kind} NAME]")
+                } else {
+                    format!("[{kind}]")
+                };
+                problems.push(problem(
+                    line,
+                    format!("[{header}] has to be of the form {form}"),
+                ));
                 continue;
             }
             if section.named {
@@ -204,15 +241,23 @@
                 }
                 let Some(key) = section.keys.iter().find(|key| key.name == given) else {
                     let near = suggestion(given, section.keys.iter().map(|key| key.name));
-                    problems.push(problem(line, format!("[{header}] has no key '{given}'{near}")));
+                    problems.push(problem(
+                        line,
+                        format!("[{header}] has no key '{given}'{near}"),
+                    ));
                     continue;
                 };
                 if let Err(why) = key.kind.check(text) {
                     problems.push(problem(line, format!("[{header}] {given} = {text}: {why}")));
                     continue;
                 }
-                let value = Given { text: text.trim().to_string(), line: line.unwrap_or_default() };
-                settings.given.insert((section.name, name.to_string(), key.name), value);
+                let value = Given {
+                    text: text.trim().to_string(),
+                    line: line.unwrap_or_default(),
+                };
+                settings
+                    .given
+                    .insert((section.name, name.to_string(), key.name), value);
             }
         }
         if problems.is_empty() {
@@ -224,16 +269,35 @@
 
     /// A problem with one value that only what it is used for can see.
     pub fn problem(&self, section: &str, name: &str, key: &str, why: &str) -> Problems {
-        let given = self.given.iter().find(|((s, n, k), _)| *s == section && n == name && *k == key);
+        let given = self
+            .given
+            .iter()
+            .find(|((s, n, k), _)| *s == section && n == name && *k == key);
         let line = given.map(|(_, given)| given.line);
-        let line = line.or_else(|| self.names.get(section).and_then(|names| names.get(name).copied()));
-        let header = if name.is_empty() { section.to_string() } else { format!("{section} {name}") };
-        Problems(vec![Problem { file: self.file.clone(), line, what: format!("[{header}] {key}: {why}") }])
+        let line = line.or_else(|| {
+            self.names
+                .get(section)
+                .and_then(|names| names.get(name).copied())
+        });
+        let header = if name.is_empty() {
+            section.to_string()
+        } else {
+            format!("{section} {name}")
+        };
+        Problems(vec![Problem {
+            file: self.file.clone(),
+            line,
+            what: format!("[{header}] {key}: {why}"),
+        }])
     }
 
     /// The names under which a named section stands.
     pub fn names(&self, section: &str) -> Vec<&str> {
-        let names = self.names.get(section).into_iter().flat_map(|names| names.keys());
+        let names = self
+            .names
+            .get(section)
+            .into_iter()
+            .flat_map(|names| names.keys());
         names.map(String::as_str).collect()
     }
 
@@ -241,7 +305,11 @@
     pub fn shown(&self, schema: &Schema) -> Vec<Shown> {
         let mut shown = Vec::new();
         for section in schema.0 {
-            let names = if section.named { self.names(section.name) } else { vec![""] };
+            let names = if section.named {
+                self.names(section.name)
+            } else {
+                vec![""]
+            };
             for name in names {
                 for key in section.keys {
                     let given = self.given.get(&(section.name, name.to_string(), key.name));
@@ -253,30 +321,46 @@
                         format!("{} {name}", section.name)
                     };
                     let value = value.unwrap_or("(not set)").to_string();
-                    shown.push(Shown { section: header, key: key.name, value, origin, live: key.live });
+                    shown.push(Shown {
+                        section: header,
+                        key: key.name,
+                        value,
+                        origin,
+                        live: key.live,
+                    });
                 }
             }
         }
         shown
     }
 
-    /// What `next` states otherwise, as `[section] key`, and of it only what a running program does not take up.
+    /// What `next` states otherwise, as `[section] key`, and of it only what a running program does
+    /// not take up.
     pub fn needs_restart(&self, next: &Settings, schema: &Schema) -> Vec<String> {
         let plain = |shown: Shown| ((shown.section, shown.key, shown.live), shown.value);
         let before: BTreeMap<_, _> = self.shown(schema).into_iter().map(plain).collect();
         let after: BTreeMap<_, _> = next.shown(schema).into_iter().map(plain).collect();
         let keys: BTreeSet<_> = before.keys().chain(after.keys()).collect();
-        let changed = keys.into_iter().filter(|key| !key.2 && before.get(*key) != after.get(*key));
-        changed.map(|(section, key, _)| format!("[{section}] {key}")).collect()
+        let changed = keys
+            .into_iter()
+            .filter(|key| !key.2 && before.get(*key) != after.get(*key));
+        changed
+            .map(|(section, key, _)| format!("[{section}] {key}"))
+            .collect()
     }
 
     /// The values under one section, with the defaults of `schema`.
     pub fn of<'a>(&'a self, schema: &Schema, section: &'static str, name: &'a str) -> Values<'a> {
-        Values { settings: self, section: schema.section(section), name }
+        Values {
+            settings: self,
+            section: schema.section(section),
+            name,
+        }
     }
 }
 
-/// The values of one section. All were checked when they were read: what can't be parsed is not there.
+/// The values of one section. All were checked when they were read: what can't be parsed is not
+/// there.
 #[derive(Clone, Copy)]
 pub struct Values<'a> {
     settings: &'a Settings,
@@ -288,8 +372,14 @@
     pub fn text(&self, key: &str) -> Option<&'a str> {
         let section = self.section?;
         let key = section.keys.iter().find(|k| k.name == key)?;
-        let given = self.settings.given.get(&(section.name, self.name.to_string(), key.name));
-        given.map(|given| given.text.as_str()).or(key.default).filter(|text| !text.is_empty())
+        let given = self
+            .settings
+            .given
+            .get(&(section.name, self.name.to_string(), key.name));
+        given
+            .map(|given| given.text.as_str())
+            .or(key.default)
+            .filter(|text| !text.is_empty())
     }
 
     pub fn flag(&self, key: &str) -> bool {
--- a/crates/ini-config/src/value.rs
+++ b/crates/ini-config/src/value.rs
@@ -44,11 +44,13 @@
                 Err(_) => Err("has to be ADDRESS:PORT, in numbers".into()),
             },
             Kind::Choice(words) if words.contains(&text) => Ok(()),
-            Kind::Choice(words) => Err(crate::suggestion(text, words.iter().copied())[2..].to_string()),
-            Kind::TimeOr(words) if words.contains(&text) => Ok(()),
-            Kind::TimeOr(words) => {
-                time(text).map(drop).map_err(|why| format!("{why}, or {}", words.join(", ")))
+            Kind::Choice(words) => {
+                Err(crate::suggestion(text, words.iter().copied())[2..].to_string())
             }
+            Kind::TimeOr(words) if words.contains(&text) => Ok(()),
+            Kind::TimeOr(words) => time(text)
+                .map(drop)
+                .map_err(|why| format!("{why}, or {}", words.join(", "))),
         }
     }
 }
@@ -58,10 +60,20 @@
     let digits = text.bytes().take_while(u8::is_ascii_digit).count();
     let (number, unit) = text.split_at(digits);
     let words: Vec<&str> = units.iter().map(|(unit, _)| *unit).collect();
-    let wrong = || format!("has to be a whole number and a unit ({}), as in {example}", words.join(", "));
-    let factor = units.iter().find(|(word, _)| *word == unit.trim()).map(|(_, factor)| *factor);
+    let wrong = || {
+        format!(
+            "has to be a whole number and a unit ({}), as in {example}",
+            words.join(", ")
+        )
+    };
+    let factor = units
+        .iter()
+        .find(|(word, _)| *word == unit.trim())
+        .map(|(_, factor)| *factor);
     let number: u64 = number.parse().map_err(|_| wrong())?;
-    number.checked_mul(factor.ok_or_else(wrong)?).ok_or_else(|| "is too large".to_string())
+    number
+        .checked_mul(factor.ok_or_else(wrong)?)
+        .ok_or_else(|| "is too large".to_string())
 }
 
 /// A length of time with its unit.
@@ -85,5 +97,14 @@
 /// # Errors
 /// Why it is none.
 pub fn bytes(text: &str) -> Result<u64, String> {
-    measure(text, &[("B", 1), ("KiB", 1 << 10), ("MiB", 1 << 20), ("GiB", 1 << 30)], "8MiB")
+    measure(
+        text,
+        &[
+            ("B", 1),
+            ("KiB", 1 << 10),
+            ("MiB", 1 << 20),
+            ("GiB", 1 << 30),
+        ],
+        "8MiB",
+    )
 }
--- a/crates/opensearch-gateway/src/dsl.rs
+++ b/crates/opensearch-gateway/src/dsl.rs
@@ -1,5 +1,5 @@
-//! The query language, parsed once into a typed tree. What is not known is rejected by its path; depth, clauses and
-//! numbers are bounded, so that a search costs no more than its size lets it.
+//! The query language, parsed once into a typed tree. What is not known is rejected by its path;
+//! depth, clauses and numbers are bounded, so that a search costs no more than its size lets it.
 
 use serde::de::{self, DeserializeOwned, Deserializer, MapAccess, Visitor};
 use serde::ser::{SerializeMap, Serializer};
@@ -56,12 +56,14 @@
             }
 
             fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Of<T>, A::Error> {
-                let (field, what) = map.next_entry()?.ok_or_else(|| de::Error::invalid_length(0, &self))?;
+                let (field, what) = map
+                    .next_entry()?
+                    .ok_or_else(|| de::Error::invalid_length(0, &self))?;
                 match map.next_key::<String>()? {
                     None => Ok(Of { field, what }),
-                    Some(other) => {
-                        Err(de::Error::custom(format!("one field is expected, and [{other}] is another")))
-                    }
+                    Some(other) => Err(de::Error::custom(format!(
+                        "one field is expected, and [{other}] is another"
+                    ))),
                 }
             }
         }
@@ -69,7 +71,8 @@
     }
 }
 
-/// An object and nothing else: an array would pass for one, its items for the fields in their order.
+/// An object and nothing else: an array would pass for one, its items for the fields in their
+/// order.
 struct Object<T>(T);
 
 impl<'de, T: Deserialize<'de>> Deserialize<'de> for Object<T> {
@@ -94,9 +97,14 @@
     Object::deserialize(deserializer).map(|object| object.0)
 }
 
-fn of_object<'de, D: Deserializer<'de>, T: Deserialize<'de>>(deserializer: D) -> Result<Of<T>, D::Error> {
+fn of_object<'de, D: Deserializer<'de>, T: Deserialize<'de>>(
+    deserializer: D,
+) -> Result<Of<T>, D::Error> {
     let Of { field, what } = Of::<Object<T>>::deserialize(deserializer)?;
-    Ok(Of { field, what: what.0 })
+    Ok(Of {
+        field,
+        what: what.0,
+    })
 }
 
 /// A plain value to compare with.
@@ -215,7 +223,8 @@
             }
 
             fn visit_map<A: MapAccess<'de>>(self, map: A) -> Result<Clauses, A::Error> {
-                Query::deserialize(de::value::MapAccessDeserializer::new(map)).map(|one| Clauses(vec![one]))
+                Query::deserialize(de::value::MapAccessDeserializer::new(map))
+                    .map(|one| Clauses(vec![one]))
             }
         }
         deserializer.deserialize_any(OneOrMore)
@@ -307,7 +316,10 @@
 
 impl From<SortKey> for Of<Order> {
     fn from(key: SortKey) -> Of<Order> {
-        Of { field: key.field, what: key.order }
+        Of {
+            field: key.field,
+            what: key.order,
+        }
     }
 }
 
@@ -320,12 +332,19 @@
             order: Option<Order>,
         }
         let value = Value::deserialize(deserializer)?;
-        let natural = |field: &str| if field == "_score" { Order::Desc } else { Order::Asc };
+        let natural = |field: &str| {
+            if field == "_score" {
+                Order::Desc
+            } else {
+                Order::Asc
+            }
+        };
         if let Value::String(field) = value {
             let order = natural(&field);
             return Ok(SortKey { field, order });
         }
-        let Of { field, what }: Of<Value> = serde_json::from_value(value).map_err(de::Error::custom)?;
+        let Of { field, what }: Of<Value> =
+            serde_json::from_value(value).map_err(de::Error::custom)?;
         let order = if what.is_object() {
             let Long { order } = serde_json::from_value(what).map_err(de::Error::custom)?;
             order.unwrap_or_else(|| natural(&field))
@@ -421,7 +440,10 @@
     pub from: Option<u64>,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub size: Option<u64>,
-    #[serde(skip_serializing_if = "Vec::is_empty", deserialize_with = "one_or_more")]
+    #[serde(
+        skip_serializing_if = "Vec::is_empty",
+        deserialize_with = "one_or_more"
+    )]
     pub sort: Vec<SortKey>,
     #[serde(skip_serializing_if = "Option::is_none")]
     pub search_after: Option<Vec<Value>>,
@@ -437,9 +459,15 @@
     pub aggs: BTreeMap<String, Aggregation>,
 }
 
-fn one_or_more<'de, D: Deserializer<'de>, T: DeserializeOwned>(deserializer: D) -> Result<Vec<T>, D::Error> {
+fn one_or_more<'de, D: Deserializer<'de>, T: DeserializeOwned>(
+    deserializer: D,
+) -> Result<Vec<T>, D::Error> {
     let value = Value::deserialize(deserializer)?;
-    let all = if value.is_array() { value } else { Value::Array(vec![value]) };
+    let all = if value.is_array() {
+        value
+    } else {
+        Value::Array(vec![value])
+    };
     serde_json::from_value(all).map_err(de::Error::custom)
 }
 
@@ -454,13 +482,23 @@
         }
         // Depth first, over the bytes: what reads the tree goes down as deep as it is.
         if depth(body) > 2 * MOST_DEPTH + 8 {
-            return Err(too_much("query", format!("clauses are more than {MOST_DEPTH} deep")));
+            return Err(too_much(
+                "query",
+                format!("clauses are more than {MOST_DEPTH} deep"),
+            ));
         }
         let mut reader = serde_json::Deserializer::from_slice(body);
-        let Object(search): Object<Search> = serde_path_to_error::deserialize(&mut reader).map_err(|e| {
-            Problem { path: e.path().to_string(), reason: e.into_inner().to_string(), too_much: false }
+        let Object(search): Object<Search> = serde_path_to_error::deserialize(&mut reader)
+            .map_err(|e| Problem {
+                path: e.path().to_string(),
+                reason: e.into_inner().to_string(),
+                too_much: false,
+            })?;
+        reader.end().map_err(|e| Problem {
+            path: ".".into(),
+            reason: e.to_string(),
+            too_much: false,
         })?;
-        reader.end().map_err(|e| Problem { path: ".".into(), reason: e.to_string(), too_much: false })?;
         search.check()?;
         Ok(search)
     }
@@ -485,21 +523,33 @@
     pub fn check(&self) -> Result<(), Problem> {
         let window = self.from().saturating_add(self.size());
         if window > MOST_WINDOW {
-            return Err(too_much("from", format!("from + size is {window}, and {MOST_WINDOW} at most")));
+            return Err(too_much(
+                "from",
+                format!("from + size is {window}, and {MOST_WINDOW} at most"),
+            ));
         }
-        let problem =
-            |path: &str, reason: &str| Problem { path: path.into(), reason: reason.into(), too_much: false };
+        let problem = |path: &str, reason: &str| Problem {
+            path: path.into(),
+            reason: reason.into(),
+            too_much: false,
+        };
         if let Some(after) = &self.search_after {
             if self.sort.is_empty() {
                 return Err(problem("search_after", "needs a sort"));
             }
             if after.len() != self.sort.len() {
-                return Err(problem("search_after", "has to have a value for each key of the sort"));
+                return Err(problem(
+                    "search_after",
+                    "has to have a value for each key of the sort",
+                ));
             }
             if self.from() > 0 {
                 return Err(problem("from", "has to be 0 with search_after"));
             }
-            if after.iter().any(|value| value.is_object() || value.is_array()) {
+            if after
+                .iter()
+                .any(|value| value.is_object() || value.is_array())
+            {
                 return Err(problem("search_after", "takes plain values only"));
             }
         }
@@ -510,13 +560,19 @@
             duration_ms(text).ok_or_else(|| problem("timeout", "is no time as in 500ms or 2s"))?;
         }
         if self.aggs.len() > MOST_AGGREGATIONS {
-            return Err(too_much("aggs", format!("are more than {MOST_AGGREGATIONS}")));
+            return Err(too_much(
+                "aggs",
+                format!("are more than {MOST_AGGREGATIONS}"),
+            ));
         }
         for (name, aggregation) in &self.aggs {
             let path = format!("aggs.{name}");
             match aggregation {
                 Aggregation::Terms(it) if it.size == 0 || it.size > MOST_BUCKETS => {
-                    return Err(too_much(&path, format!("size has to be from 1 to {MOST_BUCKETS}")));
+                    return Err(too_much(
+                        &path,
+                        format!("size has to be from 1 to {MOST_BUCKETS}"),
+                    ));
                 }
                 Aggregation::Histogram(it) if !(it.interval > 0.0 && it.interval.is_finite()) => {
                     return Err(problem(&path, "interval has to be above 0"));
@@ -530,10 +586,13 @@
             }
         }
         let mut clauses = 0;
-        self.query.as_ref().map_or(Ok(()), |query| count(query, 1, &mut clauses))
+        self.query
+            .as_ref()
+            .map_or(Ok(()), |query| count(query, 1, &mut clauses))
     }
 
-    /// What each shard is asked: its own best hits up to the end of the page, and what can be reduced.
+    /// What each shard is asked: its own best hits up to the end of the page, and what can be
+    /// reduced.
     pub fn for_shards(&self) -> Search {
         let mut shard = self.clone();
         shard.size = Some(self.from() + self.size());
@@ -545,7 +604,9 @@
                 // An average of averages is none: count and sum are.
                 Aggregation::Avg(field) => *aggregation = Aggregation::Stats(field.clone()),
                 // What is just below the top in one shard may be in it over all.
-                Aggregation::Terms(it) => it.size = (it.size + it.size / 2 + 10).min(2 * MOST_BUCKETS),
+                Aggregation::Terms(it) => {
+                    it.size = (it.size + it.size / 2 + 10).min(2 * MOST_BUCKETS)
+                }
                 _ => {}
             }
         }
@@ -554,7 +615,11 @@
 }
 
 fn too_much(path: &str, reason: String) -> Problem {
-    Problem { path: path.into(), reason, too_much: true }
+    Problem {
+        path: path.into(),
+        reason,
+        too_much: true,
+    }
 }
 
 /// How deep brackets stand in each other, outside of texts.
@@ -579,10 +644,16 @@
 fn count(query: &Query, depth: usize, clauses: &mut usize) -> Result<(), Problem> {
     *clauses += 1;
     if depth > MOST_DEPTH {
-        return Err(too_much("query", format!("clauses are more than {MOST_DEPTH} deep")));
+        return Err(too_much(
+            "query",
+            format!("clauses are more than {MOST_DEPTH} deep"),
+        ));
     }
     if *clauses > MOST_CLAUSES {
-        return Err(too_much("query", format!("has more than {MOST_CLAUSES} clauses")));
+        return Err(too_much(
+            "query",
+            format!("has more than {MOST_CLAUSES} clauses"),
+        ));
     }
     let values = match query {
         Query::Terms(it) => it.what.len(),
@@ -591,12 +662,17 @@
         _ => 0,
     };
     if values > MOST_CLAUSES {
-        return Err(too_much("query", format!("a clause has more than {MOST_CLAUSES} values")));
+        return Err(too_much(
+            "query",
+            format!("a clause has more than {MOST_CLAUSES} values"),
+        ));
     }
     match query {
         Query::Bool(it) => {
             let all = [&it.must, &it.filter, &it.should, &it.must_not];
-            all.iter().flat_map(|clauses| &clauses.0).try_for_each(|query| count(query, depth + 1, clauses))
+            all.iter()
+                .flat_map(|clauses| &clauses.0)
+                .try_for_each(|query| count(query, depth + 1, clauses))
         }
         Query::ConstantScore(it) => count(&it.filter, depth + 1, clauses),
         Query::FunctionScore(it) => count(&it.query, depth + 1, clauses),
--- a/crates/opensearch-gateway/src/index.rs
+++ b/crates/opensearch-gateway/src/index.rs
@@ -57,9 +57,24 @@
     name: "index",
     named: true,
     keys: &[
-        key("class", Kind::Text, None, "The class of its searches, by the platform's name."),
-        key("shards", Kind::Text, None, "Its shards: numbers and ranges, as in 0-7,12."),
-        key("weights", Kind::Text, None, "Their weights in that order, adding up to 1; equal ones if unset."),
+        key(
+            "class",
+            Kind::Text,
+            None,
+            "The class of its searches, by the platform's name.",
+        ),
+        key(
+            "shards",
+            Kind::Text,
+            None,
+            "Its shards: numbers and ranges, as in 0-7,12.",
+        ),
+        key(
+            "weights",
+            Kind::Text,
+            None,
+            "Their weights in that order, adding up to 1; equal ones if unset.",
+        ),
     ],
 };
 
@@ -77,8 +92,19 @@
     ],
 };
 
-const fn key(name: &'static str, kind: Kind, default: Option<&'static str>, doc: &'static str) -> Key {
-    Key { name, kind, default, live: false, doc }
+const fn key(
+    name: &'static str,
+    kind: Kind,
+    default: Option<&'static str>,
+    doc: &'static str,
+) -> Key {
+    Key {
+        name,
+        kind,
+        default,
+        live: false,
+        doc,
+    }
 }
 
 /// One index.
@@ -127,8 +153,11 @@
     let mut all = Vec::new();
     for piece in text.split(',').map(str::trim) {
         let (from, to) = piece.split_once('-').unwrap_or((piece, piece));
-        let number =
-            |text: &str| text.trim().parse::<u32>().map_err(|_| format!("'{piece}' is no number or range"));
+        let number = |text: &str| {
+            text.trim()
+                .parse::<u32>()
+                .map_err(|_| format!("'{piece}' is no number or range"))
+        };
         let (from, to) = (number(from)?, number(to)?);
         if from > to || to - from > 100_000 {
             return Err(format!("'{piece}' is no range"));
@@ -155,17 +184,26 @@
         let network = settings.of(schema, NETWORK.name, name);
         let wrong = |key: &str, why: &str| settings.problem(NETWORK.name, name, key, why);
         if matches!(by, TenantBy::Header | TenantBy::Certificate) {
-            return Err(wrong("tenant", "is never used, as [opensearch] tenant-by does not go by networks"));
+            return Err(wrong(
+                "tenant",
+                "is never used, as [opensearch] tenant-by does not go by networks",
+            ));
         }
-        let tenant = network.text("tenant").ok_or_else(|| wrong("tenant", "is missing"))?;
-        let prefixes = network.text("prefixes").ok_or_else(|| wrong("prefixes", "is missing"))?;
+        let tenant = network
+            .text("tenant")
+            .ok_or_else(|| wrong("tenant", "is missing"))?;
+        let prefixes = network
+            .text("prefixes")
+            .ok_or_else(|| wrong("prefixes", "is missing"))?;
         let prefixes = networks(prefixes).map_err(|why| wrong("prefixes", &why))?;
         rules.extend(prefixes.into_iter().map(|net| (net, name, tenant)));
     }
     rules.sort_by_key(|(net, ..)| net.prefix_len());
     let mut table = Table::default();
     for (net, name, tenant) in rules {
-        table.insert(net, tenant).map_err(|why| settings.problem(NETWORK.name, name, "prefixes", &why))?;
+        table
+            .insert(net, tenant)
+            .map_err(|why| settings.problem(NETWORK.name, name, "prefixes", &why))?;
     }
     if table.is_empty() && matches!(by, TenantBy::Network | TenantBy::Either) {
         return Err(settings.problem(
@@ -183,40 +221,66 @@
     /// Values that contradict each other.
     pub fn read(settings: &Settings, schema: &Schema) -> Result<Option<Front>, Problems> {
         let values = settings.of(schema, FRONT.name, "");
-        let Some(listen) = values.address("listen") else { return Ok(None) };
+        let Some(listen) = values.address("listen") else {
+            return Ok(None);
+        };
         let mut indices = BTreeMap::new();
         for name in settings.names(INDEX.name) {
             let index = settings.of(schema, INDEX.name, name);
             let wrong = |key: &str, why: &str| settings.problem(INDEX.name, name, key, why);
             if !index_name(name) {
-                return Err(wrong("class", "an index's name has small letters, digits, '-', '_' and '.'"));
+                return Err(wrong(
+                    "class",
+                    "an index's name has small letters, digits, '-', '_' and '.'",
+                ));
             }
-            let class = index.text("class").ok_or_else(|| wrong("class", "is missing"))?.to_string();
-            let numbers = index.text("shards").ok_or_else(|| wrong("shards", "is missing"))?;
+            let class = index
+                .text("class")
+                .ok_or_else(|| wrong("class", "is missing"))?
+                .to_string();
+            let numbers = index
+                .text("shards")
+                .ok_or_else(|| wrong("shards", "is missing"))?;
             let numbers = shards(numbers).map_err(|why| wrong("shards", &why))?;
             let weights: Vec<f64> = match index.text("weights") {
                 None => vec![1.0 / numbers.len() as f64; numbers.len()],
                 Some(text) => {
-                    let weights: Result<Vec<f64>, _> =
-                        text.split(',').map(|weight| weight.trim().parse()).collect();
+                    let weights: Result<Vec<f64>, _> = text
+                        .split(',')
+                        .map(|weight| weight.trim().parse())
+                        .collect();
                     weights.map_err(|_| wrong("weights", "have to be numbers"))?
                 }
             };
             if weights.len() != numbers.len() {
-                let why = format!("are {}, and there are {} shards", weights.len(), numbers.len());
+                let why = format!(
+                    "are {}, and there are {} shards",
+                    weights.len(),
+                    numbers.len()
+                );
                 return Err(wrong("weights", &why));
             }
             let sum: f64 = weights.iter().sum();
-            if weights.iter().any(|weight| !(0.0..=1.0).contains(weight)) || (sum - 1.0).abs() > ROUNDING {
+            if weights.iter().any(|weight| !(0.0..=1.0).contains(weight))
+                || (sum - 1.0).abs() > ROUNDING
+            {
                 return Err(wrong("weights", "have to be shares that add up to 1"));
             }
             indices.insert(
                 name.to_string(),
-                Index { class, shards: numbers.into_iter().zip(weights).collect() },
+                Index {
+                    class,
+                    shards: numbers.into_iter().zip(weights).collect(),
+                },
             );
         }
         if indices.is_empty() {
-            return Err(settings.problem(FRONT.name, "", "listen", "there is no [index NAME] to search"));
+            return Err(settings.problem(
+                FRONT.name,
+                "",
+                "listen",
+                "there is no [index NAME] to search",
+            ));
         }
         let by = match values.text("tenant-by") {
             Some("network") => TenantBy::Network,
@@ -227,14 +291,23 @@
         let path = |key: &str| values.text(key).map(PathBuf::from);
         let wrong = |key: &str, why: &str| settings.problem(FRONT.name, "", key, why);
         let tls = match (path("certificate"), path("key"), path("client-ca")) {
-            (Some(certificate), Some(key), clients) => Some(Files { certificate, key, clients }),
+            (Some(certificate), Some(key), clients) => Some(Files {
+                certificate,
+                key,
+                clients,
+            }),
             (None, None, None) => None,
             (Some(_), None, _) => return Err(wrong("certificate", "needs 'key'")),
             (None, Some(_), _) => return Err(wrong("key", "needs 'certificate'")),
-            (None, None, Some(_)) => return Err(wrong("client-ca", "needs 'certificate' and 'key'")),
+            (None, None, Some(_)) => {
+                return Err(wrong("client-ca", "needs 'certificate' and 'key'"))
+            }
         };
         if by == TenantBy::Certificate && tls.as_ref().is_none_or(|tls| tls.clients.is_none()) {
-            return Err(wrong("tenant-by", "goes by certificates, and there is no 'client-ca'"));
+            return Err(wrong(
+                "tenant-by",
+                "goes by certificates, and there is no 'client-ca'",
+            ));
         }
         let mut proxies = Networks::default();
         let named = networks(values.text("proxies").unwrap_or_default());
@@ -251,7 +324,10 @@
             most_answer: values.bytes("answer").unwrap_or(8 << 20) as usize,
             idle: values.time("idle").unwrap_or(Duration::from_secs(60)),
             cluster: values.text("cluster").unwrap_or("cottonhill").to_string(),
-            tenant_header: values.text("tenant-header").unwrap_or("X-Tenant-Id").to_ascii_lowercase(),
+            tenant_header: values
+                .text("tenant-header")
+                .unwrap_or("X-Tenant-Id")
+                .to_ascii_lowercase(),
             tenant: values.text("tenant").map(str::to_string),
             indices,
         }))
--- a/crates/opensearch-gateway/src/packed.rs
+++ b/crates/opensearch-gateway/src/packed.rs
@@ -15,7 +15,9 @@
 pub fn unpack(body: &[u8], most: usize) -> Result<Vec<u8>, String> {
     let mut plain = Vec::new();
     let mut reader = MultiGzDecoder::new(body).take(most as u64 + 1);
-    reader.read_to_end(&mut plain).map_err(|e| format!("the body is no gzip: {e}"))?;
+    reader
+        .read_to_end(&mut plain)
+        .map_err(|e| format!("the body is no gzip: {e}"))?;
     if plain.len() > most {
         return Err(format!("the body unpacks to more than {most} bytes"));
     }
@@ -37,7 +39,12 @@
     fn what_unpacks_without_end_is_cut_at_the_bound() {
         let long = vec![b' '; 10_000_000];
         let packed = pack(&long).unwrap();
-        assert!(packed.len() < 100_000 && unpack(&packed, 65_536).unwrap_err().contains("more than 65536"));
+        assert!(
+            packed.len() < 100_000
+                && unpack(&packed, 65_536)
+                    .unwrap_err()
+                    .contains("more than 65536")
+        );
         // Many members in a row are one body; so is a bomb of them.
         let many = pack(&[b' '; 1000]).unwrap().repeat(1000);
         assert!(unpack(&many, 65_536).is_err());
--- a/crates/opensearch-gateway/src/shape.rs
+++ b/crates/opensearch-gateway/src/shape.rs
@@ -16,7 +16,11 @@
 
 impl Answer {
     pub fn ok(body: Value) -> Answer {
-        Answer { status: 200, body, retry_after: None }
+        Answer {
+            status: 200,
+            body,
+            retry_after: None,
+        }
     }
 }
 
@@ -24,17 +28,29 @@
 pub fn error(status: u16, kind: &str, reason: &str) -> Answer {
     let cause = json!({"type": kind, "reason": reason});
     let error = json!({"root_cause": [cause], "type": kind, "reason": reason});
-    Answer { status, body: json!({"error": error, "status": status}), retry_after: None }
+    Answer {
+        status,
+        body: json!({"error": error, "status": status}),
+        retry_after: None,
+    }
 }
 
 /// A search that can't be read or asks for too much.
 pub fn problem(problem: &Problem) -> Answer {
-    let kind = if problem.too_much { "illegal_argument_exception" } else { "parsing_exception" };
+    let kind = if problem.too_much {
+        "illegal_argument_exception"
+    } else {
+        "parsing_exception"
+    };
     error(400, kind, &problem.to_string())
 }
 
 pub fn no_index(name: &str) -> Answer {
-    let mut answer = error(404, "index_not_found_exception", &format!("no such index [{name}]"));
+    let mut answer = error(
+        404,
+        "index_not_found_exception",
+        &format!("no such index [{name}]"),
+    );
     for at in ["/error", "/error/root_cause/0"] {
         if let Some(error) = answer.body.pointer_mut(at) {
             error["index"] = json!(name);
@@ -47,7 +63,9 @@
 
 /// Refused: trying again is harmless, best not before a while has passed.
 pub fn refused(come_back: Option<Duration>) -> Answer {
-    let after = come_back.map_or(String::new(), |after| format!("; come back in {} ms", after.as_millis()));
+    let after = come_back.map_or(String::new(), |after| {
+        format!("; come back in {} ms", after.as_millis())
+    });
     let reason = format!("the search was refused, as it could not be answered in time{after}");
     let mut answer = error(429, "circuit_breaking_exception", &reason);
     answer.body["error"]["durability"] = json!("TRANSIENT");
@@ -125,16 +143,26 @@
     match search.track_total_hits {
         Some(Track::Flag(false)) => None,
         Some(Track::Flag(true)) => Some(counted),
-        Some(Track::UpTo(most)) if counted.value > most => {
-            Some(Total { value: most, relation: Relation::Gte })
-        }
-        None if counted.value > 10_000 => Some(Total { value: 10_000, relation: Relation::Gte }),
+        Some(Track::UpTo(most)) if counted.value > most => Some(Total {
+            value: most,
+            relation: Relation::Gte,
+        }),
+        None if counted.value > 10_000 => Some(Total {
+            value: 10_000,
+            relation: Relation::Gte,
+        }),
         _ => Some(counted),
     }
 }
 
 /// The answer to a search.
-pub fn found(index: &str, search: &Search, took: Duration, shards: &Shards, merged: &Merged) -> Vec<u8> {
+pub fn found(
+    index: &str,
+    search: &Search,
+    took: Duration,
+    shards: &Shards,
+    merged: &Merged,
+) -> Vec<u8> {
     let body = Body {
         took: took.as_millis() as u64,
         timed_out: shards.successful < shards.total,
@@ -142,7 +170,11 @@
         hits: Hits {
             total: total(search, merged.total),
             max_score: merged.max_score,
-            hits: merged.hits.iter().map(|hit| Indexed { index, hit }).collect(),
+            hits: merged
+                .hits
+                .iter()
+                .map(|hit| Indexed { index, hit })
+                .collect(),
         },
         aggregations: (!search.aggs.is_empty()).then_some(&merged.aggregations),
     };
--- a/crates/opensearch-gateway/src/tenant.rs
+++ b/crates/opensearch-gateway/src/tenant.rs
@@ -1,7 +1,8 @@
 //! Whose a search is: by a header, or by the network that it comes from. Pure.
 //!
-//! Networks are matched by their longest prefix. Where the client connects through proxies, the address that counts is
-//! the last one in `X-Forwarded-For` that no trusted proxy has; what any other client says there is not believed.
+//! Networks are matched by their longest prefix. Where the client connects through proxies, the
+//! address that counts is the last one in `X-Forwarded-For` that no trusted proxy has; what any
+//! other client says there is not believed.
 
 use ipnet::{IpNet, Ipv4Net, Ipv6Net};
 use prefix_trie::{PrefixMap, PrefixSet};
@@ -56,25 +57,33 @@
 impl Table {
     /// Adds a network.
     ///
-    /// # Errors
-    /// It is another tenant's already, or the tenant's by a network around it: then the rule is never reached or
-    /// changes nothing. Networks are to be added from the widest to the narrowest.
+    /// # Errors It is another tenant's already, or the tenant's by a network around it: then the
+    /// rule is never reached or changes nothing. Networks are to be added from the widest to the
+    /// narrowest.
     pub fn insert(&mut self, net: IpNet, tenant: &str) -> Result<(), String> {
         let (same, around) = match net {
             IpNet::V4(net) => {
                 let net = net.trunc();
-                (self.four.get(&net).cloned(), self.four.get_lpm(&net).map(|(_, tenant)| tenant.clone()))
+                (
+                    self.four.get(&net).cloned(),
+                    self.four.get_lpm(&net).map(|(_, tenant)| tenant.clone()),
+                )
             }
             IpNet::V6(net) => {
                 let net = net.trunc();
-                (self.six.get(&net).cloned(), self.six.get_lpm(&net).map(|(_, tenant)| tenant.clone()))
+                (
+                    self.six.get(&net).cloned(),
+                    self.six.get_lpm(&net).map(|(_, tenant)| tenant.clone()),
+                )
             }
         };
         if let Some(other) = same {
             return Err(format!("{net} is given to '{other}' already"));
         }
         if around.as_deref() == Some(tenant) {
-            return Err(format!("{net} lies in a network of '{tenant}' already: the rule changes nothing"));
+            return Err(format!(
+                "{net} lies in a network of '{tenant}' already: the rule changes nothing"
+            ));
         }
         match net {
             IpNet::V4(net) => drop(self.four.insert(net.trunc(), tenant.into())),
@@ -104,28 +113,38 @@
     let net = |text: &str| {
         let net = match text.parse::<IpAddr>() {
             Ok(address) => IpNet::from(address),
-            Err(_) => {
-                text.parse::<IpNet>().map_err(|_| format!("'{text}' is no network, as in 10.1.0.0/16"))?
-            }
+            Err(_) => text
+                .parse::<IpNet>()
+                .map_err(|_| format!("'{text}' is no network, as in 10.1.0.0/16"))?,
         };
         let trunc = net.trunc();
         (net == trunc)
             .then_some(net)
             .ok_or_else(|| format!("'{text}' has bits past its prefix; is it {trunc}?"))
     };
-    text.split(',').map(str::trim).filter(|text| !text.is_empty()).map(net).collect()
+    text.split(',')
+        .map(str::trim)
+        .filter(|text| !text.is_empty())
+        .map(net)
+        .collect()
 }
 
-/// The client's own address: that of the connection, or where that is a trusted proxy's, the last one forwarded that is
-/// none. What can't be read ends the search at the proxy that said it.
+/// The client's own address: that of the connection, or where that is a trusted proxy's, the last
+/// one forwarded that is none. What can't be read ends the search at the proxy that said it.
 pub fn client(peer: IpAddr, forwarded: &[&str], proxies: &Networks) -> IpAddr {
     let mut client = peer;
-    let said = forwarded.iter().flat_map(|line| line.split(',')).map(str::trim).collect::<Vec<_>>();
+    let said = forwarded
+        .iter()
+        .flat_map(|line| line.split(','))
+        .map(str::trim)
+        .collect::<Vec<_>>();
     for address in said.into_iter().rev() {
         if !proxies.contains(client) {
             break;
         }
-        let Ok(address) = address.parse::<IpAddr>() else { break };
+        let Ok(address) = address.parse::<IpAddr>() else {
+            break;
+        };
         client = address;
     }
     plain(client)
@@ -146,8 +165,12 @@
 
     #[test]
     fn the_longest_prefix_wins_and_rules_that_do_nothing_are_refused() {
-        let found =
-            table(&[("10.0.0.0/8", "a"), ("10.1.0.0/16", "b"), ("10.1.2.0/24", "a"), ("2001:db8::/32", "c")]);
+        let found = table(&[
+            ("10.0.0.0/8", "a"),
+            ("10.1.0.0/16", "b"),
+            ("10.1.2.0/24", "a"),
+            ("2001:db8::/32", "c"),
+        ]);
         let found = found.unwrap();
         let cases = [
             ("10.9.9.9", Some("a")),
@@ -161,10 +184,15 @@
         for (address, tenant) in cases {
             assert_eq!(found.find(address.parse().unwrap()), tenant, "{address}");
         }
-        assert!(table(&[("10.0.0.0/8", "a"), ("10.0.0.0/8", "b")]).unwrap_err().contains("already"));
-        assert!(table(&[("10.0.0.0/8", "a"), ("10.1.0.0/16", "a")]).unwrap_err().contains("changes nothing"));
+        assert!(table(&[("10.0.0.0/8", "a"), ("10.0.0.0/8", "b")])
+            .unwrap_err()
+            .contains("already"));
+        assert!(table(&[("10.0.0.0/8", "a"), ("10.1.0.0/16", "a")])
+            .unwrap_err()
+            .contains("changes nothing"));
         assert!(
-            networks("10.1.0.1/16").unwrap_err().contains("10.1.0.0/16") && networks("10.1.0.0/33").is_err()
+            networks("10.1.0.1/16").unwrap_err().contains("10.1.0.0/16")
+                && networks("10.1.0.0/33").is_err()
         );
         assert_eq!(networks("10.1.0.0/16, ::1").unwrap().len(), 2);
     }
@@ -172,12 +200,19 @@
     #[test]
     fn forwarded_addresses_are_believed_from_trusted_proxies_only() {
         let mut proxies = Networks::default();
-        networks("10.0.0.0/24, ::1").unwrap().into_iter().for_each(|net| proxies.insert(net));
+        networks("10.0.0.0/24, ::1")
+            .unwrap()
+            .into_iter()
+            .for_each(|net| proxies.insert(net));
         let cases: [(&str, &[&str], &str); 8] = [
             ("192.0.2.1", &["10.9.9.9"], "192.0.2.1"),
             ("10.0.0.1", &["192.0.2.7"], "192.0.2.7"),
             ("10.0.0.1", &["198.51.100.1, 192.0.2.7"], "192.0.2.7"),
-            ("10.0.0.1", &["198.51.100.1", "192.0.2.7, 10.0.0.2"], "192.0.2.7"),
+            (
+                "10.0.0.1",
+                &["198.51.100.1", "192.0.2.7, 10.0.0.2"],
+                "192.0.2.7",
+            ),
             ("10.0.0.1", &["10.0.0.3"], "10.0.0.3"),
             ("10.0.0.1", &["198.51.100.1, unknown"], "10.0.0.1"),
             ("10.0.0.1", &[], "10.0.0.1"),
@@ -185,7 +220,11 @@
         ];
         for (peer, forwarded, right) in cases {
             let got = client(peer.parse().unwrap(), forwarded, &proxies);
-            assert_eq!(got, right.parse::<IpAddr>().unwrap(), "{peer} {forwarded:?}");
+            assert_eq!(
+                got,
+                right.parse::<IpAddr>().unwrap(),
+                "{peer} {forwarded:?}"
+            );
         }
     }
 
--- a/crates/opensearch-gateway/src/tls.rs
+++ b/crates/opensearch-gateway/src/tls.rs
@@ -26,8 +26,10 @@
 
 fn certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>, String> {
     let at = |e: rustls::pki_types::pem::Error| format!("{}: {e}", path.display());
-    let all: Vec<_> =
-        CertificateDer::pem_file_iter(path).map_err(at)?.collect::<Result<_, _>>().map_err(at)?;
+    let all: Vec<_> = CertificateDer::pem_file_iter(path)
+        .map_err(at)?
+        .collect::<Result<_, _>>()
+        .map_err(at)?;
     if all.is_empty() {
         return Err(format!("{}: there is no certificate in it", path.display()));
     }
@@ -36,9 +38,15 @@
 
 fn read(files: &Files) -> Result<ServerConfig, String> {
     let key = files.key.display();
-    let mode = std::fs::metadata(&files.key).map_err(|e| format!("{key}: {e}"))?.permissions().mode();
+    let mode = std::fs::metadata(&files.key)
+        .map_err(|e| format!("{key}: {e}"))?
+        .permissions()
+        .mode();
     if mode & 0o077 != 0 {
-        return Err(format!("{key}: others may read it (mode {:03o}); chmod 600 it", mode & 0o777));
+        return Err(format!(
+            "{key}: others may read it (mode {:03o}); chmod 600 it",
+            mode & 0o777
+        ));
     }
     let secret = PrivateKeyDer::from_pem_file(&files.key).map_err(|e| format!("{key}: {e}"))?;
     let provider = Arc::new(rustls::crypto::ring::default_provider());
@@ -50,10 +58,15 @@
         Some(path) => {
             let mut roots = RootCertStore::empty();
             for certificate in certificates(path)? {
-                roots.add(certificate).map_err(|e| format!("{}: {e}", path.display()))?;
+                roots
+                    .add(certificate)
+                    .map_err(|e| format!("{}: {e}", path.display()))?;
             }
             let verifier = WebPkiClientVerifier::builder_with_provider(Arc::new(roots), provider);
-            let verifier = verifier.allow_unauthenticated().build().map_err(|e| e.to_string())?;
+            let verifier = verifier
+                .allow_unauthenticated()
+                .build()
+                .map_err(|e| e.to_string())?;
             builder.with_client_cert_verifier(verifier)
         }
     };
@@ -84,7 +97,12 @@
     }
 
     pub fn acceptor(&self) -> TlsAcceptor {
-        TlsAcceptor::from(self.config.lock().unwrap_or_else(PoisonError::into_inner).clone())
+        TlsAcceptor::from(
+            self.config
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .clone(),
+        )
     }
 }
 
@@ -119,20 +137,27 @@
             let mut params = CertificateParams::new(vec![host.to_string()]).unwrap();
             params.distinguished_name.push(DnType::CommonName, name);
             let key = KeyPair::generate().unwrap();
-            (params.signed_by(&key, &self.0).unwrap().pem(), key.serialize_pem())
+            (
+                params.signed_by(&key, &self.0).unwrap().pem(),
+                key.serialize_pem(),
+            )
         }
 
         fn client(&self, identity: Option<(String, String)>) -> ClientConfig {
             let mut roots = RootCertStore::empty();
-            roots.add(CertificateDer::from_pem_slice(self.0.pem().as_bytes()).unwrap()).unwrap();
+            roots
+                .add(CertificateDer::from_pem_slice(self.0.pem().as_bytes()).unwrap())
+                .unwrap();
             let provider = Arc::new(rustls::crypto::ring::default_provider());
-            let builder =
-                ClientConfig::builder_with_provider(provider).with_safe_default_protocol_versions().unwrap();
+            let builder = ClientConfig::builder_with_provider(provider)
+                .with_safe_default_protocol_versions()
+                .unwrap();
             let builder = builder.with_root_certificates(roots);
             match identity {
                 None => builder.with_no_client_auth(),
                 Some((certificate, key)) => {
-                    let chain = vec![CertificateDer::from_pem_slice(certificate.as_bytes()).unwrap()];
+                    let chain =
+                        vec![CertificateDer::from_pem_slice(certificate.as_bytes()).unwrap()];
                     let key = PrivateKeyDer::from_pem_slice(key.as_bytes()).unwrap();
                     builder.with_client_auth_cert(chain, key).unwrap()
                 }
@@ -145,14 +170,19 @@
         fs::set_permissions(path, fs::Permissions::from_mode(mode)).unwrap();
     }
 
-    type Pair = (client::TlsStream<DuplexStream>, server::TlsStream<DuplexStream>);
+    type Pair = (
+        client::TlsStream<DuplexStream>,
+        server::TlsStream<DuplexStream>,
+    );
 
     async fn meet(tls: &Tls, client: ClientConfig, host: &'static str) -> std::io::Result<Pair> {
         let (near, far) = tokio::io::duplex(65_536);
         let acceptor = tls.acceptor();
         let server = tokio::spawn(async move { acceptor.accept(far).await });
         let connector = TlsConnector::from(Arc::new(client));
-        let client = connector.connect(ServerName::try_from(host).unwrap(), near).await;
+        let client = connector
+            .connect(ServerName::try_from(host).unwrap(), near)
+            .await;
         let server = server.await.unwrap();
         Ok((client?, server?))
     }
@@ -161,28 +191,46 @@
     async fn a_reload_changes_new_connections_only_and_bad_files_change_nothing() {
         let (folder, authority) = (tempfile::tempdir().unwrap(), Authority::new());
         let at = |name: &str| folder.path().join(name);
-        let files = Files { certificate: at("cert"), key: at("key"), clients: Some(at("ca")) };
+        let files = Files {
+            certificate: at("cert"),
+            key: at("key"),
+            clients: Some(at("ca")),
+        };
         let (certificate, key) = authority.issue("one.example", "one");
         put(&files.certificate, &certificate, 0o644);
         put(&at("ca"), &authority.0.pem(), 0o644);
         put(&files.key, &key, 0o640);
-        assert!(Tls::load(files.clone()).err().unwrap().contains("others may read it"));
+        assert!(Tls::load(files.clone())
+            .err()
+            .unwrap()
+            .contains("others may read it"));
         put(&files.key, &key, 0o600);
         let tls = Tls::load(files.clone()).unwrap();
-        let (mut client, mut server) = meet(&tls, authority.client(None), "one.example").await.unwrap();
-        assert!(server.get_ref().1.peer_certificates().is_none(), "a client's certificate is optional");
+        let (mut client, mut server) = meet(&tls, authority.client(None), "one.example")
+            .await
+            .unwrap();
+        assert!(
+            server.get_ref().1.peer_certificates().is_none(),
+            "a client's certificate is optional"
+        );
         // Another certificate; half of a new pair first.
         let (next, next_key) = authority.issue("two.example", "two");
         put(&files.certificate, &next, 0o644);
         assert!(tls.reload().is_err());
         assert!(
-            meet(&tls, authority.client(None), "one.example").await.is_ok(),
+            meet(&tls, authority.client(None), "one.example")
+                .await
+                .is_ok(),
             "the old one stays in force"
         );
         put(&files.key, &next_key, 0o600);
         tls.reload().unwrap();
-        assert!(meet(&tls, authority.client(None), "two.example").await.is_ok());
-        assert!(meet(&tls, authority.client(None), "one.example").await.is_err());
+        assert!(meet(&tls, authority.client(None), "two.example")
+            .await
+            .is_ok());
+        assert!(meet(&tls, authority.client(None), "one.example")
+            .await
+            .is_err());
         client.write_all(b"still here").await.unwrap();
         client.flush().await.unwrap();
         let mut said = [0; 10];
@@ -192,10 +240,17 @@
 
     #[tokio::test]
     async fn a_clients_certificate_names_it_and_a_strangers_is_refused() {
-        let (folder, authority, stranger) =
-            (tempfile::tempdir().unwrap(), Authority::new(), Authority::new());
+        let (folder, authority, stranger) = (
+            tempfile::tempdir().unwrap(),
+            Authority::new(),
+            Authority::new(),
+        );
         let at = |name: &str| folder.path().join(name);
-        let files = Files { certificate: at("cert"), key: at("key"), clients: Some(at("ca")) };
+        let files = Files {
+            certificate: at("cert"),
+            key: at("key"),
+            clients: Some(at("ca")),
+        };
         let (certificate, key) = authority.issue("one.example", "one");
         put(&files.certificate, &certificate, 0o644);
         put(&files.key, &key, 0o600);
--- a/crates/opensearch-gateway/tests/language.rs
+++ b/crates/opensearch-gateway/tests/language.rs
@@ -12,49 +12,119 @@
 #[test]
 fn what_is_not_known_is_rejected_by_its_path() {
     let nested = |depth: usize| {
-        (0..depth).fold(json!({"match_all": {}}), |inner, _| json!({"constant_score": {"filter": inner}}))
+        (0..depth).fold(
+            json!({"match_all": {}}),
+            |inner, _| json!({"constant_score": {"filter": inner}}),
+        )
     };
-    let many: Vec<Value> = (0..MOST_CLAUSES).map(|_| json!({"match_all": {}})).collect();
+    let many: Vec<Value> = (0..MOST_CLAUSES)
+        .map(|_| json!({"match_all": {}}))
+        .collect();
     let cases = [
         (json!({"quary": {}}), "quary", "unknown field"),
-        (json!({"query": {"matsch": {"a": 1}}}), "query", "unknown variant"),
+        (
+            json!({"query": {"matsch": {"a": 1}}}),
+            "query",
+            "unknown variant",
+        ),
         (
             json!({"query": {"bool": {"must": [{"term": {"a": {"value": 1, "bost": 2}}}]}}}),
             "query.bool.must",
             "bost",
         ),
-        (json!({"query": {"term": {"a": 1, "b": 2}}}), "query.term", "[b] is another"),
-        (json!({"query": {"range": {"a": {"above": 1}}}}), "query.range.a", "above"),
-        (json!({"query": {"range": {"a": []}}}), "query.range", "an object"),
+        (
+            json!({"query": {"term": {"a": 1, "b": 2}}}),
+            "query.term",
+            "[b] is another",
+        ),
+        (
+            json!({"query": {"range": {"a": {"above": 1}}}}),
+            "query.range.a",
+            "above",
+        ),
+        (
+            json!({"query": {"range": {"a": []}}}),
+            "query.range",
+            "an object",
+        ),
         (json!({"query": {"bool": []}}), "query.bool", "an object"),
-        (json!({"aggs": {"x": {"max": ["a"]}}}), "aggs.x", "an object"),
+        (
+            json!({"aggs": {"x": {"max": ["a"]}}}),
+            "aggs.x",
+            "an object",
+        ),
         (json!({"size": -1}), "size", "invalid value"),
         (json!({"from": 9_999, "size": 2}), "from", "10000 at most"),
-        (json!({"from": u64::MAX, "size": 2}), "from", "10000 at most"),
+        (
+            json!({"from": u64::MAX, "size": 2}),
+            "from",
+            "10000 at most",
+        ),
         (json!({"query": nested(MOST_DEPTH)}), "query", "deep"),
-        (json!({"query": {"bool": {"should": many}}}), "query", "clauses"),
-        (json!({"query": {"ids": {"values": vec!["x"; MOST_CLAUSES + 1]}}}), "query", "values"),
+        (
+            json!({"query": {"bool": {"should": many}}}),
+            "query",
+            "clauses",
+        ),
+        (
+            json!({"query": {"ids": {"values": vec!["x"; MOST_CLAUSES + 1]}}}),
+            "query",
+            "values",
+        ),
         (json!({"search_after": [1]}), "search_after", "sort"),
-        (json!({"search_after": [1, 2], "sort": ["a"]}), "search_after", "each key"),
-        (json!({"search_after": [{}], "sort": ["a"]}), "search_after", "plain"),
+        (
+            json!({"search_after": [1, 2], "sort": ["a"]}),
+            "search_after",
+            "each key",
+        ),
+        (
+            json!({"search_after": [{}], "sort": ["a"]}),
+            "search_after",
+            "plain",
+        ),
         (json!({"sort": [{"a": "up"}]}), "sort", "up"),
         (json!({"timeout": "5 minutes"}), "timeout", "no time"),
-        (json!({"aggs": {"x": {"terms": {"field": "a", "size": 0}}}}), "aggs.x", "size"),
-        (json!({"aggs": {"x": {"histogram": {"field": "a", "interval": 0}}}}), "aggs.x", "interval"),
-        (json!({"aggs": {"x": {"terms": {"field": "a"}, "aggs": {}}}}), "aggs.x", ""),
-        (json!({"aggs": {"x": {"percentiles": {"field": "a"}}}}), "aggs.x", "percentiles"),
+        (
+            json!({"aggs": {"x": {"terms": {"field": "a", "size": 0}}}}),
+            "aggs.x",
+            "size",
+        ),
+        (
+            json!({"aggs": {"x": {"histogram": {"field": "a", "interval": 0}}}}),
+            "aggs.x",
+            "interval",
+        ),
+        (
+            json!({"aggs": {"x": {"terms": {"field": "a"}, "aggs": {}}}}),
+            "aggs.x",
+            "",
+        ),
+        (
+            json!({"aggs": {"x": {"percentiles": {"field": "a"}}}}),
+            "aggs.x",
+            "percentiles",
+        ),
     ];
     for (body, path, reason) in cases {
         let problem = search(&body).expect_err(&body.to_string());
-        assert!(problem.path.starts_with(path) && problem.reason.contains(reason), "{body}: {problem}");
+        assert!(
+            problem.path.starts_with(path) && problem.reason.contains(reason),
+            "{body}: {problem}"
+        );
     }
     assert!(search(&json!({"query": nested(MOST_DEPTH - 1)})).is_ok());
     // As deep as a body can be: it is refused before anything goes down into it.
     let deep = [b"[".repeat(60_000), b"]".repeat(60_000)].concat();
     assert!(Search::read(&deep).unwrap_err().too_much);
-    for text in
-        ["{", "{}{}", "[]", "1e999", "\"\\ud800\"", "{\"size\":1e999}", "{\"query\":{\"term\":{\"a\":NaN}}}"]
-    {
+    for text in [
+        "{",
+        "{}{}",
+        "[]",
+        "1e999",
+        "\"\\ud800\"",
+        "{\"size\":1e999}",
+        "{\"query\":{\"term\":{\"a\":NaN}}}",
+    ] {
         assert!(Search::read(text.as_bytes()).is_err(), "{text}");
     }
     assert_eq!(Search::read(b" \n").unwrap(), Search::default());
@@ -62,8 +132,10 @@
 
 #[test]
 fn shards_are_asked_for_all_that_a_page_may_need() {
-    let asked = search(&json!({"from": 30, "size": 20, "timeout": "1s", "aggregations": {
-        "a": {"avg": {"field": "x"}}, "t": {"terms": {"field": "x", "size": 4}}}}));
+    let asked = search(
+        &json!({"from": 30, "size": 20, "timeout": "1s", "aggregations": {
+        "a": {"avg": {"field": "x"}}, "t": {"terms": {"field": "x", "size": 4}}}}),
+    );
     let shard = serde_json::to_value(asked.unwrap().for_shards()).unwrap();
     assert_eq!(
         shard,
@@ -72,7 +144,8 @@
 }
 
 fn shard(hits: Value, total: Value, aggregations: Value) -> ShardAnswer {
-    let text = json!({"hits": {"total": total, "hits": hits}, "aggregations": aggregations}).to_string();
+    let text =
+        json!({"hits": {"total": total, "hits": hits}, "aggregations": aggregations}).to_string();
     serde_json::from_str(&text).unwrap()
 }
 
@@ -82,8 +155,16 @@
     let hit = |id: &str, key: Value| json!({"_id": id, "_score": null, "sort": [key]});
     let eq = |n: u64| json!({"value": n, "relation": "eq"});
     let answers = || {
-        let one = json!([hit("t", json!("7")), hit("c", json!(7)), hit("big", json!(u64::MAX))]);
-        let two = json!([hit("b", json!(7)), hit("a", json!(7)), hit("z", Value::Null)]);
+        let one = json!([
+            hit("t", json!("7")),
+            hit("c", json!(7)),
+            hit("big", json!(u64::MAX))
+        ]);
+        let two = json!([
+            hit("b", json!(7)),
+            hit("a", json!(7)),
+            hit("z", Value::Null)
+        ]);
         let three = json!([hit("m", json!(-1e300)), hit("f", json!(true))]);
         let bound = json!({"value": 9, "relation": "gte"});
         vec![
@@ -92,27 +173,46 @@
             (3, shard(three, bound, json!({}))),
         ]
     };
-    let ids = |answers| merge(&asked, answers).hits.iter().map(|hit| hit.id.clone()).collect::<Vec<_>>();
+    let ids = |answers| {
+        merge(&asked, answers)
+            .hits
+            .iter()
+            .map(|hit| hit.id.clone())
+            .collect::<Vec<_>>()
+    };
     let right = ["big", "c", "a", "b", "m", "t", "f", "z"];
     assert_eq!(ids(answers()), right);
     let mut turned = answers();
     turned.reverse();
     assert_eq!(ids(turned), right, "whichever answer came first");
     let total = merge(&asked, answers()).total.unwrap();
-    assert_eq!((total.value, total.relation), (15, Relation::Gte), "a bound in one shard makes it a bound");
+    assert_eq!(
+        (total.value, total.relation),
+        (15, Relation::Gte),
+        "a bound in one shard makes it a bound"
+    );
 }
 
 #[test]
 fn terms_tell_how_wrong_they_may_be() {
-    let asked = search(&json!({"size": 0, "aggs": {"t": {"terms": {"field": "x", "size": 2}}}})).unwrap();
+    let asked =
+        search(&json!({"size": 0, "aggs": {"t": {"terms": {"field": "x", "size": 2}}}})).unwrap();
     let part = |buckets: &[(&str, u64)], other: u64| {
-        let buckets: Vec<Value> =
-            buckets.iter().map(|(key, n)| json!({"key": key, "doc_count": n})).collect();
-        let terms =
-            json!({"doc_count_error_upper_bound": 0, "sum_other_doc_count": other, "buckets": buckets});
-        shard(json!([]), json!({"value": 0, "relation": "eq"}), json!({ "t": terms }))
+        let buckets: Vec<Value> = buckets
+            .iter()
+            .map(|(key, n)| json!({"key": key, "doc_count": n}))
+            .collect();
+        let terms = json!({"doc_count_error_upper_bound": 0, "sum_other_doc_count": other, "buckets": buckets});
+        shard(
+            json!([]),
+            json!({"value": 0, "relation": "eq"}),
+            json!({ "t": terms }),
+        )
     };
-    let answers = vec![(0, part(&[("a", 9), ("b", 5)], 4)), (1, part(&[("c", 8), ("b", 6), ("d", 1)], 0))];
+    let answers = vec![
+        (0, part(&[("a", 9), ("b", 5)], 4)),
+        (1, part(&[("c", 8), ("b", 6), ("d", 1)], 0)),
+    ];
     let merged = merge(&asked, answers);
     assert_eq!(
         merged.aggregations["t"],
@@ -130,21 +230,41 @@
             "x_exception",
             "why",
         ),
-        ("{\"hits\":{\"hits\":[".into(), "json_parse_exception", "EOF"),
-        (json!({"timed_out": true, "hits": {"hits": []}}).to_string(), "timeout_exception", "time"),
-        (json!({"hits": {"hits": [{"_id": "1"}]}}).to_string(), "illegal_state_exception", "sort"),
-        (json!({"hits": {"hits": []}}).to_string(), "illegal_state_exception", "[m] is missing"),
+        (
+            "{\"hits\":{\"hits\":[".into(),
+            "json_parse_exception",
+            "EOF",
+        ),
+        (
+            json!({"timed_out": true, "hits": {"hits": []}}).to_string(),
+            "timeout_exception",
+            "time",
+        ),
+        (
+            json!({"hits": {"hits": [{"_id": "1"}]}}).to_string(),
+            "illegal_state_exception",
+            "sort",
+        ),
+        (
+            json!({"hits": {"hits": []}}).to_string(),
+            "illegal_state_exception",
+            "[m] is missing",
+        ),
     ];
     for (text, kind, reason) in cases {
         let why = read(&text, &asked).unwrap_err();
-        assert!(why.kind == kind && why.reason.contains(reason), "{text}: {why:?}");
+        assert!(
+            why.kind == kind && why.reason.contains(reason),
+            "{text}: {why:?}"
+        );
     }
 }
 
 proptest! {
     #![proptest_config(ProptestConfig { cases: 2000, failure_persistence: None, ..ProptestConfig::default() })]
 
-    /// Whatever bytes come, reading them ends without a panic; what is read says the same when it is written again.
+    /// Whatever bytes come, reading them ends without a panic; what is read says the same when it
+    /// is written again.
     #[test]
     fn any_bytes_are_a_search_or_a_problem(
         pieces in prop::collection::vec(prop::sample::select(vec![
--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -1,5 +1,5 @@
-//! Runs the decision module on the simulator's wire: batches come in on standard input, replies go out on
-//! standard output. It only translates; every decision is in `src/choice.rs`.
+//! Runs the decision module on the simulator's wire: batches come in on standard input, replies go
+//! out on standard output. It only translates; every decision is in `src/choice.rs`.
 
 mod wire;
 
@@ -13,7 +13,10 @@
 
 fn main() -> ExitCode {
     std::panic::set_hook(Box::new(|_| {}));
-    match run(&mut BufReader::new(io::stdin().lock()), &mut BufWriter::new(io::stdout().lock())) {
+    match run(
+        &mut BufReader::new(io::stdin().lock()),
+        &mut BufWriter::new(io::stdout().lock()),
+    ) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             eprintln!("simulator-adapter: {message}");
@@ -37,7 +40,9 @@
 
 /// Hands each instance its events of one batch, in order, and gathers the actions.
 fn play(
-    batch: &Batch, instances: &mut BTreeMap<u16, Coordinator>, rosters: &mut BTreeMap<u32, Roster>,
+    batch: &Batch,
+    instances: &mut BTreeMap<u16, Coordinator>,
+    rosters: &mut BTreeMap<u32, Roster>,
 ) -> Result<Reply, String> {
     let mut pending = BTreeMap::new();
     let mut order = Vec::new();
@@ -60,15 +65,24 @@
     }
     let mut reply = Reply::default();
     for who in order {
-        let (Some(instance), Some(events)) = (instances.get_mut(&who), pending.get(&who)) else { continue };
+        let (Some(instance), Some(events)) = (instances.get_mut(&who), pending.get(&who)) else {
+            continue;
+        };
         let mut actions = Vec::new();
-        let done = catch_unwind(AssertUnwindSafe(|| instance.handle(batch.clock, events, &mut actions)));
+        let done = catch_unwind(AssertUnwindSafe(|| {
+            instance.handle(batch.clock, events, &mut actions)
+        }));
         match done {
-            Ok(()) => actions.iter().for_each(|action| wire::write_action(&mut reply, who, action)),
+            Ok(()) => actions
+                .iter()
+                .for_each(|action| wire::write_action(&mut reply, who, action)),
             Err(cause) => {
                 let text = cause.downcast_ref::<String>().cloned();
                 let text = text.or_else(|| cause.downcast_ref::<&str>().map(|s| s.to_string()));
-                reply.crash(who, &text.unwrap_or_else(|| "the decision module broke".into()));
+                reply.crash(
+                    who,
+                    &text.unwrap_or_else(|| "the decision module broke".into()),
+                );
             }
         }
     }
--- a/crates/simulator-adapter/src/wire.rs
+++ b/crates/simulator-adapter/src/wire.rs
@@ -45,15 +45,27 @@
         let (number, length) = (header.u32(0), header.u32(4) as usize);
         let (clock, count) = (header.u64(8), header.u32(16) as usize);
         let records = count.checked_mul(EVENT).filter(|n| *n <= length);
-        let records =
-            records.ok_or(format!("batch {number}: {count} records do not fit in {length} bytes"))?;
+        let records = records.ok_or(format!(
+            "batch {number}: {count} records do not fit in {length} bytes"
+        ))?;
         let mut body = Vec::new();
-        input.take(length as u64).read_to_end(&mut body).map_err(|e| format!("batch {number}: {e}"))?;
+        input
+            .take(length as u64)
+            .read_to_end(&mut body)
+            .map_err(|e| format!("batch {number}: {e}"))?;
         if body.len() < length {
-            return Err(format!("batch {number} cut short: {} of {length} bytes", body.len()));
+            return Err(format!(
+                "batch {number} cut short: {} of {length} bytes",
+                body.len()
+            ));
         }
         let tail = body.split_off(records);
-        Ok(Some(Batch { number, clock, records: body, tail }))
+        Ok(Some(Batch {
+            number,
+            clock,
+            records: body,
+            tail,
+        }))
     }
 }
 
@@ -107,13 +119,18 @@
 fn slice(tail: &[u8], offset: u32, length: usize) -> Result<&[u8], String> {
     let start = offset as usize;
     let end = start.checked_add(length).filter(|end| *end <= tail.len());
-    end.map(|end| &tail[start..end])
-        .ok_or(format!("{length} bytes at {offset} lie past the tail of {}", tail.len()))
+    end.map(|end| &tail[start..end]).ok_or(format!(
+        "{length} bytes at {offset} lie past the tail of {}",
+        tail.len()
+    ))
 }
 
-/// The records of a batch in order, each with its instance. Rosters are kept and resolved on the way, since
-/// a number can be taken over within one batch.
-pub fn inputs(batch: &Batch, rosters: &mut BTreeMap<u32, Roster>) -> Result<Vec<(u16, Input)>, String> {
+/// The records of a batch in order, each with its instance. Rosters are kept and resolved on the
+/// way, since a number can be taken over within one batch.
+pub fn inputs(
+    batch: &Batch,
+    rosters: &mut BTreeMap<u32, Roster>,
+) -> Result<Vec<(u16, Input)>, String> {
     let mut found = Vec::new();
     for (n, record) in batch.records.chunks_exact(EVENT).enumerate() {
         let place = |message: String| format!("batch {}, record {n}: {message}", batch.number);
@@ -124,7 +141,10 @@
             let members: Result<Roster, String> = bytes.chunks_exact(ENTRY).map(member).collect();
             rosters.insert(record.u32(1), members.map_err(place)?);
         } else {
-            found.push((record.u16(1), input(&record, &batch.tail, rosters).map_err(place)?));
+            found.push((
+                record.u16(1),
+                input(&record, &batch.tail, rosters).map_err(place)?,
+            ));
         }
     }
     Ok(found)
@@ -139,20 +159,35 @@
         other => return Err(format!("unknown standing {other} of a replica")),
     };
     let (cell, zone, started) = (entry.u16(0), entry.u16(8), entry.u64(14));
-    Ok(Member { replica: entry.replica(2), cell, zone, started, standing })
+    Ok(Member {
+        replica: entry.replica(2),
+        cell,
+        zone,
+        started,
+        standing,
+    })
 }
 
 fn input(record: &Fields, tail: &[u8], rosters: &BTreeMap<u32, Roster>) -> Result<Input, String> {
     let event = match record.u8(0) {
         1 => {
             let text = slice(tail, record.u32(11), record.u32(15) as usize)?;
-            let settings =
-                String::from_utf8(text.to_vec()).map_err(|_| "settings are not UTF-8".to_string())?;
-            return Ok(Input::Start { seed: record.u64(3), settings });
+            let settings = String::from_utf8(text.to_vec())
+                .map_err(|_| "settings are not UTF-8".to_string())?;
+            return Ok(Input::Start {
+                seed: record.u64(3),
+                settings,
+            });
         }
         4 => return Ok(Input::Stop),
-        2 => Event::Began { part: record.u64(3), attempt: record.u8(17), replica: record.replica(11) },
-        5 => Event::Timer { token: record.u64(3) },
+        2 => Event::Began {
+            part: record.u64(3),
+            attempt: record.u8(17),
+            replica: record.replica(11),
+        },
+        5 => Event::Timer {
+            token: record.u64(3),
+        },
         6 => Event::Ended {
             part: record.u64(3),
             attempt: record.u8(11),
@@ -164,7 +199,10 @@
         8 => list(record, rosters)?,
         9 => {
             let bytes = slice(tail, record.u32(7), record.u32(11) as usize)?.to_vec();
-            Event::Message { from: record.u32(3), bytes }
+            Event::Message {
+                from: record.u32(3),
+                bytes,
+            }
         }
         10 => Event::ClientGone { id: record.u64(3) },
         11 => Event::Probed {
@@ -181,7 +219,12 @@
 fn arrival(record: &Fields) -> Event {
     let (id, group, shard) = (record.u64(3), record.f32(33) as u32, record.f32(11));
     if shard >= 0.0 {
-        return Event::Part { id, group, shard: shard as u32, weight: f64::from(record.f32(50)) };
+        return Event::Part {
+            id,
+            group,
+            shard: shard as u32,
+            weight: f64::from(record.f32(50)),
+        };
     }
     Event::Query {
         id,
@@ -199,11 +242,19 @@
         0 => ListKind::Changes,
         1 => ListKind::Full,
         2 => ListKind::Remembered,
-        3 => return Ok(Event::List { kind: ListKind::Failed, members: Vec::new() }),
+        3 => {
+            return Ok(Event::List {
+                kind: ListKind::Failed,
+                members: Vec::new(),
+            })
+        }
         other => return Err(format!("unknown scope {other} of a list")),
     };
     let number = record.u32(3);
-    let members = rosters.get(&number).cloned().ok_or(format!("list {number} was never sent"))?;
+    let members = rosters
+        .get(&number)
+        .cloned()
+        .ok_or(format!("list {number} was never sent"))?;
     Ok(Event::List { kind, members })
 }
 
@@ -260,14 +311,33 @@
 /// Appends one action of instance `who` to a reply.
 pub fn write_action(reply: &mut Reply, who: u16, action: &Action) {
     match action {
-        Action::Send { part, replica, until, .. } => {
-            reply.record(1, who, &[&part.to_le_bytes(), &address(*replica), &until.to_le_bytes()]);
+        Action::Send {
+            part,
+            replica,
+            until,
+            ..
+        } => {
+            reply.record(
+                1,
+                who,
+                &[
+                    &part.to_le_bytes(),
+                    &address(*replica),
+                    &until.to_le_bytes(),
+                ],
+            );
         }
         Action::Refuse { query, come_back } => {
-            reply.record(2, who, &[&query.to_le_bytes(), &come_back.unwrap_or(0).to_le_bytes()]);
+            reply.record(
+                2,
+                who,
+                &[&query.to_le_bytes(), &come_back.unwrap_or(0).to_le_bytes()],
+            );
         }
         Action::Fail { query } => reply.record(3, who, &[&query.to_le_bytes()]),
-        Action::Cancel { part, attempt } => reply.record(4, who, &[&part.to_le_bytes(), &[*attempt]]),
+        Action::Cancel { part, attempt } => {
+            reply.record(4, who, &[&part.to_le_bytes(), &[*attempt]])
+        }
         Action::Wake { token, after } => {
             reply.record(5, who, &[&token.to_le_bytes(), &after.to_le_bytes()]);
         }
--- a/crates/simulator-adapter/tests/wire.rs
+++ b/crates/simulator-adapter/tests/wire.rs
@@ -42,17 +42,45 @@
     let at = tail.len() as u32;
     tail.extend(settings.as_bytes());
     let length = settings.len() as u32;
-    record(&[&[1], &who.to_le_bytes(), &[9; 8], &at.to_le_bytes(), &length.to_le_bytes()])
+    record(&[
+        &[1],
+        &who.to_le_bytes(),
+        &[9; 8],
+        &at.to_le_bytes(),
+        &length.to_le_bytes(),
+    ])
 }
 
 fn pool(number: u32, tail: &mut Vec<u8>, address: &[u8; 6]) -> Vec<u8> {
     let at = tail.len() as u32;
-    tail.extend([&[0, 0], &address[..], &[0, 0], &1f32.to_le_bytes(), &[0; 8], &[0, 0], &[1]].concat());
-    record(&[&[3], &number.to_le_bytes(), &at.to_le_bytes(), &1u32.to_le_bytes()])
+    tail.extend(
+        [
+            &[0, 0],
+            &address[..],
+            &[0, 0],
+            &1f32.to_le_bytes(),
+            &[0; 8],
+            &[0, 0],
+            &[1],
+        ]
+        .concat(),
+    );
+    record(&[
+        &[3],
+        &number.to_le_bytes(),
+        &at.to_le_bytes(),
+        &1u32.to_le_bytes(),
+    ])
 }
 
 fn changed(who: u16, number: u32) -> Vec<u8> {
-    record(&[&[8], &who.to_le_bytes(), &number.to_le_bytes(), &[0; 8], &[2]])
+    record(&[
+        &[8],
+        &who.to_le_bytes(),
+        &number.to_le_bytes(),
+        &[0; 8],
+        &[2],
+    ])
 }
 
 fn request(who: u16, id: u64, shard: f32, weight: f32) -> Vec<u8> {
@@ -77,7 +105,12 @@
         let field = |at: usize| u32::from_le_bytes(bytes[at..at + 4].try_into().unwrap()) as usize;
         let (count, length) = (field(4), field(8));
         assert!(count * 32 <= length, "records fit in the length");
-        found.push(bytes[12..12 + count * 32].chunks(32).map(<[u8]>::to_vec).collect());
+        found.push(
+            bytes[12..12 + count * 32]
+                .chunks(32)
+                .map(<[u8]>::to_vec)
+                .collect(),
+        );
         bytes = &bytes[12 + length..];
     }
     found
@@ -96,9 +129,19 @@
     let address = [10, 18, 74, 7, 0x2b, 0x23];
     let start = spawn(3, &mut tail, SETTINGS);
     let list = pool(0, &mut tail, &address);
-    let records = [start, list, changed(3, 0), request(3, 77, -1.0, 1.0), request(3, 78, 0.0, 1.0)];
+    let records = [
+        start,
+        list,
+        changed(3, 0),
+        request(3, 77, -1.0, 1.0),
+        request(3, 78, 0.0, 1.0),
+    ];
     let output = adapter(&frame(5, &records, &tail));
-    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    assert!(
+        output.status.success(),
+        "{}",
+        String::from_utf8_lossy(&output.stderr)
+    );
     let reply = &replies(&output)[0];
     let send = reply.iter().find(|r| r[0] == 1).expect("an attempt");
     assert_eq!(send[1..3], [3, 0]);
@@ -112,12 +155,21 @@
     let mut tail = Vec::new();
     let (old, new) = ([1, 1, 1, 1, 1, 1], [2, 2, 2, 2, 2, 2]);
     let mut records = vec![spawn(0, &mut tail, SETTINGS), spawn(1, &mut tail, SETTINGS)];
-    records.extend([pool(4, &mut tail, &old), changed(0, 4), pool(4, &mut tail, &new), changed(1, 4)]);
+    records.extend([
+        pool(4, &mut tail, &old),
+        changed(0, 4),
+        pool(4, &mut tail, &new),
+        changed(1, 4),
+    ]);
     for who in [0, 1] {
         records.extend([request(who, 7, -1.0, 1.0), request(who, 8, 0.0, 1.0)]);
     }
     let output = adapter(&frame(1, &records, &tail));
-    let sent: Vec<_> = replies(&output)[0].iter().filter(|r| r[0] == 1).map(|r| (r[1], r[11])).collect();
+    let sent: Vec<_> = replies(&output)[0]
+        .iter()
+        .filter(|r| r[0] == 1)
+        .map(|r| (r[1], r[11]))
+        .collect();
     assert_eq!(sent, [(0, 1), (1, 2)]);
 }
 
@@ -126,8 +178,17 @@
     let mut tail = Vec::new();
     let start = spawn(0, &mut tail, SETTINGS);
     let list = pool(0, &mut tail, &[1; 6]);
-    let first =
-        frame(1, &[start, list, changed(0, 0), request(0, 7, -1.0, 1.0), request(0, 8, 0.0, 1.0)], &tail);
+    let first = frame(
+        1,
+        &[
+            start,
+            list,
+            changed(0, 0),
+            request(0, 7, -1.0, 1.0),
+            request(0, 8, 0.0, 1.0),
+        ],
+        &tail,
+    );
     let mut tail = Vec::new();
     let again = spawn(0, &mut tail, SETTINGS);
     let stop = record(&[&[4], &[0, 0]]);
--- a/crates/testkit/src/bin/bench-ledger.rs
+++ b/crates/testkit/src/bin/bench-ledger.rs
@@ -43,7 +43,8 @@
     latency: Histogram<u64>,
 }
 
-/// Milliseconds between a client's queries, from and up to: a tenth of what a mixer can do, and most of it.
+/// Milliseconds between a client's queries, from and up to: a tenth of what a mixer can do, and
+/// most of it.
 const GAPS: [(&str, u64, u64); 2] = [("light", 20, 40), ("heavy", 0, 3)];
 
 async fn load(mixer: SocketAddr, client: u64, gap: (u64, u64), until: Instant) -> Histogram<u64> {
@@ -57,14 +58,20 @@
         let question = Question {
             class: CLASSES[1].0.into(),
             tenant: TENANTS[0].into(),
-            parts: (0..width).map(|i| ((first + i) % SHARDS, 1.0 / f64::from(width))).collect(),
+            parts: (0..width)
+                .map(|i| ((first + i) % SHARDS, 1.0 / f64::from(width)))
+                .collect(),
             text: format!("{:08x}", random.random::<u32>()),
             key: None,
         };
         n += 1;
         let id = format!("b{client}-{n}-{:08x}", random.random::<u32>());
-        let attempt =
-            Attempt { id: &id, retry: false, wait: Duration::from_millis(1200), grace: Duration::ZERO };
+        let attempt = Attempt {
+            id: &id,
+            retry: false,
+            wait: Duration::from_millis(1200),
+            grace: Duration::ZERO,
+        };
         let began = Instant::now();
         if let Got::Answer(..) = connection.ask(&question, &attempt).await {
             let _ = latency.record(began.elapsed().as_micros() as u64);
@@ -76,17 +83,27 @@
 
 async fn slice(installation: &Installation, seconds: u64, gap: (u64, u64)) -> io::Result<Slice> {
     let used = || {
-        installation.mixers[0].process.as_ref().and_then(|process| process.used()).map_or(0.0, |used| used.0)
+        installation.mixers[0]
+            .process
+            .as_ref()
+            .and_then(|process| process.used())
+            .map_or(0.0, |used| used.0)
     };
     let (before, until) = (used(), Instant::now() + Duration::from_secs(seconds));
-    let clients =
-        (0..CLIENTS).map(|client| tokio::spawn(load(installation.mixers[0].address, client, gap, until)));
+    let clients = (0..CLIENTS)
+        .map(|client| tokio::spawn(load(installation.mixers[0].address, client, gap, until)));
     let mut latency = Histogram::new(3).map_err(io::Error::other)?;
     for client in clients.collect::<Vec<_>>() {
-        latency.add(client.await.map_err(io::Error::other)?).map_err(io::Error::other)?;
+        latency
+            .add(client.await.map_err(io::Error::other)?)
+            .map_err(io::Error::other)?;
     }
     let queries = latency.len();
-    Ok(Slice { queries, cpu_us: (used() - before) * 1e6 / queries.max(1) as f64, latency })
+    Ok(Slice {
+        queries,
+        cpu_us: (used() - before) * 1e6 / queries.max(1) as f64,
+        latency,
+    })
 }
 
 fn median(mut values: Vec<f64>) -> f64 {
@@ -113,7 +130,11 @@
 }
 
 async fn under(
-    line: &Line, name: &str, gap: (u64, u64), off: &Installation, on: &Installation,
+    line: &Line,
+    name: &str,
+    gap: (u64, u64),
+    off: &Installation,
+    on: &Installation,
 ) -> io::Result<()> {
     let (mut ratios, mut p99, mut cpus) = (Vec::new(), Vec::new(), (Vec::new(), Vec::new()));
     let mut all = (
@@ -178,7 +199,11 @@
 
 fn record(random: &mut StdRng, sequence: u64, at: i64) -> Record {
     let repeat = random.random_bool(0.05);
-    let outcome = if random.random_bool(0.9) { Outcome::Whole } else { Outcome::Refused };
+    let outcome = if random.random_bool(0.9) {
+        Outcome::Whole
+    } else {
+        Outcome::Refused
+    };
     Record {
         sequence,
         tenant: random.random_range(0..40),
@@ -195,7 +220,8 @@
     }
 }
 
-/// Ingests and settles `records` records of one period; prints records a second and the most memory held.
+/// Ingests and settles `records` records of one period; prints records a second and the most memory
+/// held.
 fn settle(records: u64) -> io::Result<()> {
     let folder = tempfile::tempdir()?;
     let other = io::Error::other;
@@ -204,30 +230,55 @@
     // As long a period as it takes at 1,000 a second.
     let length = records as i64;
     let calendar = Calendar(Every::Ms(86_400_000));
-    let bounds = Bounds { horizon: 2000, skew: 100 };
+    let bounds = Bounds {
+        horizon: 2000,
+        skew: 100,
+    };
     let header = Header {
         version: 1,
         mixer: "n0".into(),
         incarnation: 1,
         first_sequence: 1,
-        classes: CLASSES.map(|(name, _, give_up_ms, _)| Class { name: name.into(), give_up_ms }).to_vec(),
+        classes: CLASSES
+            .map(|(name, _, give_up_ms, _)| Class {
+                name: name.into(),
+                give_up_ms,
+            })
+            .to_vec(),
         tenants: (0..40).map(|n| format!("library-{n}")).collect(),
     };
     let (mut spent, mut sequence) = (Duration::ZERO, 0);
     while sequence < records {
-        let mut batch = Batch { header: Some(header.clone()), ..Batch::default() };
+        let mut batch = Batch {
+            header: Some(header.clone()),
+            ..Batch::default()
+        };
         while batch.entries.len() < 4096 && sequence < records {
             sequence += 1;
             let at = START + sequence as i64 * length / records as i64;
-            batch.entries.push(Entry { what: Some(What::Record(record(&mut random, sequence, at))) });
+            batch.entries.push(Entry {
+                what: Some(What::Record(record(&mut random, sequence, at))),
+            });
         }
         let began = Instant::now();
-        store.ingest("n0", &batch, &calendar, bounds).map_err(other)?;
+        store
+            .ingest("n0", &batch, &calendar, bounds)
+            .map_err(other)?;
         spent += began.elapsed();
     }
     let ingest = records as f64 / spent.as_secs_f64();
-    let prices =
-        CLASSES.iter().map(|(name, ..)| (name.to_string(), Price { whole: 100, partial: 90 })).collect();
+    let prices = CLASSES
+        .iter()
+        .map(|(name, ..)| {
+            (
+                name.to_string(),
+                Price {
+                    whole: 100,
+                    partial: 90,
+                },
+            )
+        })
+        .collect();
     let terms = Terms {
         bounds,
         prices: &prices,
@@ -237,15 +288,23 @@
         now: START,
     };
     let began = Instant::now();
-    let period = Period { start: START, end: START + length + 1 };
+    let period = Period {
+        start: START,
+        end: START + length + 1,
+    };
     let statement = store.close(period, &terms).map_err(other)?;
     let settle = records as f64 / began.elapsed().as_secs_f64();
     let tries: i64 = statement.lines.iter().map(|line| line.counts.tries).sum();
     if tries as u64 != records {
-        return Err(io::Error::other(format!("{tries} tries settled of {records}")));
+        return Err(io::Error::other(format!(
+            "{tries} tries settled of {records}"
+        )));
     }
     let status = std::fs::read_to_string("/proc/self/status")?;
-    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap_or_default();
+    let peak = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmHWM:"))
+        .unwrap_or_default();
     println!(
         "{records} records: ingest {ingest:.0} a second, settle {settle:.0} a second, peak memory{peak}"
     );
@@ -260,20 +319,27 @@
         let what = What::Record(record(&mut random, 1_000_000 + n, START + n as i64));
         put_frame(&mut bytes, &Entry { what: Some(what) });
     }
-    println!("log: {:.1} bytes a record", bytes.len() as f64 / count as f64);
+    println!(
+        "log: {:.1} bytes a record",
+        bytes.len() as f64 / count as f64
+    );
 }
 
 fn run(line: &Line) -> io::Result<()> {
     if let Some(records) = line.settle {
         return settle(records);
     }
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()?;
     runtime.block_on(serving(line))?;
     size();
     for records in [line.records / 10, line.records] {
         // Each in a process of its own: the most memory held is that of the whole process.
-        let child =
-            Command::new(std::env::current_exe()?).args(["--settle", &records.to_string()]).status()?;
+        let child = Command::new(std::env::current_exe()?)
+            .args(["--settle", &records.to_string()])
+            .status()?;
         if !child.success() {
             return Err(io::Error::other("the settlement failed"));
         }
--- a/crates/testkit/src/bin/demo.rs
+++ b/crates/testkit/src/bin/demo.rs
@@ -12,8 +12,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Starts discovery, 12 leaf servers in three zones, three mixers, their ledger and a trickle of queries, all on
-/// loopback, and ends them on Ctrl-C.
+/// Starts discovery, 12 leaf servers in three zones, three mixers, their ledger and a trickle of
+/// queries, all on loopback, and ends them on Ctrl-C.
 #[derive(Parser)]
 struct Line {
     /// End by itself after so many seconds
@@ -62,13 +62,20 @@
         let question = Question {
             class: class.0.into(),
             tenant: TENANTS[random.random_range(0..TENANTS.len())].into(),
-            parts: (0..width).map(|i| ((first + i) % SHARDS, 1.0 / f64::from(width))).collect(),
+            parts: (0..width)
+                .map(|i| ((first + i) % SHARDS, 1.0 / f64::from(width)))
+                .collect(),
             text: format!("{:08x}", random.random::<u32>()),
             key: None,
         };
         let id = format!("demo-{n}");
         let (wait, grace) = (Duration::from_millis(class.2), Duration::ZERO);
-        let attempt = Attempt { id: &id, retry: false, wait, grace };
+        let attempt = Attempt {
+            id: &id,
+            retry: false,
+            wait,
+            grace,
+        };
         let at = random.random_range(0..connections.len());
         let count = match connections[at].ask(&question, &attempt).await {
             Got::Answer(..) => &counts.answered,
@@ -97,7 +104,11 @@
     };
     let mut installation = Installation::start(folder.path(), plan).await?;
     installation.start_settlement()?;
-    let mixers: Vec<SocketAddr> = installation.mixers.iter().map(|mixer| mixer.address).collect();
+    let mixers: Vec<SocketAddr> = installation
+        .mixers
+        .iter()
+        .map(|mixer| mixer.address)
+        .collect();
     let counts = Arc::<Counts>::default();
     let clients = tokio::spawn(trickle(mixers.clone(), line.seed, counts.clone()));
     say("discovery, 12 leaf servers in three zones, three mixers and their ledger are up:");
@@ -123,7 +134,10 @@
     let program = aggregator_testkit::process::beside("query-aggregator")?;
     say("\nWhat it was used for, by tenant, in periods of 10 s:");
     let settings = installation.settings.display();
-    say(&format!("  {} ledger statement --settings {settings}", program.display()));
+    say(&format!(
+        "  {} ledger statement --settings {settings}",
+        program.display()
+    ));
     say("\nCtrl-C ends it all.");
     let mut interrupt = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::interrupt())?;
     let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
@@ -136,11 +150,17 @@
     clients.abort();
     let mut clean = true;
     for mixer in &mut installation.mixers {
-        clean &= mixer.process.as_mut().is_some_and(|process| process.end(Duration::from_secs(5)));
+        clean &= mixer
+            .process
+            .as_mut()
+            .is_some_and(|process| process.end(Duration::from_secs(5)));
     }
-    clean &= installation.settlement.as_mut().is_some_and(|process| process.end(Duration::from_secs(5)));
-    let [answered, refused, other] =
-        [&counts.answered, &counts.refused, &counts.other].map(|count| count.load(Ordering::Relaxed));
+    clean &= installation
+        .settlement
+        .as_mut()
+        .is_some_and(|process| process.end(Duration::from_secs(5)));
+    let [answered, refused, other] = [&counts.answered, &counts.refused, &counts.other]
+        .map(|count| count.load(Ordering::Relaxed));
     say(&format!(
         "\n{answered} answered, {refused} refused, {other} otherwise; all ended{}",
         if clean { "" } else { ", not all by themselves" }
@@ -149,7 +169,10 @@
 }
 
 fn main() -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build();
     match runtime.and_then(|runtime| runtime.block_on(run(Line::parse()))) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
--- a/crates/testkit/src/bin/prove-ledger.rs
+++ b/crates/testkit/src/bin/prove-ledger.rs
@@ -1,11 +1,12 @@
 //! `prove-ledger`: that the ledger counts what clients sent, exactly, whatever fails meanwhile.
 //!
-//! Three mixers, 12 leaf servers in three zones, and clients that retry within and across mixers. One mixer is killed
-//! in the middle of a period, started, killed again as it recovers, and started; a zone is lost across the end of a
-//! period and comes back cold; the settlement is killed twice; the receiver of documents stores them and then drops
-//! the connection, answers 500 or hangs, and is restarted; a correction is made after its statement has gone out. In
-//! the end the clients' own records are set beside the statements and the documents, by code that shares nothing with
-//! the ledger's.
+//! Three mixers, 12 leaf servers in three zones, and clients that retry within and across mixers.
+//! One mixer is killed in the middle of a period, started, killed again as it recovers, and
+//! started; a zone is lost across the end of a period and comes back cold; the settlement is killed
+//! twice; the receiver of documents stores them and then drops the connection, answers 500 or
+//! hangs, and is restarted; a correction is made after its statement has gone out. In the end the
+//! clients' own records are set beside the statements and the documents, by code that shares
+//! nothing with the ledger's.
 
 use aggregator_core::routing::usage::{key_of_client, key_of_query};
 use aggregator_testkit::client::{Attempt, Connection, Got, Question};
@@ -29,7 +30,8 @@
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
-/// Proves the ledger on loopback; the last line is a summary, and the exit code 0 only if all holds.
+/// Proves the ledger on loopback; the last line is a summary, and the exit code 0 only if all
+/// holds.
 #[derive(Parser)]
 struct Line {
     #[arg(long, default_value_t = 1)]
@@ -72,7 +74,8 @@
     lost: AtomicU64,
     refused: AtomicU64,
     late: AtomicU64,
-    /// No answer at all from a mixer that was up, or an answer that is not what the leaf servers hold.
+    /// No answer at all from a mixer that was up, or an answer that is not what the leaf servers
+    /// hold.
     unanswered: AtomicU64,
     wrong: AtomicU64,
 }
@@ -102,7 +105,12 @@
     let home = (number % 3) as usize;
     let mut connection = Connection::new(world.mixers[home]);
     for n in 0u64.. {
-        if world.left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| left.checked_sub(1)).is_err()
+        if world
+            .left
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| {
+                left.checked_sub(1)
+            })
+            .is_err()
         {
             return;
         }
@@ -116,13 +124,31 @@
         let question = Question {
             class: class.0.into(),
             tenant: TENANTS[tenant].into(),
-            parts: (0..width).map(|i| ((first + i) % SHARDS, 1.0 / f64::from(width))).collect(),
-            text: if keyed { "the same text".into() } else { format!("{number}-{n}") },
+            parts: (0..width)
+                .map(|i| ((first + i) % SHARDS, 1.0 / f64::from(width)))
+                .collect(),
+            text: if keyed {
+                "the same text".into()
+            } else {
+                format!("{number}-{n}")
+            },
             key: keyed.then(|| format!("use-{number}-{n}")),
         };
         away_from_the_edge(world.period_ms).await;
-        let used = ask(&world, &mut connection, &mut random, &question, (number, n, home), class).await;
-        world.used.lock().unwrap_or_else(PoisonError::into_inner).push(used);
+        let used = ask(
+            &world,
+            &mut connection,
+            &mut random,
+            &question,
+            (number, n, home),
+            class,
+        )
+        .await;
+        world
+            .used
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(used);
     }
 }
 
@@ -130,15 +156,34 @@
 
 /// One use, until it is answered or its time is up.
 async fn ask(
-    world: &World, connection: &mut Connection, random: &mut StdRng, question: &Question,
-    (number, n, home): (u64, u64, usize), class: Class,
+    world: &World,
+    connection: &mut Connection,
+    random: &mut StdRng,
+    question: &Question,
+    (number, n, home): (u64, u64, usize),
+    class: Class,
 ) -> Used {
     let key = match &question.key {
         Some(key) => key_of_client(&question.class, key),
-        None => key_of_query(&question.class, question.parts.iter().copied(), question.text.as_bytes()),
+        None => key_of_query(
+            &question.class,
+            question.parts.iter().copied(),
+            question.text.as_bytes(),
+        ),
+    };
+    let tenant = TENANTS
+        .iter()
+        .find(|name| **name == question.tenant)
+        .copied()
+        .unwrap_or_default();
+    let mut used = Used {
+        at_ms: now_ms(),
+        tenant,
+        class: class.0,
+        outcome: "refused",
+        tries: 0,
+        key,
     };
-    let tenant = TENANTS.iter().find(|name| **name == question.tenant).copied().unwrap_or_default();
-    let mut used = Used { at_ms: now_ms(), tenant, class: class.0, outcome: "refused", tries: 0, key };
     let (began, most) = (Instant::now(), Duration::from_millis(class.2));
     let mut mixer = home;
     let tally = &world.tally;
@@ -152,15 +197,20 @@
         tally.tries.fetch_add(1, Ordering::Relaxed);
         connection.turn_to(world.mixers[mixer]);
         let id = format!("c{number}-{n}-{}", used.tries);
-        // Some leave before the answer and ask again elsewhere. Only who names the use is then counted once for
-        // certain, as the answer may have been on its way.
+        // Some leave before the answer and ask again elsewhere. Only who names the use is then
+        // counted once for certain, as the answer may have been on its way.
         let leaves = question.key.is_some() && !retry && random.random_bool(0.01);
         let (wait, grace) = match leaves {
             true => (remaining, Duration::ZERO),
             false => (remaining, Duration::from_secs(3)),
         };
         let asked = Instant::now();
-        let attempt = Attempt { id: &id, retry, wait, grace };
+        let attempt = Attempt {
+            id: &id,
+            retry,
+            wait,
+            grace,
+        };
         let got = if leaves {
             let patience = Duration::from_millis(random.random_range(1..12));
             match tokio::time::timeout(patience, connection.ask(question, &attempt)).await {
@@ -176,10 +226,14 @@
         } else {
             connection.ask(question, &attempt).await
         };
-        tally.late.fetch_add(u64::from(asked.elapsed() > wait), Ordering::Relaxed);
+        tally
+            .late
+            .fetch_add(u64::from(asked.elapsed() > wait), Ordering::Relaxed);
         match got {
             Got::Answer(whole, hits) => {
-                let right = hits.iter().all(|(shard, doc)| *doc == value(*shard, &question.text));
+                let right = hits
+                    .iter()
+                    .all(|(shard, doc)| *doc == value(*shard, &question.text));
                 let share: f64 = hits
                     .iter()
                     .filter_map(|(s, _)| question.parts.iter().find(|p| p.0 == *s))
@@ -232,8 +286,8 @@
 
 fn output(command: &mut std::process::Command) -> io::Result<(bool, String)> {
     let output = command.output()?;
-    let text =
-        String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned()
+        + &String::from_utf8_lossy(&output.stderr);
     Ok((output.status.success(), text))
 }
 
@@ -280,7 +334,12 @@
         documents.display()
     );
     for (i, (class, ..)) in CLASSES.iter().enumerate() {
-        let _ = write!(ledger, "[price {class}]\nwhole = {}\npartial = {}\n\n", 100 * (i + 1), 90 * (i + 1));
+        let _ = write!(
+            ledger,
+            "[price {class}]\nwhole = {}\npartial = {}\n\n",
+            100 * (i + 1),
+            90 * (i + 1)
+        );
     }
     let plan = Plan {
         seed: line.seed,
@@ -293,15 +352,20 @@
     let mut installation = Installation::start(folder.path(), plan).await?;
     installation.start_settlement()?;
     let world = Arc::new(World {
-        mixers: installation.mixers.iter().map(|mixer| mixer.address).collect(),
+        mixers: installation
+            .mixers
+            .iter()
+            .map(|mixer| mixer.address)
+            .collect(),
         killed: Default::default(),
         period_ms,
         left: AtomicU64::new(line.queries),
         tally: Tally::default(),
         used: Mutex::new(Vec::new()),
     });
-    let clients: Vec<_> =
-        (0..line.clients).map(|number| tokio::spawn(client(world.clone(), number, line.seed))).collect();
+    let clients: Vec<_> = (0..line.clients)
+        .map(|number| tokio::spawn(client(world.clone(), number, line.seed)))
+        .collect();
 
     // What fails, in an order that has each meet the others' aftermath.
     into_next_period(period_ms, 40).await;
@@ -330,10 +394,17 @@
     // A correction, once its statement has gone out.
     let mut corrected = None;
     for _ in 0..300 {
-        let kept = kept.lock().unwrap_or_else(PoisonError::into_inner).documents.clone();
-        let sent = kept.values().filter_map(|(body, _)| serde_json::from_slice::<Value>(body).ok());
-        if let Some(sent) =
-            sent.into_iter().find(|sent| sent["tenant"] == "beta" && sent["kind"] == "statement")
+        let kept = kept
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .documents
+            .clone();
+        let sent = kept
+            .values()
+            .filter_map(|(body, _)| serde_json::from_slice::<Value>(body).ok());
+        if let Some(sent) = sent
+            .into_iter()
+            .find(|sent| sent["tenant"] == "beta" && sent["kind"] == "statement")
         {
             corrected = sent["period"].as_str().map(str::to_string);
             break;
@@ -370,7 +441,10 @@
     let asked_for = started.elapsed();
     let mut counters = Vec::new();
     for mixer in &installation.mixers {
-        let stats = get(mixer.address, "/-/stats").await.map(|(_, body)| body).unwrap_or_default();
+        let stats = get(mixer.address, "/-/stats")
+            .await
+            .map(|(_, body)| body)
+            .unwrap_or_default();
         let file = folder.path().join(format!("{}.stats", mixer.name));
         fs::write(&file, &stats)?;
         counters.push((
@@ -391,7 +465,9 @@
             .and_then(|end| end.parse::<jiff_ms::Ms>().ok());
         let waiting = json(&mut installation.ledger(&["export", "--list", "--format", "json"]))?;
         let sent = |it: &Value| it["posted"] == true && it["in_folder"] == true;
-        let all_sent = waiting.as_array().is_some_and(|all| !all.is_empty() && all.iter().all(sent));
+        let all_sent = waiting
+            .as_array()
+            .is_some_and(|all| !all.is_empty() && all.iter().all(sent));
         if over.is_some_and(|end| end.0 > last) && all_sent {
             break;
         }
@@ -402,16 +478,25 @@
     // What clients sent, beside what statements say: by code of its own.
     let used = std::mem::take(&mut *world.used.lock().unwrap_or_else(PoisonError::into_inner));
     let mut clients: Totals = BTreeMap::new();
-    let mut csv = csv::Writer::from_path(folder.path().join("clients.csv")).map_err(io::Error::other)?;
-    csv.write_record(["at_ms", "tenant", "class", "outcome", "tries", "key"]).map_err(io::Error::other)?;
+    let mut csv =
+        csv::Writer::from_path(folder.path().join("clients.csv")).map_err(io::Error::other)?;
+    csv.write_record(["at_ms", "tenant", "class", "outcome", "tries", "key"])
+        .map_err(io::Error::other)?;
     for it in &used {
         let period = jiff_ms::Ms(it.at_ms - it.at_ms % period_ms).to_string();
-        let total = clients.entry((period, it.tenant.into(), it.class.into())).or_default();
+        let total = clients
+            .entry((period, it.tenant.into(), it.class.into()))
+            .or_default();
         total[0] += 1;
         total[1] += i64::from(it.outcome == "whole");
         total[2] += i64::from(it.outcome == "partial");
-        let (at, tries, key) = (it.at_ms.to_string(), it.tries.to_string(), format!("{:016x}", it.key));
-        csv.write_record([&at, it.tenant, it.class, it.outcome, &tries, &key]).map_err(io::Error::other)?;
+        let (at, tries, key) = (
+            it.at_ms.to_string(),
+            it.tries.to_string(),
+            format!("{:016x}", it.key),
+        );
+        csv.write_record([&at, it.tenant, it.class, it.outcome, &tries, &key])
+            .map_err(io::Error::other)?;
     }
     csv.flush()?;
     let mut said: Totals = BTreeMap::new();
@@ -422,22 +507,39 @@
         total += statement["total"].as_i64().unwrap_or_default();
         for line in statement["lines"].as_array().into_iter().flatten() {
             let text = |key: &str| line[key].as_str().unwrap_or_default().to_string();
-            let sum = said.entry((text("period"), text("tenant"), text("class"))).or_default();
+            let sum = said
+                .entry((text("period"), text("tenant"), text("class")))
+                .or_default();
             for (i, key) in ["uses", "whole", "partial"].iter().enumerate() {
                 sum[i] += line[*key].as_i64().unwrap_or_default();
             }
             adjustments += i64::from(line["adjusts"] == true);
         }
         let members = statement["members"].as_array().cloned().unwrap_or_default();
-        missing += members.iter().filter(|member| member["missing"] == true).count();
-        lost = members.iter().filter_map(|member| member["lost"].as_i64()).sum();
+        missing += members
+            .iter()
+            .filter(|member| member["missing"] == true)
+            .count();
+        lost = members
+            .iter()
+            .filter_map(|member| member["lost"].as_i64())
+            .sum();
     }
-    let differ: Vec<_> =
-        clients.keys().chain(said.keys()).filter(|key| clients.get(*key) != said.get(*key)).collect();
+    let differ: Vec<_> = clients
+        .keys()
+        .chain(said.keys())
+        .filter(|key| clients.get(*key) != said.get(*key))
+        .collect();
     let shown: Vec<String> = differ
         .iter()
         .take(5)
-        .map(|key| format!("{key:?}: clients {:?}, ledger {:?}", clients.get(*key), said.get(*key)))
+        .map(|key| {
+            format!(
+                "{key:?}: clients {:?}, ledger {:?}",
+                clients.get(*key),
+                said.get(*key)
+            )
+        })
         .collect();
     let cells = clients.len();
     proof.check(
@@ -452,7 +554,11 @@
     );
     let tally = &world.tally;
     let count = |of: &AtomicU64| of.load(Ordering::Relaxed);
-    let (tries, unanswered, wrong) = (count(&tally.tries), count(&tally.unanswered), count(&tally.wrong));
+    let (tries, unanswered, wrong) = (
+        count(&tally.tries),
+        count(&tally.unanswered),
+        count(&tally.wrong),
+    );
     proof.check(
         "every query got one final answer",
         unanswered == 0 && wrong == 0,
@@ -491,7 +597,13 @@
         .filter_map(|(body, _)| serde_json::from_slice::<Value>(body).ok()?["amount"].as_i64())
         .sum();
     let files: BTreeSet<String> = fs::read_dir(&documents)?
-        .filter_map(|file| file.ok()?.file_name().to_str()?.strip_suffix(".json").map(str::to_string))
+        .filter_map(|file| {
+            file.ok()?
+                .file_name()
+                .to_str()?
+                .strip_suffix(".json")
+                .map(str::to_string)
+        })
         .collect();
     proof.check(
         "each document is received exactly once, unchanged",
@@ -518,16 +630,25 @@
         format!("{missing} members missing, {lost} records lost"),
     );
     for mixer in &mut installation.mixers {
-        let ended = mixer.process.as_mut().is_some_and(|process| process.end(Duration::from_secs(10)));
+        let ended = mixer
+            .process
+            .as_mut()
+            .is_some_and(|process| process.end(Duration::from_secs(10)));
         proof.check("a mixer ends by itself", ended, &mixer.name);
     }
     sleep(Duration::from_millis(500)).await;
-    let ended = installation.settlement.as_mut().is_some_and(|process| process.end(Duration::from_secs(10)));
+    let ended = installation
+        .settlement
+        .as_mut()
+        .is_some_and(|process| process.end(Duration::from_secs(10)));
     proof.check("the settlement ends by itself", ended, "SIGTERM");
     let clients_file = folder.path().join("clients.csv").display().to_string();
     let mut words = vec!["reconcile".to_string(), "--clients".into(), clients_file];
     for (name, file, _) in &counters {
-        words.extend(["--counters".to_string(), format!("{name}={}", file.display())]);
+        words.extend([
+            "--counters".to_string(),
+            format!("{name}={}", file.display()),
+        ]);
     }
     let (equal, said) =
         output(&mut installation.ledger(&words.iter().map(String::as_str).collect::<Vec<_>>()))?;
@@ -535,7 +656,11 @@
     proof.check(
         "ledger reconcile finds no difference",
         equal,
-        if equal { "use by use" } else { tail.last().unwrap_or(&"") },
+        if equal {
+            "use by use"
+        } else {
+            tail.last().unwrap_or(&"")
+        },
     );
     let mut words = vec!["verify".to_string()];
     for mixer in &installation.mixers {
@@ -543,7 +668,11 @@
     }
     let (sound, said) =
         output(&mut installation.ledger(&words.iter().map(String::as_str).collect::<Vec<_>>()))?;
-    proof.check("ledger verify finds nothing wrong", sound, said.trim().replace('\n', "; "));
+    proof.check(
+        "ledger verify finds nothing wrong",
+        sound,
+        said.trim().replace('\n', "; "),
+    );
     let rate = used.len() as f64 / asked_for.as_secs_f64();
     let answered: i64 = clients.values().map(|total| total[1] + total[2]).sum();
     println!(
@@ -590,7 +719,10 @@
 }
 
 fn main() -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(3).enable_all().build();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(3)
+        .enable_all()
+        .build();
     match runtime.and_then(|runtime| runtime.block_on(run(Line::parse()))) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
--- a/crates/testkit/src/bin/prove-opensearch.rs
+++ b/crates/testkit/src/bin/prove-opensearch.rs
@@ -1,8 +1,9 @@
-//! `prove-opensearch`: that searches through the OpenSearch-style front are what they ought to be, and are
-//! served as the native front serves the same queries.
+//! `prove-opensearch`: that searches through the OpenSearch-style front are what they ought to be,
+//! and are served as the native front serves the same queries.
 //!
-//! The same random searches go through both fronts, to the same leaf servers, while a zone is lost and comes back cold.
-//! Every page is set beside the one computed from the documents over the shards that it claims.
+//! The same random searches go through both fronts, to the same leaf servers, while a zone is lost
+//! and comes back cold. Every page is set beside the one computed from the documents over the
+//! shards that it claims.
 
 use aggregator_testkit::client::{Attempt, Connection, Got, Question};
 use aggregator_testkit::installation::{Installation, Plan, CLASSES, SHARDS, TENANTS};
@@ -50,7 +51,9 @@
         5 => json!({"range": {"year": {"gte": year, "lt": year + 20}}}),
         6 => json!({"exists": {"field": "plays"}}),
         7 => json!({"prefix": {"genre": "f"}}),
-        8 => json!({"multi_match": {"query": format!("{word} jazz"), "fields": ["title", "genre"]}}),
+        8 => {
+            json!({"multi_match": {"query": format!("{word} jazz"), "fields": ["title", "genre"]}})
+        }
         9 => json!({"constant_score": {"filter": clause(random, depth - 1), "boost": 3.5}}),
         10 => json!({"function_score": {"query": clause(random, depth - 1), "weight": 0.5}}),
         _ => {
@@ -58,7 +61,10 @@
             for key in ["must", "filter", "should", "must_not"] {
                 if random.random_bool(0.4) {
                     let count = random.random_range(1..3);
-                    body.insert(key.into(), (0..count).map(|_| clause(random, depth - 1)).collect());
+                    body.insert(
+                        key.into(),
+                        (0..count).map(|_| clause(random, depth - 1)).collect(),
+                    );
                 }
             }
             json!({ "bool": body })
@@ -73,8 +79,12 @@
     }
     if random.random_bool(0.5) {
         // Sorts with a missing field, and one that is a text in one shard.
-        let keys =
-            [json!({"year": "desc"}), json!({"plays": {"order": "asc"}}), json!("genre"), json!("_score")];
+        let keys = [
+            json!({"year": "desc"}),
+            json!({"plays": {"order": "asc"}}),
+            json!("genre"),
+            json!("_score"),
+        ];
         let first = random.random_range(0..keys.len());
         search["sort"] = json!([keys[first], keys[(first + 1) % keys.len()]]);
     }
@@ -123,13 +133,19 @@
 fn same(a: &Value, b: &Value) -> bool {
     match (a, b) {
         (Value::Number(a), Value::Number(b)) => {
-            let (a, b) = (a.as_f64().unwrap_or_default(), b.as_f64().unwrap_or_default());
+            let (a, b) = (
+                a.as_f64().unwrap_or_default(),
+                b.as_f64().unwrap_or_default(),
+            );
             (a - b).abs() <= 1e-9 * a.abs().max(1.0)
         }
-        (Value::Array(a), Value::Array(b)) => a.len() == b.len() && a.iter().zip(b).all(|(a, b)| same(a, b)),
+        (Value::Array(a), Value::Array(b)) => {
+            a.len() == b.len() && a.iter().zip(b).all(|(a, b)| same(a, b))
+        }
         (Value::Object(a), Value::Object(b)) => {
             a.len() == b.len()
-                && a.iter().all(|(key, value)| b.get(key).is_some_and(|other| same(value, other)))
+                && a.iter()
+                    .all(|(key, value)| b.get(key).is_some_and(|other| same(value, other)))
         }
         _ => a == b,
     }
@@ -143,28 +159,42 @@
         .flatten()
         .filter_map(|failure| Some(failure["shard"].as_u64()? as u32))
         .collect();
-    let claimed: Vec<u32> = (0..SHARDS).filter(|shard| !failed.contains(shard)).collect();
-    if body["_shards"]["successful"] != json!(claimed.len()) || body["_shards"]["total"] != json!(SHARDS) {
+    let claimed: Vec<u32> = (0..SHARDS)
+        .filter(|shard| !failed.contains(shard))
+        .collect();
+    if body["_shards"]["successful"] != json!(claimed.len())
+        || body["_shards"]["total"] != json!(SHARDS)
+    {
         return Some(format!("_shards do not add up: {}", body["_shards"]));
     }
     if cue(search).is_some() && failed != [SICK] {
         return Some(format!("failed shards {failed:?} instead of the sick one"));
     }
     let found = all(search, &claimed);
-    let ids: Vec<&str> =
-        body["hits"]["hits"].as_array()?.iter().filter_map(|hit| hit["_id"].as_str()).collect();
+    let ids: Vec<&str> = body["hits"]["hits"]
+        .as_array()?
+        .iter()
+        .filter_map(|hit| hit["_id"].as_str())
+        .collect();
     let page = page(search, &found);
     let right: Vec<&str> = page.iter().map(|hit| hit.id.as_str()).collect();
     if ids != right {
         return Some(format!("hits {ids:?} instead of {right:?}"));
     }
-    let sources =
-        body["hits"]["hits"].as_array()?.iter().zip(&page).all(|(hit, it)| hit["_source"] == it.source);
+    let sources = body["hits"]["hits"]
+        .as_array()?
+        .iter()
+        .zip(&page)
+        .all(|(hit, it)| hit["_source"] == it.source);
     if !sources {
         return Some("a document is not as it is held".into());
     }
     if body["hits"]["total"] != json!({"value": found.len(), "relation": "eq"}) {
-        return Some(format!("total {} instead of {}", body["hits"]["total"], found.len()));
+        return Some(format!(
+            "total {} instead of {}",
+            body["hits"]["total"],
+            found.len()
+        ));
     }
     for (name, aggregation) in search["aggs"].as_object().into_iter().flatten() {
         let (got, right) = (&body["aggregations"][name], aggregate(aggregation, &found));
@@ -176,9 +206,13 @@
 }
 
 async fn client(
-    number: u64, line: Arc<Line>, mixers: Vec<(SocketAddr, SocketAddr)>, tally: Arc<Mutex<Tally>>,
+    number: u64,
+    line: Arc<Line>,
+    mixers: Vec<(SocketAddr, SocketAddr)>,
+    tally: Arc<Mutex<Tally>>,
 ) {
-    let mut random = StdRng::seed_from_u64(line.seed ^ (number + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    let mut random =
+        StdRng::seed_from_u64(line.seed ^ (number + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15));
     let (native_at, front_at) = mixers[number as usize % mixers.len()];
     let (mut native, mut front) = (Connection::new(native_at), Connection::new(front_at));
     for n in 0..line.queries / line.clients {
@@ -188,13 +222,26 @@
         let question = Question {
             class: class.into(),
             tenant: tenant.into(),
-            parts: (0..SHARDS).map(|shard| (shard, 1.0 / f64::from(SHARDS))).collect(),
+            parts: (0..SHARDS)
+                .map(|shard| (shard, 1.0 / f64::from(SHARDS)))
+                .collect(),
             text: search.to_string(),
             key: None,
         };
         let (id, wait) = (format!("p{number}-{n}"), Duration::from_millis(give_up));
-        let attempt = Attempt { id: &id, retry: false, wait, grace: Duration::from_secs(3) };
-        let (sick, floor) = (cue(&search), CLASSES.iter().find(|it| it.0 == class).map_or(1.0, |it| it.3));
+        let attempt = Attempt {
+            id: &id,
+            retry: false,
+            wait,
+            grace: Duration::from_secs(3),
+        };
+        let (sick, floor) = (
+            cue(&search),
+            CLASSES
+                .iter()
+                .find(|it| it.0 == class)
+                .map_or(1.0, |it| it.3),
+        );
         let native_first = random.random_bool(0.5);
         let mut outcome = ("", "");
         for turn in [native_first, !native_first] {
@@ -209,7 +256,9 @@
                     Got::Answer(whole, hits) => {
                         let right = |(shard, doc): &(u32, String)| *doc == words(*shard, &search);
                         if !hits.iter().all(right) {
-                            tally.wrong.push(format!("native: a value is not as it is held: {search}"));
+                            tally
+                                .wrong
+                                .push(format!("native: a value is not as it is held: {search}"));
                         }
                         if whole {
                             "whole"
@@ -233,7 +282,8 @@
                     .body(Full::new(Bytes::from(search.to_string())));
                 let Ok(request) = request else { continue };
                 let began = Instant::now();
-                let got = tokio::time::timeout(wait + Duration::from_secs(3), front.send(request)).await;
+                let got =
+                    tokio::time::timeout(wait + Duration::from_secs(3), front.send(request)).await;
                 let late = began.elapsed() > wait;
                 let mut tally = tally.lock().unwrap_or_else(PoisonError::into_inner);
                 tally.late += u64::from(late);
@@ -252,8 +302,11 @@
                     }
                     Ok(Some((429, body, after))) => {
                         let body: Value = serde_json::from_slice(&body).unwrap_or_default();
-                        if after.is_none() || body["error"]["type"] != "circuit_breaking_exception" {
-                            tally.wrong.push(format!("a refusal without its form: {body}"));
+                        if after.is_none() || body["error"]["type"] != "circuit_breaking_exception"
+                        {
+                            tally
+                                .wrong
+                                .push(format!("a refusal without its form: {body}"));
                         }
                         "refused"
                     }
@@ -262,7 +315,9 @@
                         if body["status"] != status
                             || body["error"]["type"] != "search_phase_execution_exception"
                         {
-                            tally.wrong.push(format!("an error that is none: {status} {body}"));
+                            tally
+                                .wrong
+                                .push(format!("an error that is none: {status} {body}"));
                         }
                         "failed"
                     }
@@ -277,12 +332,16 @@
                 };
                 *tally.sick.entry((sick, outcome.1)).or_default() += 1;
                 // One shard of 16 may be missing where the floor allows it, and all never.
-                let due =
-                    if floor == 1.0 || sick == "an error for every shard" { "failed" } else { "partial" };
+                let due = if floor == 1.0 || sick == "an error for every shard" {
+                    "failed"
+                } else {
+                    "partial"
+                };
                 if outcome.1 != due && outcome.1 != "refused" {
-                    tally
-                        .wrong
-                        .push(format!("{sick}, floor {floor}: {} instead of {due}: {search}", outcome.1));
+                    tally.wrong.push(format!(
+                        "{sick}, floor {floor}: {} instead of {due}: {search}",
+                        outcome.1
+                    ));
                 }
             }
         }
@@ -293,16 +352,23 @@
 async fn raw(at: SocketAddr, request: Request<Full<Bytes>>) -> Option<(hyper::HeaderMap, Bytes)> {
     let exchange = async {
         let stream = tokio::net::TcpStream::connect(at).await.ok()?;
-        let (mut send, connection) =
-            hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let (mut send, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+            .await
+            .ok()?;
         let task = tokio::spawn(connection);
-        let answer = send.send_request(request).await.ok().filter(|answer| answer.status() == 200)?;
+        let answer = send
+            .send_request(request)
+            .await
+            .ok()
+            .filter(|answer| answer.status() == 200)?;
         let headers = answer.headers().clone();
         let body = answer.into_body().collect().await.ok()?.to_bytes();
         task.abort();
         Some((headers, body))
     };
-    tokio::time::timeout(Duration::from_secs(5), exchange).await.ok()?
+    tokio::time::timeout(Duration::from_secs(5), exchange)
+        .await
+        .ok()?
 }
 
 /// One request of each form, and what it has to come to: what does not is named.
@@ -320,15 +386,64 @@
     let (q, none) = (query.to_string(), String::new());
     // Method, path, body, status, and a pointer into the answer with what has to stand there.
     let cases: Vec<(&str, &str, &str, u16, &str, Value)> = vec![
-        ("GET", "/", &none, 200, "/version/distribution", json!("opensearch")),
+        (
+            "GET",
+            "/",
+            &none,
+            200,
+            "/version/distribution",
+            json!("opensearch"),
+        ),
         ("HEAD", "/chart-ranking", &none, 200, "", Value::Null),
         ("HEAD", "/none", &none, 404, "", Value::Null),
-        ("GET", "/_cluster/health", &none, 200, "/status", json!("green")),
-        ("GET", "/_cat/indices", &none, 200, "/0/index", json!("catalogue-report")),
-        ("POST", "/none/_search", &q, 404, "/error/type", json!("index_not_found_exception")),
-        ("POST", "/_search", &q, 400, "/error/type", json!("illegal_argument_exception")),
-        ("POST", "/chart-ranking/_search", "{", 400, "/error/type", json!("parsing_exception")),
-        ("POST", "/chart-ranking/_search?routing=1", &q, 400, "/status", json!(400)),
+        (
+            "GET",
+            "/_cluster/health",
+            &none,
+            200,
+            "/status",
+            json!("green"),
+        ),
+        (
+            "GET",
+            "/_cat/indices",
+            &none,
+            200,
+            "/0/index",
+            json!("catalogue-report"),
+        ),
+        (
+            "POST",
+            "/none/_search",
+            &q,
+            404,
+            "/error/type",
+            json!("index_not_found_exception"),
+        ),
+        (
+            "POST",
+            "/_search",
+            &q,
+            400,
+            "/error/type",
+            json!("illegal_argument_exception"),
+        ),
+        (
+            "POST",
+            "/chart-ranking/_search",
+            "{",
+            400,
+            "/error/type",
+            json!("parsing_exception"),
+        ),
+        (
+            "POST",
+            "/chart-ranking/_search?routing=1",
+            &q,
+            400,
+            "/status",
+            json!(400),
+        ),
         (
             "POST",
             "/chart-ranking/_search?scroll=1m",
@@ -337,9 +452,30 @@
             "/error/type",
             json!("illegal_argument_exception"),
         ),
-        ("DELETE", "/chart-ranking", &none, 400, "/error/type", json!("illegal_argument_exception")),
-        ("POST", "/chart-ranking/_search?size=0", &q, 200, "/hits/total/value", json!(found.len())),
-        ("GET", "/chart-ranking/_count", &q, 200, "/count", json!(found.len())),
+        (
+            "DELETE",
+            "/chart-ranking",
+            &none,
+            400,
+            "/error/type",
+            json!("illegal_argument_exception"),
+        ),
+        (
+            "POST",
+            "/chart-ranking/_search?size=0",
+            &q,
+            200,
+            "/hits/total/value",
+            json!(found.len()),
+        ),
+        (
+            "GET",
+            "/chart-ranking/_count",
+            &q,
+            200,
+            "/count",
+            json!(found.len()),
+        ),
         (
             "POST",
             "/chart-ranking/_search?preference=_shards:3,14",
@@ -348,7 +484,14 @@
             "/hits/total/value",
             json!(some.len()),
         ),
-        ("POST", "/chart-ranking/_search?preference=_shards:3,99", &q, 400, "/status", json!(400)),
+        (
+            "POST",
+            "/chart-ranking/_search?preference=_shards:3,99",
+            &q,
+            400,
+            "/status",
+            json!(400),
+        ),
         (
             "POST",
             "/chart-ranking/_search?allow_partial_search_results=false",
@@ -365,7 +508,14 @@
             "/_shards/failures/0/reason/type",
             json!("query_shard_exception"),
         ),
-        ("POST", "/_msearch", &msearch, 200, "/responses/0/hits/total/value", json!(found.len())),
+        (
+            "POST",
+            "/_msearch",
+            &msearch,
+            200,
+            "/responses/0/hits/total/value",
+            json!(found.len()),
+        ),
         (
             "POST",
             "/chart-ranking/_msearch",
@@ -374,8 +524,22 @@
             "/responses/1/error/type",
             json!("parsing_exception"),
         ),
-        ("POST", "/_msearch", &msearch, 200, "/responses/2/status", json!(404)),
-        ("POST", "/_msearch", "{}\n", 400, "/error/type", json!("illegal_argument_exception")),
+        (
+            "POST",
+            "/_msearch",
+            &msearch,
+            200,
+            "/responses/2/status",
+            json!(404),
+        ),
+        (
+            "POST",
+            "/_msearch",
+            "{}\n",
+            400,
+            "/error/type",
+            json!("illegal_argument_exception"),
+        ),
     ];
     let mut ask = async |method: &str, path: &str, body: &str| {
         let request = Request::builder()
@@ -383,24 +547,40 @@
             .uri(path)
             .header("Host", "mixer")
             .header("X-Tenant-Id", "alpha");
-        let request = request.body(Full::new(Bytes::from(body.to_string()))).ok()?;
+        let request = request
+            .body(Full::new(Bytes::from(body.to_string())))
+            .ok()?;
         let (status, body, _) =
-            tokio::time::timeout(Duration::from_secs(5), connection.send(request)).await.ok()??;
-        Some((status, serde_json::from_slice::<Value>(&body).unwrap_or_default()))
+            tokio::time::timeout(Duration::from_secs(5), connection.send(request))
+                .await
+                .ok()??;
+        Some((
+            status,
+            serde_json::from_slice::<Value>(&body).unwrap_or_default(),
+        ))
     };
     for (method, path, body, status, pointer, value) in cases {
         match ask(method, path, body).await {
             Some((got, body))
-                if got == status && (method == "HEAD" || body.pointer(pointer) == Some(&value)) => {}
-            other => wrong.push(format!("{method} {path}: {other:?} instead of {status} {pointer} {value}")),
+                if got == status && (method == "HEAD" || body.pointer(pointer) == Some(&value)) => {
+            }
+            other => wrong.push(format!(
+                "{method} {path}: {other:?} instead of {status} {pointer} {value}"
+            )),
         }
     }
     // Packed both ways, told by its network alone, and known again by its own word.
     let mut packer = GzEncoder::new(Vec::new(), Compression::fast());
-    let packed = packer.write_all(br#"{"size": 100}"#).and_then(|()| packer.finish()).unwrap_or_default();
-    let request =
-        Request::post("/chart-ranking/_search").header("Host", "mixer").header("Content-Encoding", "gzip");
-    let request = request.header("Accept-Encoding", "gzip").header("X-Opaque-Id", "mine");
+    let packed = packer
+        .write_all(br#"{"size": 100}"#)
+        .and_then(|()| packer.finish())
+        .unwrap_or_default();
+    let request = Request::post("/chart-ranking/_search")
+        .header("Host", "mixer")
+        .header("Content-Encoding", "gzip");
+    let request = request
+        .header("Accept-Encoding", "gzip")
+        .header("X-Opaque-Id", "mine");
     let answer = match request.body(Full::new(Bytes::from(packed))) {
         Ok(request) => raw(at, request).await,
         Err(_) => None,
@@ -414,20 +594,25 @@
             && body["hits"]["hits"].as_array().map(Vec::len) == Some(100)
     });
     if !right {
-        wrong.push("a search under gzip, without a tenant's header, is not answered under gzip".into());
+        wrong.push(
+            "a search under gzip, without a tenant's header, is not answered under gzip".into(),
+        );
     }
     // All of it, page by page, each after the last hit of the one before.
-    let mut search =
-        json!({"query": {"match_all": {}}, "size": 37, "sort": [{"year": "desc"}, "released", "title"]});
+    let mut search = json!({"query": {"match_all": {}}, "size": 37, "sort": [{"year": "desc"}, "released", "title"]});
     let right: Vec<String> = all(&search, &every).into_iter().map(|hit| hit.id).collect();
     let mut paged: Vec<String> = Vec::new();
     while paged.len() < right.len() {
-        let Some((200, body)) = ask("POST", "/catalogue-report/_search", &search.to_string()).await else {
+        let Some((200, body)) = ask("POST", "/catalogue-report/_search", &search.to_string()).await
+        else {
             break;
         };
         let hits = body["hits"]["hits"].as_array().cloned().unwrap_or_default();
         let Some(last) = hits.last() else { break };
-        paged.extend(hits.iter().filter_map(|hit| hit["_id"].as_str().map(str::to_string)));
+        paged.extend(
+            hits.iter()
+                .filter_map(|hit| hit["_id"].as_str().map(str::to_string)),
+        );
         search["search_after"] = last["sort"].clone();
     }
     if paged != right {
@@ -452,12 +637,16 @@
         ledger: String::new(),
     };
     let mut installation = Installation::start(folder.path(), plan).await?;
-    let mixers: Vec<_> = installation.mixers.iter().map(|mixer| (mixer.address, mixer.search)).collect();
+    let mixers: Vec<_> = installation
+        .mixers
+        .iter()
+        .map(|mixer| (mixer.address, mixer.search))
+        .collect();
     let formed = forms(mixers[0].1).await;
     formed.iter().for_each(|wrong| println!("WRONG {wrong}"));
     let (line, tally) = (Arc::new(line), Arc::<Mutex<Tally>>::default());
-    let clients =
-        (0..line.clients).map(|n| tokio::spawn(client(n, line.clone(), mixers.clone(), tally.clone())));
+    let clients = (0..line.clients)
+        .map(|n| tokio::spawn(client(n, line.clone(), mixers.clone(), tally.clone())));
     let clients: Vec<_> = clients.collect();
     tokio::time::sleep(Duration::from_secs(2)).await;
     installation.lose_zone(2);
@@ -468,11 +657,18 @@
     }
     let mut ended = true;
     for mixer in &mut installation.mixers {
-        ended &= mixer.process.as_mut().is_some_and(|process| process.end(Duration::from_secs(10)));
+        ended &= mixer
+            .process
+            .as_mut()
+            .is_some_and(|process| process.end(Duration::from_secs(10)));
     }
     let tally = std::mem::take(&mut *tally.lock().unwrap_or_else(PoisonError::into_inner));
     let sum = |served: &Served, how: &str| -> u64 {
-        served.iter().filter(|(key, _)| key.1 == how).map(|it| it.1).sum()
+        served
+            .iter()
+            .filter(|(key, _)| key.1 == how)
+            .map(|it| it.1)
+            .sum()
     };
     let asked = |served: &Served| -> u64 { served.values().sum() };
     for (class, ..) in CLASSES {
@@ -485,7 +681,11 @@
                 .collect::<Vec<_>>()
                 .join(", ")
         };
-        println!("{class}: native {}; front {}", of(&tally.native), of(&tally.front));
+        println!(
+            "{class}: native {}; front {}",
+            of(&tally.native),
+            of(&tally.front)
+        );
     }
     for ((sick, how), count) in &tally.sick {
         println!("a shard {sick}: {count} {how}");
@@ -497,8 +697,14 @@
     let (native, front) = (answered(&tally.native), answered(&tally.front));
     let asked = (asked(&tally.native), asked(&tally.front));
     let sick: u64 = tally.sick.values().sum();
-    let partial: u64 = tally.sick.iter().filter(|(key, _)| key.1 == "partial").map(|it| it.1).sum();
-    // The two are asked one after the other: what a lost zone costs one query it need not cost the other.
+    let partial: u64 = tally
+        .sick
+        .iter()
+        .filter(|(key, _)| key.1 == "partial")
+        .map(|it| it.1)
+        .sum();
+    // The two are asked one after the other: what a lost zone costs one query it need not cost the
+    // other.
     let near = native.abs_diff(front) * 100 <= 3 * asked.0;
     let holds = tally.wrong.is_empty()
         && tally.unanswered == 0
@@ -521,7 +727,10 @@
 }
 
 fn main() -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(3).enable_all().build();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(3)
+        .enable_all()
+        .build();
     match runtime.and_then(|runtime| runtime.block_on(run(Line::parse()))) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
--- a/crates/testkit/src/client.rs
+++ b/crates/testkit/src/client.rs
@@ -1,4 +1,5 @@
-//! A client of the mixers: asks, gives up in time, comes back when it is refused, and writes down what it got.
+//! A client of the mixers: asks, gives up in time, comes back when it is refused, and writes down
+//! what it got.
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -91,7 +92,12 @@
 
     /// Asks once. A connection that the mixer has closed before it took anything is opened anew.
     pub async fn ask(&mut self, question: &Question, attempt: &Attempt<'_>) -> Got {
-        match timeout(attempt.wait + attempt.grace, self.exchange(question, attempt)).await {
+        match timeout(
+            attempt.wait + attempt.grace,
+            self.exchange(question, attempt),
+        )
+        .await
+        {
             Ok(Some((200, body, _))) => answer(&body).unwrap_or(Got::Failed(200)),
             Ok(Some((429 | 503, _, after))) => Got::Refused(after),
             Ok(Some((status, ..))) => Got::Failed(status),
@@ -140,17 +146,32 @@
         let send = &mut self.open.as_mut()?.send;
         send.ready().await.ok()?;
         let answer = send.send_request(request).await.ok()?;
-        let after =
-            answer.headers().get("retry-after").and_then(|value| value.to_str().ok()?.parse::<f64>().ok());
+        let after = answer
+            .headers()
+            .get("retry-after")
+            .and_then(|value| value.to_str().ok()?.parse::<f64>().ok());
         let status = answer.status().as_u16();
         let body = answer.into_body().collect().await.ok()?.to_bytes();
-        Some((status, body, after.map(|after| Duration::from_secs_f64(after.clamp(0.0, 60.0)))))
+        Some((
+            status,
+            body,
+            after.map(|after| Duration::from_secs_f64(after.clamp(0.0, 60.0))),
+        ))
     }
 }
 
 fn answer(body: &[u8]) -> Option<Got> {
     let body: Value = serde_json::from_slice(body).ok()?;
-    let hit = |hit: &Value| Some((hit["shard"].as_u64()? as u32, hit["doc"].as_str()?.to_string()));
-    let hits = body["hits"].as_array()?.iter().map(hit).collect::<Option<_>>()?;
+    let hit = |hit: &Value| {
+        Some((
+            hit["shard"].as_u64()? as u32,
+            hit["doc"].as_str()?.to_string(),
+        ))
+    };
+    let hits = body["hits"]
+        .as_array()?
+        .iter()
+        .map(hit)
+        .collect::<Option<_>>()?;
     Some(Got::Answer(body["complete"].as_bool()?, hits))
 }
--- a/crates/testkit/src/discovery.rs
+++ b/crates/testkit/src/discovery.rs
@@ -68,7 +68,12 @@
         let list = Arc::<Mutex<List>>::default();
         let (changed, watch) = watch::channel(0);
         let task = tokio::spawn(serve(listener, list.clone(), watch)).abort_handle();
-        Ok(Discovery { address, list, changed, task })
+        Ok(Discovery {
+            address,
+            list,
+            changed,
+            task,
+        })
     }
 
     /// Tells of lines that have changed, all at once.
@@ -80,22 +85,27 @@
 
     /// The list as a mixer is given it at its start.
     pub fn known(&self) -> Value {
-        self.list.lock().unwrap_or_else(PoisonError::into_inner).snapshot()
+        self.list
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .snapshot()
     }
 }
 
 async fn serve(listener: TcpListener, list: Arc<Mutex<List>>, changed: watch::Receiver<usize>) {
     let mut connections = JoinSet::new();
     loop {
-        let Ok((stream, _)) = listener.accept().await else { return };
+        let Ok((stream, _)) = listener.accept().await else {
+            return;
+        };
         let (list, changed) = (list.clone(), changed.clone());
         connections.spawn(async move {
             let answer = service_fn(move |request: Request<Incoming>| {
                 let body = body(&request, list.clone(), changed.clone());
                 async move { Ok::<_, Infallible>(Response::new(body)) }
             });
-            let serve =
-                hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), answer);
+            let serve = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), answer);
             let _ = serve.await;
         });
         while connections.try_join_next().is_some() {}
@@ -103,34 +113,45 @@
 }
 
 fn body(
-    request: &Request<Incoming>, list: Arc<Mutex<List>>, changed: watch::Receiver<usize>,
+    request: &Request<Incoming>,
+    list: Arc<Mutex<List>>,
+    changed: watch::Receiver<usize>,
 ) -> UnsyncBoxBody<Bytes, Infallible> {
     let query = request.uri().query().unwrap_or_default();
-    let lock = |list: &Arc<Mutex<List>>| list.lock().unwrap_or_else(PoisonError::into_inner).snapshot();
+    let lock = |list: &Arc<Mutex<List>>| {
+        list.lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .snapshot()
+    };
     if !query.contains("watch=1") {
         return Full::new(Bytes::from(lock(&list).to_string())).boxed_unsync();
     }
-    let from = query.split('&').find_map(|pair| pair.strip_prefix("from=")?.parse::<usize>().ok());
-    let lines = stream::unfold((from, list, changed), |(from, list, mut changed)| async move {
-        let (line, next) = loop {
-            {
-                let list = list.lock().unwrap_or_else(PoisonError::into_inner);
-                let now = list.changes.len();
-                match from {
-                    Some(from) if from == now => {}
-                    Some(from) if from < now => break (list.since(from).to_string(), now),
-                    _ => break (list.snapshot().to_string(), now),
+    let from = query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("from=")?.parse::<usize>().ok());
+    let lines = stream::unfold(
+        (from, list, changed),
+        |(from, list, mut changed)| async move {
+            let (line, next) = loop {
+                {
+                    let list = list.lock().unwrap_or_else(PoisonError::into_inner);
+                    let now = list.changes.len();
+                    match from {
+                        Some(from) if from == now => {}
+                        Some(from) if from < now => break (list.since(from).to_string(), now),
+                        _ => break (list.snapshot().to_string(), now),
+                    }
+                    changed.mark_unchanged();
                 }
-                changed.mark_unchanged();
-            }
-            match timeout(ALIVE, changed.changed()).await {
-                Ok(Ok(())) => {}
-                Ok(Err(_)) => return None,
-                Err(_) => break (String::new(), from.unwrap_or_default()),
-            }
-        };
-        let frame = Frame::data(Bytes::from(line + "\n"));
-        Some((Ok::<_, Infallible>(frame), (Some(next), list, changed)))
-    });
+                match timeout(ALIVE, changed.changed()).await {
+                    Ok(Ok(())) => {}
+                    Ok(Err(_)) => return None,
+                    Err(_) => break (String::new(), from.unwrap_or_default()),
+                }
+            };
+            let frame = Frame::data(Bytes::from(line + "\n"));
+            Some((Ok::<_, Infallible>(frame), (Some(next), list, changed)))
+        },
+    );
     BodyExt::boxed_unsync(StreamBody::new(Box::pin(lines)))
 }
--- a/crates/testkit/src/installation.rs
+++ b/crates/testkit/src/installation.rs
@@ -1,4 +1,5 @@
-//! A whole installation on loopback: discovery, leaf servers in three zones, real mixers, and their settlement.
+//! A whole installation on loopback: discovery, leaf servers in three zones, real mixers, and their
+//! settlement.
 
 use crate::discovery::Discovery;
 use crate::leaf::Leaf;
@@ -13,7 +14,8 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 pub const ZONES: [&str; 3] = ["colombo-north", "colombo-south", "kandy"];
-/// Classes, with the wanted and the longest time in milliseconds and the least share of a partial answer.
+/// Classes, with the wanted and the longest time in milliseconds and the least share of a partial
+/// answer.
 pub const CLASSES: [(&str, u64, u64, f64); 3] = [
     ("preview-lookup", 150, 900, 1.0),
     ("chart-ranking", 250, 1200, 0.6),
@@ -71,10 +73,16 @@
     program: PathBuf,
 }
 
-/// A loopback address of this process's own, so that ports freed for a moment are not taken by another one.
+/// A loopback address of this process's own, so that ports freed for a moment are not taken by
+/// another one.
 pub fn own_ip() -> IpAddr {
     let id = std::process::id();
-    IpAddr::V4(Ipv4Addr::new(127, 20 + (id >> 16) as u8 % 100, (id >> 8) as u8, (id as u8).max(1)))
+    IpAddr::V4(Ipv4Addr::new(
+        127,
+        20 + (id >> 16) as u8 % 100,
+        (id >> 8) as u8,
+        (id as u8).max(1),
+    ))
 }
 
 /// A port that is free now.
@@ -87,11 +95,19 @@
 
 /// Unix milliseconds.
 pub fn now_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis() as u64
 }
 
 fn platform(
-    name: &str, zone: usize, listen: SocketAddr, discovery: SocketAddr, seed: u64, known: &Value,
+    name: &str,
+    zone: usize,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: u64,
+    known: &Value,
 ) -> Value {
     let class = |(name, aim, give_up, _): &(&str, u64, u64, f64)| {
         json!({"name": name, "aim_ns": aim * MS, "give_up_ns": give_up * MS, "semantics": "read_like",
@@ -127,7 +143,12 @@
         let discovery = Discovery::start(ip).await?;
         let mut slots = Vec::new();
         for zone in 0..ZONES.len() {
-            slots.extend((0..CELLS).map(|cell| Slot { zone, cell, leaf: None, starts: 0 }));
+            slots.extend((0..CELLS).map(|cell| Slot {
+                zone,
+                cell,
+                leaf: None,
+                starts: 0,
+            }));
         }
         let mut installation = Installation {
             folder: folder.into(),
@@ -150,8 +171,14 @@
             let (address, collect, search) = (free_port(ip)?, free_port(ip)?, free_port(ip)?);
             let (config, settings, usage) = (file("json"), file("ini"), file("usage"));
             let seed = installation.plan.seed ^ (zone as u64 + 1);
-            let (at, known) = (installation.discovery.address, installation.discovery.known());
-            fs::write(&config, format!("{:#}", platform(&name, zone, address, at, seed, &known)))?;
+            let (at, known) = (
+                installation.discovery.address,
+                installation.discovery.known(),
+            );
+            fs::write(
+                &config,
+                format!("{:#}", platform(&name, zone, address, at, seed, &known)),
+            )?;
             let shown = usage.display();
             let mut own = if installation.plan.usage {
                 format!("[usage]\ndirectory = {shown}\nmark = 100ms\nsegment = 64KiB\nlisten = {collect}\n")
@@ -159,10 +186,17 @@
                 String::new()
             };
             if installation.plan.search {
-                let _ = write!(own, "\n[opensearch]\nlisten = {search}\ntenant-by = header-or-network\n");
+                let _ = write!(
+                    own,
+                    "\n[opensearch]\nlisten = {search}\ntenant-by = header-or-network\n"
+                );
                 own += "\n[network loopback]\nprefixes = 127.0.0.0/8, ::1\ntenant = delta\n";
                 for (class, ..) in CLASSES {
-                    let _ = write!(own, "\n[index {class}]\nclass = {class}\nshards = 0-{}\n", SHARDS - 1);
+                    let _ = write!(
+                        own,
+                        "\n[index {class}]\nclass = {class}\nshards = 0-{}\n",
+                        SHARDS - 1
+                    );
                 }
             }
             fs::write(&settings, own)?;
@@ -181,8 +215,11 @@
             installation.start_mixer(zone).await?;
         }
         let store = folder.join("ledger.sqlite");
-        let ledger =
-            format!("[settlement]\nstore = {}\n\n{members}{}", store.display(), installation.plan.ledger);
+        let ledger = format!(
+            "[settlement]\nstore = {}\n\n{members}{}",
+            store.display(),
+            installation.plan.ledger
+        );
         fs::write(&installation.settings, ledger)?;
         Ok(installation)
     }
@@ -194,7 +231,11 @@
     pub fn launch_mixer(&mut self, at: usize) -> io::Result<()> {
         let mixer = &mut self.mixers[at];
         let mut command = Command::new(&self.program);
-        command.arg("--config").arg(&mixer.config).arg("--settings").arg(&mixer.settings);
+        command
+            .arg("--config")
+            .arg(&mixer.config)
+            .arg("--settings")
+            .arg(&mixer.settings);
         command
             .env_remove("BALANCER_CONFIG")
             .env_remove("QUERY_AGGREGATOR_SETTINGS")
@@ -211,13 +252,20 @@
         self.launch_mixer(at)?;
         let mixer = &self.mixers[at];
         for _ in 0..500 {
-            if get(mixer.address, "/-/ready").await.is_some_and(|(status, _)| status == 200) {
+            if get(mixer.address, "/-/ready")
+                .await
+                .is_some_and(|(status, _)| status == 200)
+            {
                 return Ok(());
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
         let log = fs::read_to_string(&mixer.log).unwrap_or_default();
-        Err(io::Error::other(format!("mixer {} does not come up: {}", mixer.name, log.trim())))
+        Err(io::Error::other(format!(
+            "mixer {} does not come up: {}",
+            mixer.name,
+            log.trim()
+        )))
     }
 
     /// Ends a mixer as a crash does.
@@ -227,7 +275,10 @@
 
     /// A zone is dark: its leaf servers are gone without a word from discovery.
     pub fn lose_zone(&mut self, zone: usize) {
-        self.slots.iter_mut().filter(|slot| slot.zone == zone).for_each(|slot| slot.leaf = None);
+        self.slots
+            .iter_mut()
+            .filter(|slot| slot.zone == zone)
+            .for_each(|slot| slot.leaf = None);
     }
 
     /// A zone's leaf servers start, at other addresses than before, and discovery tells.
@@ -236,7 +287,12 @@
     /// There are no ports.
     pub async fn restore_zone(&mut self, zone: usize, cold: bool) -> io::Result<()> {
         let mut lines = Vec::new();
-        for (i, slot) in self.slots.iter_mut().enumerate().filter(|(_, slot)| slot.zone == zone) {
+        for (i, slot) in self
+            .slots
+            .iter_mut()
+            .enumerate()
+            .filter(|(_, slot)| slot.zone == zone)
+        {
             slot.starts += 1;
             let leaf = Leaf::start(
                 self.ip,
@@ -263,13 +319,19 @@
     /// Parts that the leaf servers now up were sent.
     pub fn parts_seen(&self) -> u64 {
         let leaves = self.slots.iter().filter_map(|slot| slot.leaf.as_ref());
-        leaves.map(|leaf| leaf.seen.parts.load(std::sync::atomic::Ordering::Relaxed)).sum()
+        leaves
+            .map(|leaf| leaf.seen.parts.load(std::sync::atomic::Ordering::Relaxed))
+            .sum()
     }
 
     /// The command line of the ledger, with its settings.
     pub fn ledger(&self, words: &[&str]) -> Command {
         let mut command = Command::new(&self.program);
-        command.arg("ledger").args(words).arg("--settings").arg(&self.settings);
+        command
+            .arg("ledger")
+            .args(words)
+            .arg("--settings")
+            .arg(&self.settings);
         command.env_remove("QUERY_AGGREGATOR_LOG");
         command
     }
@@ -297,12 +359,19 @@
         let io = hyper_util::rt::TokioIo::new(stream);
         let (mut send, connection) = hyper::client::conn::http1::handshake(io).await.ok()?;
         let task = tokio::spawn(connection);
-        let request = hyper::Request::get(path).header("Host", "mixer").header("Connection", "close");
-        let answer = send.send_request(request.body(Empty::<bytes::Bytes>::new()).ok()?).await.ok()?;
+        let request = hyper::Request::get(path)
+            .header("Host", "mixer")
+            .header("Connection", "close");
+        let answer = send
+            .send_request(request.body(Empty::<bytes::Bytes>::new()).ok()?)
+            .await
+            .ok()?;
         let status = answer.status().as_u16();
         let body = answer.into_body().collect().await.ok()?.to_bytes();
         task.abort();
         Some((status, body.to_vec()))
     };
-    tokio::time::timeout(Duration::from_secs(2), exchange).await.ok()?
+    tokio::time::timeout(Duration::from_secs(2), exchange)
+        .await
+        .ok()?
 }
--- a/crates/testkit/src/leaf.rs
+++ b/crates/testkit/src/leaf.rs
@@ -27,7 +27,8 @@
     under_way: AtomicUsize,
 }
 
-/// A leaf server that runs until it is dropped; then its connections break at once, as a dead process's do.
+/// A leaf server that runs until it is dropped; then its connections break at once, as a dead
+/// process's do.
 pub struct Leaf {
     pub address: SocketAddr,
     pub seen: Arc<Seen>,
@@ -41,17 +42,20 @@
 }
 
 impl Leaf {
-    /// Serves on a free port; a part takes between half of and one and a half times `work`, and of more than `slots`
-    /// at once the rest is turned away.
+    /// Serves on a free port; a part takes between half of and one and a half times `work`, and of
+    /// more than `slots` at once the rest is turned away.
     ///
-    /// # Errors
-    /// There is no port.
+    /// # Errors There is no port.
     pub async fn start(ip: IpAddr, work: Duration, slots: usize, seed: u64) -> io::Result<Leaf> {
         let listener = TcpListener::bind((ip, 0)).await?;
         let address = listener.local_addr()?;
         let seen = Arc::<Seen>::default();
         let task = tokio::spawn(accept(listener, (work, slots), seed, seen.clone())).abort_handle();
-        Ok(Leaf { address, seen, task })
+        Ok(Leaf {
+            address,
+            seen,
+            task,
+        })
     }
 }
 
@@ -59,7 +63,9 @@
     // Ends with this task: what is accepted lives no longer than the server.
     let mut connections = JoinSet::new();
     for n in 0u64.. {
-        let Ok((stream, _)) = listener.accept().await else { return };
+        let Ok((stream, _)) = listener.accept().await else {
+            return;
+        };
         seen.connections.fetch_add(1, Ordering::Relaxed);
         let random = StdRng::seed_from_u64(seed ^ n.wrapping_mul(0x9e37_79b9_7f4a_7c15));
         connections.spawn(serve(stream, power, random, seen.clone()));
@@ -84,7 +90,12 @@
     Some(frame)
 }
 
-async fn serve(stream: TcpStream, (work, slots): (Duration, usize), mut random: StdRng, seen: Arc<Seen>) {
+async fn serve(
+    stream: TcpStream,
+    (work, slots): (Duration, usize),
+    mut random: StdRng,
+    seen: Arc<Seen>,
+) {
     let _ = stream.set_nodelay(true);
     let (mut read, mut write) = stream.into_split();
     let (answers, mut ready) = mpsc::channel::<Vec<u8>>(1024);
@@ -100,7 +111,9 @@
         match frame_in[0] {
             b'Q' => {
                 let Some(asked) = read_parts(&frame_in[1..]) else {
-                    let _ = answers.send(frame(b'E', b"a call that can't be read")).await;
+                    let _ = answers
+                        .send(frame(b'E', b"a call that can't be read"))
+                        .await;
                     return;
                 };
                 for (id, shard, text) in asked {
@@ -110,7 +123,9 @@
                     if seen.under_way.fetch_add(1, Ordering::Relaxed) >= slots {
                         seen.under_way.fetch_sub(1, Ordering::Relaxed);
                         seen.busy.fetch_add(1, Ordering::Relaxed);
-                        let _ = answers.send(frame(b'A', format!("{id} busy - -\n").as_bytes())).await;
+                        let _ = answers
+                            .send(frame(b'A', format!("{id} busy - -\n").as_bytes()))
+                            .await;
                         continue;
                     }
                     parts.spawn(async move {
@@ -136,8 +151,8 @@
     }
 }
 
-/// The value that a shard holds for a text: anyone can tell whether an answer is what it ought to be. A text that is a
-/// search is searched for.
+/// The value that a shard holds for a text: anyone can tell whether an answer is what it ought to
+/// be. A text that is a search is searched for.
 pub fn value(shard: u32, text: &str) -> String {
     if text.starts_with('{') {
         let search = serde_json::from_str(text).unwrap_or_default();
@@ -156,10 +171,16 @@
         let end = rest.iter().position(|b| *b == b'\n')?;
         let line = std::str::from_utf8(&rest[..end]).ok()?;
         let words: Vec<&str> = line.split(' ').collect();
-        let [id, shard, _, length] = words[..] else { return None };
+        let [id, shard, _, length] = words[..] else {
+            return None;
+        };
         let length: usize = length.parse().ok()?;
         let text = rest.get(end + 1..end + 1 + length)?;
-        parts.push((id.to_string(), shard.parse().ok()?, String::from_utf8(text.to_vec()).ok()?));
+        parts.push((
+            id.to_string(),
+            shard.parse().ok()?,
+            String::from_utf8(text.to_vec()).ok()?,
+        ));
         rest = &rest[end + 1 + length..];
     }
     Some(parts)
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -26,8 +26,12 @@
     let own = std::env::current_exe()?;
     // Tests run from a folder below.
     let folders = own.ancestors().skip(1).take(2);
-    let found = folders.map(|folder| folder.join(name)).find(|path| path.is_file());
-    found.ok_or_else(|| io::Error::other(format!("{name} has not been built: run cargo build first")))
+    let found = folders
+        .map(|folder| folder.join(name))
+        .find(|path| path.is_file());
+    found.ok_or_else(|| {
+        io::Error::other(format!("{name} has not been built: run cargo build first"))
+    })
 }
 
 impl Process {
@@ -37,8 +41,15 @@
     /// It can't be started.
     pub fn start(command: &mut Command, log: &Path) -> io::Result<Process> {
         let file = File::options().create(true).append(true).open(log)?;
-        let child = command.stdin(Stdio::null()).stdout(file.try_clone()?).stderr(file).spawn()?;
-        Ok(Process { child, log: log.into() })
+        let child = command
+            .stdin(Stdio::null())
+            .stdout(file.try_clone()?)
+            .stderr(file)
+            .spawn()?;
+        Ok(Process {
+            child,
+            log: log.into(),
+        })
     }
 
     /// Ends it as a crash does: nothing of it runs again.
@@ -56,11 +67,16 @@
     /// # Errors
     /// There is no such process any more.
     pub fn signal(&self, signal: &str) -> io::Result<()> {
-        let done = Command::new("kill").args([signal, &self.child.id().to_string()]).status()?;
+        let done = Command::new("kill")
+            .args([signal, &self.child.id().to_string()])
+            .status()?;
         if done.success() {
             Ok(())
         } else {
-            Err(io::Error::other(format!("process {} is over", self.child.id())))
+            Err(io::Error::other(format!(
+                "process {} is over",
+                self.child.id()
+            )))
         }
     }
 
@@ -90,7 +106,9 @@
         let words: Vec<&str> = after.split_whitespace().collect();
         let ticks = words.get(11)?.parse::<f64>().ok()? + words.get(12)?.parse::<f64>().ok()?;
         let status = std::fs::read_to_string(folder.join("status")).ok()?;
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let peak = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))?;
         Some((ticks / 100.0, peak.split_whitespace().next()?.parse().ok()?))
     }
 }
--- a/crates/testkit/src/receiver.rs
+++ b/crates/testkit/src/receiver.rs
@@ -35,12 +35,15 @@
 }
 
 impl Receiver {
-    /// Serves on `address`. If `hostile`, the first offers of each document are stored and then not acknowledged:
-    /// the connection is dropped, the answer is a 500, or none comes at all.
+    /// Serves on `address`. If `hostile`, the first offers of each document are stored and then not
+    /// acknowledged: the connection is dropped, the answer is a 500, or none comes at all.
     ///
-    /// # Errors
-    /// The address is taken.
-    pub async fn start(address: SocketAddr, kept: Arc<Mutex<Kept>>, hostile: bool) -> io::Result<Receiver> {
+    /// # Errors The address is taken.
+    pub async fn start(
+        address: SocketAddr,
+        kept: Arc<Mutex<Kept>>,
+        hostile: bool,
+    ) -> io::Result<Receiver> {
         let socket = TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
         socket.bind(address)?;
@@ -54,12 +57,14 @@
 async fn serve(listener: TcpListener, kept: Arc<Mutex<Kept>>, hostile: bool) {
     let mut connections = JoinSet::new();
     loop {
-        let Ok((stream, _)) = listener.accept().await else { return };
+        let Ok((stream, _)) = listener.accept().await else {
+            return;
+        };
         let kept = kept.clone();
         connections.spawn(async move {
             let answer = service_fn(move |request| receive(request, kept.clone(), hostile));
-            let serve =
-                hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), answer);
+            let serve = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), answer);
             let _ = serve.await;
         });
         while connections.try_join_next().is_some() {}
@@ -67,19 +72,35 @@
 }
 
 async fn receive(
-    request: Request<Incoming>, kept: Arc<Mutex<Kept>>, hostile: bool,
+    request: Request<Incoming>,
+    kept: Arc<Mutex<Kept>>,
+    hostile: bool,
 ) -> Result<Response<Empty<Bytes>>, io::Error> {
-    let id = request.headers().get("idempotency-key").and_then(|id| id.to_str().ok()).map(str::to_string);
+    let id = request
+        .headers()
+        .get("idempotency-key")
+        .and_then(|id| id.to_str().ok())
+        .map(str::to_string);
     let status = |status: StatusCode| {
         let mut response = Response::new(Empty::new());
         *response.status_mut() = status;
         Ok(response)
     };
-    let Some(id) = id else { return status(StatusCode::BAD_REQUEST) };
-    let body = request.into_body().collect().await.map_err(io::Error::other)?.to_bytes();
+    let Some(id) = id else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let body = request
+        .into_body()
+        .collect()
+        .await
+        .map_err(io::Error::other)?
+        .to_bytes();
     let offers = {
         let mut kept = kept.lock().unwrap_or_else(PoisonError::into_inner);
-        let (first, offers) = kept.documents.entry(id.clone()).or_insert_with(|| (body.clone(), 0));
+        let (first, offers) = kept
+            .documents
+            .entry(id.clone())
+            .or_insert_with(|| (body.clone(), 0));
         *offers += 1;
         let (same, offers) = (*first == body, *offers);
         kept.changed += u32::from(!same);
--- a/crates/testkit/src/search.rs
+++ b/crates/testkit/src/search.rs
@@ -1,15 +1,21 @@
-//! Documents of an index and the searches that leaf servers run on them; and what is right over any set of shards.
-//! It shares no code with the mixer's front.
+//! Documents of an index and the searches that leaf servers run on them; and what is right over any
+//! set of shards. It shares no code with the mixer's front.
 
 use serde_json::{json, Map, Value};
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
-pub const WORDS: [&str; 8] = ["raga", "tala", "drum", "song", "night", "river", "gold", "road"];
+pub const WORDS: [&str; 8] = [
+    "raga", "tala", "drum", "song", "night", "river", "gold", "road",
+];
 pub const GENRES: [&str; 5] = ["baila", "film", "folk", "jazz", "pop"];
 /// Documents of a shard; later shards have fewer, the last ones hardly any.
 pub fn documents(shard: u32) -> u64 {
-    u64::from(if shard >= 14 { shard - 13 } else { 40 - 2 * shard })
+    u64::from(if shard >= 14 {
+        shard - 13
+    } else {
+        40 - 2 * shard
+    })
 }
 
 fn dice(shard: u32, at: u64, what: u64) -> u64 {
@@ -31,7 +37,11 @@
     });
     if !dice(shard, at, 7).is_multiple_of(4) {
         let plays = dice(shard, at, 8) % 500;
-        fields["plays"] = if shard == 5 { json!(plays.to_string()) } else { json!(plays) };
+        fields["plays"] = if shard == 5 {
+            json!(plays.to_string())
+        } else {
+            json!(plays)
+        };
     }
     (format!("s{shard}-{at}"), fields)
 }
@@ -49,7 +59,9 @@
 }
 
 fn words_of(value: &Value) -> Vec<String> {
-    let text = value.as_str().map_or_else(|| value.to_string(), str::to_string);
+    let text = value
+        .as_str()
+        .map_or_else(|| value.to_string(), str::to_string);
     text.split_whitespace().map(str::to_lowercase).collect()
 }
 
@@ -58,9 +70,17 @@
     let (kind, body) = query.as_object()?.iter().next()?;
     let boost = body.get("boost").map_or(1.0, number);
     let matches = |field: &str, text: &Value, all: bool| {
-        let (wanted, has) = (words_of(text), document.get(field).map(words_of).unwrap_or_default());
+        let (wanted, has) = (
+            words_of(text),
+            document.get(field).map(words_of).unwrap_or_default(),
+        );
         let found = wanted.iter().filter(|word| has.contains(word)).count();
-        (if all { found == wanted.len() && found > 0 } else { found > 0 }).then_some(found as f64)
+        (if all {
+            found == wanted.len() && found > 0
+        } else {
+            found > 0
+        })
+        .then_some(found as f64)
     };
     match kind.as_str() {
         "match_all" => Some(boost),
@@ -71,7 +91,9 @@
         }
         "multi_match" => {
             let fields = body["fields"].as_array()?.iter().filter_map(Value::as_str);
-            fields.filter_map(|field| matches(field, &body["query"], false)).max_by(f64::total_cmp)
+            fields
+                .filter_map(|field| matches(field, &body["query"], false))
+                .max_by(f64::total_cmp)
         }
         "term" => {
             let (field, value) = told(body, "value");
@@ -79,45 +101,77 @@
         }
         "terms" => {
             let (field, values) = told(body, "");
-            values.as_array()?.contains(document.get(field)?).then_some(1.0)
+            values
+                .as_array()?
+                .contains(document.get(field)?)
+                .then_some(1.0)
         }
         "range" => {
             let (field, bounds) = told(body, "");
             let value = document.get(field)?.as_f64()?;
-            let holds = bounds.as_object()?.iter().all(|(key, bound)| match key.as_str() {
-                "gt" => value > number(bound),
-                "gte" => value >= number(bound),
-                "lt" => value < number(bound),
-                "lte" => value <= number(bound),
-                _ => true,
-            });
+            let holds = bounds
+                .as_object()?
+                .iter()
+                .all(|(key, bound)| match key.as_str() {
+                    "gt" => value > number(bound),
+                    "gte" => value >= number(bound),
+                    "lt" => value < number(bound),
+                    "lte" => value <= number(bound),
+                    _ => true,
+                });
             holds.then(|| bounds.get("boost").map_or(1.0, number))
         }
         "exists" => document.get(body["field"].as_str()?).map(|_| 1.0),
-        "ids" => body["values"].as_array()?.iter().any(|value| value == id).then_some(1.0),
+        "ids" => body["values"]
+            .as_array()?
+            .iter()
+            .any(|value| value == id)
+            .then_some(1.0),
         "prefix" => {
             let (field, value) = told(body, "value");
-            document.get(field)?.as_str()?.starts_with(value.as_str()?).then_some(1.0)
+            document
+                .get(field)?
+                .as_str()?
+                .starts_with(value.as_str()?)
+                .then_some(1.0)
         }
         "bool" => {
-            let clauses = |key: &str| body.get(key).and_then(Value::as_array).cloned().unwrap_or_default();
+            let clauses = |key: &str| {
+                body.get(key)
+                    .and_then(Value::as_array)
+                    .cloned()
+                    .unwrap_or_default()
+            };
             let (must, filter, should) = (clauses("must"), clauses("filter"), clauses("should"));
-            if clauses("must_not").iter().any(|clause| score(clause, id, document).is_some())
-                || filter.iter().any(|clause| score(clause, id, document).is_none())
+            if clauses("must_not")
+                .iter()
+                .any(|clause| score(clause, id, document).is_some())
+                || filter
+                    .iter()
+                    .any(|clause| score(clause, id, document).is_none())
             {
                 return None;
             }
-            let needed: Option<Vec<f64>> = must.iter().map(|clause| score(clause, id, document)).collect();
-            let found: Vec<f64> = should.iter().filter_map(|clause| score(clause, id, document)).collect();
+            let needed: Option<Vec<f64>> = must
+                .iter()
+                .map(|clause| score(clause, id, document))
+                .collect();
+            let found: Vec<f64> = should
+                .iter()
+                .filter_map(|clause| score(clause, id, document))
+                .collect();
             let otherwise = u64::from(must.is_empty() && filter.is_empty() && !should.is_empty());
-            let least = body.get("minimum_should_match").and_then(Value::as_u64).unwrap_or(otherwise);
+            let least = body
+                .get("minimum_should_match")
+                .and_then(Value::as_u64)
+                .unwrap_or(otherwise);
             let sum = needed?.iter().sum::<f64>() + found.iter().sum::<f64>();
             (found.len() as u64 >= least).then_some(sum * boost)
         }
         "constant_score" => score(&body["filter"], id, document).map(|_| boost),
-        "function_score" => {
-            Some(score(&body["query"], id, document)? * body.get("weight").map_or(1.0, number) * boost)
-        }
+        "function_score" => Some(
+            score(&body["query"], id, document)? * body.get("weight").map_or(1.0, number) * boost,
+        ),
         _ => None,
     }
 }
@@ -169,12 +223,20 @@
 
 fn ranked(keys: &[(String, bool)], a: &Found, b: &Found) -> Ordering {
     let by_keys = || {
-        let each =
-            keys.iter().enumerate().map(|(i, (_, falling))| in_order(&a.sort[i], &b.sort[i], *falling));
+        let each = keys
+            .iter()
+            .enumerate()
+            .map(|(i, (_, falling))| in_order(&a.sort[i], &b.sort[i], *falling));
         each.fold(Ordering::Equal, Ordering::then)
     };
-    let first = if keys.is_empty() { b.score.total_cmp(&a.score) } else { by_keys() };
-    first.then_with(|| a.shard.cmp(&b.shard)).then_with(|| a.id.cmp(&b.id))
+    let first = if keys.is_empty() {
+        b.score.total_cmp(&a.score)
+    } else {
+        by_keys()
+    };
+    first
+        .then_with(|| a.shard.cmp(&b.shard))
+        .then_with(|| a.id.cmp(&b.id))
 }
 
 /// All documents of `shards` that fit, in their order, without regard to pages.
@@ -185,10 +247,14 @@
     for shard in shards {
         for at in 0..documents(*shard) {
             let (id, source) = document(*shard, at);
-            let Some(score) = score(search.get("query").unwrap_or(&everything), &id, &source) else {
+            let Some(score) = score(search.get("query").unwrap_or(&everything), &id, &source)
+            else {
                 continue;
             };
-            if search.get("min_score").is_some_and(|least| score < number(least)) {
+            if search
+                .get("min_score")
+                .is_some_and(|least| score < number(least))
+            {
                 continue;
             }
             let value = |(field, _): &(String, bool)| match field.as_str() {
@@ -196,7 +262,13 @@
                 field => source.get(field).cloned().unwrap_or(Value::Null),
             };
             let sort = keys.iter().map(value).collect();
-            found.push(Found { shard: *shard, id, score, sort, source });
+            found.push(Found {
+                shard: *shard,
+                id,
+                score,
+                sort,
+                source,
+            });
         }
     }
     found.sort_by(|a, b| ranked(&keys, a, b));
@@ -214,9 +286,16 @@
             order.fold(Ordering::Equal, Ordering::then) == Ordering::Greater
         }
     };
-    let count =
-        |key: &str, otherwise: u64| search.get(key).and_then(Value::as_u64).unwrap_or(otherwise) as usize;
-    found.iter().filter(after).skip(count("from", 0)).take(count("size", 10)).cloned().collect()
+    let count = |key: &str, otherwise: u64| {
+        search.get(key).and_then(Value::as_u64).unwrap_or(otherwise) as usize
+    };
+    found
+        .iter()
+        .filter(after)
+        .skip(count("from", 0))
+        .take(count("size", 10))
+        .cloned()
+        .collect()
 }
 
 /// One aggregation over documents; terms without their bounds.
@@ -228,8 +307,10 @@
     let values: Vec<&Value> = found.iter().filter_map(|it| it.source.get(field)).collect();
     let numbers: Vec<f64> = values.iter().filter_map(|value| value.as_f64()).collect();
     let sum: f64 = numbers.iter().sum();
-    let (least, most) =
-        (numbers.iter().copied().min_by(f64::total_cmp), numbers.iter().copied().max_by(f64::total_cmp));
+    let (least, most) = (
+        numbers.iter().copied().min_by(f64::total_cmp),
+        numbers.iter().copied().max_by(f64::total_cmp),
+    );
     let average = (!numbers.is_empty()).then(|| sum / numbers.len() as f64);
     let buckets = |keys: Vec<Value>| {
         let mut counts: BTreeMap<String, (Value, u64)> = BTreeMap::new();
@@ -239,7 +320,9 @@
         counts.into_values().collect::<Vec<_>>()
     };
     let shown = |all: &[(Value, u64)]| -> Value {
-        all.iter().map(|(key, count)| json!({"key": key, "doc_count": count})).collect()
+        all.iter()
+            .map(|(key, count)| json!({"key": key, "doc_count": count}))
+            .collect()
     };
     match kind.as_str() {
         "min" => json!({"value": least}),
@@ -247,7 +330,9 @@
         "sum" => json!({"value": sum}),
         "avg" => json!({"value": average}),
         "value_count" => json!({"value": values.len()}),
-        "stats" => json!({"count": numbers.len(), "min": least, "max": most, "avg": average, "sum": sum}),
+        "stats" => {
+            json!({"count": numbers.len(), "min": least, "max": most, "avg": average, "sum": sum})
+        }
         "terms" => {
             let mut all = buckets(values.into_iter().cloned().collect());
             all.sort_by(|a, b| b.1.cmp(&a.1).then_with(|| in_order(&a.0, &b.0, false)));
@@ -314,7 +399,8 @@
     let found = all(search, &[shard]);
     let sorted = search.get("sort").is_some();
     let hit = |it: &Found| {
-        let mut hit = json!({"_id": it.id, "_score": if sorted { Value::Null } else { json!(it.score) }});
+        let mut hit =
+            json!({"_id": it.id, "_score": if sorted { Value::Null } else { json!(it.score) }});
         if search.get("_source") != Some(&json!(false)) {
             hit["_source"] = it.source.clone();
         }
@@ -325,7 +411,12 @@
     };
     let hits: Vec<Value> = page(search, &found).iter().map(hit).collect();
     let mut aggregations = Map::new();
-    for (name, aggregation) in search.get("aggs").and_then(Value::as_object).into_iter().flatten() {
+    for (name, aggregation) in search
+        .get("aggs")
+        .and_then(Value::as_object)
+        .into_iter()
+        .flatten()
+    {
         aggregations.insert(name.clone(), aggregate(aggregation, &found));
     }
     json!({"took": 1, "timed_out": false, "hits": {"total": {"value": found.len(), "relation": "eq"}, "hits": hits},
--- a/crates/usage-ledger/src/collect.rs
+++ b/crates/usage-ledger/src/collect.rs
@@ -31,9 +31,21 @@
 impl UsageLog for Service {
     type FollowStream = ReceiverStream<Result<Batch, Status>>;
 
-    async fn follow(&self, request: Request<FollowRequest>) -> Result<Response<Self::FollowStream>, Status> {
-        let FollowRequest { incarnation, sequence } = request.into_inner();
-        let mut follower = Follower::new(&self.directory, Position { incarnation, sequence });
+    async fn follow(
+        &self,
+        request: Request<FollowRequest>,
+    ) -> Result<Response<Self::FollowStream>, Status> {
+        let FollowRequest {
+            incarnation,
+            sequence,
+        } = request.into_inner();
+        let mut follower = Follower::new(
+            &self.directory,
+            Position {
+                incarnation,
+                sequence,
+            },
+        );
         let (send, receive) = mpsc::channel(MOST_WAITING);
         tokio::spawn(async move {
             let mut idle = 0;
@@ -68,18 +80,27 @@
     }
 
     async fn acknowledge(
-        &self, request: Request<AcknowledgeRequest>,
+        &self,
+        request: Request<AcknowledgeRequest>,
     ) -> Result<Response<AcknowledgeReply>, Status> {
-        let AcknowledgeRequest { incarnation, sequence } = request.into_inner();
+        let AcknowledgeRequest {
+            incarnation,
+            sequence,
+        } = request.into_inner();
         let directory = self.directory.clone();
-        let upto = Position { incarnation, sequence };
+        let upto = Position {
+            incarnation,
+            sequence,
+        };
         let done = tokio::task::spawn_blocking(move || writer::forget(&directory, upto)).await;
         match done {
             Ok(Ok(gone)) => {
                 tracing::debug!(gone, incarnation, sequence, "settled segments forgotten");
                 Ok(Response::new(AcknowledgeReply {}))
             }
-            Ok(Err(e)) => Err(Status::unavailable(format!("segments can't be removed: {e}"))),
+            Ok(Err(e)) => Err(Status::unavailable(format!(
+                "segments can't be removed: {e}"
+            ))),
             Err(e) => Err(Status::internal(e.to_string())),
         }
     }
@@ -93,17 +114,24 @@
     let listener = std::net::TcpListener::bind(address)
         .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {address}: {e}")))?;
     listener.set_nonblocking(true)?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    thread::Builder::new().name("usage collection".into()).spawn(move || {
-        let served: Result<(), String> = runtime.block_on(async move {
-            let listener = TcpListener::from_std(listener).map_err(|e| e.to_string())?;
-            let service = UsageLogServer::new(Service { directory });
-            let server = tonic::transport::Server::builder().add_service(service);
-            server.serve_with_incoming(TcpListenerStream::new(listener)).await.map_err(|e| e.to_string())
-        });
-        if let Err(e) = served {
-            tracing::error!(error = e, "usage collection ended");
-        }
-    })?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    thread::Builder::new()
+        .name("usage collection".into())
+        .spawn(move || {
+            let served: Result<(), String> = runtime.block_on(async move {
+                let listener = TcpListener::from_std(listener).map_err(|e| e.to_string())?;
+                let service = UsageLogServer::new(Service { directory });
+                let server = tonic::transport::Server::builder().add_service(service);
+                server
+                    .serve_with_incoming(TcpListenerStream::new(listener))
+                    .await
+                    .map_err(|e| e.to_string())
+            });
+            if let Err(e) = served {
+                tracing::error!(error = e, "usage collection ended");
+            }
+        })?;
     Ok(())
 }
--- a/crates/usage-ledger/src/export.rs
+++ b/crates/usage-ledger/src/export.rs
@@ -1,8 +1,9 @@
-//! Documents and their export: each with an id of its own that never changes, to a folder and to a receiver.
+//! Documents and their export: each with an id of its own that never changes, to a folder and to a
+//! receiver.
 //!
-//! A document is put into the outbox in the transaction that made it. It is sent until the receiver has said that it
-//! has it, always under the same id and as the same bytes, so that a receiver which keeps one of each id ends with
-//! each once, whatever became of its acknowledgements.
+//! A document is put into the outbox in the transaction that made it. It is sent until the receiver
+//! has said that it has it, always under the same id and as the same bytes, so that a receiver
+//! which keeps one of each id ends with each once, whatever became of its acknowledgements.
 
 use crate::period::Period;
 use crate::settings::ExportTo;
@@ -51,7 +52,11 @@
 }
 
 fn statement_id(period: &str, tenant: &str) -> String {
-    format!("statement-{}-{}", word(&period.replace(':', "")), word(tenant))
+    format!(
+        "statement-{}-{}",
+        word(&period.replace(':', "")),
+        word(tenant)
+    )
 }
 
 impl Document {
@@ -65,10 +70,25 @@
                 tenant: tenant.clone(),
                 period: statement.period.clone(),
                 amount: totals.amount,
-                lines: statement.lines.iter().filter(|line| line.tenant == *tenant).cloned().collect(),
-                corrections: statement.corrections.iter().filter(|c| c.tenant == *tenant).cloned().collect(),
+                lines: statement
+                    .lines
+                    .iter()
+                    .filter(|line| line.tenant == *tenant)
+                    .cloned()
+                    .collect(),
+                corrections: statement
+                    .corrections
+                    .iter()
+                    .filter(|c| c.tenant == *tenant)
+                    .cloned()
+                    .collect(),
                 totals: Some(totals.clone()),
-                missing: statement.members.iter().filter(|m| m.missing).map(|m| m.member.clone()).collect(),
+                missing: statement
+                    .members
+                    .iter()
+                    .filter(|m| m.missing)
+                    .map(|m| m.member.clone())
+                    .collect(),
                 corrects: None,
             }
         };
@@ -77,7 +97,11 @@
 
     /// The credit or debit for a correction of a closed period.
     pub fn of_correction(correction: &CorrectionLine, period: Period, hash: &str) -> Document {
-        let kind = if correction.amount < 0 { "credit" } else { "debit" };
+        let kind = if correction.amount < 0 {
+            "credit"
+        } else {
+            "debit"
+        };
         Document {
             id: format!("{kind}-{}", word(&correction.id)),
             kind: kind.into(),
@@ -88,7 +112,10 @@
             corrections: vec![correction.clone()],
             totals: None,
             missing: Vec::new(),
-            corrects: Some((statement_id(&period.name(), &correction.tenant), hash.into())),
+            corrects: Some((
+                statement_id(&period.name(), &correction.tenant),
+                hash.into(),
+            )),
         }
     }
 }
@@ -99,8 +126,10 @@
 /// The folder can't be written.
 pub fn to_folder(folder: &Path, document: &Outgoing) -> io::Result<()> {
     fs::create_dir_all(folder)?;
-    let (half, whole) =
-        (folder.join(format!(".{}.half", document.id)), folder.join(format!("{}.json", document.id)));
+    let (half, whole) = (
+        folder.join(format!(".{}.half", document.id)),
+        folder.join(format!("{}.json", document.id)),
+    );
     let mut file = File::create(&half)?;
     file.write_all(document.body.as_bytes())?;
     file.sync_all()?;
@@ -108,12 +137,14 @@
     File::open(folder)?.sync_all()
 }
 
-/// Posts a document; done once the receiver answers with a 2xx, or with a 409 for one that it has already.
+/// Posts a document; done once the receiver answers with a 2xx, or with a 409 for one that it has
+/// already.
 ///
-/// # Errors
-/// It did not say so; it may have it all the same.
+/// # Errors It did not say so; it may have it all the same.
 pub fn post(url: &str, timeout: Duration, document: &Outgoing) -> Result<(), String> {
-    let config = ureq::Agent::config_builder().timeout_global(Some(timeout)).http_status_as_error(false);
+    let config = ureq::Agent::config_builder()
+        .timeout_global(Some(timeout))
+        .http_status_as_error(false);
     let agent: ureq::Agent = config.build().into();
     let request = agent
         .post(url)
@@ -127,7 +158,8 @@
     }
 }
 
-/// Wait before a document that has failed so often is sent again: doubled each time, at most 64-fold.
+/// Wait before a document that has failed so often is sent again: doubled each time, at most
+/// 64-fold.
 pub fn wait(again: Duration, attempts: u32) -> Duration {
     again * 2u32.pow(attempts.saturating_sub(1).min(6))
 }
@@ -135,7 +167,9 @@
 /// Sends one document to wherever it has still to go; what succeeded and why the rest did not.
 pub fn send(to: &ExportTo, document: &Outgoing) -> (bool, bool, Option<String>) {
     let folder = match &to.folder {
-        Some(folder) if !document.in_folder => Some(to_folder(folder, document).map_err(|e| e.to_string())),
+        Some(folder) if !document.in_folder => {
+            Some(to_folder(folder, document).map_err(|e| e.to_string()))
+        }
         _ => None,
     };
     let posted = match &to.url {
@@ -144,6 +178,10 @@
     };
     let done = |sent: &Option<Result<(), String>>| matches!(sent, Some(Ok(())));
     let (in_folder, sent) = (done(&folder), done(&posted));
-    let error = [folder, posted].into_iter().flatten().filter_map(Result::err).next();
+    let error = [folder, posted]
+        .into_iter()
+        .flatten()
+        .filter_map(Result::err)
+        .next();
     (in_folder, sent, error)
 }
--- a/crates/usage-ledger/src/join.rs
+++ b/crates/usage-ledger/src/join.rs
@@ -1,13 +1,15 @@
 //! Which tries are one use. Pure: tries go in by the order of their arrival, uses come out.
 //!
-//! A first try begins a use. A try marked as a retry joins the use of an earlier one, at most one retry to each try:
+//! A first try begins a use. A try marked as a retry joins the use of an earlier one, at most one
+//! retry to each try:
 //! - by the client's own key, whatever became of the earlier tries;
-//! - else by tenant, class and what was asked, within the class's give-up time of the first try, to the try that
-//!   has waited for longest among those that were not answered. A try whose answer may never have left, for its mixer
-//!   died right after, counts as not answered, but comes last.
+//! - else by tenant, class and what was asked, within the class's give-up time of the first try, to
+//!   the try that has waited for longest among those that were not answered. A try whose answer may
+//!   never have left, for its mixer died right after, counts as not answered, but comes last.
 //!
-//! A retry that finds nothing to join is a use of its own: its first try never arrived anywhere, or its record died
-//! with a mixer. Clocks of mixers may differ by [`Joiner::new`]'s `skew`: so much earlier a retry may seem to be.
+//! A retry that finds nothing to join is a use of its own: its first try never arrived anywhere, or
+//! its record died with a mixer. Clocks of mixers may differ by [`Joiner::new`]'s `skew`: so much
+//! earlier a retry may seem to be.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
@@ -81,15 +83,23 @@
     pub tries: Vec<Try>,
     /// The best of its tries' outcomes.
     pub outcome: Outcome,
-    /// Of its tries, the retries that had more than one try to join, or none but answered ones: another reading
-    /// would count otherwise.
+    /// Of its tries, the retries that had more than one try to join, or none but answered ones:
+    /// another reading would count otherwise.
     pub ambiguous: Vec<Id>,
 }
 
 impl Use {
     fn new(first: Try, ambiguous: bool) -> Use {
-        let ambiguous = if ambiguous { vec![first.id()] } else { Vec::new() };
-        Use { tries: vec![first], outcome: first.outcome, ambiguous }
+        let ambiguous = if ambiguous {
+            vec![first.id()]
+        } else {
+            Vec::new()
+        };
+        Use {
+            tries: vec![first],
+            outcome: first.outcome,
+            ambiguous,
+        }
     }
 
     /// The first try, or the earliest known.
@@ -130,12 +140,22 @@
 impl Joiner {
     pub fn new(skew: i64, horizon: i64) -> Joiner {
         let (open, due, retries, hints) = Default::default();
-        Joiner { skew, horizon, open, due, retries, hints }
+        Joiner {
+            skew,
+            horizon,
+            open,
+            due,
+            retries,
+            hints,
+        }
     }
 
     /// As [`Joiner::new`], with retries already known to be ambiguous.
     pub fn with_hints(skew: i64, horizon: i64, hints: BTreeSet<Id>) -> Joiner {
-        Joiner { hints, ..Joiner::new(skew, horizon) }
+        Joiner {
+            hints,
+            ..Joiner::new(skew, horizon)
+        }
     }
 
     fn group(it: &Try) -> Group {
@@ -168,9 +188,15 @@
 
     fn begin(&mut self, first: Try, ambiguous: bool) {
         let group = Joiner::group(&first);
-        let due = first.at.saturating_add(self.window(&first)).saturating_add(2 * self.skew);
+        let due = first
+            .at
+            .saturating_add(self.window(&first))
+            .saturating_add(2 * self.skew);
         self.due.insert((due, first.id()), group);
-        self.open.entry(group).or_default().push(Use::new(first, ambiguous));
+        self.open
+            .entry(group)
+            .or_default()
+            .push(Use::new(first, ambiguous));
     }
 
     /// All tries that arrived before `now` are known.
@@ -195,7 +221,9 @@
             }
             let group = *group;
             self.due.remove(&(due, id));
-            let Some(uses) = self.open.get_mut(&group) else { continue };
+            let Some(uses) = self.open.get_mut(&group) else {
+                continue;
+            };
             if let Some(at) = uses.iter().position(|it| it.first().id() == id) {
                 done(uses.remove(at));
             }
@@ -211,7 +239,8 @@
         let uses = self.open.entry(group).or_default();
         let within = |it: &Use| {
             let first = it.first().at;
-            first >= retry.at.saturating_sub(window + skew) && it.last().at <= retry.at.saturating_add(skew)
+            first >= retry.at.saturating_sub(window + skew)
+                && it.last().at <= retry.at.saturating_add(skew)
         };
         if retry.keyed {
             // The key names the use: its tries all belong to it, in whatever order they ended.
@@ -220,9 +249,11 @@
             }
             return self.begin(retry, false);
         }
-        let open: Vec<usize> =
-            (0..uses.len()).filter(|i| within(&uses[*i]) && uses[*i].last().open()).collect();
-        // Those not answered before those in doubt, those before it before those that only seem after it.
+        let open: Vec<usize> = (0..uses.len())
+            .filter(|i| within(&uses[*i]) && uses[*i].last().open())
+            .collect();
+        // Those not answered before those in doubt, those before it before those that only seem
+        // after it.
         let rank = |i: &usize| {
             let last = uses[*i].last();
             (last.outcome.answered(), last.at > retry.at, last.id())
--- a/crates/usage-ledger/src/lib.rs
+++ b/crates/usage-ledger/src/lib.rs
@@ -1,8 +1,9 @@
-//! Use by tenant: what each mixer's log holds, how it is collected, joined, settled, corrected and exported.
+//! Use by tenant: what each mixer's log holds, how it is collected, joined, settled, corrected and
+//! exported.
 //!
-//! [`join`], [`rate`], [`settle`] and [`period`] are pure: no I/O and no clock. The rest moves bytes: [`log`] and
-//! [`writer`] at the mixer, [`collect`] between mixer and settlement, [`store`], [`settlement`] and [`export`] at
-//! the settlement.
+//! [`join`], [`rate`], [`settle`] and [`period`] are pure: no I/O and no clock. The rest moves
+//! bytes: [`log`] and [`writer`] at the mixer, [`collect`] between mixer and settlement, [`store`],
+//! [`settlement`] and [`export`] at the settlement.
 
 pub mod collect;
 pub mod export;
