--- a/crates/usage-ledger/src/log/follow.rs
+++ b/crates/usage-ledger/src/log/follow.rs
@@ -18,7 +18,9 @@
 
 fn head_of(segment: &Segment) -> io::Result<Option<(Header, usize)>> {
     let mut bytes = Vec::new();
-    File::open(&segment.path)?.take(super::MOST_HEADER as u64 + 64).read_to_end(&mut bytes)?;
+    File::open(&segment.path)?
+        .take(super::MOST_HEADER as u64 + 64)
+        .read_to_end(&mut bytes)?;
     Ok(header(&bytes))
 }
 
@@ -32,7 +34,11 @@
 
 impl Follower {
     pub fn new(directory: &Path, after: Position) -> Follower {
-        Follower { directory: directory.into(), after, open: None }
+        Follower {
+            directory: directory.into(),
+            after,
+            open: None,
+        }
     }
 
     /// What comes next, at most `most` entries of one run; none if there is nothing yet.
@@ -43,11 +49,14 @@
         // Each turn of the loop finishes a segment, and there are only so many.
         loop {
             let Some((segment, head, at)) = self.open.take() else {
-                let Some(next) = self.next_segment(None)? else { return Ok(None) };
+                let Some(next) = self.next_segment(None)? else {
+                    return Ok(None);
+                };
                 self.start(next)?;
                 continue;
             };
-            // Looked up before reading: if a later one is there by now, this one has grown for the last time.
+            // Looked up before reading: if a later one is there by now, this one has grown for the
+            // last time.
             let later = self.next_segment(Some(&segment))?;
             let (batch, end, left) = self.batch(&segment, head.clone(), at, most)?;
             if !batch.entries.is_empty() || !batch.damage.is_empty() {
@@ -62,9 +71,17 @@
             match later {
                 Some(next) if left > 0 => {
                     // A tail that is no frame, and nothing will follow it.
-                    let damage = Damage { segment: segment.name(), from: end, to: end + left };
+                    let damage = Damage {
+                        segment: segment.name(),
+                        from: end,
+                        to: end + left,
+                    };
                     self.start(next)?;
-                    return Ok(Some(Batch { header: head, entries: Vec::new(), damage: vec![damage] }));
+                    return Ok(Some(Batch {
+                        header: head,
+                        entries: Vec::new(),
+                        damage: vec![damage],
+                    }));
                 }
                 Some(next) => self.start(next)?,
                 None => {
@@ -80,7 +97,9 @@
         let Some(after) = after else {
             // The one that holds the position: the last that does not begin after it.
             let from = (self.after.incarnation, self.after.sequence + 1);
-            let holds = all.iter().rposition(|s| (s.incarnation, s.first_sequence) <= from);
+            let holds = all
+                .iter()
+                .rposition(|s| (s.incarnation, s.first_sequence) <= from);
             return Ok(all.into_iter().nth(holds.unwrap_or_default()));
         };
         Ok(all.into_iter().find(|segment| segment > after))
@@ -91,9 +110,12 @@
             Some((head, at)) => (Some(head), at),
             // Names hold for a whole run: any other segment of it knows them.
             None => {
-                let same =
-                    segments(&self.directory)?.into_iter().filter(|s| s.incarnation == segment.incarnation);
-                let head = same.filter_map(|other| head_of(&other).ok().flatten()).next();
+                let same = segments(&self.directory)?
+                    .into_iter()
+                    .filter(|s| s.incarnation == segment.incarnation);
+                let head = same
+                    .filter_map(|other| head_of(&other).ok().flatten())
+                    .next();
                 (head.map(|(head, _)| head), MAGIC.len())
             }
         };
@@ -102,7 +124,11 @@
     }
 
     fn batch(
-        &mut self, segment: &Segment, head: Option<Header>, at: u64, most: usize,
+        &mut self,
+        segment: &Segment,
+        head: Option<Header>,
+        at: u64,
+        most: usize,
     ) -> io::Result<(Batch, u64, u64)> {
         let mut file = File::open(&segment.path)?;
         file.seek(SeekFrom::Start(at))?;
@@ -120,11 +146,18 @@
         };
         let left = bytes.len() as u64 - found.end as u64;
         let end = at + found.end as u64;
-        let mut batch = Batch { header: head, ..Batch::default() };
+        let mut batch = Batch {
+            header: head,
+            ..Batch::default()
+        };
         for item in found.items {
             match item {
                 Item::Damage(from, to) => {
-                    batch.damage.push(Damage { segment: segment.name(), from: at + from, to: at + to });
+                    batch.damage.push(Damage {
+                        segment: segment.name(),
+                        from: at + from,
+                        to: at + to,
+                    });
                 }
                 Item::Entry(entry) => {
                     let sequence = match &entry.what {
@@ -132,7 +165,9 @@
                         Some(What::Mark(mark)) => mark.sequence + 1,
                         None => 0,
                     };
-                    if (segment.incarnation, sequence) > (self.after.incarnation, self.after.sequence) {
+                    if (segment.incarnation, sequence)
+                        > (self.after.incarnation, self.after.sequence)
+                    {
                         batch.entries.push(entry);
                     }
                 }
--- a/crates/usage-ledger/src/log/mod.rs
+++ b/crates/usage-ledger/src/log/mod.rs
@@ -1,8 +1,9 @@
-//! The segments of a usage log: their names, their frames, and reading them however damaged they are.
+//! The segments of a usage log: their names, their frames, and reading them however damaged they
+//! are.
 //!
-//! A segment is [`MAGIC`], then frames. A frame is the CRC-32 of what follows (4 bytes, least significant first),
-//! the length of its body (4 bytes), and the body: the first is a [`Header`], the others are [`Entry`]s. Nothing
-//! in a segment is ever changed once it is written.
+//! A segment is [`MAGIC`], then frames. A frame is the CRC-32 of what follows (4 bytes, least
+//! significant first), the length of its body (4 bytes), and the body: the first is a [`Header`],
+//! the others are [`Entry`]s. Nothing in a segment is ever changed once it is written.
 
 mod follow;
 
@@ -44,7 +45,9 @@
 }
 
 fn frame(bytes: &[u8], at: usize, most: usize) -> Frame<'_> {
-    let Some(head) = bytes.get(at..at + FRAME_HEAD) else { return Frame::Short };
+    let Some(head) = bytes.get(at..at + FRAME_HEAD) else {
+        return Frame::Short;
+    };
     let word = |i: usize| u32::from_le_bytes([head[i], head[i + 1], head[i + 2], head[i + 3]]);
     let (sum, length) = (word(0), word(4) as usize);
     if length == 0 || length > most {
@@ -83,9 +86,13 @@
     }
 }
 
-/// Reads entries from `at` on, at most `most` items. What can't be read is skipped to the next frame that can.
+/// Reads entries from `at` on, at most `most` items. What can't be read is skipped to the next
+/// frame that can.
 pub fn read(bytes: &[u8], at: usize, most: usize) -> Read {
-    let mut read = Read { items: Vec::new(), end: at };
+    let mut read = Read {
+        items: Vec::new(),
+        end: at,
+    };
     while read.end < bytes.len() && read.items.len() < most {
         match entry(bytes, read.end) {
             Some((entry, end)) => {
@@ -94,7 +101,8 @@
             }
             None => {
                 // Where a length is damaged the next frame may begin anywhere.
-                let Some(next) = (read.end + 1..bytes.len()).find(|at| entry(bytes, *at).is_some()) else {
+                let Some(next) = (read.end + 1..bytes.len()).find(|at| entry(bytes, *at).is_some())
+                else {
                     break;
                 };
                 read.items.push(Item::Damage(read.end as u64, next as u64));
@@ -107,9 +115,10 @@
 
 fn entry(bytes: &[u8], at: usize) -> Option<(Entry, usize)> {
     match frame(bytes, at, MOST_ENTRY) {
-        Frame::Whole(body, end) => {
-            Entry::decode(body).ok().filter(|entry| entry.what.is_some()).map(|entry| (entry, end))
-        }
+        Frame::Whole(body, end) => Entry::decode(body)
+            .ok()
+            .filter(|entry| entry.what.is_some())
+            .map(|entry| (entry, end)),
         _ => None,
     }
 }
@@ -125,12 +134,20 @@
 impl Segment {
     pub fn new(directory: &Path, incarnation: u64, first_sequence: u64) -> Segment {
         let path = directory.join(format!("{incarnation:020}-{first_sequence:020}.log"));
-        Segment { incarnation, first_sequence, path }
+        Segment {
+            incarnation,
+            first_sequence,
+            path,
+        }
     }
 
     /// The file's name.
     pub fn name(&self) -> String {
-        self.path.file_name().unwrap_or_default().to_string_lossy().into_owned()
+        self.path
+            .file_name()
+            .unwrap_or_default()
+            .to_string_lossy()
+            .into_owned()
     }
 }
 
@@ -142,11 +159,21 @@
     let mut segments = Vec::new();
     for file in fs::read_dir(directory)? {
         let path = file?.path();
-        let name = path.file_name().unwrap_or_default().to_string_lossy().into_owned();
-        let numbers = name.strip_suffix(".log").and_then(|name| name.split_once('-'));
+        let name = path
+            .file_name()
+            .unwrap_or_default()
+            .to_string_lossy()
+            .into_owned();
+        let numbers = name
+            .strip_suffix(".log")
+            .and_then(|name| name.split_once('-'));
         let numbers = numbers.and_then(|(a, b)| Some((a.parse().ok()?, b.parse().ok()?)));
         if let Some((incarnation, first_sequence)) = numbers {
-            segments.push(Segment { incarnation, first_sequence, path });
+            segments.push(Segment {
+                incarnation,
+                first_sequence,
+                path,
+            });
         }
     }
     segments.sort_unstable();
@@ -161,7 +188,8 @@
     let bytes = fs::read(&segment.path)?;
     let Some((_, at)) = header(&bytes) else {
         // Not even the header is whole: there is nothing in it. A damaged one keeps its records.
-        if bytes.len() > MAGIC.len() + FRAME_HEAD && !read(&bytes, MAGIC.len(), 1).items.is_empty() {
+        if bytes.len() > MAGIC.len() + FRAME_HEAD && !read(&bytes, MAGIC.len(), 1).items.is_empty()
+        {
             return Ok(0);
         }
         fs::remove_file(&segment.path)?;
@@ -170,7 +198,10 @@
     let end = read(&bytes, at, usize::MAX).end;
     let torn = (bytes.len() - end) as u64;
     if torn > 0 {
-        fs::OpenOptions::new().write(true).open(&segment.path)?.set_len(end as u64)?;
+        fs::OpenOptions::new()
+            .write(true)
+            .open(&segment.path)?
+            .set_len(end as u64)?;
     }
     Ok(torn)
 }
--- a/crates/usage-ledger/src/period.rs
+++ b/crates/usage-ledger/src/period.rs
@@ -45,7 +45,10 @@
         match &self.0 {
             Every::Ms(length) => {
                 let start = ms.div_euclid(*length) * length;
-                Period { start, end: start + length }
+                Period {
+                    start,
+                    end: start + length,
+                }
             }
             Every::Day(zone) => self.civil(ms, zone, false).unwrap_or(FOREVER),
             Every::Month(zone) => self.civil(ms, zone, true).unwrap_or(FOREVER),
@@ -59,21 +62,39 @@
 
     fn civil(&self, ms: i64, zone: &TimeZone, month: bool) -> Option<Period> {
         let at = Timestamp::from_millisecond(ms).ok()?.to_zoned(zone.clone());
-        let day = at.round(ZonedRound::new().smallest(Unit::Day).mode(jiff::RoundMode::Floor)).ok()?;
+        let day = at
+            .round(
+                ZonedRound::new()
+                    .smallest(Unit::Day)
+                    .mode(jiff::RoundMode::Floor),
+            )
+            .ok()?;
         // Rounding takes the day's own first instant, also where midnight does not exist.
         let (start, end) = if month {
             let first = at.first_of_month().ok()?;
             let first = first.start_of_day().ok()?;
-            (first.clone(), first.checked_add(1.month()).ok()?.start_of_day().ok()?)
+            (
+                first.clone(),
+                first.checked_add(1.month()).ok()?.start_of_day().ok()?,
+            )
         } else {
-            (day.clone(), day.checked_add(1.day()).ok()?.start_of_day().ok()?)
+            (
+                day.clone(),
+                day.checked_add(1.day()).ok()?.start_of_day().ok()?,
+            )
         };
-        Some(Period { start: start.timestamp().as_millisecond(), end: end.timestamp().as_millisecond() })
+        Some(Period {
+            start: start.timestamp().as_millisecond(),
+            end: end.timestamp().as_millisecond(),
+        })
     }
 }
 
 /// Where time is past what a calendar knows.
-const FOREVER: Period = Period { start: i64::MIN, end: i64::MAX };
+const FOREVER: Period = Period {
+    start: i64::MIN,
+    end: i64::MAX,
+};
 
 #[cfg(test)]
 mod tests {
@@ -87,9 +108,24 @@
     fn periods_follow_each_other_without_gap_also_where_an_hour_is_repeated_or_skipped() {
         let zone = |name| TimeZone::get(name).unwrap();
         let calendars = [
-            (Calendar(Every::Day(zone("Europe/Berlin"))), "2026-10-20T12:00:00Z", 25, 23),
-            (Calendar(Every::Day(zone("Asia/Colombo"))), "2026-10-20T12:00:00Z", 24, 24),
-            (Calendar(Every::Month(zone("Europe/Berlin"))), "2026-01-10T12:00:00Z", 31 * 24 + 1, 28 * 24),
+            (
+                Calendar(Every::Day(zone("Europe/Berlin"))),
+                "2026-10-20T12:00:00Z",
+                25,
+                23,
+            ),
+            (
+                Calendar(Every::Day(zone("Asia/Colombo"))),
+                "2026-10-20T12:00:00Z",
+                24,
+                24,
+            ),
+            (
+                Calendar(Every::Month(zone("Europe/Berlin"))),
+                "2026-01-10T12:00:00Z",
+                31 * 24 + 1,
+                28 * 24,
+            ),
         ];
         for (calendar, from, longest, shortest) in calendars {
             let mut period = calendar.at(ms(from));
@@ -102,11 +138,23 @@
                 assert_eq!(next.start, period.end);
                 period = next;
             }
-            assert_eq!((hours.iter().max(), hours.iter().min()), (Some(&longest), Some(&shortest)));
+            assert_eq!(
+                (hours.iter().max(), hours.iter().min()),
+                (Some(&longest), Some(&shortest))
+            );
         }
         // Both hours between two and three belong to the one day.
         let berlin = Calendar(Every::Day(zone("Europe/Berlin")));
-        assert_eq!(berlin.at(ms("2026-10-25T00:30:00Z")), berlin.at(ms("2026-10-25T01:30:00Z")));
-        assert_eq!(Calendar(Every::Ms(5000)).at(12_345), Period { start: 10_000, end: 15_000 });
+        assert_eq!(
+            berlin.at(ms("2026-10-25T00:30:00Z")),
+            berlin.at(ms("2026-10-25T01:30:00Z"))
+        );
+        assert_eq!(
+            Calendar(Every::Ms(5000)).at(12_345),
+            Period {
+                start: 10_000,
+                end: 15_000
+            }
+        );
     }
 }
--- a/crates/usage-ledger/src/rate.rs
+++ b/crates/usage-ledger/src/rate.rs
@@ -1,8 +1,8 @@
 //! What uses cost. Pure, in whole micro-units.
 //!
-//! A line counts the uses of one tenant and class in one period. Whole answers cost their price each; partial ones
-//! cost their price times the sum of their shares, rounded **once a line**, half a micro-unit up. Refused and failed
-//! uses and those whose client left are free, and counted.
+//! A line counts the uses of one tenant and class in one period. Whole answers cost their price
+//! each; partial ones cost their price times the sum of their shares, rounded **once a line**, half
+//! a micro-unit up. Refused and failed uses and those whose client left are free, and counted.
 
 use crate::join::{Outcome, Use};
 use crate::settings::Price;
@@ -77,7 +77,10 @@
             crossed,
             ambiguous,
         } = *self;
-        [uses, whole, partial, share, refused, failed, left, tries, parts, attempts, crossed, ambiguous]
+        [
+            uses, whole, partial, share, refused, failed, left, tries, parts, attempts, crossed,
+            ambiguous,
+        ]
     }
 
     pub const NAMES: [&'static str; 12] = [
@@ -118,7 +121,9 @@
 impl AddAssign for Counts {
     fn add_assign(&mut self, other: Counts) {
         let mut sum = self.values();
-        sum.iter_mut().zip(other.values()).for_each(|(a, b)| *a += b);
+        sum.iter_mut()
+            .zip(other.values())
+            .for_each(|(a, b)| *a += b);
         *self = Counts::from_values(sum);
     }
 }
@@ -128,7 +133,10 @@
 
     fn sub(self, other: Counts) -> Counts {
         let mut difference = self.values();
-        difference.iter_mut().zip(other.values()).for_each(|(a, b)| *a -= b);
+        difference
+            .iter_mut()
+            .zip(other.values())
+            .for_each(|(a, b)| *a -= b);
         Counts::from_values(difference)
     }
 }
@@ -145,7 +153,9 @@
 
 /// Answered uses past a tenant's allowance.
 pub fn over(answered: i64, allowance: Option<u64>) -> i64 {
-    allowance.map_or(0, |allowance| (answered - i64::try_from(allowance).unwrap_or(i64::MAX)).max(0))
+    allowance.map_or(0, |allowance| {
+        (answered - i64::try_from(allowance).unwrap_or(i64::MAX)).max(0)
+    })
 }
 
 #[cfg(test)]
@@ -154,10 +164,23 @@
 
     #[test]
     fn a_line_is_rounded_once_half_up_and_differences_add_up() {
-        let price = Price { whole: 3, partial: 1 };
-        let line = |whole, share| Counts { whole, share, partial: i64::from(share > 0), ..Counts::default() };
-        let cases =
-            [((2, 0), 6), ((0, 499_999), 0), ((0, 500_000), 1), ((1, 1_499_999), 4), ((1, 1_500_000), 5)];
+        let price = Price {
+            whole: 3,
+            partial: 1,
+        };
+        let line = |whole, share| Counts {
+            whole,
+            share,
+            partial: i64::from(share > 0),
+            ..Counts::default()
+        };
+        let cases = [
+            ((2, 0), 6),
+            ((0, 499_999), 0),
+            ((0, 500_000), 1),
+            ((1, 1_499_999), 4),
+            ((1, 1_500_000), 5),
+        ];
         for ((whole, share), due) in cases {
             assert_eq!(amount(&line(whole, share), price), due, "{whole} {share}");
         }
@@ -166,12 +189,23 @@
         let mut sum = before;
         sum += after - before;
         assert_eq!(sum, after);
-        let most = Price { whole: u64::MAX, partial: u64::MAX };
+        let most = Price {
+            whole: u64::MAX,
+            partial: u64::MAX,
+        };
         assert_eq!(amount(&line(i64::MAX, i64::MAX), most), i64::MAX);
     }
 
     #[test]
     fn use_over_the_allowance_stands_apart() {
-        assert_eq!((over(5, None), over(5, Some(3)), over(3, Some(3)), over(0, Some(0))), (0, 2, 0, 0));
+        assert_eq!(
+            (
+                over(5, None),
+                over(5, Some(3)),
+                over(3, Some(3)),
+                over(0, Some(0))
+            ),
+            (0, 2, 0, 0)
+        );
     }
 }
--- a/crates/usage-ledger/src/reconcile.rs
+++ b/crates/usage-ledger/src/reconcile.rs
@@ -1,4 +1,5 @@
-//! Sets the ledger beside what others counted: the clients' own records of their uses, and the mixers' counters.
+//! Sets the ledger beside what others counted: the clients' own records of their uses, and the
+//! mixers' counters.
 
 use crate::join::{Joiner, Outcome, Use};
 use crate::period::{stamp, Calendar};
@@ -52,8 +53,9 @@
 impl Reconciled {
     /// Totals that differ.
     pub fn unequal(&self) -> usize {
-        let differ =
-            |pair: &&Pair| pair.ledger != pair.client || pair.ledger_answered != pair.client_answered;
+        let differ = |pair: &&Pair| {
+            pair.ledger != pair.client || pair.ledger_answered != pair.client_answered
+        };
         self.totals.values().filter(differ).count()
     }
 }
@@ -72,12 +74,16 @@
     outcome == "whole" || outcome == "partial"
 }
 
-/// Joins all records that arrived in `from..until` and sets the uses beside the clients' ones, one by one.
+/// Joins all records that arrived in `from..until` and sets the uses beside the clients' ones, one
+/// by one.
 ///
-/// # Errors
-/// The store can't be read.
+/// # Errors The store can't be read.
 pub fn with_clients(
-    store: &Store, calendar: &Calendar, bounds: Bounds, (from, until): (i64, i64), clients: &[ClientUse],
+    store: &Store,
+    calendar: &Calendar,
+    bounds: Bounds,
+    (from, until): (i64, i64),
+    clients: &[ClientUse],
 ) -> Result<Reconciled, Error> {
     let names = store.names()?;
     let name = |id: u32| names.get(&id).cloned().unwrap_or_default();
@@ -88,31 +94,46 @@
         let first = it.first();
         let (tenant, class) = (name(first.tenant), name(first.class));
         let period = calendar.at(first.at).name();
-        let pair = reconciled.totals.entry((period, tenant.clone(), class.clone())).or_default();
+        let pair = reconciled
+            .totals
+            .entry((period, tenant.clone(), class.clone()))
+            .or_default();
         pair.ledger += 1;
         pair.ledger_answered += u64::from(answered(word(it.outcome)));
-        ours.entry((tenant, class, format!("{:016x}", first.key))).or_default().push_back(it);
+        ours.entry((tenant, class, format!("{:016x}", first.key)))
+            .or_default()
+            .push_back(it);
     };
     for one in store.tries(from, until)? {
         joiner.take(one, &mut put);
     }
     joiner.finish(&mut put);
-    ours.values_mut().for_each(|uses| uses.make_contiguous().sort_by_key(|it| it.first().id()));
-    let mut clients: Vec<&ClientUse> =
-        clients.iter().filter(|it| (from..until).contains(&it.at_ms)).collect();
+    ours.values_mut()
+        .for_each(|uses| uses.make_contiguous().sort_by_key(|it| it.first().id()));
+    let mut clients: Vec<&ClientUse> = clients
+        .iter()
+        .filter(|it| (from..until).contains(&it.at_ms))
+        .collect();
     clients.sort_by_key(|it| it.at_ms);
     for client in clients {
         let period = calendar.at(client.at_ms).name();
         let (tenant, class) = (client.tenant.clone(), client.class.clone());
-        let pair = reconciled.totals.entry((period, tenant.clone(), class.clone())).or_default();
+        let pair = reconciled
+            .totals
+            .entry((period, tenant.clone(), class.clone()))
+            .or_default();
         pair.client += 1;
         pair.client_answered += u64::from(answered(&client.outcome));
         let key = (tenant, class, client.key.clone());
         let ledger = ours.get_mut(&key).and_then(VecDeque::pop_front);
         let what = match &ledger {
             None => "only the client has it",
-            Some(it) if answered(word(it.outcome)) != answered(&client.outcome) => "ended otherwise",
-            Some(it) if answered(&client.outcome) && word(it.outcome) != client.outcome => "ended otherwise",
+            Some(it) if answered(word(it.outcome)) != answered(&client.outcome) => {
+                "ended otherwise"
+            }
+            Some(it) if answered(&client.outcome) && word(it.outcome) != client.outcome => {
+                "ended otherwise"
+            }
             Some(_) => continue,
         };
         reconciled.differences.push(Difference {
@@ -121,7 +142,9 @@
             class: key.1,
             at: stamp(client.at_ms),
             key: key.2,
-            ledger: ledger.map(|it| word(it.outcome).to_string()).unwrap_or_default(),
+            ledger: ledger
+                .map(|it| word(it.outcome).to_string())
+                .unwrap_or_default(),
             client: client.outcome.clone(),
         });
     }
--- a/crates/usage-ledger/src/settings.rs
+++ b/crates/usage-ledger/src/settings.rs
@@ -9,12 +9,34 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-const fn key(name: &'static str, kind: Kind, default: Option<&'static str>, doc: &'static str) -> Key {
-    Key { name, kind, default, live: false, doc }
+const fn key(
+    name: &'static str,
+    kind: Kind,
+    default: Option<&'static str>,
+    doc: &'static str,
+) -> Key {
+    Key {
+        name,
+        kind,
+        default,
+        live: false,
+        doc,
+    }
 }
 
-const fn live(name: &'static str, kind: Kind, default: Option<&'static str>, doc: &'static str) -> Key {
-    Key { name, kind, default, live: true, doc }
+const fn live(
+    name: &'static str,
+    kind: Kind,
+    default: Option<&'static str>,
+    doc: &'static str,
+) -> Key {
+    Key {
+        name,
+        kind,
+        default,
+        live: true,
+        doc,
+    }
 }
 
 const MOST: u64 = 1_000_000_000_000;
@@ -23,7 +45,12 @@
     name: "usage",
     named: false,
     keys: &[
-        key("directory", Kind::Text, None, "Folder of the mixer's usage log; no log is kept without it."),
+        key(
+            "directory",
+            Kind::Text,
+            None,
+            "Folder of the mixer's usage log; no log is kept without it.",
+        ),
         key(
             "segment",
             Kind::Bytes,
@@ -36,15 +63,30 @@
             Some("1GiB"),
             "Most that the log may take; past it records are dropped and counted.",
         ),
-        key("queue", Kind::Count(16, 1_000_000), Some("8192"), "Records that may wait for the writer."),
+        key(
+            "queue",
+            Kind::Count(16, 1_000_000),
+            Some("8192"),
+            "Records that may wait for the writer.",
+        ),
         key(
             "stall",
             Kind::Time,
             Some("5ms"),
             "How long an answer waits for its record; then it goes without.",
         ),
-        key("mark", Kind::Time, Some("500ms"), "How often the log says up to when it is complete."),
-        key("listen", Kind::Address, None, "Where the settlement collects the log; a listener of its own."),
+        key(
+            "mark",
+            Kind::Time,
+            Some("500ms"),
+            "How often the log says up to when it is complete.",
+        ),
+        key(
+            "listen",
+            Kind::Address,
+            None,
+            "Where the settlement collects the log; a listener of its own.",
+        ),
     ],
 };
 
@@ -52,14 +94,24 @@
     name: "settlement",
     named: false,
     keys: &[
-        key("store", Kind::Text, None, "The SQLite file of the settlement."),
+        key(
+            "store",
+            Kind::Text,
+            None,
+            "The SQLite file of the settlement.",
+        ),
         live(
             "again",
             Kind::Time,
             Some("200ms"),
             "Wait before a member that failed is asked again; it doubles up to 32 times.",
         ),
-        live("silent", Kind::Time, Some("5s"), "A member that says nothing for so long is asked anew."),
+        live(
+            "silent",
+            Kind::Time,
+            Some("5s"),
+            "A member that says nothing for so long is asked anew.",
+        ),
     ],
 };
 
@@ -84,9 +136,24 @@
     name: "member",
     named: true,
     keys: &[
-        live("address", Kind::Address, None, "Where this mixer's log is collected: its [usage] listen."),
-        live("from", Kind::Text, None, "When it joined, as in 2026-12-01T00:00:00Z; always if unset."),
-        live("until", Kind::Text, None, "When it left; it has not if unset."),
+        live(
+            "address",
+            Kind::Address,
+            None,
+            "Where this mixer's log is collected: its [usage] listen.",
+        ),
+        live(
+            "from",
+            Kind::Text,
+            None,
+            "When it joined, as in 2026-12-01T00:00:00Z; always if unset.",
+        ),
+        live(
+            "until",
+            Kind::Text,
+            None,
+            "When it left; it has not if unset.",
+        ),
     ],
 };
 
@@ -94,7 +161,12 @@
     name: "price",
     named: true,
     keys: &[
-        live("whole", Kind::Count(0, MOST), None, "Price of a whole answer of this class, in micro-units."),
+        live(
+            "whole",
+            Kind::Count(0, MOST),
+            None,
+            "Price of a whole answer of this class, in micro-units.",
+        ),
         live(
             "partial",
             Kind::Count(0, MOST),
@@ -119,9 +191,24 @@
     name: "export",
     named: false,
     keys: &[
-        live("folder", Kind::Text, None, "Folder that documents are put into, each by an atomic rename."),
-        live("url", Kind::Text, None, "Where documents are posted, as in http://127.0.0.1:9000/documents."),
-        live("timeout", Kind::Time, Some("5s"), "How long the receiver may take for one document."),
+        live(
+            "folder",
+            Kind::Text,
+            None,
+            "Folder that documents are put into, each by an atomic rename.",
+        ),
+        live(
+            "url",
+            Kind::Text,
+            None,
+            "Where documents are posted, as in http://127.0.0.1:9000/documents.",
+        ),
+        live(
+            "timeout",
+            Kind::Time,
+            Some("5s"),
+            "How long the receiver may take for one document.",
+        ),
         live(
             "again",
             Kind::Time,
@@ -152,12 +239,17 @@
         let wrong = |key: &str, why: &str| settings.problem(USAGE.name, "", key, why);
         let Some(directory) = values.text("directory").map(PathBuf::from) else {
             return match listen {
-                Some(_) => Err(wrong("listen", "there is no log to collect without 'directory'")),
+                Some(_) => Err(wrong(
+                    "listen",
+                    "there is no log to collect without 'directory'",
+                )),
                 None => Ok(None),
             };
         };
-        let (segment_bytes, keep_bytes) =
-            (values.bytes("segment").unwrap_or(8 << 20), values.bytes("keep").unwrap_or(1 << 30));
+        let (segment_bytes, keep_bytes) = (
+            values.bytes("segment").unwrap_or(8 << 20),
+            values.bytes("keep").unwrap_or(1 << 30),
+        );
         if segment_bytes < 4096 {
             return Err(wrong("segment", "has to be 4KiB at least"));
         }
@@ -252,18 +344,38 @@
             let values = settings.of(schema, MEMBER.name, name);
             let at = |key: &'static str, otherwise: i64| match values.text(key) {
                 None => Ok(otherwise),
-                Some(text) => text.parse::<Timestamp>().map(Timestamp::as_millisecond).map_err(|_| {
-                    settings.problem(MEMBER.name, name, key, "has to be a time as in 2026-12-01T00:00:00Z")
-                }),
+                Some(text) => text
+                    .parse::<Timestamp>()
+                    .map(Timestamp::as_millisecond)
+                    .map_err(|_| {
+                        settings.problem(
+                            MEMBER.name,
+                            name,
+                            key,
+                            "has to be a time as in 2026-12-01T00:00:00Z",
+                        )
+                    }),
             };
             let Some(address) = values.address("address") else {
                 return Err(settings.problem(MEMBER.name, name, "address", "is missing"));
             };
             let (from, until) = (at("from", i64::MIN)?, at("until", i64::MAX)?);
             if from >= until {
-                return Err(settings.problem(MEMBER.name, name, "until", "does not come after 'from'"));
+                return Err(settings.problem(
+                    MEMBER.name,
+                    name,
+                    "until",
+                    "does not come after 'from'",
+                ));
             }
-            members.insert(name.to_string(), Member { address, from, until });
+            members.insert(
+                name.to_string(),
+                Member {
+                    address,
+                    from,
+                    until,
+                },
+            );
         }
         let mut prices = BTreeMap::new();
         for name in settings.names(PRICE.name) {
@@ -271,13 +383,25 @@
             let Some(whole) = values.count("whole") else {
                 return Err(settings.problem(PRICE.name, name, "whole", "is missing"));
             };
-            prices
-                .insert(name.to_string(), Price { whole, partial: values.count("partial").unwrap_or(whole) });
+            prices.insert(
+                name.to_string(),
+                Price {
+                    whole,
+                    partial: values.count("partial").unwrap_or(whole),
+                },
+            );
         }
         let allowance = |name: &&str| {
-            Some((name.to_string(), settings.of(schema, TENANT.name, name).count("allowance")?))
+            Some((
+                name.to_string(),
+                settings.of(schema, TENANT.name, name).count("allowance")?,
+            ))
         };
-        let allowances = settings.names(TENANT.name).iter().filter_map(allowance).collect();
+        let allowances = settings
+            .names(TENANT.name)
+            .iter()
+            .filter_map(allowance)
+            .collect();
         let export = settings.of(schema, EXPORT.name, "");
         let url = export.text("url").map(str::to_string);
         if url.as_ref().is_some_and(|url| !url.starts_with("http://")) {
--- a/crates/usage-ledger/src/settle.rs
+++ b/crates/usage-ledger/src/settle.rs
@@ -17,7 +17,10 @@
 impl Bounds {
     /// The arrivals that settling a period has to see: from, and up to without.
     pub fn seen(&self, period: Period) -> (i64, i64) {
-        (period.start.saturating_sub(self.skew), period.end.saturating_add(self.after()))
+        (
+            period.start.saturating_sub(self.skew),
+            period.end.saturating_add(self.after()),
+        )
     }
 
     /// How far past its end settling a period sees, in milliseconds.
@@ -49,9 +52,14 @@
 pub fn closing(period: Period, bounds: Bounds, grace: i64, now: i64, members: &[Known]) -> Closing {
     let (_, until) = bounds.seen(period);
     let behind = |known: &&Known| known.complete.is_none_or(|complete| complete < until);
-    let missing: Vec<String> = members.iter().filter(behind).map(|known| known.member.clone()).collect();
+    let missing: Vec<String> = members
+        .iter()
+        .filter(behind)
+        .map(|known| known.member.clone())
+        .collect();
     if now < until {
-        // A mixer whose clock is ahead must not close a period for those that have yet to serve in it.
+        // A mixer whose clock is ahead must not close a period for those that have yet to serve in
+        // it.
         Closing::Waits(missing)
     } else if missing.is_empty() {
         Closing::Whole
@@ -83,8 +91,8 @@
     pub ambiguous: Vec<Id>,
 }
 
-/// Settles one period. Takes the tries that [`Bounds::seen`] asks for, in the order of [`Try::id`], and passes over
-/// those that the period before has carried over.
+/// Settles one period. Takes the tries that [`Bounds::seen`] asks for, in the order of [`Try::id`],
+/// and passes over those that the period before has carried over.
 pub struct Settling {
     period: Period,
     /// From where on a try may be the next period's, and up to where a retry may be this one's.
@@ -97,20 +105,41 @@
 impl Settling {
     pub fn new(period: Period, bounds: Bounds, before: Over) -> Settling {
         let near = period.end.saturating_sub(bounds.skew);
-        let far = period.end.saturating_add(bounds.horizon).saturating_add(bounds.skew);
+        let far = period
+            .end
+            .saturating_add(bounds.horizon)
+            .saturating_add(bounds.skew);
         let joiner = Joiner::with_hints(bounds.skew, bounds.horizon, before.hints);
-        Settling { period, edge: (near, far), carried: before.carried, joiner, settled: Settled::default() }
+        Settling {
+            period,
+            edge: (near, far),
+            carried: before.carried,
+            joiner,
+            settled: Settled::default(),
+        }
     }
 
     pub fn take(&mut self, one: Try) {
         if !self.carried.contains(&one.id()) {
-            let Settling { joiner, settled, period, edge, .. } = self;
+            let Settling {
+                joiner,
+                settled,
+                period,
+                edge,
+                ..
+            } = self;
             joiner.take(one, &mut |it| settled.count(*period, *edge, &it));
         }
     }
 
     pub fn finish(mut self) -> Settled {
-        let Settling { joiner, settled, period, edge, .. } = &mut self;
+        let Settling {
+            joiner,
+            settled,
+            period,
+            edge,
+            ..
+        } = &mut self;
         joiner.finish(&mut |it| settled.count(*period, *edge, &it));
         self.settled
     }
@@ -120,21 +149,33 @@
     fn count(&mut self, period: Period, (near, far): (i64, i64), it: &Use) {
         let first = it.first();
         if first.at >= period.end {
-            self.over.hints.extend(it.ambiguous.iter().filter(|id| id.0 <= far));
+            self.over
+                .hints
+                .extend(it.ambiguous.iter().filter(|id| id.0 <= far));
             return;
         }
-        self.lines.entry((first.tenant, first.class)).or_default().add(it);
-        self.over.carried.extend(it.tries.iter().filter(|one| one.at >= near).map(Try::id));
+        self.lines
+            .entry((first.tenant, first.class))
+            .or_default()
+            .add(it);
+        self.over
+            .carried
+            .extend(it.tries.iter().filter(|one| one.at >= near).map(Try::id));
         if !it.ambiguous.is_empty() {
             self.ambiguous.push(first.id());
         }
     }
 }
 
-/// What has to be put right of a closed period: what it comes to now, less what statements have said so far.
+/// What has to be put right of a closed period: what it comes to now, less what statements have
+/// said so far.
 pub fn adjustments(now: &Lines, said: &Lines) -> Lines {
     let keys: BTreeSet<_> = now.keys().chain(said.keys()).copied().collect();
     let line = |lines: &Lines, key| lines.get(&key).copied().unwrap_or_default();
-    let differences = keys.into_iter().map(|key| (key, line(now, key) - line(said, key)));
-    differences.filter(|(_, counts)| !counts.is_zero()).collect()
+    let differences = keys
+        .into_iter()
+        .map(|key| (key, line(now, key) - line(said, key)));
+    differences
+        .filter(|(_, counts)| !counts.is_zero())
+        .collect()
 }
--- a/crates/usage-ledger/src/settlement.rs
+++ b/crates/usage-ledger/src/settlement.rs
@@ -52,35 +52,52 @@
 
 /// Unix milliseconds.
 pub fn now() -> i64 {
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    let now = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap_or_default();
     now.as_millis() as i64
 }
 
 impl Settlement {
     pub fn new(store: Store, settings: Ledger) -> Settlement {
-        Settlement { store, settings, waits: None }
+        Settlement {
+            store,
+            settings,
+            waits: None,
+        }
     }
 
     pub fn bounds(&self) -> Bounds {
-        Bounds { horizon: self.settings.horizon, skew: self.settings.skew }
+        Bounds {
+            horizon: self.settings.horizon,
+            skew: self.settings.skew,
+        }
     }
 
     /// Takes a batch into the store.
     pub fn take(&mut self, member: &str, batch: &Batch) -> Result<Position, Error> {
-        let took = self.store.ingest(member, batch, &self.settings.calendar, self.bounds())?;
+        let took = self
+            .store
+            .ingest(member, batch, &self.settings.calendar, self.bounds())?;
         for damage in &batch.damage {
             let (segment, from, to) = (&damage.segment, damage.from, damage.to);
             tracing::error!(member, segment, from, to, "damaged bytes in a usage log");
         }
         if took.late > 0 {
-            tracing::warn!(member, late = took.late, "late records: they will adjust the next statement");
+            tracing::warn!(
+                member,
+                late = took.late,
+                "late records: they will adjust the next statement"
+            );
         }
         self.store.position(member)
     }
 
     /// Closes the next period if it may close at `now`.
     pub fn close_next(&mut self, now: i64) -> Result<Option<Statement>, Error> {
-        let Some(period) = self.store.next_period(&self.settings.calendar)? else { return Ok(None) };
+        let Some(period) = self.store.next_period(&self.settings.calendar)? else {
+            return Ok(None);
+        };
         let bounds = self.bounds();
         if now < bounds.seen(period).1 {
             return Ok(None);
@@ -91,11 +108,19 @@
             .into_iter()
             .map(|standing| (standing.member, standing.complete))
             .collect();
-        let took_part =
-            |member: &&crate::settings::Member| member.from < period.end && member.until > period.start;
-        let members = self.settings.members.iter().filter(|(_, member)| took_part(member));
+        let took_part = |member: &&crate::settings::Member| {
+            member.from < period.end && member.until > period.start
+        };
+        let members = self
+            .settings
+            .members
+            .iter()
+            .filter(|(_, member)| took_part(member));
         let members: Vec<Known> = members
-            .map(|(name, _)| Known { member: name.clone(), complete: complete.get(name).copied() })
+            .map(|(name, _)| Known {
+                member: name.clone(),
+                complete: complete.get(name).copied(),
+            })
             .collect();
         let missing = match closing(period, bounds, self.settings.grace, now, &members) {
             Closing::Whole => Vec::new(),
@@ -126,22 +151,37 @@
         let statement = self.store.close(period, &terms)?;
         let (lines, total) = (statement.lines.len(), statement.total);
         let missing = missing.join(" ");
-        tracing::info!(period = statement.period, lines, total, missing, "period closed");
+        tracing::info!(
+            period = statement.period,
+            lines,
+            total,
+            missing,
+            "period closed"
+        );
         Ok(Some(statement))
     }
 }
 
 /// Follows one member until it is aborted.
 async fn follow(
-    member: String, address: SocketAddr, path: PathBuf, waits: Arc<Mutex<Waits>>,
+    member: String,
+    address: SocketAddr,
+    path: PathBuf,
+    waits: Arc<Mutex<Waits>>,
     arrived: mpsc::Sender<Arrived>,
 ) {
     let mut failures: u32 = 0;
     loop {
         let began = Instant::now();
         let end = watch(&member, address, &path, &waits, &arrived).await;
-        let waits = *waits.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
-        failures = if began.elapsed() > waits.silent { 0 } else { failures + 1 };
+        let waits = *waits
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        failures = if began.elapsed() > waits.silent {
+            0
+        } else {
+            failures + 1
+        };
         let wait = waits.again * 2u32.pow(failures.saturating_sub(1).min(MOST_DOUBLED));
         if failures <= 1 {
             tracing::info!(member, %address, error = end.err(), "collection ended; it will be asked again");
@@ -157,38 +197,83 @@
 }
 
 async fn watch(
-    member: &str, address: SocketAddr, path: &Path, waits: &Arc<Mutex<Waits>>,
+    member: &str,
+    address: SocketAddr,
+    path: &Path,
+    waits: &Arc<Mutex<Waits>>,
     arrived: &mpsc::Sender<Arrived>,
 ) -> Result<(), String> {
-    let silent = waits.lock().unwrap_or_else(std::sync::PoisonError::into_inner).silent;
+    let silent = waits
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner)
+        .silent;
     let endpoint = Endpoint::from_shared(format!("http://{address}")).map_err(|e| e.to_string())?;
-    let channel = endpoint.connect_timeout(silent).connect().await.map_err(|e| e.to_string())?;
+    let channel = endpoint
+        .connect_timeout(silent)
+        .connect()
+        .await
+        .map_err(|e| e.to_string())?;
     let mut client = UsageLogClient::new(channel).max_decoding_message_size(MOST_MESSAGE);
     // The store alone knows how far it got, whatever became of this process before.
     let path = path.to_path_buf();
     let name = member.to_string();
-    let after =
-        tokio::task::spawn_blocking(move || Store::open(&path).and_then(|store| store.position(&name))).await;
-    let after = after.map_err(|e| e.to_string())?.map_err(|e| e.to_string())?;
-    let request = FollowRequest { incarnation: after.incarnation, sequence: after.sequence };
-    let mut batches = client.follow(request).await.map_err(|e| e.to_string())?.into_inner();
+    let after = tokio::task::spawn_blocking(move || {
+        Store::open(&path).and_then(|store| store.position(&name))
+    })
+    .await;
+    let after = after
+        .map_err(|e| e.to_string())?
+        .map_err(|e| e.to_string())?;
+    let request = FollowRequest {
+        incarnation: after.incarnation,
+        sequence: after.sequence,
+    };
+    let mut batches = client
+        .follow(request)
+        .await
+        .map_err(|e| e.to_string())?
+        .into_inner();
     let mut acknowledged = Instant::now();
     loop {
-        let next = timeout(silent, batches.message()).await.map_err(|_| "silent for too long".to_string())?;
-        let Some(batch) = next.map_err(|e| e.to_string())? else { return Err("the stream ended".into()) };
+        let next = timeout(silent, batches.message())
+            .await
+            .map_err(|_| "silent for too long".to_string())?;
+        let Some(batch) = next.map_err(|e| e.to_string())? else {
+            return Err("the stream ended".into());
+        };
         if batch.header.is_none() && batch.entries.is_empty() && batch.damage.is_empty() {
             continue;
         }
-        if let Some(header) = batch.header.as_ref().filter(|header| header.mixer != member) {
+        if let Some(header) = batch
+            .header
+            .as_ref()
+            .filter(|header| header.mixer != member)
+        {
             return Err(format!("the mixer there is {}, not {member}", header.mixer));
         }
         let (stored, position) = oneshot::channel();
-        let sent = arrived.send(Arrived { member: member.into(), batch, stored }).await;
+        let sent = arrived
+            .send(Arrived {
+                member: member.into(),
+                batch,
+                stored,
+            })
+            .await;
         sent.map_err(|_| "the settlement ends".to_string())?;
-        let position = position.await.map_err(|_| "the store did not take it".to_string())?;
+        let position = position
+            .await
+            .map_err(|_| "the store did not take it".to_string())?;
         if acknowledged.elapsed() >= ACKNOWLEDGE {
-            let Position { incarnation, sequence } = position;
-            let said = client.acknowledge(AcknowledgeRequest { incarnation, sequence }).await;
+            let Position {
+                incarnation,
+                sequence,
+            } = position;
+            let said = client
+                .acknowledge(AcknowledgeRequest {
+                    incarnation,
+                    sequence,
+                })
+                .await;
             said.map_err(|e| e.to_string())?;
             acknowledged = Instant::now();
         }
@@ -197,18 +282,27 @@
 
 /// Sends what stands in the outbox, each document until it is acknowledged.
 fn export(
-    path: &Path, settings: &Arc<Mutex<Ledger>>, over: &std::sync::atomic::AtomicBool,
+    path: &Path,
+    settings: &Arc<Mutex<Ledger>>,
+    over: &std::sync::atomic::AtomicBool,
 ) -> Result<(), Error> {
     let store = Store::open(path)?;
     let mut next: HashMap<String, Instant> = HashMap::new();
     while !over.load(std::sync::atomic::Ordering::Relaxed) {
-        let to = settings.lock().unwrap_or_else(std::sync::PoisonError::into_inner).export.clone();
+        let to = settings
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+            .export
+            .clone();
         if to.folder.is_some() || to.url.is_some() {
             for document in store.outbox(to.folder.is_some(), to.url.is_some())? {
                 if over.load(std::sync::atomic::Ordering::Relaxed) {
                     return Ok(());
                 }
-                if next.get(&document.id).is_some_and(|at| *at > Instant::now()) {
+                if next
+                    .get(&document.id)
+                    .is_some_and(|at| *at > Instant::now())
+                {
                     continue;
                 }
                 let (in_folder, posted, error) = export::send(&to, &document);
@@ -219,8 +313,16 @@
                     }
                     Some(error) => {
                         let attempts = document.attempts + 1;
-                        tracing::warn!(document = document.id, attempts, error, "document not acknowledged");
-                        next.insert(document.id, Instant::now() + export::wait(to.again, attempts));
+                        tracing::warn!(
+                            document = document.id,
+                            attempts,
+                            error,
+                            "document not acknowledged"
+                        );
+                        next.insert(
+                            document.id,
+                            Instant::now() + export::wait(to.again, attempts),
+                        );
                     }
                 }
             }
@@ -234,7 +336,11 @@
 ///
 /// # Errors
 /// The store can't be used.
-pub async fn serve(path: PathBuf, settings: Ledger, mut told: mpsc::Receiver<Told>) -> Result<(), Error> {
+pub async fn serve(
+    path: PathBuf,
+    settings: Ledger,
+    mut told: mpsc::Receiver<Told>,
+) -> Result<(), Error> {
     let mut settlement = Settlement::new(Store::open(&path)?, settings.clone());
     let shared = Arc::new(Mutex::new(settings));
     let over = Arc::new(std::sync::atomic::AtomicBool::new(false));
@@ -246,14 +352,18 @@
             }
         })
     };
-    let waits =
-        Arc::new(Mutex::new(Waits { again: settlement.settings.again, silent: settlement.settings.silent }));
+    let waits = Arc::new(Mutex::new(Waits {
+        again: settlement.settings.again,
+        silent: settlement.settings.silent,
+    }));
     let (send, mut arrived) = mpsc::channel(MOST_WAITING);
     let mut followed: BTreeMap<String, (SocketAddr, AbortHandle)> = BTreeMap::new();
     loop {
         let members = &settlement.settings.members;
         followed.retain(|name, (address, task)| {
-            let stays = members.get(name).is_some_and(|member| member.address == *address);
+            let stays = members
+                .get(name)
+                .is_some_and(|member| member.address == *address);
             if !stays {
                 task.abort();
             }
@@ -261,7 +371,13 @@
         });
         for (name, member) in members {
             followed.entry(name.clone()).or_insert_with(|| {
-                let task = follow(name.clone(), member.address, path.clone(), waits.clone(), send.clone());
+                let task = follow(
+                    name.clone(),
+                    member.address,
+                    path.clone(),
+                    waits.clone(),
+                    send.clone(),
+                );
                 (member.address, tokio::spawn(task).abort_handle())
             });
         }
--- a/crates/usage-ledger/src/store.rs
+++ b/crates/usage-ledger/src/store.rs
@@ -237,11 +237,16 @@
         }
         begin.pragma_update(None, "user_version", MIGRATIONS.len() as u32)?;
         begin.commit()?;
-        Ok(Store { db, names: HashMap::new() })
+        Ok(Store {
+            db,
+            names: HashMap::new(),
+        })
     }
 
     fn begin(&mut self) -> Result<Transaction<'_>> {
-        Ok(self.db.transaction_with_behavior(TransactionBehavior::Immediate)?)
+        Ok(self
+            .db
+            .transaction_with_behavior(TransactionBehavior::Immediate)?)
     }
 
     /// The number of a name, made where it is new.
@@ -249,9 +254,14 @@
         if let Some(id) = self.names.get(&(kind, text.to_string())) {
             return Ok(*id);
         }
-        self.db.execute("INSERT OR IGNORE INTO name (kind, text) VALUES (?, ?)", params![kind, text])?;
+        self.db.execute(
+            "INSERT OR IGNORE INTO name (kind, text) VALUES (?, ?)",
+            params![kind, text],
+        )?;
         let id = "SELECT id FROM name WHERE kind = ? AND text = ?";
-        let id: u32 = self.db.query_row(id, params![kind, text], |row| row.get(0))?;
+        let id: u32 = self
+            .db
+            .query_row(id, params![kind, text], |row| row.get(0))?;
         self.names.insert((kind, text.to_string()), id);
         Ok(id)
     }
@@ -267,15 +277,30 @@
     pub fn position(&self, member: &str) -> Result<Position> {
         let last = "SELECT incarnation, sequence FROM position JOIN name ON name.id = member
             WHERE kind = 'member' AND text = ? ORDER BY incarnation DESC LIMIT 1";
-        let position = |row: &Row| Ok(Position { incarnation: row.get(0)?, sequence: row.get(1)? });
-        Ok(self.db.query_row(last, [member], position).optional()?.unwrap_or_default())
+        let position = |row: &Row| {
+            Ok(Position {
+                incarnation: row.get(0)?,
+                sequence: row.get(1)?,
+            })
+        };
+        Ok(self
+            .db
+            .query_row(last, [member], position)
+            .optional()?
+            .unwrap_or_default())
     }
 
     /// Takes what a member's log holds. The same batch again changes nothing.
     pub fn ingest(
-        &mut self, member: &str, batch: &Batch, calendar: &Calendar, bounds: Bounds,
+        &mut self,
+        member: &str,
+        batch: &Batch,
+        calendar: &Calendar,
+        bounds: Bounds,
     ) -> Result<Ingested> {
-        let Some(header) = &batch.header else { return Ok(Ingested::default()) };
+        let Some(header) = &batch.header else {
+            return Ok(Ingested::default());
+        };
         let who = self.number("member", member)?;
         let mut tenants = Vec::new();
         for tenant in &header.tenants {
@@ -296,8 +321,11 @@
                 params![who, damage.segment, damage.from as i64, damage.to as i64],
             )?;
         }
-        let closed: i64 =
-            begin.query_row("SELECT coalesce(max(end), ?) FROM period", [i64::MIN], |row| row.get(0))?;
+        let closed: i64 = begin.query_row(
+            "SELECT coalesce(max(end), ?) FROM period",
+            [i64::MIN],
+            |row| row.get(0),
+        )?;
         let run = header.incarnation as i64;
         let before = begin
             .query_row(
@@ -309,8 +337,13 @@
             )
             .optional()?;
         let doubted = doubts(&begin, Some(who))?;
-        let (mut sequence, mut complete, mut marked, mut ended, mut lost): (i64, i64, i64, bool, i64) =
-            before.unwrap_or((0, i64::MIN, 0, false, 0));
+        let (mut sequence, mut complete, mut marked, mut ended, mut lost): (
+            i64,
+            i64,
+            i64,
+            bool,
+            i64,
+        ) = before.unwrap_or((0, i64::MIN, 0, false, 0));
         {
             let mut insert = begin.prepare_cached(
                 "INSERT OR IGNORE INTO record VALUES (?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?)",
@@ -319,8 +352,10 @@
                 match &entry.what {
                     Some(What::Record(it)) => {
                         let at = it.arrived_ms as i64;
-                        let (class, give_up) =
-                            classes.get(it.class as usize).copied().unwrap_or((unknown, 0));
+                        let (class, give_up) = classes
+                            .get(it.class as usize)
+                            .copied()
+                            .unwrap_or((unknown, 0));
                         let tenant = tenants.get(it.tenant as usize).copied().unwrap_or(all);
                         let flags = i64::from(it.repeat) | i64::from(it.keyed) << 1;
                         let row = params![
@@ -373,10 +408,23 @@
         )?;
         let doubt = doubts(&begin, Some(who))?;
         let runs: BTreeSet<_> = doubted.keys().chain(doubt.keys()).copied().collect();
-        for run in runs.into_iter().filter(|run| doubted.get(run) != doubt.get(run)) {
+        for run in runs
+            .into_iter()
+            .filter(|run| doubted.get(run) != doubt.get(run))
+        {
             let both = [doubted.get(&run), doubt.get(&run)];
-            let past = both.iter().flatten().map(|it| it.0).min().unwrap_or_default();
-            let since = both.iter().flatten().map(|it| it.1).min().unwrap_or_default();
+            let past = both
+                .iter()
+                .flatten()
+                .map(|it| it.0)
+                .min()
+                .unwrap_or_default();
+            let since = both
+                .iter()
+                .flatten()
+                .map(|it| it.1)
+                .min()
+                .unwrap_or_default();
             note_doubt(&begin, run, past, since, bounds)?;
         }
         begin.commit()?;
@@ -398,7 +446,10 @@
         let rows = rows.query_map([], |row| {
             Ok(Standing {
                 member: row.get(0)?,
-                position: Position { incarnation: row.get(1)?, sequence: row.get(2)? },
+                position: Position {
+                    incarnation: row.get(1)?,
+                    sequence: row.get(2)?,
+                },
                 complete: row.get(3)?,
                 ended: row.get(4)?,
                 records: row.get(5)?,
@@ -417,8 +468,9 @@
              JOIN name c ON c.id = r.class JOIN name m ON m.id = r.member
              WHERE m.kind = 'member' AND m.text = ? AND r.incarnation = ? GROUP BY 1",
         )?;
-        let rows =
-            rows.query_map(params![member, incarnation as i64], |row| Ok((row.get(0)?, row.get(1)?)))?;
+        let rows = rows.query_map(params![member, incarnation as i64], |row| {
+            Ok((row.get(0)?, row.get(1)?))
+        })?;
         Ok(rows.collect::<rusqlite::Result<_>>()?)
     }
 
@@ -427,13 +479,19 @@
         let last = "SELECT max(end) FROM period WHERE start IN (SELECT period FROM statement)";
         let last: Option<i64> = self.db.query_row(last, [], |row| row.get(0))?;
         if let Some(end) = last {
-            return Ok(Some(Period { start: end, end: calendar.at(end).end }));
+            return Ok(Some(Period {
+                start: end,
+                end: calendar.at(end).end,
+            }));
         }
-        let first: Option<i64> = self.db.query_row("SELECT min(at) FROM record", [], |row| row.get(0))?;
+        let first: Option<i64> = self
+            .db
+            .query_row("SELECT min(at) FROM record", [], |row| row.get(0))?;
         Ok(first.map(|at| calendar.at(at)))
     }
 
-    /// The records that arrived from `from` up to without `until`, in the order of their ids, one after another.
+    /// The records that arrived from `from` up to without `until`, in the order of their ids, one
+    /// after another.
     fn each(db: &Connection, from: i64, until: i64, mut with: impl FnMut(Try)) -> Result<()> {
         let doubt = doubts(db, None)?;
         let mut rows = db.prepare_cached(
@@ -443,8 +501,9 @@
         let mut rows = rows.query(params![from, until])?;
         while let Some(row) = rows.next()? {
             let mut one = read_try(row)?;
-            one.doubtful =
-                doubt.get(&(one.member, one.incarnation)).is_some_and(|(marked, _)| one.sequence > *marked);
+            one.doubtful = doubt
+                .get(&(one.member, one.incarnation))
+                .is_some_and(|(marked, _)| one.sequence > *marked);
             with(one);
         }
         Ok(())
@@ -463,7 +522,8 @@
         over_of(db, last.unwrap_or(i64::MIN))
     }
 
-    /// Settles a period anew from its records, and remembers what it carries. True if that has changed.
+    /// Settles a period anew from its records, and remembers what it carries. True if that has
+    /// changed.
     fn settle_again(db: &Connection, period: Period, bounds: Bounds) -> Result<(Lines, bool)> {
         let (from, until) = bounds.seen(period);
         let mut settling = Settling::new(period, bounds, Store::over(db, period.start)?);
@@ -477,18 +537,23 @@
         Ok((settled.lines, changed))
     }
 
-    /// Closes a period: its lines, what late records have changed of earlier ones, corrections that wait for it,
-    /// the statement, and a document for each tenant, all or nothing.
+    /// Closes a period: its lines, what late records have changed of earlier ones, corrections that
+    /// wait for it, the statement, and a document for each tenant, all or nothing.
     pub fn close(&mut self, period: Period, terms: &Terms) -> Result<Statement> {
         let standings = self.standings()?;
         let names = self.names()?;
         let name = |id: &u32| names.get(id).cloned().unwrap_or_default();
         let begin = self.begin()?;
-        if begin.query_row("SELECT count(*) FROM statement WHERE period = ?", [period.start], |r| {
-            r.get::<_, i64>(0)
-        })? > 0
+        if begin.query_row(
+            "SELECT count(*) FROM statement WHERE period = ?",
+            [period.start],
+            |r| r.get::<_, i64>(0),
+        )? > 0
         {
-            return Err(Error::Asked(format!("the period {} is closed", period.name())));
+            return Err(Error::Asked(format!(
+                "the period {} is closed",
+                period.name()
+            )));
         }
         let prices = serde_json::to_string(terms.prices)?;
         begin.execute(
@@ -499,10 +564,13 @@
         let mut lines: Vec<Due> = Vec::new();
         while let Some((earlier, prices)) = dirty(&begin, period.start)? {
             let (now, changed) = Store::settle_again(&begin, earlier, terms.bounds)?;
-            begin.execute("UPDATE period SET dirty = 0 WHERE start = ?", [earlier.start])?;
+            begin.execute(
+                "UPDATE period SET dirty = 0 WHERE start = ?",
+                [earlier.start],
+            )?;
             if changed {
-                // What it took of the next one's tries is another: that one is to be settled again as well. The
-                // one that closes now is settled after all of them in any case.
+                // What it took of the next one's tries is another: that one is to be settled again
+                // as well. The one that closes now is settled after all of them in any case.
                 begin.execute(
                     "UPDATE period SET dirty = 1 WHERE start = (SELECT min(start) FROM period WHERE start > ?)
                        AND start < ?",
@@ -512,7 +580,9 @@
             let (said, amounts) = said(&begin, earlier)?;
             for (key, counts) in adjustments(&now, &said) {
                 let price = prices.get(&name(&key.1)).copied();
-                let due = now.get(&key).map_or(0, |counts| amount(counts, price.unwrap_or_default()));
+                let due = now
+                    .get(&key)
+                    .map_or(0, |counts| amount(counts, price.unwrap_or_default()));
                 let difference = due - amounts.get(&key).copied().unwrap_or_default();
                 lines.push(Due {
                     of: earlier,
@@ -525,7 +595,10 @@
             }
         }
         let (own, _) = Store::settle_again(&begin, period, terms.bounds)?;
-        begin.execute("UPDATE period SET dirty = 0 WHERE start = ?", [period.start])?;
+        begin.execute(
+            "UPDATE period SET dirty = 0 WHERE start = ?",
+            [period.start],
+        )?;
         for (key, counts) in &own {
             let price = terms.prices.get(&name(&key.1)).copied();
             let due = amount(counts, price.unwrap_or_default());
@@ -538,20 +611,41 @@
                 unpriced: price.is_none(),
             });
         }
-        for Due { of, key: (tenant, class), counts, amount, .. } in &lines {
-            let mut values: Vec<i64> = vec![period.start, of.start, i64::from(*tenant), i64::from(*class)];
+        for Due {
+            of,
+            key: (tenant, class),
+            counts,
+            amount,
+            ..
+        } in &lines
+        {
+            let mut values: Vec<i64> = vec![
+                period.start,
+                of.start,
+                i64::from(*tenant),
+                i64::from(*class),
+            ];
             values.extend(counts.values());
             values.push(*amount);
             let marks = vec!["?"; values.len()].join(", ");
-            begin
-                .execute(&format!("INSERT INTO line VALUES ({marks})"), rusqlite::params_from_iter(values))?;
+            begin.execute(
+                &format!("INSERT INTO line VALUES ({marks})"),
+                rusqlite::params_from_iter(values),
+            )?;
         }
         let corrections = waiting_corrections(&begin, period)?;
         begin.execute(
             "UPDATE correction SET statement = ?1 WHERE statement IS NULL AND period = ?1",
             [period.start],
         )?;
-        let line = |Due { of, adjusts, key: (tenant, class), counts, amount, unpriced }| StatementLine {
+        let line = |Due {
+                        of,
+                        adjusts,
+                        key: (tenant, class),
+                        counts,
+                        amount,
+                        unpriced,
+                    }| StatementLine {
             tenant: name(&tenant),
             class: name(&class),
             period: Period::name(&of),
@@ -601,8 +695,12 @@
 
     /// Statements, oldest first, with their hashes.
     pub fn statements(&self) -> Result<Vec<(Statement, String, String)>> {
-        let mut rows = self.db.prepare("SELECT body, hash FROM statement ORDER BY period")?;
-        let rows = rows.query_map([], |row| Ok((row.get::<_, String>(0)?, row.get::<_, String>(1)?)))?;
+        let mut rows = self
+            .db
+            .prepare("SELECT body, hash FROM statement ORDER BY period")?;
+        let rows = rows.query_map([], |row| {
+            Ok((row.get::<_, String>(0)?, row.get::<_, String>(1)?))
+        })?;
         rows.map(|row| {
             let (body, hash) = row?;
             Ok((serde_json::from_str(&body)?, hash, body))
@@ -610,15 +708,29 @@
         .collect()
     }
 
-    /// Enters a correction: into the statement of its period if that is still open, else as a document of its own.
+    /// Enters a correction: into the statement of its period if that is still open, else as a
+    /// document of its own.
     pub fn correct(
-        &mut self, correction: &CorrectionLine, period: Period, now: i64,
+        &mut self,
+        correction: &CorrectionLine,
+        period: Period,
+        now: i64,
     ) -> Result<Option<Document>> {
         let begin = self.begin()?;
         let closed: Option<String> = begin
-            .query_row("SELECT hash FROM statement WHERE period = ?", [period.start], |row| row.get(0))
+            .query_row(
+                "SELECT hash FROM statement WHERE period = ?",
+                [period.start],
+                |row| row.get(0),
+            )
             .optional()?;
-        let CorrectionLine { id, tenant, amount, reason, author } = correction;
+        let CorrectionLine {
+            id,
+            tenant,
+            amount,
+            reason,
+            author,
+        } = correction;
         let added = begin.execute(
             "INSERT OR IGNORE INTO correction VALUES (?, ?, ?, ?, ?, ?, ?, NULL)",
             params![id, now, tenant, period.start, amount, reason, author],
@@ -640,7 +752,9 @@
             "SELECT id, tenant, amount, reason, author, period, statement IS NOT NULL FROM correction
              ORDER BY made, id",
         )?;
-        let rows = rows.query_map([], |row| Ok((correction(row)?, stamp(row.get(5)?), row.get(6)?)))?;
+        let rows = rows.query_map([], |row| {
+            Ok((correction(row)?, stamp(row.get(5)?), row.get(6)?))
+        })?;
         Ok(rows.collect::<rusqlite::Result<_>>()?)
     }
 
@@ -664,7 +778,14 @@
     }
 
     /// Notes that a document is in the folder, was posted, or failed.
-    pub fn sent(&self, id: &str, folder: bool, posted: bool, error: Option<&str>, now: i64) -> Result<()> {
+    pub fn sent(
+        &self,
+        id: &str,
+        folder: bool,
+        posted: bool,
+        error: Option<&str>,
+        now: i64,
+    ) -> Result<()> {
         let done = |done: bool| done.then_some(now);
         self.db.execute(
             "UPDATE outbox SET folder = coalesce(folder, ?), posted = coalesce(posted, ?), error = ?,
@@ -674,14 +795,16 @@
         Ok(())
     }
 
-    /// Checks everything that the store claims: the chain of statements, that lines add up to totals, that the
-    /// documents are as they were made, and that the statements together come to what the records do.
+    /// Checks everything that the store claims: the chain of statements, that lines add up to
+    /// totals, that the documents are as they were made, and that the statements together come to
+    /// what the records do.
     ///
-    /// # Errors
-    /// The store can't be read; what is wrong with it is returned.
+    /// # Errors The store can't be read; what is wrong with it is returned.
     pub fn verify(&self, bounds: Bounds) -> Result<(u64, Vec<String>)> {
         let mut wrong = Vec::new();
-        let check: String = self.db.query_row("PRAGMA integrity_check", [], |row| row.get(0))?;
+        let check: String = self
+            .db
+            .query_row("PRAGMA integrity_check", [], |row| row.get(0))?;
         if check != "ok" {
             wrong.push(format!("the file is damaged: {check}"));
         }
@@ -693,7 +816,9 @@
                 wrong.push(format!("statement {name}: its text is not what was hashed"));
             }
             if statement.previous != previous {
-                wrong.push(format!("statement {name}: does not follow the one before it"));
+                wrong.push(format!(
+                    "statement {name}: does not follow the one before it"
+                ));
             }
             let lines: i64 = statement.lines.iter().map(|line| line.amount).sum();
             let corrections: i64 = statement.corrections.iter().map(|line| line.amount).sum();
@@ -711,7 +836,8 @@
         let mut rows = self.db.prepare("SELECT id, body, hash FROM outbox")?;
         let mut rows = rows.query([])?;
         while let Some(row) = rows.next()? {
-            let (id, body, hash): (String, String, String) = (row.get(0)?, row.get(1)?, row.get(2)?);
+            let (id, body, hash): (String, String, String) =
+                (row.get(0)?, row.get(1)?, row.get(2)?);
             if digest(body.as_bytes()) != hash {
                 wrong.push(format!("document {id}: its text is not what was hashed"));
             }
@@ -780,22 +906,30 @@
     })
 }
 
-/// A record has come that closed periods should have seen, or for a time that no period was ever made for.
-fn note_late(db: &Connection, at: i64, closed: bool, calendar: &Calendar, bounds: Bounds) -> Result<()> {
-    db.prepare_cached("UPDATE period SET dirty = 1 WHERE start - ?2 <= ?1 AND end + ?3 > ?1")?.execute([
-        at,
-        bounds.skew,
-        bounds.after(),
-    ])?;
+/// A record has come that closed periods should have seen, or for a time that no period was ever
+/// made for.
+fn note_late(
+    db: &Connection,
+    at: i64,
+    closed: bool,
+    calendar: &Calendar,
+    bounds: Bounds,
+) -> Result<()> {
+    db.prepare_cached("UPDATE period SET dirty = 1 WHERE start - ?2 <= ?1 AND end + ?3 > ?1")?
+        .execute([at, bounds.skew, bounds.after()])?;
     let held = "SELECT count(*) FROM period WHERE start <= ? AND end > ?";
-    let held: i64 = db.prepare_cached(held)?.query_row([at, at], |row| row.get(0))?;
+    let held: i64 = db
+        .prepare_cached(held)?
+        .query_row([at, at], |row| row.get(0))?;
     if closed && held == 0 {
         let period = calendar.at(at);
         // Not over its neighbours, should the calendar have been another then.
         let after = "SELECT min(start) FROM period WHERE start > ?";
         let after: Option<i64> = db.query_row(after, [at], |row| row.get(0))?;
         let before: Option<i64> =
-            db.query_row("SELECT max(end) FROM period WHERE end <= ?", [at], |row| row.get(0))?;
+            db.query_row("SELECT max(end) FROM period WHERE end <= ?", [at], |row| {
+                row.get(0)
+            })?;
         let start = period.start.max(before.unwrap_or(i64::MIN));
         let end = period.end.min(after.unwrap_or(i64::MAX));
         db.execute("INSERT INTO period VALUES (?, ?, '{}', 1)", [start, end])?;
@@ -803,21 +937,29 @@
     Ok(())
 }
 
-/// The runs of which the last answers are in doubt: a later one of their member began and they never said that they
-/// ended. For each the sequence past which they are, and the time before which nothing past it can have arrived.
+/// The runs of which the last answers are in doubt: a later one of their member began and they
+/// never said that they ended. For each the sequence past which they are, and the time before which
+/// nothing past it can have arrived.
 fn doubts(db: &Connection, member: Option<u32>) -> Result<HashMap<(u32, u64), (u64, i64)>> {
     let mut runs = db.prepare_cached(
         "SELECT member, incarnation, marked, complete FROM position p WHERE NOT ended AND member = coalesce(?, member)
            AND EXISTS (SELECT 1 FROM position o WHERE o.member = p.member AND o.incarnation > p.incarnation)",
     )?;
-    let runs =
-        runs.query_map([member], |row| Ok(((row.get(0)?, row.get(1)?), (row.get(2)?, row.get(3)?))))?;
+    let runs = runs.query_map([member], |row| {
+        Ok(((row.get(0)?, row.get(1)?), (row.get(2)?, row.get(3)?)))
+    })?;
     Ok(runs.collect::<rusqlite::Result<_>>()?)
 }
 
-/// A run's last answers have come into doubt, or out of it: whoever retried them may be joined otherwise now, and
-/// periods closed with the other reading are settled again.
-fn note_doubt(db: &Connection, run: (u32, u64), past: u64, since: i64, bounds: Bounds) -> Result<()> {
+/// A run's last answers have come into doubt, or out of it: whoever retried them may be joined
+/// otherwise now, and periods closed with the other reading are settled again.
+fn note_doubt(
+    db: &Connection,
+    run: (u32, u64),
+    past: u64,
+    since: i64,
+    bounds: Bounds,
+) -> Result<()> {
     db.execute(
         "UPDATE period SET dirty = 1 WHERE end + ?6 > ?4 AND EXISTS (SELECT 1 FROM record
            WHERE at >= max(start - ?5, ?4) AND at < end + ?6 AND member = ?1 AND incarnation = ?2 AND sequence > ?3)",
@@ -827,30 +969,56 @@
 }
 
 fn ids(db: &Connection, table: &str, period: i64) -> Result<BTreeSet<Id>> {
-    let mut rows =
-        db.prepare(&format!("SELECT at, member, incarnation, sequence FROM {table} WHERE period = ?"))?;
-    let rows = rows.query_map([period], |row| Ok((row.get(0)?, row.get(1)?, row.get(2)?, row.get(3)?)))?;
+    let mut rows = db.prepare(&format!(
+        "SELECT at, member, incarnation, sequence FROM {table} WHERE period = ?"
+    ))?;
+    let rows = rows.query_map([period], |row| {
+        Ok((row.get(0)?, row.get(1)?, row.get(2)?, row.get(3)?))
+    })?;
     Ok(rows.collect::<rusqlite::Result<_>>()?)
 }
 
 fn over_of(db: &Connection, period: i64) -> Result<Over> {
-    Ok(Over { carried: ids(db, "carried", period)?, hints: ids(db, "hint", period)? })
+    Ok(Over {
+        carried: ids(db, "carried", period)?,
+        hints: ids(db, "hint", period)?,
+    })
 }
 
-fn put_ids<'a>(db: &Connection, table: &str, period: i64, ids: impl Iterator<Item = &'a Id>) -> Result<()> {
+fn put_ids<'a>(
+    db: &Connection,
+    table: &str,
+    period: i64,
+    ids: impl Iterator<Item = &'a Id>,
+) -> Result<()> {
     db.execute(&format!("DELETE FROM {table} WHERE period = ?"), [period])?;
     let mut insert = db.prepare(&format!("INSERT INTO {table} VALUES (?, ?, ?, ?, ?)"))?;
     for (at, member, incarnation, sequence) in ids {
-        insert.execute(params![period, at, member, *incarnation as i64, *sequence as i64])?;
+        insert.execute(params![
+            period,
+            at,
+            member,
+            *incarnation as i64,
+            *sequence as i64
+        ])?;
     }
     Ok(())
 }
 
-/// The next closed period that has to be settled again, with its prices, one after another: settling one may call
-/// for the one after it.
+/// The next closed period that has to be settled again, with its prices, one after another:
+/// settling one may call for the one after it.
 fn dirty(db: &Connection, before: i64) -> Result<Option<(Period, BTreeMap<String, Price>)>> {
-    let next = "SELECT start, end, prices FROM period WHERE dirty AND start < ? ORDER BY start LIMIT 1";
-    let read = |row: &Row| Ok((Period { start: row.get(0)?, end: row.get(1)? }, row.get::<_, String>(2)?));
+    let next =
+        "SELECT start, end, prices FROM period WHERE dirty AND start < ? ORDER BY start LIMIT 1";
+    let read = |row: &Row| {
+        Ok((
+            Period {
+                start: row.get(0)?,
+                end: row.get(1)?,
+            },
+            row.get::<_, String>(2)?,
+        ))
+    };
     match db.query_row(next, [before], read).optional()? {
         Some((period, prices)) => Ok(Some((period, serde_json::from_str(&prices)?))),
         None => Ok(None),
@@ -880,8 +1048,15 @@
 
 fn periods(db: &Connection) -> Result<Vec<(Period, bool)>> {
     let mut rows = db.prepare("SELECT start, end, dirty FROM period ORDER BY start")?;
-    let rows = rows
-        .query_map([], |row| Ok((Period { start: row.get(0)?, end: row.get(1)? }, row.get::<_, bool>(2)?)))?;
+    let rows = rows.query_map([], |row| {
+        Ok((
+            Period {
+                start: row.get(0)?,
+                end: row.get(1)?,
+            },
+            row.get::<_, bool>(2)?,
+        ))
+    })?;
     Ok(rows.collect::<rusqlite::Result<_>>()?)
 }
 
@@ -914,12 +1089,18 @@
 }
 
 fn totals(
-    lines: &[StatementLine], corrections: &[CorrectionLine], allowances: &BTreeMap<String, u64>,
+    lines: &[StatementLine],
+    corrections: &[CorrectionLine],
+    allowances: &BTreeMap<String, u64>,
 ) -> Vec<TenantTotal> {
     let mut totals: BTreeMap<&str, (i64, i64)> = BTreeMap::new();
     for line in lines {
         let (answered, amount) = totals.entry(&line.tenant).or_default();
-        *answered += if line.adjusts { 0 } else { line.counts.answered() };
+        *answered += if line.adjusts {
+            0
+        } else {
+            line.counts.answered()
+        };
         *amount += line.amount;
     }
     for correction in corrections {
@@ -927,7 +1108,13 @@
     }
     let total = |(tenant, (answered, amount)): (&str, (i64, i64))| {
         let allowance = allowances.get(tenant).copied();
-        TenantTotal { tenant: tenant.into(), answered, allowance, over: over(answered, allowance), amount }
+        TenantTotal {
+            tenant: tenant.into(),
+            answered,
+            allowance,
+            over: over(answered, allowance),
+            amount,
+        }
     };
     totals.into_iter().map(total).collect()
 }
--- a/crates/usage-ledger/src/writer.rs
+++ b/crates/usage-ledger/src/writer.rs
@@ -1,5 +1,5 @@
-//! The writer of a mixer's usage log: a thread of its own behind a bounded queue, so that no disk can hold up an
-//! answer.
+//! The writer of a mixer's usage log: a thread of its own behind a bounded queue, so that no disk
+//! can hold up an answer.
 
 use crate::log::{cut_torn_tail, put_frame, segments, Position, Segment, MAGIC, VERSION};
 use crate::settings::UsageLog;
@@ -52,7 +52,8 @@
 
 /// Most records of one write.
 const MOST_BATCH: usize = 1024;
-/// Between two tries to write after one has failed: in between, records are lost at once and nothing waits.
+/// Between two tries to write after one has failed: in between, records are lost at once and
+/// nothing waits.
 const TRY_AGAIN: Duration = Duration::from_millis(100);
 /// How long the end waits for the writer.
 const CLOSE: Duration = Duration::from_secs(2);
@@ -66,10 +67,10 @@
     thread: Option<JoinHandle<()>>,
 }
 
-/// Opens the log for one more run and starts its writer. What the run before has left half written is cut off.
+/// Opens the log for one more run and starts its writer. What the run before has left half written
+/// is cut off.
 ///
-/// # Errors
-/// The folder can't be used, or another mixer is using it.
+/// # Errors The folder can't be used, or another mixer is using it.
 pub fn start(settings: &UsageLog, names: Names, now: u64) -> io::Result<Writer> {
     let writer = start_on(Plain, settings, names, now)?;
     if let Some(listen) = settings.listen {
@@ -82,7 +83,12 @@
 ///
 /// # Errors
 /// As [`start`].
-pub fn start_on(disk: impl Disk, settings: &UsageLog, names: Names, now: u64) -> io::Result<Writer> {
+pub fn start_on(
+    disk: impl Disk,
+    settings: &UsageLog,
+    names: Names,
+    now: u64,
+) -> io::Result<Writer> {
     let directory = &settings.directory;
     let at = |e: io::Error| io::Error::new(e.kind(), format!("{}: {e}", directory.display()));
     fs::create_dir_all(directory).map_err(at)?;
@@ -93,7 +99,10 @@
         .open(directory.join("lock"))
         .map_err(at)?;
     if lock.try_lock().is_err() {
-        return Err(io::Error::other(format!("{}: another mixer writes this log", directory.display())));
+        return Err(io::Error::other(format!(
+            "{}: another mixer writes this log",
+            directory.display()
+        )));
     }
     let before = segments(directory).map_err(at)?;
     if let Some(last) = before.last() {
@@ -109,13 +118,21 @@
     // Later than any run before, also where the clock has stepped back.
     let last = before.last().map_or(0, |segment| segment.incarnation);
     let incarnation = (now / 1_000_000).max(last + 1);
-    let classes = names.classes.iter().zip(names.give_up.iter().chain(std::iter::repeat(&0)));
+    let classes = names
+        .classes
+        .iter()
+        .zip(names.give_up.iter().chain(std::iter::repeat(&0)));
     let header = Header {
         version: VERSION,
         mixer: names.mixer,
         incarnation,
         first_sequence: 1,
-        classes: classes.map(|(name, ns)| Class { name: name.clone(), give_up_ms: ns / 1_000_000 }).collect(),
+        classes: classes
+            .map(|(name, ns)| Class {
+                name: name.clone(),
+                give_up_ms: ns / 1_000_000,
+            })
+            .collect(),
         tenants: names.tenants,
     };
     let (queue, entries) = sync_channel(settings.queue);
@@ -133,16 +150,26 @@
         counts: counts.clone(),
         failed: None,
     };
-    let thread = thread::Builder::new().name("usage log".into()).spawn(move || job.run(&entries))?;
+    let thread = thread::Builder::new()
+        .name("usage log".into())
+        .spawn(move || job.run(&entries))?;
     tracing::info!(directory = %directory.display(), incarnation, "usage log opened");
-    Ok(Writer { queue: Some(queue), written, counts, stall: settings.stall, thread: Some(thread) })
+    Ok(Writer {
+        queue: Some(queue),
+        written,
+        counts,
+        stall: settings.stall,
+        thread: Some(thread),
+    })
 }
 
 impl Writer {
     /// Hands an entry on without waiting; false if there is no room.
     pub fn offer(&mut self, what: What) -> bool {
         let entry = Entry { what: Some(what) };
-        self.queue.as_ref().is_some_and(|queue| queue.try_send(entry).is_ok())
+        self.queue
+            .as_ref()
+            .is_some_and(|queue| queue.try_send(entry).is_ok())
     }
 
     pub fn counts(&self) -> &Counts {
@@ -168,14 +195,19 @@
     pub fn note_late(&self) {
         let late = self.counts.late.fetch_add(1, Ordering::Relaxed) + 1;
         if late.is_power_of_two() {
-            tracing::warn!(late, "answers that left before their usage record: the log has stalled");
+            tracing::warn!(
+                late,
+                "answers that left before their usage record: the log has stalled"
+            );
         }
     }
 
     /// Ends the writer once all that waits is written, or after a bounded time.
     pub fn finish(&mut self) {
         self.queue = None;
-        let Some(thread) = self.thread.take() else { return };
+        let Some(thread) = self.thread.take() else {
+            return;
+        };
         let until = Instant::now() + CLOSE;
         while !thread.is_finished() && Instant::now() < until {
             thread::sleep(Duration::from_millis(1));
@@ -186,7 +218,8 @@
             tracing::error!("the usage log did not take its last records in time");
         }
         let (written, lost, late) = (&self.counts.written, &self.counts.lost, &self.counts.late);
-        let [written, lost, late] = [written, lost, late].map(|count| count.load(Ordering::Relaxed));
+        let [written, lost, late] =
+            [written, lost, late].map(|count| count.load(Ordering::Relaxed));
         tracing::info!(written, lost, late, "usage log closed");
     }
 }
@@ -251,7 +284,11 @@
         if self.failed.is_some_and(|at| at.elapsed() < TRY_AGAIN) {
             return Err(io::Error::other("it could not be a moment ago"));
         }
-        if self.open.as_ref().is_some_and(|(_, length)| *length >= self.segment_bytes) {
+        if self
+            .open
+            .as_ref()
+            .is_some_and(|(_, length)| *length >= self.segment_bytes)
+        {
             self.open = None;
         }
         let (mut file, length) = match self.open.take() {
@@ -267,8 +304,8 @@
                 Ok(())
             }
             Err(e) => {
-                // Half a frame in the middle would read as damage: back to the last whole one, or leave the
-                // segment as it is and go on in another.
+                // Half a frame in the middle would read as damage: back to the last whole one, or
+                // leave the segment as it is and go on in another.
                 if file.set_len(length).is_ok() {
                     self.open = Some((file, length));
                 }
@@ -283,13 +320,18 @@
             held += fs::metadata(&segment.path).map_or(0, |file| file.len());
         }
         if held + self.segment_bytes > self.keep_bytes {
-            return Err(io::Error::other("it holds as much as it may; nothing of it has been settled"));
+            return Err(io::Error::other(
+                "it holds as much as it may; nothing of it has been settled",
+            ));
         }
         self.header.first_sequence = first;
         let mut bytes = MAGIC.to_vec();
         put_frame(&mut bytes, &self.header);
         let segment = Segment::new(&self.directory, self.header.incarnation, first);
-        let mut file = OpenOptions::new().append(true).create(true).open(&segment.path)?;
+        let mut file = OpenOptions::new()
+            .append(true)
+            .create(true)
+            .open(&segment.path)?;
         file.set_len(0)?;
         if let Err(e) = self.disk.append(&mut file, &bytes) {
             let _ = fs::remove_file(&segment.path);
@@ -299,20 +341,25 @@
     }
 }
 
-/// Forgets the segments that are settled for good: all but the last, as far as they hold nothing after `upto`.
-/// Returns how many went.
+/// Forgets the segments that are settled for good: all but the last, as far as they hold nothing
+/// after `upto`. Returns how many went.
 ///
-/// # Errors
-/// The folder can't be read, or a segment can't be removed.
+/// # Errors The folder can't be read, or a segment can't be removed.
 pub fn forget(directory: &Path, upto: Position) -> io::Result<usize> {
     let all = segments(directory)?;
     let mut gone = 0;
     for pair in all.windows(2) {
         let [segment, next] = pair else { continue };
         let same = next.incarnation == segment.incarnation;
-        let settled =
-            Position { incarnation: segment.incarnation, sequence: next.first_sequence.saturating_sub(1) };
-        if if same { upto >= settled } else { upto.incarnation > segment.incarnation } {
+        let settled = Position {
+            incarnation: segment.incarnation,
+            sequence: next.first_sequence.saturating_sub(1),
+        };
+        if if same {
+            upto >= settled
+        } else {
+            upto.incarnation > segment.incarnation
+        } {
             fs::remove_file(&segment.path)?;
             gone += 1;
         }
@@ -322,10 +369,20 @@
 
 /// A record as it goes into the log.
 pub fn record(sequence: u64, arrived_ms: u64, outcome: Outcome, share: u32) -> Record {
-    Record { sequence, arrived_ms, outcome: outcome.into(), share, ..Record::default() }
+    Record {
+        sequence,
+        arrived_ms,
+        outcome: outcome.into(),
+        share,
+        ..Record::default()
+    }
 }
 
 /// A mark as it goes into the log.
 pub fn mark(sequence: u64, complete_ms: u64, end: bool) -> What {
-    What::Mark(Mark { sequence, complete_ms, end })
+    What::Mark(Mark {
+        sequence,
+        complete_ms,
+        end,
+    })
 }
--- a/crates/usage-ledger/tests/log.rs
+++ b/crates/usage-ledger/tests/log.rs
@@ -1,4 +1,5 @@
-//! The usage log under everything a disk does: torn tails, flipped bytes, no room, no answer at all.
+//! The usage log under everything a disk does: torn tails, flipped bytes, no room, no answer at
+//! all.
 
 use std::fs::{self, File};
 use std::io::{self, Write};
@@ -46,14 +47,21 @@
     let mut written = writer.watch();
     for sequence in sequences {
         assert!(writer.offer(record(sequence)));
-        let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .build()
+            .unwrap();
         runtime.block_on(async { written.wait_for(|upto| *upto >= sequence).await.unwrap() });
     }
 }
 
 fn log_of(directory: &Path, segment_bytes: u64, records: u64) {
-    let mut writer =
-        writer::start_on(Plain, &settings(directory, segment_bytes), names(), 5_000_000).unwrap();
+    let mut writer = writer::start_on(
+        Plain,
+        &settings(directory, segment_bytes),
+        names(),
+        5_000_000,
+    )
+    .unwrap();
     write(&mut writer, 1..=records);
     writer.finish();
 }
@@ -73,7 +81,12 @@
                 records.push((run, record.sequence));
             }
         }
-        damage.extend(batch.damage.into_iter().map(|it| (it.segment, it.from, it.to)));
+        damage.extend(
+            batch
+                .damage
+                .into_iter()
+                .map(|it| (it.segment, it.from, it.to)),
+        );
     }
     (records, damage)
 }
@@ -89,18 +102,34 @@
     for length in 0..=whole.len() {
         fs::write(&segment.path, &whole[..length]).unwrap();
         let kept = ends.iter().filter(|end| **end <= length).count() as u64;
-        let mut again = writer::start_on(Plain, &settings(folder.path(), 1 << 20), names(), 0).unwrap();
+        let mut again =
+            writer::start_on(Plain, &settings(folder.path(), 1 << 20), names(), 0).unwrap();
         write(&mut again, 1..=2);
         again.finish();
         let (records, damage) = found(folder.path(), Position::default(), 100);
-        let old: Vec<u64> =
-            records.iter().filter(|it| it.0 == segment.incarnation && kept > 0).map(|it| it.1).collect();
+        let old: Vec<u64> = records
+            .iter()
+            .filter(|it| it.0 == segment.incarnation && kept > 0)
+            .map(|it| it.1)
+            .collect();
         if length >= start {
             assert_eq!(old, (1..=kept).collect::<Vec<_>>(), "cut at {length}");
         }
         assert!(damage.is_empty(), "cut at {length}: {damage:?}");
-        assert_eq!(records.iter().rev().take(2).map(|it| it.1).collect::<Vec<_>>(), [2, 1]);
-        for later in log::segments(folder.path()).unwrap().iter().filter(|it| it.path != segment.path) {
+        assert_eq!(
+            records
+                .iter()
+                .rev()
+                .take(2)
+                .map(|it| it.1)
+                .collect::<Vec<_>>(),
+            [2, 1]
+        );
+        for later in log::segments(folder.path())
+            .unwrap()
+            .iter()
+            .filter(|it| it.path != segment.path)
+        {
             fs::remove_file(&later.path).unwrap();
         }
     }
@@ -113,8 +142,9 @@
     let segment = log::segments(folder.path()).unwrap().remove(0);
     let whole = fs::read(&segment.path).unwrap();
     let (_, start) = log::header(&whole).unwrap();
-    let ends: Vec<usize> =
-        std::iter::once(start).chain((1..=8).map(|n| log::read(&whole, start, n).end)).collect();
+    let ends: Vec<usize> = std::iter::once(start)
+        .chain((1..=8).map(|n| log::read(&whole, start, n).end))
+        .collect();
     // A later segment: what is wrong at the end of this one is no write under way.
     let mut again = writer::start_on(Plain, &settings(folder.path(), 1 << 20), names(), 0).unwrap();
     write(&mut again, 1..=1);
@@ -124,14 +154,30 @@
             let mut bytes = whole.clone();
             bytes[at] ^= bit;
             fs::write(&segment.path, &bytes).unwrap();
-            let hit = ends.windows(2).position(|pair| (pair[0]..pair[1]).contains(&at)).unwrap() as u64 + 1;
+            let hit = ends
+                .windows(2)
+                .position(|pair| (pair[0]..pair[1]).contains(&at))
+                .unwrap() as u64
+                + 1;
             let (records, damage) = found(folder.path(), Position::default(), 3);
-            let old: Vec<u64> =
-                records.iter().filter(|it| it.0 == segment.incarnation).map(|it| it.1).collect();
-            assert_eq!(old, (1..=8).filter(|n| *n != hit).collect::<Vec<_>>(), "at {at}");
-            let [(name, from, to)] = &damage[..] else { panic!("at {at}: {damage:?}") };
+            let old: Vec<u64> = records
+                .iter()
+                .filter(|it| it.0 == segment.incarnation)
+                .map(|it| it.1)
+                .collect();
+            assert_eq!(
+                old,
+                (1..=8).filter(|n| *n != hit).collect::<Vec<_>>(),
+                "at {at}"
+            );
+            let [(name, from, to)] = &damage[..] else {
+                panic!("at {at}: {damage:?}")
+            };
             assert_eq!(*name, segment.name());
-            assert!((*from..*to).contains(&(at as u64)), "{at} is not in {from}..{to}");
+            assert!(
+                (*from..*to).contains(&(at as u64)),
+                "{at} is not in {from}..{to}"
+            );
         }
     }
     // The header: its names are known from elsewhere in the run, or the records are kept without.
@@ -139,7 +185,13 @@
     bytes[start - 1] ^= 1;
     fs::write(&segment.path, &bytes).unwrap();
     let items = log::read(&bytes, log::MAGIC.len(), 100).items;
-    assert_eq!(items.iter().filter(|item| matches!(item, Item::Entry(_))).count(), 8);
+    assert_eq!(
+        items
+            .iter()
+            .filter(|item| matches!(item, Item::Entry(_)))
+            .count(),
+        8
+    );
 }
 
 #[test]
@@ -147,20 +199,40 @@
     let folder = tempfile::tempdir().unwrap();
     log_of(folder.path(), 1024, 200);
     log_of(folder.path(), 1024, 100);
-    assert!(log::segments(folder.path()).unwrap().len() > 4, "it rotates");
+    assert!(
+        log::segments(folder.path()).unwrap().len() > 4,
+        "it rotates"
+    );
     let (all, damage) = found(folder.path(), Position::default(), 7);
     assert_eq!((all.len(), damage.len()), (300, 0));
     for (n, (incarnation, sequence)) in all.iter().enumerate() {
-        let after = Position { incarnation: *incarnation, sequence: *sequence };
-        assert_eq!(found(folder.path(), after, 1 + n % 90).0, all[n + 1..], "after {n}");
+        let after = Position {
+            incarnation: *incarnation,
+            sequence: *sequence,
+        };
+        assert_eq!(
+            found(folder.path(), after, 1 + n % 90).0,
+            all[n + 1..],
+            "after {n}"
+        );
     }
     // What is settled may go; the rest stays, and so does the last segment.
     let before = log::segments(folder.path()).unwrap().len();
-    let upto = Position { incarnation: all[120].0, sequence: all[120].1 };
+    let upto = Position {
+        incarnation: all[120].0,
+        sequence: all[120].1,
+    };
     let gone = writer::forget(folder.path(), upto).unwrap();
     assert!(gone > 0 && log::segments(folder.path()).unwrap().len() == before - gone);
     assert_eq!(found(folder.path(), upto, 50).0, all[121..]);
-    writer::forget(folder.path(), Position { incarnation: u64::MAX, sequence: u64::MAX }).unwrap();
+    writer::forget(
+        folder.path(),
+        Position {
+            incarnation: u64::MAX,
+            sequence: u64::MAX,
+        },
+    )
+    .unwrap();
     assert_eq!(log::segments(folder.path()).unwrap().len(), 1);
 }
 
@@ -192,11 +264,17 @@
     write(&mut writer, 10..=12);
     writer.finish();
     assert_eq!(
-        (writer.counts().lost.load(Ordering::SeqCst), writer.counts().written.load(Ordering::SeqCst)),
+        (
+            writer.counts().lost.load(Ordering::SeqCst),
+            writer.counts().written.load(Ordering::SeqCst)
+        ),
         (6, 6)
     );
     let (records, damage) = found(folder.path(), Position::default(), 100);
-    assert_eq!(records.iter().map(|it| it.1).collect::<Vec<_>>(), [1, 2, 3, 10, 11, 12]);
+    assert_eq!(
+        records.iter().map(|it| it.1).collect::<Vec<_>>(),
+        [1, 2, 3, 10, 11, 12]
+    );
     assert!(damage.is_empty(), "half a write is taken back: {damage:?}");
 }
 
@@ -214,31 +292,59 @@
 fn a_frozen_disk_takes_no_more_than_its_queue_and_never_blocks() {
     let folder = tempfile::tempdir().unwrap();
     let (thaw, frozen) = channel();
-    let mut writer = writer::start_on(Frozen(frozen), &settings(folder.path(), 1 << 20), names(), 0).unwrap();
-    let taken = (1..=3000).filter(|sequence| writer.offer(record(*sequence))).count() as u64;
+    let mut writer = writer::start_on(
+        Frozen(frozen),
+        &settings(folder.path(), 1 << 20),
+        names(),
+        0,
+    )
+    .unwrap();
+    let taken = (1..=3000)
+        .filter(|sequence| writer.offer(record(*sequence)))
+        .count() as u64;
     // The queue, and the batch that the writer has in hand.
     assert!((64..=64 + 1024).contains(&taken), "{taken}");
     assert_eq!(*writer.watch().borrow(), 0, "none is told to be written");
     drop(thaw);
     writer.finish();
     let (records, _) = found(folder.path(), Position::default(), 4096);
-    assert_eq!(records.len() as u64, taken, "all that was taken is there, and the gap shows in the sequence");
+    assert_eq!(
+        records.len() as u64,
+        taken,
+        "all that was taken is there, and the gap shows in the sequence"
+    );
 }
 
 #[test]
 fn a_log_has_one_writer_and_a_bound() {
     let folder = tempfile::tempdir().unwrap();
-    let bounded = UsageLog { keep_bytes: 12 * 1024, ..settings(folder.path(), 4096) };
+    let bounded = UsageLog {
+        keep_bytes: 12 * 1024,
+        ..settings(folder.path(), 4096)
+    };
     let mut writer = writer::start_on(Plain, &bounded, names(), 0).unwrap();
     let second = writer::start_on(Plain, &bounded, names(), 0);
     assert!(second.err().unwrap().to_string().contains("another mixer"));
     write(&mut writer, 1..=1000);
     let lost = writer.counts().lost.load(Ordering::SeqCst);
-    let held: u64 =
-        log::segments(folder.path()).unwrap().iter().map(|s| fs::metadata(&s.path).unwrap().len()).sum();
-    assert!(lost > 0 && held <= bounded.keep_bytes, "{lost} lost, {held} bytes");
+    let held: u64 = log::segments(folder.path())
+        .unwrap()
+        .iter()
+        .map(|s| fs::metadata(&s.path).unwrap().len())
+        .sum();
+    assert!(
+        lost > 0 && held <= bounded.keep_bytes,
+        "{lost} lost, {held} bytes"
+    );
     // Once what it holds is settled, there is room again.
-    writer::forget(folder.path(), Position { incarnation: u64::MAX, sequence: u64::MAX }).unwrap();
+    writer::forget(
+        folder.path(),
+        Position {
+            incarnation: u64::MAX,
+            sequence: u64::MAX,
+        },
+    )
+    .unwrap();
     std::thread::sleep(Duration::from_millis(120));
     write(&mut writer, 1001..=1003);
     assert_eq!(writer.counts().lost.load(Ordering::SeqCst), lost);
