--- a/crates/aggregator/src/check.rs
+++ b/crates/aggregator/src/check.rs
@@ -69,7 +69,7 @@
         );
         row(
             "settings.limits.open_cap",
-            &config.site.open_cap.to_string(),
+            &config.site.max_open.to_string(),
             &from,
             false,
         );
--- a/crates/aggregator/src/commands.rs
+++ b/crates/aggregator/src/commands.rs
@@ -3,7 +3,7 @@
 use crate::logs::Logs;
 use crate::output::{self, Done, Failure};
 use crate::{settings, Files};
-use aggregator_core::routing::usage;
+use aggregator_core::engine::usage;
 use clap::{Subcommand, ValueEnum};
 use comfy_table::Table;
 use indicatif::{ProgressBar, ProgressDrawTarget};
--- a/crates/aggregator/src/fronts.rs
+++ b/crates/aggregator/src/fronts.rs
@@ -2,7 +2,7 @@
 
 use crate::output::Failure;
 use crate::settings;
-use aggregator_core::transport::StartFront;
+use aggregator_core::net::StartFrontend;
 use ini_config::Settings;
 use opensearch_gateway::front;
 use opensearch_gateway::index::Front;
@@ -13,7 +13,7 @@
 /// The fronts that are on, and what a reload of them reads again.
 #[derive(Default)]
 pub struct Fronts {
-    pub start: Vec<StartFront>,
+    pub start: Vec<StartFrontend>,
     pub tls: Option<Rc<Tls>>,
 }
 
--- a/crates/aggregator/src/legacy_names.rs
+++ b/crates/aggregator/src/legacy_names.rs
@@ -14,8 +14,9 @@
 const OLD_PREFIX: &str = "COTTONHILL_";
 
 /// Log targets are crate and module paths; those of the old crates stand for those of the new ones.
-const LOG_TARGETS: [(&str, &str); 6] = [
-    ("cottonhill_mixer::routing", "aggregator_core::routing"),
+const LOG_TARGETS: [(&str, &str); 7] = [
+    ("cottonhill_mixer::routing", "aggregator_core::engine"),
+    ("cottonhill_mixer::transport", "aggregator_core::net"),
     ("cottonhill_mixer", "aggregator_core"),
     ("cottonhill_ledger", "usage_ledger"),
     ("cottonhill_opensearch", "opensearch_gateway"),
--- a/crates/aggregator/src/logs.rs
+++ b/crates/aggregator/src/logs.rs
@@ -29,7 +29,7 @@
             kind: Kind::Text,
             default: Some(""),
             live: true,
-            doc: "Levels of single targets, as in aggregator_core::routing=debug,usage_ledger=warn.",
+            doc: "Levels of single targets, as in aggregator_core::engine=debug,usage_ledger=warn.",
         },
         Key {
             name: "format",
--- a/crates/aggregator/src/program.rs
+++ b/crates/aggregator/src/program.rs
@@ -5,8 +5,8 @@
 use crate::recorder::UsageLogRecorder;
 use crate::{fronts, settings, Files};
 use aggregator_core::config::Config;
-use aggregator_core::routing::State;
-use aggregator_core::transport::{self, Addresses, Clock, Told};
+use aggregator_core::engine::Engine;
+use aggregator_core::net::{self, Addresses, Clock, OperatorSignal};
 use ini_config::Settings;
 use opensearch_gateway::tls::Tls;
 use std::path::Path;
@@ -131,16 +131,16 @@
         tokio::task::spawn_local(async move {
             while signals.recv().await.is_some() {
                 let what = if kind == SignalKind::hangup() {
-                    Told::Reload(running.reload())
+                    OperatorSignal::Reload(running.reload())
                 } else {
                     tracing::info!("told to end");
-                    Told::End
+                    OperatorSignal::Shutdown
                 };
                 let _ = tell.send(what).await;
             }
         });
     }
-    tracing::info!(name, %listen, known = known.endpoints.len(), open_cap = site.open_cap, "starting");
+    tracing::info!(name, %listen, known = known.endpoints.len(), max_open = site.max_open, "starting");
     tracing::debug!(?settings, ?site, "settings in force");
     let clock = Clock::start();
     let recorder = match &usage {
@@ -161,7 +161,7 @@
         }
         None => None,
     };
-    let mut state = State::new(clock.now(), site, settings, seed, &known, descriptors);
+    let mut state = Engine::new(clock.now(), site, settings, seed, &known, descriptors);
     if let Some(usage) = &usage {
         state.record_usage(usage.mark.as_nanos() as u64);
     }
@@ -169,15 +169,15 @@
     let listener =
         listener.map_err(|e| Failure::running(format!("cannot listen on {listen}: {e}")))?;
     let recorder = recorder
-        .map(|recorder| Box::new(UsageLogRecorder(recorder)) as Box<dyn transport::Recorder>);
-    let served = transport::serve(
+        .map(|recorder| Box::new(UsageLogRecorder(recorder)) as Box<dyn net::UsageRecorder>);
+    let served = net::serve(
         state,
         clock,
         names,
         listener,
         addresses,
         told,
-        transport::Beside {
+        net::Extensions {
             recorder,
             fronts: fronts.start,
         },
--- a/crates/aggregator/src/recorder.rs
+++ b/crates/aggregator/src/recorder.rs
@@ -1,7 +1,7 @@
 //! The mixer's records on their way into the usage log.
 
-use aggregator_core::routing::usage::{Mark, Outcome, Usage};
-use aggregator_core::transport::Recorder;
+use aggregator_core::engine::usage::{Outcome, UsageRecord, UsageWatermark};
+use aggregator_core::net::UsageRecorder;
 use std::time::Duration;
 use tokio::sync::watch;
 use usage_ledger::wire::entry::What;
@@ -12,8 +12,8 @@
 
 pub struct UsageLogRecorder(pub Writer);
 
-impl Recorder for UsageLogRecorder {
-    fn record(&mut self, usage: Usage) -> bool {
+impl UsageRecorder for UsageLogRecorder {
+    fn record(&mut self, usage: UsageRecord) -> bool {
         let (outcome, share) = match usage.outcome {
             Outcome::Whole => (WireOutcome::Whole, 0),
             Outcome::Partial(share) => (WireOutcome::Partial, share),
@@ -31,7 +31,7 @@
             parts: usage.parts,
             attempts: usage.attempts,
             crossed: usage.crossed,
-            repeat: usage.repeat,
+            repeat: usage.is_retry,
             key: usage.key,
             keyed: usage.keyed,
         }));
@@ -42,7 +42,7 @@
     }
 
     /// A mark that is lost is made good by the next one.
-    fn mark(&mut self, mark: Mark) {
+    fn mark(&mut self, mark: UsageWatermark) {
         self.0
             .offer(writer::mark(mark.sequence, mark.complete / MS, mark.end));
     }
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -1,11 +1,11 @@
 //! The configuration: one JSON file, with the settings flattened to the text of the simulator's
 //! wire so that one parser serves both.
 
-use crate::interface::Settings;
-use crate::protocol::discovery::Listing;
+use crate::api::Settings;
+use crate::net::Addresses;
+use crate::protocol::discovery::EndpointUpdate;
 use crate::protocol::query::Names;
 use crate::settings::{self, Site};
-use crate::transport::Addresses;
 use serde::Deserialize;
 use serde_json::Value;
 use std::fmt::Write;
@@ -32,7 +32,7 @@
     peers: Vec<SocketAddr>,
     peers_all: Option<SocketAddr>,
     #[serde(default)]
-    known: Listing,
+    known: EndpointUpdate,
     settings: Value,
 }
 
@@ -46,7 +46,7 @@
     pub seed: u64,
     /// File descriptors that may be held.
     pub descriptors: usize,
-    pub known: Listing,
+    pub known: EndpointUpdate,
     pub addresses: Addresses,
     pub names: Names,
 }
@@ -62,12 +62,12 @@
             classes: site.classes.clone(),
             tenants: site.tenants.clone(),
             deadlines: site.deadlines.clone(),
-            floors: site.floors.clone(),
+            minimum_coverages: site.minimum_coverages.clone(),
             shards: site.shards,
         };
         let addresses = Addresses {
             discovery: file.discovery,
-            peer_listen: file.peer_listen.filter(|_| site.peers),
+            peer_listen: file.peer_listen.filter(|_| site.gossip_allowed),
             peers: file.peers,
             peers_all: file.peers_all,
         };
--- a/crates/core/src/routing/counters.rs
+++ b/crates/core/src/engine/counters.rs
@@ -5,12 +5,12 @@
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Counters {
-    pub taken: Taken,
+    pub received: Received,
     pub sent: Sent,
-    pub ended: Ended,
-    pub answered: Answered,
+    pub attempts_ended: AttemptsEnded,
+    pub queries_ended: QueriesEnded,
     pub connections: Connections,
-    pub lists: u64,
+    pub endpoint_updates: u64,
     /// Records of use handed on; 0 where none are kept.
     pub recorded: u64,
     /// Of the records, those of each tenant and class that the settings name: `TENANT CLASS`.
@@ -22,13 +22,13 @@
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
-pub struct Taken {
+pub struct Received {
     pub queries: u64,
     pub parts: u64,
-    pub repeats: u64,
+    pub retries: u64,
     /// Requests turned away before any decision: malformed, or over the cap on what is open.
-    pub rejected: u64,
-    pub over_cap: u64,
+    pub invalid: u64,
+    pub over_capacity: u64,
     /// Queries whose client had no time left when they came.
     pub too_late: u64,
 }
@@ -37,58 +37,58 @@
 pub struct Sent {
     pub calls: u64,
     pub attempts: u64,
-    pub further_attempts: u64,
-    pub give_ups: u64,
-    pub probes: u64,
-    pub datagrams: u64,
+    pub retries: u64,
+    pub cancellations: u64,
+    pub health_checks: u64,
+    pub gossip_messages: u64,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
-pub struct Ended {
-    pub ok: u64,
+pub struct AttemptsEnded {
+    pub success: u64,
     pub error: u64,
-    pub refused: u64,
+    pub rejected: u64,
     pub timed_out: u64,
     pub unreachable: u64,
-    pub broken: u64,
+    pub connection_lost: u64,
     pub cancelled: u64,
     pub not_sent: u64,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
-pub struct Answered {
-    pub whole: u64,
+pub struct QueriesEnded {
+    pub complete: u64,
     pub partial: u64,
-    pub refused: u64,
+    pub rejected: u64,
     pub failed: u64,
-    pub client_gone: u64,
+    pub client_disconnected: u64,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Connections {
     pub clients: u64,
     pub opened: u64,
-    pub failed: u64,
-    pub broken: u64,
+    pub connect_failed: u64,
+    pub lost: u64,
     pub silent: u64,
     /// Closed since something came on them that can't be read.
-    pub spoilt: u64,
-    pub idle: u64,
+    pub malformed: u64,
+    pub idle_closed: u64,
 }
 
 /// Times the configuration was read again.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Reloads {
-    pub taken: u64,
-    pub bad: u64,
+    pub applied: u64,
+    pub failed: u64,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Faults {
     /// Queries that were open until the last moment and failed then.
-    pub last_moment: u64,
+    pub reply_deadline: u64,
     /// Answers that claimed more than their parts bear out.
-    pub dishonest: u64,
+    pub overstated_coverage: u64,
     /// Actions on what does not exist.
-    pub stray: u64,
+    pub unknown_target: u64,
 }
--- a/crates/core/src/routing/link.rs
+++ b/crates/core/src/engine/leaf_connection.rs
@@ -2,7 +2,7 @@
 //! out, and says what may be written next; it never touches a socket. Whatever happens, each
 //! attempt leaves it once.
 
-use crate::interface::Nanos;
+use crate::api::Nanos;
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
@@ -46,7 +46,7 @@
 }
 
 #[derive(Debug)]
-pub struct Link {
+pub struct LeafConnection {
     phase: Phase,
     waiting: VecDeque<Job>,
     /// The frame that the socket has and has not yet taken whole.
@@ -66,9 +66,9 @@
     pub idle_alarm: Option<Nanos>,
 }
 
-impl Link {
-    pub fn new(now: Nanos) -> Link {
-        Link {
+impl LeafConnection {
+    pub fn new(now: Nanos) -> LeafConnection {
+        LeafConnection {
             phase: Phase::Connecting,
             waiting: VecDeque::new(),
             writing: None,
@@ -119,7 +119,13 @@
 
     /// Queues an attempt; it joins the last call that waits, if that has room and holds only this
     /// turn's.
-    pub fn queue(&mut self, attempt: AttemptId, wire: Rc<str>, join: bool, call_parts: usize) {
+    pub fn queue(
+        &mut self,
+        attempt: AttemptId,
+        wire: Rc<str>,
+        join: bool,
+        max_parts_per_call: usize,
+    ) {
         self.out.insert(
             wire.clone(),
             Out {
@@ -129,7 +135,9 @@
             },
         );
         match self.waiting.back_mut() {
-            Some(Job::Call(call)) if join && call.len() < call_parts => call.push((attempt, wire)),
+            Some(Job::Call(call)) if join && call.len() < max_parts_per_call => {
+                call.push((attempt, wire))
+            }
             _ => self.waiting.push_back(Job::Call(vec![(attempt, wire)])),
         }
     }
@@ -238,7 +246,7 @@
     /// Gives an attempt up. What waits is dropped whole and never goes out; what the socket has is
     /// followed by a frame that says so. True if it may have run. After `patience` without a sound
     /// since the socket has it, the connection is held to swallow attempts.
-    pub fn drop_attempt(&mut self, attempt: AttemptId, now: Nanos, patience: Nanos) -> bool {
+    pub fn drop_attempt(&mut self, attempt: AttemptId, now: Nanos, client_timeout: Nanos) -> bool {
         let Some(wire) = self.wire_of(attempt) else {
             return false;
         };
@@ -261,7 +269,7 @@
         self.note_over(wire.clone());
         self.waiting.push_back(Job::GiveUp(wire));
         if let Some(given) = out.given {
-            self.silent |= self.heard <= given && now.saturating_sub(given) >= patience;
+            self.silent |= self.heard <= given && now.saturating_sub(given) >= client_timeout;
         }
         true
     }
--- a/crates/core/src/routing/messages.rs
+++ b/crates/core/src/engine/messages.rs
@@ -1,70 +1,70 @@
 //! What goes into the reducer and what it asks for.
 
 use super::counters::Counters;
-use super::usage::{Mark, Usage};
-use crate::interface::Nanos;
-use crate::protocol::discovery::Listing;
-use crate::protocol::http::Rejection;
-use crate::protocol::leaf::{FromLeaf, ToLeaf};
-use crate::protocol::query::{Asked, Reply};
+use super::usage::{UsageRecord, UsageWatermark};
+use crate::api::Nanos;
+use crate::protocol::discovery::EndpointUpdate;
+use crate::protocol::http::RequestError;
+use crate::protocol::leaf::{LeafRequest, LeafResponse};
+use crate::protocol::query::{ClientRequest, Reply};
 use std::net::SocketAddr;
 
 /// A client's connection and a connection to a leaf server, each by a number that is never used
 /// again.
 pub type ClientId = u64;
-pub type LinkId = u64;
+pub type ConnectionId = u64;
 
 #[derive(Debug)]
 pub enum Input {
-    ClientOpened {
+    ClientConnected {
         client: ClientId,
     },
     /// The last byte of a request came in at `arrived`.
-    Asked {
+    RequestReceived {
         client: ClientId,
         arrived: Nanos,
-        asked: Result<Asked, Rejection>,
+        request: Result<ClientRequest, RequestError>,
     },
-    ClientClosed {
+    ClientDisconnected {
         client: ClientId,
     },
-    LinkOpened {
-        link: LinkId,
+    ConnectionOpened {
+        connection: ConnectionId,
     },
     /// The socket has taken the last byte of the frame it was given.
-    LinkWrote {
-        link: LinkId,
+    FrameWritten {
+        connection: ConnectionId,
     },
-    LinkHeard {
-        link: LinkId,
-        frame: FromLeaf,
+    FrameReceived {
+        connection: ConnectionId,
+        frame: LeafResponse,
     },
     /// Refused, broken or ended.
-    LinkClosed {
-        link: LinkId,
+    ConnectionClosed {
+        connection: ConnectionId,
     },
-    Listed(Listing),
+    EndpointsUpdated(EndpointUpdate),
     /// This watch on the list has ended; another is begun when the module asks for it.
     WatchEnded {
         watch: u64,
     },
-    Datagram {
+    GossipReceived {
         from: u32,
         bytes: Vec<u8>,
     },
     /// The configuration was read again; whether it does.
-    Reloaded {
+    ConfigurationReloaded {
         usable: bool,
     },
     /// A planned end.
-    Terminate,
+    ShutdownRequested,
     /// What was ready has been put in; now decide.
-    Turn,
+    BatchEnded,
 }
 
 #[derive(Debug, PartialEq)]
 pub enum Effect {
-    Reply {
+    SendReply {
         client: ClientId,
         reply: Reply,
         close: bool,
@@ -73,32 +73,32 @@
     CloseClient {
         client: ClientId,
     },
-    Connect {
-        link: LinkId,
+    OpenConnection {
+        connection: ConnectionId,
         address: SocketAddr,
     },
-    Write {
-        link: LinkId,
-        frame: ToLeaf,
+    WriteFrame {
+        connection: ConnectionId,
+        frame: LeafRequest,
     },
-    CloseLink {
-        link: LinkId,
+    CloseConnection {
+        connection: ConnectionId,
     },
-    Datagram {
+    SendGossip {
         to: Option<u32>,
         bytes: Vec<u8>,
     },
     /// Watch the list of leaf servers from this version on, where discovery is now, in place of any
     /// other watch. Its first answer has to come within this time.
-    Watch {
+    StartWatch {
         watch: u64,
         from: u64,
         answer_within: Nanos,
     },
     StopListening,
     /// One query has ended; comes before its reply, which waits for the record.
-    Record(Usage),
+    RecordUsage(UsageRecord),
     /// The log of use is complete up to here.
-    Mark(Mark),
+    RecordWatermark(UsageWatermark),
     Exit(Box<Counters>),
 }
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -3,11 +3,11 @@
 //! [`crate::Coordinator`], once a turn.
 
 pub mod counters;
-pub mod link;
+pub mod leaf_connection;
 pub mod messages;
 mod replicas;
 mod state;
 pub mod usage;
 
-pub use messages::{ClientId, Effect, Input, LinkId};
-pub use state::State;
+pub use messages::{ClientId, ConnectionId, Effect, Input};
+pub use state::Engine;
--- a/crates/core/src/routing/replicas.rs
+++ b/crates/core/src/engine/replicas.rs
@@ -1,8 +1,8 @@
 //! The leaf servers as discovery has told them, and their numbers for the decision module.
 
-use super::messages::LinkId;
-use crate::interface::{ListKind, Member, ReplicaId, Standing};
-use crate::protocol::discovery::{Endpoint, Listing, Status};
+use super::messages::ConnectionId;
+use crate::api::{EndpointUpdateKind, ReplicaEntry, ReplicaId, ReplicaState};
+use crate::protocol::discovery::{Endpoint, EndpointUpdate, Status};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -10,9 +10,9 @@
 pub struct Replica {
     pub address: SocketAddr,
     pub zone: u16,
-    pub standing: Standing,
+    pub state: ReplicaState,
     /// Its connections, oldest first.
-    pub links: Vec<LinkId>,
+    pub connections: Vec<ConnectionId>,
 }
 
 /// The replicas listed, and those gone that still have connections. Each name has one number while
@@ -52,50 +52,57 @@
     }
 
     pub fn any_ready(&self) -> bool {
-        self.known.values().any(|r| r.standing == Standing::Ready)
+        self.known.values().any(|r| r.state == ReplicaState::Ready)
     }
 
     /// Takes a list over. Returns its lines for the module and the connections on which nothing new
     /// may go out now: to replicas that drain or are gone, and to where one was before it moved.
-    pub fn take(&mut self, listing: &Listing) -> (ListKind, Vec<Member>, Vec<LinkId>) {
+    pub fn take(
+        &mut self,
+        listing: &EndpointUpdate,
+    ) -> (EndpointUpdateKind, Vec<ReplicaEntry>, Vec<ConnectionId>) {
         self.index = listing.index;
         // Those gone for longer than since the last list have nothing left to end.
         self.known
-            .retain(|_, r| r.standing != Standing::Gone || !r.links.is_empty());
+            .retain(|_, r| r.state != ReplicaState::Gone || !r.connections.is_empty());
         let known = &self.known;
         self.numbers.retain(|_, id| known.contains_key(id));
         let mut stopped = Vec::new();
-        let members = listing
+        let entries = listing
             .endpoints
             .iter()
             .filter_map(|e| self.member(e, &mut stopped));
-        let members: Vec<Member> = members.collect();
+        let entries: Vec<ReplicaEntry> = entries.collect();
         if listing.snapshot {
-            let listed: BTreeSet<ReplicaId> = members.iter().map(|m| m.replica).collect();
+            let listed: BTreeSet<ReplicaId> = entries.iter().map(|m| m.replica).collect();
             for (_, replica) in self.known.iter_mut().filter(|(id, _)| !listed.contains(id)) {
-                replica.standing = Standing::Gone;
-                stopped.extend(&replica.links);
+                replica.state = ReplicaState::Gone;
+                stopped.extend(&replica.connections);
             }
         }
-        let ended = members.iter().filter(|m| m.standing != Standing::Ready);
+        let ended = entries.iter().filter(|m| m.state != ReplicaState::Ready);
         stopped.extend(
             ended
                 .filter_map(|m| self.known.get(&m.replica))
-                .flat_map(|r| &r.links),
+                .flat_map(|r| &r.connections),
         );
         let kind = if listing.snapshot {
-            ListKind::Full
+            EndpointUpdateKind::Snapshot
         } else {
-            ListKind::Changes
+            EndpointUpdateKind::Delta
         };
-        (kind, members, stopped)
+        (kind, entries, stopped)
     }
 
-    fn member(&mut self, endpoint: &Endpoint, stopped: &mut Vec<LinkId>) -> Option<Member> {
-        let standing = match endpoint.status {
-            Status::Up => Standing::Ready,
-            Status::Draining => Standing::Draining,
-            Status::Removed => Standing::Gone,
+    fn member(
+        &mut self,
+        endpoint: &Endpoint,
+        stopped: &mut Vec<ConnectionId>,
+    ) -> Option<ReplicaEntry> {
+        let state = match endpoint.status {
+            Status::Up => ReplicaState::Ready,
+            Status::Draining => ReplicaState::Draining,
+            Status::Removed => ReplicaState::Gone,
         };
         let number = self.numbers.get(&endpoint.name).copied();
         let known = number.and_then(|id| self.known.get(&id)).map(|r| r.address);
@@ -120,20 +127,20 @@
         let replica = self.known.entry(id).or_insert(Replica {
             address,
             zone,
-            standing,
-            links: Vec::new(),
+            state,
+            connections: Vec::new(),
         });
         if replica.address != address {
             // It has moved: its old connections lead elsewhere and only end what is out on them.
-            stopped.append(&mut replica.links);
+            stopped.append(&mut replica.connections);
         }
-        (replica.address, replica.zone, replica.standing) = (address, zone, standing);
-        Some(Member {
+        (replica.address, replica.zone, replica.state) = (address, zone, state);
+        Some(ReplicaEntry {
             replica: id,
             cell: endpoint.group,
             zone,
             started: endpoint.since_ms.saturating_mul(1_000_000),
-            standing,
+            state,
         })
     }
 }
--- a/crates/core/src/routing/state/attempts.rs
+++ b/crates/core/src/engine/state/attempts.rs
@@ -1,23 +1,23 @@
 //! Attempts and probes, from the decision to the one end of each.
 
-use super::{Alarm, Attempt, Probe, State, IDLE_TENTHS, MS};
-use crate::interface::*;
-use crate::protocol::leaf::{CallPart, ToLeaf};
-use crate::routing::link::{AttemptId, Job};
-use crate::routing::messages::{Effect, LinkId};
+use super::{Alarm, Attempt, Engine, Probe, IDLE_TENTHS, MS};
+use crate::api::*;
+use crate::engine::leaf_connection::{AttemptId, Job};
+use crate::engine::messages::{ConnectionId, Effect};
+use crate::protocol::leaf::{CallPart, LeafRequest};
 use std::rc::Rc;
 
-impl State {
+impl Engine {
     pub(super) fn send(
         &mut self,
         now: Nanos,
         id: RequestId,
         replica: ReplicaId,
         until: Nanos,
-        begin_by: Option<Nanos>,
+        latest_start: Option<Nanos>,
     ) {
         let Some(part) = self.parts.get_mut(&id) else {
-            self.counters.faults.stray += 1;
+            self.counters.faults.unknown_target += 1;
             tracing::error!(id, "a send for a part that is over");
             return;
         };
@@ -39,36 +39,36 @@
             until.min(deadline)
         };
         self.counters.sent.attempts += 1;
-        self.counters.sent.further_attempts += u64::from(attempt.1 > 0);
+        self.counters.sent.retries += u64::from(attempt.1 > 0);
         let ready = self
             .replicas
             .get(replica)
-            .is_some_and(|r| r.standing == Standing::Ready);
+            .is_some_and(|r| r.state == ReplicaState::Ready);
         let allowed = usize::from(attempt.1) < self.site.max_attempts && until > now;
         if !ready || !allowed {
-            return self.not_placed(attempt, replica, Outcome::NotSent);
+            return self.not_placed(attempt, replica, AttemptOutcome::NotSent);
         }
-        let Some(link) = self.link_for(now, replica, &wire) else {
-            return self.not_placed(attempt, replica, Outcome::Unreachable);
+        let Some(connection) = self.connection_for(now, replica, &wire) else {
+            return self.not_placed(attempt, replica, AttemptOutcome::Unreachable);
         };
-        if let Some((_, it)) = self.links.get_mut(&link) {
+        if let Some((_, it)) = self.connections.get_mut(&connection) {
             it.queue(
                 attempt,
                 wire,
-                !self.joining.insert(link),
-                self.site.call_parts,
+                !self.joining.insert(connection),
+                self.site.max_parts_per_call,
             );
         }
-        self.pending.insert(link);
+        self.pending.insert(connection);
         self.alarms.insert((until, Alarm::Attempt(attempt)));
         self.attempts.insert(
             attempt,
             Attempt {
                 replica,
-                link,
+                connection,
                 sent: now,
                 until,
-                begin_by,
+                latest_start,
                 shard,
                 text,
             },
@@ -81,7 +81,7 @@
         &mut self,
         (part, attempt): AttemptId,
         replica: ReplicaId,
-        outcome: Outcome,
+        outcome: AttemptOutcome,
     ) {
         tracing::debug!(
             part,
@@ -91,7 +91,7 @@
             "attempt not placed"
         );
         self.count(outcome);
-        self.events.push(Event::Ended {
+        self.events.push(Event::AttemptEnded {
             part,
             attempt,
             replica,
@@ -105,7 +105,7 @@
         &mut self,
         now: Nanos,
         id: AttemptId,
-        outcome: Outcome,
+        outcome: AttemptOutcome,
         report: LoadReport,
     ) {
         let Some(attempt) = self.attempts.remove(&id) else {
@@ -128,7 +128,7 @@
         self.alarms.remove(&(attempt.until, Alarm::Attempt(id)));
         self.count(outcome);
         let (replica, (part, attempt)) = (attempt.replica, id);
-        self.events.push(Event::Ended {
+        self.events.push(Event::AttemptEnded {
             part,
             attempt,
             replica,
@@ -137,54 +137,54 @@
         });
     }
 
-    pub(super) fn count(&mut self, outcome: Outcome) {
-        let ended = &mut self.counters.ended;
+    pub(super) fn count(&mut self, outcome: AttemptOutcome) {
+        let ended = &mut self.counters.attempts_ended;
         *match outcome {
-            Outcome::Ok => &mut ended.ok,
-            Outcome::Error => &mut ended.error,
-            Outcome::Refused => &mut ended.refused,
-            Outcome::TimedOut => &mut ended.timed_out,
-            Outcome::Unreachable => &mut ended.unreachable,
-            Outcome::Broken => &mut ended.broken,
-            Outcome::Cancelled => &mut ended.cancelled,
-            Outcome::NotSent => &mut ended.not_sent,
+            AttemptOutcome::Success => &mut ended.success,
+            AttemptOutcome::Error => &mut ended.error,
+            AttemptOutcome::Rejected => &mut ended.rejected,
+            AttemptOutcome::TimedOut => &mut ended.timed_out,
+            AttemptOutcome::Unreachable => &mut ended.unreachable,
+            AttemptOutcome::ConnectionLost => &mut ended.connection_lost,
+            AttemptOutcome::Cancelled => &mut ended.cancelled,
+            AttemptOutcome::NotSent => &mut ended.not_sent,
         } += 1;
     }
 
     /// Ends an attempt from our side. One that never went out is known not to have run.
-    pub(super) fn end_attempt(&mut self, now: Nanos, id: AttemptId, outcome: Outcome) {
+    pub(super) fn end_attempt(&mut self, now: Nanos, id: AttemptId, outcome: AttemptOutcome) {
         let Some(attempt) = self.attempts.get(&id) else {
             return;
         };
-        let link = attempt.link;
+        let connection = attempt.connection;
         let mut outcome = outcome;
-        if let Some((_, it)) = self.links.get_mut(&link) {
+        if let Some((_, it)) = self.connections.get_mut(&connection) {
             let before = it.is_silent();
             let went_out = it.drop_attempt(id, now, 2 * self.site.connect_timeout);
-            if !went_out && outcome == Outcome::TimedOut {
-                outcome = Outcome::NotSent;
+            if !went_out && outcome == AttemptOutcome::TimedOut {
+                outcome = AttemptOutcome::NotSent;
             }
             self.counters.connections.silent += u64::from(it.is_silent() && !before);
         }
-        self.pending.insert(link);
+        self.pending.insert(connection);
         self.ended(now, id, outcome, LoadReport::new());
     }
 
     /// What has waited past its time, or past that in which a repeat of it is dropped, must not go
     /// out, though its alarm has yet to ring: the socket may be free for it a moment before the
     /// turn.
-    pub(super) fn drop_expired(&mut self, now: Nanos, link: LinkId) {
+    pub(super) fn drop_expired(&mut self, now: Nanos, connection: ConnectionId) {
         let unsent = self
-            .links
-            .get(&link)
+            .connections
+            .get(&connection)
             .map(|(_, it)| it.unsent())
             .unwrap_or_default();
         for id in unsent {
             let late = |attempt: &Attempt| {
-                attempt.until <= now || attempt.begin_by.is_some_and(|by| by < now)
+                attempt.until <= now || attempt.latest_start.is_some_and(|by| by < now)
             };
             if self.attempts.get(&id).is_some_and(late) {
-                self.end_attempt(now, id, Outcome::TimedOut);
+                self.end_attempt(now, id, AttemptOutcome::TimedOut);
             }
         }
     }
@@ -192,23 +192,23 @@
     /// Hands each connection with work its next frame, and closes those that have none and no
     /// future.
     pub(super) fn pump(&mut self, now: Nanos) {
-        while let Some(link) = self.pending.pop_first() {
-            self.drop_expired(now, link);
-            let Some((id, it)) = self.links.get_mut(&link) else {
+        while let Some(connection) = self.pending.pop_first() {
+            self.drop_expired(now, connection);
+            let Some((id, it)) = self.connections.get_mut(&connection) else {
                 continue;
             };
             let id = *id;
             if it.is_spent() {
-                self.close_link(now, link);
+                self.close_connection(now, connection);
             } else if let Some(job) = it.take_next(now) {
                 match self.frame(now, job) {
-                    Some(frame) => self.effects.push(Effect::Write { link, frame }),
+                    Some(frame) => self.effects.push(Effect::WriteFrame { connection, frame }),
                     // Nothing was left of it: as if it were written, and on to the next.
                     None => {
-                        if let Some((_, it)) = self.links.get_mut(&link) {
+                        if let Some((_, it)) = self.connections.get_mut(&connection) {
                             it.wrote();
                         }
-                        self.pending.insert(link);
+                        self.pending.insert(connection);
                     }
                 }
             } else if it.is_idle() {
@@ -216,22 +216,22 @@
                 let replica = self
                     .replicas
                     .get(id)
-                    .filter(|r| r.standing == Standing::Ready);
+                    .filter(|r| r.state == ReplicaState::Ready);
                 // One that has moved does not know its old connections.
-                if !replica.is_some_and(|r| r.links.contains(&link)) {
-                    self.close_link(now, link);
+                if !replica.is_some_and(|r| r.connections.contains(&connection)) {
+                    self.close_connection(now, connection);
                 } else {
-                    let due = now + self.site.idle_time / 10 * IDLE_TENTHS;
+                    let due = now + self.site.idle_timeout / 10 * IDLE_TENTHS;
                     if it.idle_alarm.is_none() {
                         it.idle_alarm = Some(due);
-                        self.alarms.insert((due, Alarm::Idle(link)));
+                        self.alarms.insert((due, Alarm::Idle(connection)));
                     }
                 }
             }
         }
     }
 
-    pub(super) fn frame(&mut self, now: Nanos, job: Job) -> Option<ToLeaf> {
+    pub(super) fn frame(&mut self, now: Nanos, job: Job) -> Option<LeafRequest> {
         match job {
             Job::Call(call) => {
                 let part = |(id, wire): (AttemptId, Rc<str>)| {
@@ -248,18 +248,18 @@
                 };
                 let parts: Vec<CallPart> = call.into_iter().filter_map(part).collect();
                 self.counters.sent.calls += u64::from(!parts.is_empty());
-                (!parts.is_empty()).then_some(ToLeaf::Call(parts))
+                (!parts.is_empty()).then_some(LeafRequest::Call(parts))
             }
             Job::GiveUp(wire) => {
-                self.counters.sent.give_ups += 1;
-                Some(ToLeaf::GiveUp(wire))
+                self.counters.sent.cancellations += 1;
+                Some(LeafRequest::Cancel(wire))
             }
             Job::Probe(_) => {
-                self.counters.sent.probes += 1;
-                Some(if self.site.report.is_empty() {
-                    ToLeaf::Probe
+                self.counters.sent.health_checks += 1;
+                Some(if self.site.load_report_fields.is_empty() {
+                    LeafRequest::HealthCheck
                 } else {
-                    ToLeaf::ProbeLoad
+                    LeafRequest::LoadReport
                 })
             }
         }
@@ -269,15 +269,15 @@
         let listed = self
             .replicas
             .get(replica)
-            .is_some_and(|r| r.standing != Standing::Gone);
-        let link = if listed && self.site.may_probe {
-            self.link_for(now, replica, "")
+            .is_some_and(|r| r.state != ReplicaState::Gone);
+        let connection = if listed && self.site.health_checks_allowed {
+            self.connection_for(now, replica, "")
         } else {
             None
         };
-        let Some(link) = link else {
-            let (outcome, report) = (Outcome::NotSent, LoadReport::new());
-            return self.events.push(Event::Probed {
+        let Some(connection) = connection else {
+            let (outcome, report) = (AttemptOutcome::NotSent, LoadReport::new());
+            return self.events.push(Event::HealthCheckEnded {
                 replica,
                 outcome,
                 latency: 0,
@@ -285,26 +285,32 @@
             });
         };
         let probe = self.id();
-        if let Some((_, it)) = self.links.get_mut(&link) {
+        if let Some((_, it)) = self.connections.get_mut(&connection) {
             it.queue_probe(probe);
         }
-        self.pending.insert(link);
+        self.pending.insert(connection);
         self.alarms
             .insert((now + self.site.connect_timeout, Alarm::Probe(probe)));
         self.probes.insert(
             probe,
             Probe {
                 replica,
-                link,
+                connection,
                 asked: now,
             },
         );
     }
 
-    pub(super) fn probe_ended(&mut self, now: Nanos, probe: u64, outcome: Outcome, report: &str) {
+    pub(super) fn probe_ended(
+        &mut self,
+        now: Nanos,
+        probe: u64,
+        outcome: AttemptOutcome,
+        report: &str,
+    ) {
         let Some(Probe {
             replica,
-            link,
+            connection,
             asked,
         }) = self.probes.remove(&probe)
         else {
@@ -312,11 +318,11 @@
         };
         self.alarms
             .remove(&(asked + self.site.connect_timeout, Alarm::Probe(probe)));
-        if let Some((_, it)) = self.links.get_mut(&link) {
+        if let Some((_, it)) = self.connections.get_mut(&connection) {
             it.drop_probe(probe);
         }
         let report = self.report(report);
-        self.events.push(Event::Probed {
+        self.events.push(Event::HealthCheckEnded {
             replica,
             outcome,
             latency: now.saturating_sub(asked),
--- a/crates/core/src/routing/state/clients.rs
+++ b/crates/core/src/engine/state/clients.rs
@@ -1,14 +1,14 @@
 //! Clients: their connections, what they ask, and the replies.
 
-use super::{Alarm, Client, Part, Query, State, CLIENT_IDLE, CLOSED_AT_ONCE, MARGIN, MS};
-use crate::interface::{Event, Nanos, Outcome as Attempted, RequestId};
-use crate::protocol::http::Rejection;
-use crate::protocol::query::{Asked, Query as AskedQuery, Reply};
-use crate::routing::messages::{ClientId, Effect, LinkId};
-use crate::routing::usage::Outcome;
+use super::{Alarm, Client, Engine, Part, Query, CLIENT_IDLE, CLOSED_AT_ONCE, MARGIN, MS};
+use crate::api::{AttemptOutcome, Event, Nanos, RequestId};
+use crate::engine::messages::{ClientId, ConnectionId, Effect};
+use crate::engine::usage::Outcome;
+use crate::protocol::http::RequestError;
+use crate::protocol::query::{ClientRequest, Query as AskedQuery, Reply};
 use std::rc::Rc;
 
-impl State {
+impl Engine {
     pub(super) fn client_opened(&mut self, now: Nanos, client: ClientId) {
         self.counters.connections.clients += 1;
         self.clients.insert(
@@ -52,20 +52,20 @@
         now: Nanos,
         client: ClientId,
         arrived: Nanos,
-        asked: Result<Asked, Rejection>,
+        asked: Result<ClientRequest, RequestError>,
     ) {
         match asked {
-            Ok(Asked::Query(query)) => self.take_query(now, client, arrived, query),
-            Ok(Asked::Ready) => {
+            Ok(ClientRequest::Query(query)) => self.take_query(now, client, arrived, query),
+            Ok(ClientRequest::Ready) => {
                 let ready = self.listed && self.terminated.is_none();
                 self.reply(now, client, Reply::Ready(ready));
             }
-            Ok(Asked::Stats) => {
+            Ok(ClientRequest::Stats) => {
                 let text = serde_json::to_vec_pretty(&self.counters).unwrap_or_default();
                 self.reply(now, client, Reply::Stats(text));
             }
             Err(rejection) => {
-                self.counters.taken.rejected += 1;
+                self.counters.received.invalid += 1;
                 // Some clients send nothing else, as fast as they can: the log would be theirs.
                 tracing::debug!(
                     client,
@@ -73,7 +73,7 @@
                     why = rejection.why,
                     "request rejected"
                 );
-                self.reply(now, client, Reply::Rejected(rejection));
+                self.reply(now, client, Reply::InvalidRequest(rejection));
             }
         }
     }
@@ -90,7 +90,7 @@
         }
         // Its parts would have the names that the open one's have at the leaf servers.
         if self.names.contains(&*asked.name) {
-            let rejection = Rejection {
+            let rejection = RequestError {
                 status: 409,
                 why: "X-Request-ID is that of an open query",
             };
@@ -103,20 +103,20 @@
             .values()
             .filter(|part| part.value.is_none())
             .count();
-        if self.queries.len() + open_parts >= self.site.open_cap {
-            self.counters.taken.over_cap += 1;
+        if self.queries.len() + open_parts >= self.site.max_open {
+            self.counters.received.over_capacity += 1;
             tracing::info!(
                 queries = self.queries.len(),
                 open_parts,
                 "over the cap: query refused"
             );
             self.turned_away(arrived, &asked);
-            let come_back = self.site.come_back;
-            self.reply(now, client, Reply::Refused { come_back });
+            let retry_after = self.site.retry_after;
+            self.reply(now, client, Reply::Rejected { retry_after });
             return;
         }
         let spent = now.saturating_sub(arrived) + MARGIN;
-        let mut patience = asked.timeout.saturating_sub(spent);
+        let mut client_timeout = asked.timeout.saturating_sub(spent);
         if let Some(at) = self.terminated {
             // What comes during the grace must be over before a kill can follow.
             let end = at
@@ -127,10 +127,10 @@
                     .max()
                     .copied()
                     .unwrap_or_default();
-            patience = patience.min(end.saturating_sub(now));
+            client_timeout = client_timeout.min(end.saturating_sub(now));
         }
-        if patience == 0 {
-            self.counters.taken.too_late += 1;
+        if client_timeout == 0 {
+            self.counters.received.too_late += 1;
             tracing::info!(
                 timeout_ms = asked.timeout / MS,
                 "no time left: query refused"
@@ -139,8 +139,8 @@
             return self.reply(
                 now,
                 client,
-                Reply::Refused {
-                    come_back: self.site.come_back,
+                Reply::Rejected {
+                    retry_after: self.site.retry_after,
                 },
             );
         }
@@ -152,14 +152,14 @@
         }
         let work = asked.parts.iter().map(|p| p.work).sum();
         let (class, tenant) = (asked.class, asked.tenant);
-        self.events.push(Event::Query {
+        self.events.push(Event::QueryReceived {
             id,
             group,
             class,
             tenant,
-            patience,
+            client_timeout,
             work,
-            repeat: asked.repeat,
+            is_retry: asked.is_retry,
         });
         let mut parts = Vec::with_capacity(asked.parts.len());
         for part in &asked.parts {
@@ -177,7 +177,7 @@
                 value: None,
             };
             self.parts.insert(part_id, new);
-            self.events.push(Event::Part {
+            self.events.push(Event::PartReceived {
                 id: part_id,
                 group,
                 shard,
@@ -185,14 +185,14 @@
             });
             parts.push(part_id);
         }
-        self.counters.taken.queries += 1;
-        self.counters.taken.parts += parts.len() as u64;
-        self.counters.taken.repeats += u64::from(asked.repeat);
-        let deadline = now + patience;
+        self.counters.received.queries += 1;
+        self.counters.received.parts += parts.len() as u64;
+        self.counters.received.retries += u64::from(asked.is_retry);
+        let deadline = now + client_timeout;
         self.alarms.insert((deadline, Alarm::LastMoment(id)));
         let name: Rc<str> = asked.name.as_str().into();
         self.names.insert(name.clone());
-        let (key, repeat) = (self.join_key(&asked), asked.repeat);
+        let (key, is_retry) = (self.join_key(&asked), asked.is_retry);
         let arrived = self.note_open(id, arrived);
         let class_at = usize::from(class);
         let query = Query {
@@ -203,11 +203,11 @@
             parts,
             tenant,
             arrived,
-            repeat,
+            is_retry,
             key,
         };
         self.queries.insert(id, query);
-        let patience_ms = patience / MS;
+        let patience_ms = client_timeout / MS;
         tracing::debug!(
             id,
             name = asked.name,
@@ -223,8 +223,8 @@
             return;
         };
         if let Some(id) = client.query {
-            self.counters.answered.client_gone += 1;
-            self.events.push(Event::ClientGone { id });
+            self.counters.queries_ended.client_disconnected += 1;
+            self.events.push(Event::ClientDisconnected { id });
             if let Some((query, parts)) = self.end_query(now, id) {
                 self.record(&query, &parts, Outcome::Left);
             }
@@ -237,7 +237,7 @@
         };
         (state.query, state.since) = (None, now);
         let close = self.closing || state.closing;
-        self.effects.push(Effect::Reply {
+        self.effects.push(Effect::SendReply {
             client,
             reply,
             close,
@@ -250,13 +250,16 @@
         let query = self.queries.remove(&id)?;
         for part in &query.parts {
             let own: Vec<_> = self.attempts.range((*part, 0)..=(*part, u8::MAX)).collect();
-            let unsent =
-                |link: &LinkId, id| self.links.get(link).is_some_and(|(_, it)| it.is_unsent(id));
+            let unsent = |connection: &ConnectionId, id| {
+                self.connections
+                    .get(connection)
+                    .is_some_and(|(_, it)| it.is_unsent(id))
+            };
             let waiting = own
                 .into_iter()
-                .filter(|(id, attempt)| unsent(&attempt.link, **id));
+                .filter(|(id, attempt)| unsent(&attempt.connection, **id));
             for attempt in waiting.map(|(id, _)| *id).collect::<Vec<_>>() {
-                self.end_attempt(now, attempt, Attempted::Cancelled);
+                self.end_attempt(now, attempt, AttemptOutcome::Cancelled);
             }
         }
         self.alarms.remove(&(query.deadline, Alarm::LastMoment(id)));
--- a/crates/core/src/routing/state/links.rs
+++ b/crates/core/src/engine/state/connections.rs
@@ -1,38 +1,38 @@
 //! Leaf servers: the list, the connections and what comes in on them.
 
-use super::{Alarm, State};
-use crate::interface::*;
-use crate::protocol::discovery::Listing;
-use crate::protocol::leaf::{End, FromLeaf};
-use crate::routing::link::{Answered, Link};
-use crate::routing::messages::{Effect, LinkId};
+use super::{Alarm, Engine};
+use crate::api::*;
+use crate::engine::leaf_connection::{Answered, LeafConnection};
+use crate::engine::messages::{ConnectionId, Effect};
+use crate::protocol::discovery::EndpointUpdate;
+use crate::protocol::leaf::{End, LeafResponse};
 
-impl State {
-    pub(super) fn take_list(&mut self, now: Nanos, listing: &Listing) {
-        self.counters.lists += 1;
-        let (kind, members, stopped) = self.replicas.take(listing);
+impl Engine {
+    pub(super) fn take_list(&mut self, now: Nanos, listing: &EndpointUpdate) {
+        self.counters.endpoint_updates += 1;
+        let (kind, entries, stopped) = self.replicas.take(listing);
         self.listed |= self.replicas.any_ready();
-        let (index, lines, stopped_lines) = (listing.index, members.len(), stopped.len());
+        let (index, lines, stopped_lines) = (listing.index, entries.len(), stopped.len());
         tracing::info!(
             index,
-            whole = listing.snapshot,
+            complete = listing.snapshot,
             lines,
             stopped = stopped_lines,
             "list taken"
         );
-        self.events.push(Event::List { kind, members });
+        self.events.push(Event::EndpointsUpdated { kind, entries });
         // What waits for a replica that drains, is gone or was elsewhere never goes out: the rule
         // counts its first byte.
-        for link in stopped {
+        for connection in stopped {
             let unsent = self
-                .links
-                .get(&link)
+                .connections
+                .get(&connection)
                 .map(|(_, it)| it.unsent())
                 .unwrap_or_default();
             for attempt in unsent {
-                self.end_attempt(now, attempt, Outcome::NotSent);
+                self.end_attempt(now, attempt, AttemptOutcome::NotSent);
             }
-            self.pending.insert(link);
+            self.pending.insert(connection);
         }
     }
 
@@ -40,10 +40,10 @@
     /// It is asked for anew even at the same address: whoever reloads may want just that.
     pub(super) fn reloaded(&mut self, usable: bool) {
         if !usable {
-            self.counters.reloads.bad += 1;
+            self.counters.reloads.failed += 1;
             return;
         }
-        self.counters.reloads.taken += 1;
+        self.counters.reloads.applied += 1;
         self.watch_list();
     }
 
@@ -51,21 +51,21 @@
     pub(super) fn watch_list(&mut self) {
         self.watch += 1;
         let (watch, from, answer_within) = (self.watch, self.replicas.index, self.answer_within);
-        self.effects.push(Effect::Watch {
+        self.effects.push(Effect::StartWatch {
             watch,
             from,
             answer_within,
         });
     }
 
-    pub(super) fn heard(&mut self, now: Nanos, link: LinkId, frame: FromLeaf) {
-        let Some((_, it)) = self.links.get_mut(&link) else {
+    pub(super) fn heard(&mut self, now: Nanos, connection: ConnectionId, frame: LeafResponse) {
+        let Some((_, it)) = self.connections.get_mut(&connection) else {
             return;
         };
         it.hear(now);
-        self.pending.insert(link);
+        self.pending.insert(connection);
         match frame {
-            FromLeaf::Answer {
+            LeafResponse::PartResult {
                 id,
                 end,
                 report,
@@ -74,17 +74,17 @@
                 let attempt = match it.answered(&id) {
                     Answered::Attempt(attempt) => attempt,
                     Answered::Over => return,
-                    Answered::Unknown => return self.spoilt(now, link, None),
+                    Answered::Unknown => return self.spoilt(now, connection, None),
                 };
                 let outcome = match end {
-                    End::Ok => Outcome::Ok,
-                    End::Err => Outcome::Error,
-                    End::Busy => Outcome::Refused,
+                    End::Ok => AttemptOutcome::Success,
+                    End::Err => AttemptOutcome::Error,
+                    End::Busy => AttemptOutcome::Rejected,
                 };
                 if let Some(part) = self
                     .parts
                     .get_mut(&attempt.0)
-                    .filter(|_| outcome == Outcome::Ok)
+                    .filter(|_| outcome == AttemptOutcome::Success)
                 {
                     // Checked to be text by the codec, so nothing is lost here.
                     part.value
@@ -93,28 +93,32 @@
                 let report = self.report(&report);
                 self.ended(now, attempt, outcome, report);
             }
-            FromLeaf::Probed { ok, report } => {
+            LeafResponse::HealthCheckResult { ok, report } => {
                 let Some(probe) = it.probed() else { return };
-                let outcome = if ok { Outcome::Ok } else { Outcome::Error };
+                let outcome = if ok {
+                    AttemptOutcome::Success
+                } else {
+                    AttemptOutcome::Error
+                };
                 self.probe_ended(now, probe, outcome, &report);
             }
-            FromLeaf::Complaint(words) => {
-                tracing::warn!(link, words, "leaf server could not use a frame")
+            LeafResponse::ProtocolError(words) => {
+                tracing::warn!(connection, words, "leaf server could not use a frame")
             }
-            FromLeaf::Spoilt(id) => self.spoilt(now, link, id.as_deref()),
+            LeafResponse::Malformed(id) => self.spoilt(now, connection, id.as_deref()),
         }
     }
 
     /// A leaf server sent what can't be read. It is alive and ran what it answered: that attempt
     /// has failed. The others out there wait for what will never come, so they are withdrawn with
     /// the connection, at once.
-    pub(super) fn spoilt(&mut self, now: Nanos, link: LinkId, id: Option<&str>) {
-        let Some((replica, it)) = self.links.get_mut(&link) else {
+    pub(super) fn spoilt(&mut self, now: Nanos, connection: ConnectionId, id: Option<&str>) {
+        let Some((replica, it)) = self.connections.get_mut(&connection) else {
             return;
         };
-        self.counters.connections.spoilt += 1;
+        self.counters.connections.malformed += 1;
         tracing::info!(
-            link,
+            connection,
             replica = replica.0,
             id,
             "spoilt answer: its connection is closed"
@@ -122,12 +126,12 @@
         let failed = it.spoilt(id);
         let others = it.written();
         if let Some(failed) = failed {
-            self.ended(now, failed, Outcome::Error, LoadReport::new());
+            self.ended(now, failed, AttemptOutcome::Error, LoadReport::new());
         }
         for other in others.into_iter().filter(|other| Some(*other) != failed) {
-            self.ended(now, other, Outcome::Cancelled, LoadReport::new());
+            self.ended(now, other, AttemptOutcome::Cancelled, LoadReport::new());
         }
-        self.close_link(now, link);
+        self.close_connection(now, connection);
     }
 
     /// The values of a report, in the order that the settings state; `-` or what lacks one is no
@@ -142,7 +146,7 @@
                 .and_then(|(_, v)| v.trim().parse().ok().filter(|v: &f32| v.is_finite()))
         };
         self.site
-            .report
+            .load_report_fields
             .iter()
             .map(value)
             .collect::<Option<_>>()
@@ -151,65 +155,71 @@
 
     /// Ends a connection that has broken, or (`ours`) that we close: the socket may have taken a
     /// frame's last byte and not have said so yet.
-    pub(super) fn link_ended(&mut self, now: Nanos, link: LinkId, ours: bool) {
-        let Some((id, it)) = self.links.remove(&link) else {
+    pub(super) fn connection_ended(&mut self, now: Nanos, connection: ConnectionId, ours: bool) {
+        let Some((id, it)) = self.connections.remove(&connection) else {
             return;
         };
         if let Some(at) = it.idle_alarm {
-            self.alarms.remove(&(at, Alarm::Idle(link)));
+            self.alarms.remove(&(at, Alarm::Idle(connection)));
         }
         if let Some(replica) = self.replicas.get_mut(id) {
-            replica.links.retain(|other| *other != link);
+            replica.connections.retain(|other| *other != connection);
         }
         let (attempts, probes) = it.end(ours);
         for (attempt, may_have_run) in attempts {
             let outcome = if may_have_run {
-                Outcome::Broken
+                AttemptOutcome::ConnectionLost
             } else {
-                Outcome::Unreachable
+                AttemptOutcome::Unreachable
             };
             self.ended(now, attempt, outcome, LoadReport::new());
         }
         for probe in probes {
-            self.probe_ended(now, probe, Outcome::Unreachable, "");
+            self.probe_ended(now, probe, AttemptOutcome::Unreachable, "");
         }
     }
 
     /// Closes a connection of ours, for whatever is still on it as if it had broken.
-    pub(super) fn close_link(&mut self, now: Nanos, link: LinkId) {
-        self.effects.push(Effect::CloseLink { link });
-        self.link_ended(now, link, true);
+    pub(super) fn close_connection(&mut self, now: Nanos, connection: ConnectionId) {
+        self.effects.push(Effect::CloseConnection { connection });
+        self.connection_ended(now, connection, true);
     }
 
-    pub(super) fn open_link(&mut self, now: Nanos, id: ReplicaId) -> Option<LinkId> {
-        if self.links.len() >= self.most_links {
+    pub(super) fn open_link(&mut self, now: Nanos, id: ReplicaId) -> Option<ConnectionId> {
+        if self.connections.len() >= self.most_links {
             return None;
         }
-        let link = self.id();
+        let connection = self.id();
         let replica = self.replicas.get_mut(id)?;
-        replica.links.push(link);
-        self.effects.push(Effect::Connect {
-            link,
+        replica.connections.push(connection);
+        self.effects.push(Effect::OpenConnection {
+            connection,
             address: replica.address,
         });
         self.counters.connections.opened += 1;
-        self.links.insert(link, (id, Link::new(now)));
+        self.connections
+            .insert(connection, (id, LeafConnection::new(now)));
         self.alarms
-            .insert((now + self.site.connect_timeout, Alarm::Connect(link)));
-        Some(link)
+            .insert((now + self.site.connect_timeout, Alarm::Connect(connection)));
+        Some(connection)
     }
 
     /// A connection with room, the oldest first so that few stay in use; a new one where none has
     /// any.
-    pub(super) fn link_for(&mut self, now: Nanos, id: ReplicaId, wire: &str) -> Option<LinkId> {
+    pub(super) fn connection_for(
+        &mut self,
+        now: Nanos,
+        id: ReplicaId,
+        wire: &str,
+    ) -> Option<ConnectionId> {
         let replica = self.replicas.get(id)?;
-        let fits = |link: &&LinkId| {
-            self.links
-                .get(link)
-                .is_some_and(|(_, it)| it.has_room(self.site.streams, wire))
+        let fits = |connection: &&ConnectionId| {
+            self.connections
+                .get(connection)
+                .is_some_and(|(_, it)| it.has_room(self.site.max_streams, wire))
         };
-        match replica.links.iter().find(fits) {
-            Some(link) => Some(*link),
+        match replica.connections.iter().find(fits) {
+            Some(connection) => Some(*connection),
             None => self.open_link(now, id),
         }
     }
--- a/crates/core/src/routing/state/mod.rs
+++ b/crates/core/src/engine/state/mod.rs
@@ -2,19 +2,19 @@
 
 mod attempts;
 mod clients;
-mod links;
+mod connections;
 mod turns;
 mod usage;
 
 use super::counters::Counters;
-use super::link::{AttemptId, Link, Phase};
-use super::messages::{ClientId, Effect, Input, LinkId};
+use super::leaf_connection::{AttemptId, LeafConnection, Phase};
+use super::messages::{ClientId, ConnectionId, Effect, Input};
 use super::replicas::Replicas;
 use super::usage::JoinKey;
-use crate::interface::*;
-use crate::protocol::discovery::Listing;
+use crate::api::*;
+use crate::protocol::discovery::EndpointUpdate;
 use crate::settings::Site;
-use crate::Coordinator;
+use crate::Policy;
 use bytes::Bytes;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -58,7 +58,7 @@
     parts: Vec<RequestId>,
     tenant: u32,
     arrived: Nanos,
-    repeat: bool,
+    is_retry: bool,
     /// Joins retries; 0 while no usage is recorded.
     key: JoinKey,
 }
@@ -80,10 +80,10 @@
 #[derive(Debug)]
 struct Attempt {
     replica: ReplicaId,
-    link: LinkId,
+    connection: ConnectionId,
     sent: Nanos,
     until: Nanos,
-    begin_by: Option<Nanos>,
+    latest_start: Option<Nanos>,
     shard: u32,
     text: Bytes,
 }
@@ -103,11 +103,11 @@
 enum Alarm {
     Wake(u64),
     Attempt(AttemptId),
-    Connect(LinkId),
-    Idle(LinkId),
+    Connect(ConnectionId),
+    Idle(ConnectionId),
     Probe(u64),
     LastMoment(RequestId),
-    Mark,
+    UsageWatermark,
     GraceOver,
     End,
 }
@@ -115,19 +115,19 @@
 #[derive(Debug)]
 struct Probe {
     replica: ReplicaId,
-    link: LinkId,
+    connection: ConnectionId,
     asked: Nanos,
 }
 
 /// All that the mixer knows and is doing.
-pub struct State {
+pub struct Engine {
     site: Site,
-    module: Coordinator,
+    module: Policy,
     events: Vec<Event>,
     effects: Vec<Effect>,
     alarms: BTreeSet<(Nanos, Alarm)>,
     replicas: Replicas,
-    links: BTreeMap<LinkId, (ReplicaId, Link)>,
+    connections: BTreeMap<ConnectionId, (ReplicaId, LeafConnection)>,
     clients: BTreeMap<ClientId, Client>,
     queries: BTreeMap<RequestId, Query>,
     parts: BTreeMap<RequestId, Part>,
@@ -141,8 +141,8 @@
     last_group: u32,
     /// Links that have something to write, and those whose last call still takes parts of this
     /// turn.
-    pending: BTreeSet<LinkId>,
-    joining: BTreeSet<LinkId>,
+    pending: BTreeSet<ConnectionId>,
+    joining: BTreeSet<ConnectionId>,
     most_links: usize,
     most_clients: usize,
     listed: bool,
@@ -157,7 +157,7 @@
     recording: Option<Recording>,
 }
 
-impl State {
+impl Engine {
     /// Starts with the list as it was last held, which may be old, and as many descriptors as it
     /// may hold.
     pub fn new(
@@ -165,27 +165,27 @@
         site: Site,
         settings: Settings,
         seed: u64,
-        known: &Listing,
+        known: &EndpointUpdate,
         descriptors: usize,
-    ) -> State {
+    ) -> Engine {
         // Where the list has to be asked for, the module does so in its first turn.
-        let asked_for = settings.list_on_request;
-        let mut state = State {
+        let asked_for = settings.endpoint_list_polled;
+        let mut state = Engine {
             most_links: descriptors * LINK_HUNDREDTHS / 100,
             most_clients: descriptors * CLIENT_HUNDREDTHS / 100,
             replicas: Replicas::new(site.zones.clone()),
             site,
             effects: Vec::new(),
             watch: 0,
-            answer_within: if settings.list_on_request {
+            answer_within: if settings.endpoint_list_polled {
                 ANSWER_ASKED
             } else {
                 ANSWER_PUSHED
             },
-            module: Coordinator::new(settings, seed),
+            module: Policy::new(settings, seed),
             events: Vec::new(),
             alarms: BTreeSet::new(),
-            links: BTreeMap::new(),
+            connections: BTreeMap::new(),
             clients: BTreeMap::new(),
             queries: BTreeMap::new(),
             parts: BTreeMap::new(),
@@ -203,14 +203,14 @@
             counters: Counters::default(),
             recording: None,
         };
-        let (_, members, _) = state.replicas.take(known);
+        let (_, entries, _) = state.replicas.take(known);
         if !asked_for {
             state.watch_list();
         }
         state.listed = state.replicas.any_ready();
-        state.events.push(Event::List {
-            kind: ListKind::Remembered,
-            members,
+        state.events.push(Event::EndpointsUpdated {
+            kind: EndpointUpdateKind::Cached,
+            entries,
         });
         state.turn(now);
         state
@@ -237,7 +237,7 @@
     /// What is held, in things of every kind: flat while the load is, whatever names come and go.
     pub fn held(&self) -> usize {
         let open = self.queries.len() + self.parts.len() + self.names.len() + self.attempts.len();
-        let sockets = self.clients.len() + self.links.len() + self.probes.len();
+        let sockets = self.clients.len() + self.connections.len() + self.probes.len();
         open + sockets + self.alarms.len() + self.replicas.known() + self.module.held()
     }
 
@@ -249,49 +249,51 @@
     /// is written before the turn: a client that has gone, a drain or an end that came in with a
     /// connection goes before it.
     pub fn apply(&mut self, now: Nanos, input: Input) -> Vec<Effect> {
-        let turn = matches!(input, Input::Turn);
+        let turn = matches!(input, Input::BatchEnded);
         match input {
-            Input::ClientOpened { client } => self.client_opened(now, client),
-            Input::Asked {
+            Input::ClientConnected { client } => self.client_opened(now, client),
+            Input::RequestReceived {
                 client,
                 arrived,
-                asked,
+                request: asked,
             } => self.asked(now, client, arrived, asked),
-            Input::ClientClosed { client } => self.client_closed(now, client),
-            Input::LinkOpened { link } => {
-                if let Some((_, it)) = self.links.get_mut(&link) {
+            Input::ClientDisconnected { client } => self.client_closed(now, client),
+            Input::ConnectionOpened { connection } => {
+                if let Some((_, it)) = self.connections.get_mut(&connection) {
                     it.opened(now);
-                    self.pending.insert(link);
+                    self.pending.insert(connection);
                 }
             }
-            Input::LinkWrote { link } => {
-                if let Some((_, it)) = self.links.get_mut(&link) {
+            Input::FrameWritten { connection } => {
+                if let Some((_, it)) = self.connections.get_mut(&connection) {
                     it.wrote();
-                    self.pending.insert(link);
+                    self.pending.insert(connection);
                 }
             }
-            Input::LinkHeard { link, frame } => self.heard(now, link, frame),
-            Input::LinkClosed { link } => {
-                if let Some((_, it)) = self.links.get(&link) {
+            Input::FrameReceived { connection, frame } => self.heard(now, connection, frame),
+            Input::ConnectionClosed { connection } => {
+                if let Some((_, it)) = self.connections.get(&connection) {
                     let connections = &mut self.counters.connections;
                     match it.phase() {
-                        Phase::Connecting => connections.failed += 1,
-                        Phase::Open => connections.broken += 1,
+                        Phase::Connecting => connections.connect_failed += 1,
+                        Phase::Open => connections.lost += 1,
                     }
                 }
-                self.link_ended(now, link, false);
+                self.connection_ended(now, connection, false);
+            }
+            Input::EndpointsUpdated(listing) => self.take_list(now, &listing),
+            Input::GossipReceived { from, bytes } => {
+                self.events.push(Event::GossipReceived { from, bytes })
             }
-            Input::Listed(listing) => self.take_list(now, &listing),
-            Input::Datagram { from, bytes } => self.events.push(Event::Message { from, bytes }),
             // One that was replaced may say so late: that is no news of the one in its place.
             Input::WatchEnded { watch } if watch != self.watch => {}
-            Input::WatchEnded { .. } => self.events.push(Event::List {
-                kind: ListKind::Failed,
-                members: Vec::new(),
+            Input::WatchEnded { .. } => self.events.push(Event::EndpointsUpdated {
+                kind: EndpointUpdateKind::Unavailable,
+                entries: Vec::new(),
             }),
-            Input::Reloaded { usable } => self.reloaded(usable),
-            Input::Terminate => self.terminate(now),
-            Input::Turn => self.turn(now),
+            Input::ConfigurationReloaded { usable } => self.reloaded(usable),
+            Input::ShutdownRequested => self.terminate(now),
+            Input::BatchEnded => self.turn(now),
         }
         if turn {
             self.pump(now);
--- a/crates/core/src/routing/state/turns.rs
+++ b/crates/core/src/engine/state/turns.rs
@@ -1,12 +1,12 @@
 //! Turns: alarms that are due, the decisions, what they ask for, and the end.
 
-use super::{usage, Alarm, Part, Query, State, GRACE, IDLE_TENTHS, MOST_DATAGRAM, MS};
-use crate::interface::*;
+use super::{usage, Alarm, Engine, Part, Query, GRACE, IDLE_TENTHS, MOST_DATAGRAM, MS};
+use crate::api::*;
+use crate::engine::leaf_connection::Phase;
+use crate::engine::messages::Effect;
 use crate::protocol::query::{Hit, Reply};
-use crate::routing::link::Phase;
-use crate::routing::messages::Effect;
 
-impl State {
+impl Engine {
     pub(super) fn turn(&mut self, now: Nanos) {
         while let Some((at, alarm)) = self.alarms.first().copied().filter(|(at, _)| *at <= now) {
             self.alarms.remove(&(at, alarm));
@@ -26,46 +26,46 @@
 
     pub(super) fn ring(&mut self, now: Nanos, alarm: Alarm) {
         match alarm {
-            Alarm::Wake(token) => self.events.push(Event::Timer { token }),
-            Alarm::Attempt(id) => self.end_attempt(now, id, Outcome::TimedOut),
-            Alarm::Connect(link) => {
+            Alarm::Wake(token) => self.events.push(Event::TimerFired { token }),
+            Alarm::Attempt(id) => self.end_attempt(now, id, AttemptOutcome::TimedOut),
+            Alarm::Connect(connection) => {
                 if self
-                    .links
-                    .get(&link)
+                    .connections
+                    .get(&connection)
                     .is_some_and(|(_, it)| it.phase() == Phase::Connecting)
                 {
-                    self.counters.connections.failed += 1;
-                    self.close_link(now, link);
+                    self.counters.connections.connect_failed += 1;
+                    self.close_connection(now, connection);
                 }
             }
-            Alarm::Idle(link) => {
-                let Some((_, it)) = self.links.get_mut(&link) else {
+            Alarm::Idle(connection) => {
+                let Some((_, it)) = self.connections.get_mut(&connection) else {
                     return;
                 };
-                let due = it.idle_since + self.site.idle_time / 10 * IDLE_TENTHS;
+                let due = it.idle_since + self.site.idle_timeout / 10 * IDLE_TENTHS;
                 if !it.is_idle() {
                     it.idle_alarm = None;
                 } else if due > now {
                     it.idle_alarm = Some(due);
-                    self.alarms.insert((due, Alarm::Idle(link)));
+                    self.alarms.insert((due, Alarm::Idle(connection)));
                 } else {
-                    self.counters.connections.idle += 1;
-                    self.close_link(now, link);
+                    self.counters.connections.idle_closed += 1;
+                    self.close_connection(now, connection);
                 }
             }
-            Alarm::Probe(probe) => self.probe_ended(now, probe, Outcome::TimedOut, ""),
+            Alarm::Probe(probe) => self.probe_ended(now, probe, AttemptOutcome::TimedOut, ""),
             Alarm::LastMoment(id) => {
                 // Guards the rule that every query taken is answered in time, should the module
                 // miss one.
-                self.counters.faults.last_moment += 1;
+                self.counters.faults.reply_deadline += 1;
                 tracing::error!(id, "query still open at the last moment");
-                self.events.push(Event::ClientGone { id });
+                self.events.push(Event::ClientDisconnected { id });
                 self.finish(now, id, |state, _| {
-                    state.counters.answered.failed += 1;
+                    state.counters.queries_ended.failed += 1;
                     Reply::Failed
                 });
             }
-            Alarm::Mark => self.mark(now),
+            Alarm::UsageWatermark => self.mark(now),
             Alarm::GraceOver => self.wind_down(),
             Alarm::End => {
                 for id in self.queries.keys().copied().collect::<Vec<_>>() {
@@ -78,51 +78,55 @@
 
     pub(super) fn act(&mut self, now: Nanos, action: Action) {
         match action {
-            Action::Send {
+            Action::SendAttempt {
                 part,
                 replica,
                 until,
-                begin_by,
-            } => self.send(now, part, replica, until, begin_by),
-            Action::Cancel { part, attempt } => {
-                self.end_attempt(now, (part, attempt), Outcome::Cancelled)
+                latest_start,
+            } => self.send(now, part, replica, until, latest_start),
+            Action::CancelAttempt { part, attempt } => {
+                self.end_attempt(now, (part, attempt), AttemptOutcome::Cancelled)
             }
-            Action::Answer { query, whole } => {
-                self.finish(now, query, |state, query| state.answer(query, whole));
+            Action::Answer { query, complete } => {
+                self.finish(now, query, |state, query| state.answer(query, complete));
             }
-            Action::Refuse { query, come_back } => self.finish(now, query, |state, _| {
-                state.counters.answered.refused += 1;
-                Reply::Refused { come_back }
+            Action::Reject { query, retry_after } => self.finish(now, query, |state, _| {
+                state.counters.queries_ended.rejected += 1;
+                Reply::Rejected { retry_after }
             }),
             Action::Fail { query } => self.finish(now, query, |state, _| {
-                state.counters.answered.failed += 1;
+                state.counters.queries_ended.failed += 1;
                 Reply::Failed
             }),
-            Action::Wake { token, after } => {
+            Action::SetTimer { token, after } => {
                 self.alarms.insert((now + after, Alarm::Wake(token)));
             }
-            Action::Subscribe { on: true } => self.watch_list(),
+            Action::WatchEndpoints { enabled: true } => self.watch_list(),
             // A watch lasts until it ends by itself, and brings all that a single call would.
-            Action::Subscribe { on: false } | Action::FetchList => {}
-            Action::Probe { replica } => self.probe(now, replica),
-            Action::CloseIdle { replica } => {
-                let links = self
+            Action::WatchEndpoints { enabled: false } | Action::FetchEndpoints => {}
+            Action::CheckHealth { replica } => self.probe(now, replica),
+            Action::CloseIdleConnections { replica } => {
+                let connections = self
                     .replicas
                     .get(replica)
-                    .map(|r| r.links.clone())
+                    .map(|r| r.connections.clone())
                     .unwrap_or_default();
-                for link in links {
-                    if self.links.get(&link).is_some_and(|(_, it)| it.is_idle()) {
-                        self.close_link(now, link);
+                for connection in connections {
+                    if self
+                        .connections
+                        .get(&connection)
+                        .is_some_and(|(_, it)| it.is_idle())
+                    {
+                        self.close_connection(now, connection);
                     }
                 }
             }
-            Action::Tell { to, bytes } => {
-                if self.site.peers && bytes.len() <= MOST_DATAGRAM {
-                    self.counters.sent.datagrams += 1;
-                    self.effects.push(Effect::Datagram { to, bytes });
+            Action::SendGossip { to, bytes } => {
+                if self.site.gossip_allowed && bytes.len() <= MOST_DATAGRAM {
+                    self.counters.sent.gossip_messages += 1;
+                    self.effects.push(Effect::SendGossip { to, bytes });
                 } else {
-                    self.counters.faults.stray += 1;
+                    self.counters.faults.unknown_target += 1;
                 }
             }
             Action::Log(text) => tracing::info!("{text}"),
@@ -155,9 +159,9 @@
                 .collect();
             let (left_ms, attempts) = (query.deadline.saturating_sub(now) / MS, attempts.join(" "));
             let word = match &reply {
-                Reply::Answer { whole: true, .. } => "whole",
+                Reply::Answer { complete: true, .. } => "whole",
                 Reply::Answer { .. } => "partial",
-                Reply::Refused { .. } => "refused",
+                Reply::Rejected { .. } => "refused",
                 _ => "failed",
             };
             tracing::debug!(
@@ -173,7 +177,7 @@
 
     /// The answer from the values that are in. What the parts do not bear out is not claimed,
     /// whatever the module says: one dishonest answer costs a whole day.
-    pub(super) fn answer(&mut self, (query, parts): &(Query, Vec<Part>), whole: bool) -> Reply {
+    pub(super) fn answer(&mut self, (query, parts): &(Query, Vec<Part>), complete: bool) -> Reply {
         let all: f64 = parts.iter().map(|p| p.weight).sum();
         let landed: f64 = parts
             .iter()
@@ -183,16 +187,16 @@
         let holds = |share: &[f64]| {
             landed + 1e-4 >= share.get(query.class).copied().unwrap_or(1.0) * all.min(1.0)
         };
-        let bears_whole = holds(&self.site.needs);
-        if !holds(&self.site.floors) || whole && !bears_whole {
-            self.counters.faults.dishonest += 1;
+        let bears_whole = holds(&self.site.completeness_thresholds);
+        if !holds(&self.site.minimum_coverages) || complete && !bears_whole {
+            self.counters.faults.overstated_coverage += 1;
             tracing::error!(
                 landed,
-                whole,
+                complete,
                 class = query.class,
                 "an answer that its parts do not bear out"
             );
-            self.counters.answered.failed += 1;
+            self.counters.queries_ended.failed += 1;
             return Reply::Failed;
         }
         let hit = |p: &Part| {
@@ -202,12 +206,12 @@
             })
         };
         let hits = parts.iter().filter_map(hit).collect();
-        if whole {
-            self.counters.answered.whole += 1;
+        if complete {
+            self.counters.queries_ended.complete += 1;
         } else {
-            self.counters.answered.partial += 1;
+            self.counters.queries_ended.partial += 1;
         }
-        Reply::Answer { whole, hits }
+        Reply::Answer { complete, hits }
     }
 
     pub(super) fn terminate(&mut self, now: Nanos) {
--- a/crates/core/src/routing/state/usage.rs
+++ b/crates/core/src/engine/state/usage.rs
@@ -1,11 +1,11 @@
 //! The ledger's hook: a record for each query that ends, and marks that say up to when the records
 //! are complete.
 
-use super::{Alarm, Part, Query, State};
-use crate::interface::{Nanos, RequestId};
+use super::{Alarm, Engine, Part, Query};
+use crate::api::{Nanos, RequestId};
+use crate::engine::messages::Effect;
+use crate::engine::usage::{self, JoinKey, Outcome, UsageRecord, UsageWatermark};
 use crate::protocol::query::{Query as AskedQuery, Reply};
-use crate::routing::messages::Effect;
-use crate::routing::usage::{self, JoinKey, Mark, Outcome, Usage};
 use std::collections::BTreeSet;
 
 #[derive(Debug)]
@@ -21,14 +21,14 @@
 /// How a reply counts.
 pub(super) fn outcome(reply: &Reply) -> Outcome {
     match reply {
-        Reply::Answer { whole: true, .. } => Outcome::Whole,
+        Reply::Answer { complete: true, .. } => Outcome::Whole,
         Reply::Answer { .. } => Outcome::Partial(0),
-        Reply::Refused { .. } => Outcome::Refused,
+        Reply::Rejected { .. } => Outcome::Refused,
         _ => Outcome::Failed,
     }
 }
 
-impl State {
+impl Engine {
     /// Records use from now on, with a mark each `every`.
     pub fn record_usage(&mut self, every: Nanos) {
         self.recording = Some(Recording {
@@ -37,7 +37,7 @@
             complete: 0,
             open: BTreeSet::new(),
         });
-        self.alarms.insert((0, Alarm::Mark));
+        self.alarms.insert((0, Alarm::UsageWatermark));
     }
 
     /// Joins the tries of one use: what the client says, else what it asks.
@@ -77,7 +77,7 @@
         }
     }
 
-    fn push(&mut self, mut usage: Usage) {
+    fn push(&mut self, mut usage: UsageRecord) {
         let Some(recording) = &mut self.recording else {
             return;
         };
@@ -100,7 +100,7 @@
             .recorded_of
             .entry(format!("{tenant} {class}"))
             .or_default() += 1;
-        self.effects.push(Effect::Record(usage));
+        self.effects.push(Effect::RecordUsage(usage));
     }
 
     /// Records a query that has ended.
@@ -125,7 +125,7 @@
             other => other,
         };
         let count = |of: fn(&Part) -> u8| parts.iter().map(|part| u32::from(of(part))).sum();
-        self.push(Usage {
+        self.push(UsageRecord {
             sequence: 0,
             tenant: query.tenant,
             class: query.class as u16,
@@ -134,7 +134,7 @@
             parts: parts.len() as u32,
             attempts: count(|part| part.attempts),
             crossed: count(|part| part.crossed),
-            repeat: query.repeat,
+            is_retry: query.is_retry,
             key: query.key,
             keyed: usage::is_client_key(query.key),
         });
@@ -147,7 +147,7 @@
         };
         let arrived = arrived.max(recording.complete);
         let key = self.join_key(asked);
-        self.push(Usage {
+        self.push(UsageRecord {
             sequence: 0,
             tenant: asked.tenant,
             class: asked.class,
@@ -156,7 +156,7 @@
             parts: asked.parts.len() as u32,
             attempts: 0,
             crossed: 0,
-            repeat: asked.repeat,
+            is_retry: asked.is_retry,
             key,
             keyed: usage::is_client_key(key),
         });
@@ -169,13 +169,14 @@
         };
         let oldest = recording.open.first().map_or(now, |(arrived, _)| *arrived);
         recording.complete = recording.complete.max(oldest);
-        let mark = Mark {
+        let mark = UsageWatermark {
             sequence: recording.sequence,
             complete: recording.complete,
             end: false,
         };
-        self.alarms.insert((now + recording.every, Alarm::Mark));
-        self.effects.push(Effect::Mark(mark));
+        self.alarms
+            .insert((now + recording.every, Alarm::UsageWatermark));
+        self.effects.push(Effect::RecordWatermark(mark));
     }
 
     /// The last mark.
@@ -183,11 +184,11 @@
         let Some(recording) = &self.recording else {
             return;
         };
-        let mark = Mark {
+        let mark = UsageWatermark {
             sequence: recording.sequence,
             complete: recording.complete,
             end: true,
         };
-        self.effects.push(Effect::Mark(mark));
+        self.effects.push(Effect::RecordWatermark(mark));
     }
 }
--- a/crates/core/src/routing/usage.rs
+++ b/crates/core/src/engine/usage.rs
@@ -1,6 +1,6 @@
 //! What a query was used for, as the ledger counts it: one record for each query that ended.
 
-use crate::interface::Nanos;
+use crate::api::Nanos;
 use xxhash_rust::xxh3::Xxh3;
 
 /// What joins the tries of one use: the same at every mixer and in every run, so that a retry
@@ -56,7 +56,7 @@
 
 /// One query that ended.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Usage {
+pub struct UsageRecord {
     /// Counts from 1 over the records of this run, without a gap.
     pub sequence: u64,
     /// By the settings' numbers.
@@ -70,7 +70,7 @@
     /// Of the attempts, those to replicas in other zones.
     pub crossed: u32,
     /// The client marked it as a repeat of an earlier try.
-    pub repeat: bool,
+    pub is_retry: bool,
     pub key: JoinKey,
     /// The key is one that the client gave.
     pub keyed: bool,
@@ -79,7 +79,7 @@
 /// Every query that arrived before `complete` and has ended is recorded with a sequence up to
 /// `sequence`, and none that arrived before it will follow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Mark {
+pub struct UsageWatermark {
     pub sequence: u64,
     pub complete: Nanos,
     /// Nothing at all follows: the mixer ends.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,9 +2,9 @@
 //! the reducer that holds all its state, and the sockets.
 
 pub mod config;
+pub mod engine;
+pub mod net;
 pub mod protocol;
-pub mod routing;
 pub mod settings;
-pub mod transport;
 
-pub use aggregator_policy::{interface, Coordinator};
+pub use aggregator_policy::{api, Policy};
--- a/crates/core/src/transport/clients.rs
+++ b/crates/core/src/net/clients.rs
@@ -1,9 +1,9 @@
 //! The listener and the clients' connections.
 
 use super::{Shared, MOST_COMMANDS};
-use crate::protocol::http::{Rejection, Request, Response, ServerCodec, MOST_BODY};
+use crate::engine::{ClientId, Input};
+use crate::protocol::http::{Request, RequestError, Response, ServerCodec, MOST_BODY};
 use crate::protocol::query::{self, Reply};
-use crate::routing::{ClientId, Input};
 use futures_util::{FutureExt, SinkExt, StreamExt};
 use std::collections::VecDeque;
 use std::io;
@@ -76,7 +76,7 @@
 }
 
 type Connection = Framed<TcpStream, ServerCodec>;
-type Incoming = Result<Request, Rejection>;
+type Incoming = Result<Request, RequestError>;
 
 /// Who ends a connection.
 enum End {
@@ -97,10 +97,13 @@
     let mut connection = shared
         .pool
         .frame::<Response, _, _>(stream, ServerCodec::default());
-    let _ = shared.inputs.send(Input::ClientOpened { client }).await;
+    let _ = shared.inputs.send(Input::ClientConnected { client }).await;
     let ended = converse(&shared, client, &mut connection, &mut commands).await;
     // Nothing goes out for it any more; only its place is still taken.
-    let _ = shared.inputs.send(Input::ClientClosed { client }).await;
+    let _ = shared
+        .inputs
+        .send(Input::ClientDisconnected { client })
+        .await;
     match ended {
         Ok(End::Closed { answered: true }) => linger(&shared, &mut connection).await,
         Ok(_) => {}
@@ -141,10 +144,10 @@
         let keep = keep && asked.is_ok();
         if shared
             .inputs
-            .send(Input::Asked {
+            .send(Input::RequestReceived {
                 client,
                 arrived,
-                asked,
+                request: asked,
             })
             .await
             .is_err()
@@ -169,7 +172,7 @@
                         if next.is_ok() && (ahead.len() >= MOST_AHEAD || ahead_bytes > MOST_AHEAD_BYTES) {
                             connection.codec_mut().give_up();
                             let why = "too many requests ahead of their answers";
-                            ahead.push_back((shared.clock.now(), Err(Rejection { status: 429, why })));
+                            ahead.push_back((shared.clock.now(), Err(RequestError { status: 429, why })));
                         } else {
                             ahead.push_back((shared.clock.now(), next));
                         }
@@ -250,7 +253,7 @@
                 Ok(next) => return Next::read(next),
                 Err(_) if in_request(connection) => {
                     connection.codec_mut().give_up();
-                    let late = Rejection { status: 408, why: "the request took too long" };
+                    let late = RequestError { status: 408, why: "the request took too long" };
                     return Ok(Next::Request(Err(late)));
                 }
                 Err(_) if opened.is_some() => return Ok(Next::Close),
@@ -261,8 +264,8 @@
                 // A request that is here whole is taken; half of one has no right to a place that
                 // others need.
                 Some(Command::Close) => {
-                    let whole = timeout(Duration::ZERO, connection.next()).await;
-                    return whole.map_or(Ok(Next::Close), Next::read);
+                    let complete = timeout(Duration::ZERO, connection.next()).await;
+                    return complete.map_or(Ok(Next::Close), Next::read);
                 }
                 // No request is waiting, so no reply is due.
                 Some(Command::Reply(..)) => {}
--- a/crates/core/src/transport/clock.rs
+++ b/crates/core/src/net/clock.rs
@@ -1,6 +1,6 @@
 //! The one clock: Unix time as read at the start, plus what has passed since.
 
-use crate::interface::Nanos;
+use crate::api::Nanos;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 
--- a/crates/core/src/transport/door.rs
+++ b/crates/core/src/net/internal_client.rs
@@ -3,16 +3,16 @@
 
 use super::clients::Command;
 use super::{Shared, MOST_COMMANDS};
-use crate::interface::Nanos;
-use crate::protocol::query::{Asked, Names, Query, Reply};
-use crate::routing::{ClientId, Input};
+use crate::api::Nanos;
+use crate::engine::{ClientId, Input};
+use crate::protocol::query::{ClientRequest, Names, Query, Reply};
 use std::rc::Rc;
 use tokio::sync::mpsc;
 
 /// Asks queries of the reducer, each as a client of its own. Only for tasks of the mixer's own
 /// `LocalSet`.
 #[derive(Clone)]
-pub struct Door {
+pub struct InternalClient {
     shared: Shared,
 }
 
@@ -28,7 +28,7 @@
         self.shared.client_ended.notify_one();
         let (inputs, closed) = (
             self.shared.inputs.clone(),
-            Input::ClientClosed {
+            Input::ClientDisconnected {
                 client: self.client,
             },
         );
@@ -40,9 +40,9 @@
     }
 }
 
-impl Door {
-    pub(super) fn new(shared: Shared) -> Door {
-        Door { shared }
+impl InternalClient {
+    pub(super) fn new(shared: Shared) -> InternalClient {
+        InternalClient { shared }
     }
 
     /// What classes and tenants are called, and the bounds of a query.
@@ -67,16 +67,16 @@
         let _ = visit
             .shared
             .inputs
-            .send(Input::ClientOpened { client })
+            .send(Input::ClientConnected { client })
             .await;
-        let asked = Ok(Asked::Query(query));
+        let asked = Ok(ClientRequest::Query(query));
         let _ = visit
             .shared
             .inputs
-            .send(Input::Asked {
+            .send(Input::RequestReceived {
                 client,
                 arrived,
-                asked,
+                request: asked,
             })
             .await;
         loop {
--- a/crates/core/src/transport/ledger.rs
+++ b/crates/core/src/net/ledger.rs
@@ -1,18 +1,18 @@
 //! Replies that wait for their record of use: what a client is told is in the log first, unless the
 //! log stalls.
 
+use crate::engine::usage::{UsageRecord, UsageWatermark};
+use crate::engine::ClientId;
 use crate::protocol::query::Reply;
-use crate::routing::usage::{Mark, Usage};
-use crate::routing::ClientId;
 use std::collections::VecDeque;
 use tokio::sync::watch;
 use tokio::time::{Duration, Instant};
 
 /// Where records of use go. None of this may block: it is called between the sockets' turns.
-pub trait Recorder {
+pub trait UsageRecorder {
     /// Hands a record on; false if there was no room and it is lost.
-    fn record(&mut self, usage: Usage) -> bool;
-    fn mark(&mut self, mark: Mark);
+    fn record(&mut self, usage: UsageRecord) -> bool;
+    fn mark(&mut self, mark: UsageWatermark);
     /// The sequence up to which records are with the operating system.
     fn written(&self) -> watch::Receiver<u64>;
     /// How long a reply waits for its record at the most.
@@ -31,7 +31,7 @@
 
 /// The recorder and the replies that wait for it, in the order of their records.
 pub struct Ledger {
-    recorder: Box<dyn Recorder>,
+    recorder: Box<dyn UsageRecorder>,
     written: watch::Receiver<u64>,
     stall: Duration,
     held: VecDeque<Held>,
@@ -42,7 +42,7 @@
 }
 
 impl Ledger {
-    pub fn new(recorder: Box<dyn Recorder>) -> Ledger {
+    pub fn new(recorder: Box<dyn UsageRecorder>) -> Ledger {
         let (written, stall) = (recorder.written(), recorder.stall());
         Ledger {
             recorder,
@@ -54,12 +54,12 @@
         }
     }
 
-    pub fn record(&mut self, usage: Usage) {
+    pub fn record(&mut self, usage: UsageRecord) {
         let sequence = usage.sequence;
         self.next = self.recorder.record(usage).then_some(sequence);
     }
 
-    pub fn mark(&mut self, mark: Mark) {
+    pub fn mark(&mut self, mark: UsageWatermark) {
         self.recorder.mark(mark);
     }
 
@@ -146,11 +146,11 @@
         without: std::rc::Rc<std::cell::Cell<u32>>,
     }
 
-    impl Recorder for Slow {
-        fn record(&mut self, _: Usage) -> bool {
+    impl UsageRecorder for Slow {
+        fn record(&mut self, _: UsageRecord) -> bool {
             self.room
         }
-        fn mark(&mut self, _: Mark) {}
+        fn mark(&mut self, _: UsageWatermark) {}
         fn written(&self) -> watch::Receiver<u64> {
             self.written.subscribe()
         }
@@ -163,10 +163,10 @@
         fn close(&mut self) {}
     }
 
-    fn usage(sequence: u64) -> Usage {
-        let outcome = crate::routing::usage::Outcome::Whole;
+    fn usage(sequence: u64) -> UsageRecord {
+        let outcome = crate::engine::usage::Outcome::Whole;
         let (tenant, class, arrived, parts, attempts, crossed) = (0, 0, 0, 1, 1, 0);
-        Usage {
+        UsageRecord {
             sequence,
             tenant,
             class,
@@ -175,7 +175,7 @@
             parts,
             attempts,
             crossed,
-            repeat: false,
+            is_retry: false,
             key: 2,
             keyed: false,
         }
--- a/crates/core/src/transport/mod.rs
+++ b/crates/core/src/net/mod.rs
@@ -3,7 +3,7 @@
 
 mod clients;
 mod clock;
-mod door;
+mod internal_client;
 mod leaf;
 mod ledger;
 mod peers;
@@ -11,11 +11,11 @@
 mod watch;
 
 pub use clock::Clock;
-pub use door::Door;
-pub use ledger::Recorder;
+pub use internal_client::InternalClient;
+pub use ledger::UsageRecorder;
 
+use crate::engine::{ClientId, ConnectionId, Effect, Engine, Input};
 use crate::protocol::query::{Names, Reply};
-use crate::routing::{ClientId, Effect, Input, LinkId, State};
 use futures_util::StreamExt;
 use ledger::Ledger;
 use pool::Pool;
@@ -51,8 +51,8 @@
 }
 
 /// What the operator says to a running mixer.
-pub enum Told {
-    End,
+pub enum OperatorSignal {
+    Shutdown,
     /// Whom to speak to from now on; none if what was read does not do.
     Reload(Option<Addresses>),
 }
@@ -85,18 +85,18 @@
 }
 
 /// Starts a front of another protocol; called once the reducer can be asked.
-pub type StartFront = Box<dyn FnOnce(Door)>;
+pub type StartFrontend = Box<dyn FnOnce(InternalClient)>;
 
 /// What runs beside the native front, where it is on.
 #[derive(Default)]
-pub struct Beside {
-    pub recorder: Option<Box<dyn Recorder>>,
-    pub fronts: Vec<StartFront>,
+pub struct Extensions {
+    pub recorder: Option<Box<dyn UsageRecorder>>,
+    pub fronts: Vec<StartFrontend>,
 }
 
 struct Driver {
     shared: Shared,
-    links: HashMap<LinkId, leaf::Handle>,
+    connections: HashMap<ConnectionId, leaf::Handle>,
     udp: Option<Udp>,
     discovery: SocketAddr,
     watch: Option<AbortHandle>,
@@ -149,13 +149,13 @@
 
 /// Serves on `listener` until the reducer asks for the end. Must run inside a `LocalSet`.
 pub async fn serve(
-    mut state: State,
+    mut state: Engine,
     clock: Clock,
     names: Names,
     listener: TcpListener,
     addresses: Addresses,
-    mut told: mpsc::Receiver<Told>,
-    beside: Beside,
+    mut told: mpsc::Receiver<OperatorSignal>,
+    beside: Extensions,
 ) -> io::Result<()> {
     let (inputs, mut arrived) = mpsc::channel(MOST_INPUTS);
     let shared = Shared {
@@ -186,19 +186,19 @@
     beside
         .fronts
         .into_iter()
-        .for_each(|start| start(Door::new(shared.clone())));
+        .for_each(|start| start(InternalClient::new(shared.clone())));
     let ledger = beside.recorder.map(Ledger::new);
-    let (discovery, links) = (addresses.discovery, HashMap::new());
+    let (discovery, connections) = (addresses.discovery, HashMap::new());
     let mut driver = Driver {
         shared,
-        links,
+        connections,
         udp,
         discovery,
         watch: None,
         ledger,
         exited: false,
     };
-    driver.put(&mut state, clock.now(), Input::Turn);
+    driver.put(&mut state, clock.now(), Input::BatchEnded);
     while !driver.exited {
         // One timer for both: to arm another for each turn costs more than what it is for.
         let held = driver.ledger.as_ref().and_then(Ledger::until);
@@ -212,8 +212,8 @@
             biased;
             Some(told) = told.recv() => {
                 let input = match told {
-                    Told::End => Input::Terminate,
-                    Told::Reload(addresses) => driver.reload(addresses),
+                    OperatorSignal::Shutdown => Input::ShutdownRequested,
+                    OperatorSignal::Reload(addresses) => driver.reload(addresses),
                 };
                 driver.put(&mut state, clock.now(), input);
             }
@@ -230,12 +230,12 @@
                     let Ok(input) = arrived.try_recv() else { break };
                     driver.put(&mut state, now, input);
                 }
-                driver.put(&mut state, now, Input::Turn);
+                driver.put(&mut state, now, Input::BatchEnded);
                 continue;
             }
             () = sleep_until(due.unwrap_or_else(|| clock.instant(0))), if due.is_some() => {}
         }
-        driver.put(&mut state, clock.now(), Input::Turn);
+        driver.put(&mut state, clock.now(), Input::BatchEnded);
         driver.release();
     }
     driver.close_ledger();
@@ -257,7 +257,7 @@
 }
 
 impl Driver {
-    fn put(&mut self, state: &mut State, now: u64, input: Input) {
+    fn put(&mut self, state: &mut Engine, now: u64, input: Input) {
         for effect in state.apply(now, input) {
             self.perform(effect);
         }
@@ -273,14 +273,14 @@
         self.discovery = addresses
             .as_ref()
             .map_or(self.discovery, |addresses| addresses.discovery);
-        Input::Reloaded {
+        Input::ConfigurationReloaded {
             usable: addresses.is_some(),
         }
     }
 
     fn perform(&mut self, effect: Effect) {
         match effect {
-            Effect::Reply {
+            Effect::SendReply {
                 client,
                 reply,
                 close,
@@ -297,33 +297,38 @@
                 }
                 self.tell_client(client, clients::Command::Close);
             }
-            Effect::Record(usage) => {
+            Effect::RecordUsage(usage) => {
                 if let Some(ledger) = &mut self.ledger {
                     ledger.record(usage);
                 }
             }
-            Effect::Mark(mark) => {
+            Effect::RecordWatermark(mark) => {
                 if let Some(ledger) = &mut self.ledger {
                     ledger.mark(mark);
                 }
             }
-            Effect::Connect { link, address } => {
-                self.links.retain(|_, handle| !handle.is_over());
-                self.links
-                    .insert(link, leaf::open(self.shared.clone(), link, address));
+            Effect::OpenConnection {
+                connection,
+                address,
+            } => {
+                self.connections.retain(|_, handle| !handle.is_over());
+                self.connections.insert(
+                    connection,
+                    leaf::open(self.shared.clone(), connection, address),
+                );
             }
-            Effect::Write { link, frame } => {
-                if let Some(handle) = self.links.get(&link) {
+            Effect::WriteFrame { connection, frame } => {
+                if let Some(handle) = self.connections.get(&connection) {
                     handle.write(frame);
                 }
             }
-            Effect::CloseLink { link } => drop(self.links.remove(&link)),
-            Effect::Datagram { to, bytes } => {
+            Effect::CloseConnection { connection } => drop(self.connections.remove(&connection)),
+            Effect::SendGossip { to, bytes } => {
                 if let Some(Udp { socket, book, .. }) = &self.udp {
                     book.send(socket, to, &bytes);
                 }
             }
-            Effect::Watch {
+            Effect::StartWatch {
                 watch,
                 from,
                 answer_within,
--- a/crates/core/src/transport/peers.rs
+++ b/crates/core/src/net/peers.rs
@@ -1,7 +1,7 @@
 //! Datagrams between the mixers of a tier. They may be lost: nothing waits for one.
 
 use super::{Addresses, Shared};
-use crate::routing::Input;
+use crate::engine::Input;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::UdpSocket;
@@ -40,7 +40,7 @@
             continue;
         };
         if let Some(from) = book.peers.iter().position(|peer| *peer == sender) {
-            let input = Input::Datagram {
+            let input = Input::GossipReceived {
                 from: from as u32,
                 bytes: buffer[..length].to_vec(),
             };
--- a/crates/core/src/transport/watch.rs
+++ b/crates/core/src/net/watch.rs
@@ -1,9 +1,9 @@
 //! The watch on discovery: one long answer. When to ask for it again is for the module to say.
 
 use super::Shared;
+use crate::engine::Input;
 use crate::protocol::discovery;
 use crate::protocol::http::{WatchCodec, WatchRequest};
-use crate::routing::Input;
 use futures_util::{SinkExt, StreamExt};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
@@ -68,18 +68,18 @@
             from: *index,
         })
         .await?;
-    let mut patience = answer_within;
+    let mut client_timeout = answer_within;
     loop {
-        let message = match timeout(patience, connection.next()).await {
+        let message = match timeout(client_timeout, connection.next()).await {
             Ok(message) => message,
             // It has begun to answer: from there on it may be as silent as any.
-            Err(_) if patience < SILENT && connection.codec().has_begun() => {
-                patience = SILENT;
+            Err(_) if client_timeout < SILENT && connection.codec().has_begun() => {
+                client_timeout = SILENT;
                 continue;
             }
             Err(_) => return Err(ErrorKind::TimedOut.into()),
         };
-        patience = SILENT;
+        client_timeout = SILENT;
         let Some(message) = message else {
             return Err(ErrorKind::UnexpectedEof.into());
         };
@@ -87,7 +87,7 @@
             discovery::message(&message?).map_err(|e| io::Error::new(ErrorKind::InvalidData, e))?;
         if let Some(listing) = listing {
             let next = listing.index;
-            let _ = shared.inputs.send(Input::Listed(listing)).await;
+            let _ = shared.inputs.send(Input::EndpointsUpdated(listing)).await;
             *index = next;
         }
     }
--- a/crates/core/src/protocol/discovery.rs
+++ b/crates/core/src/protocol/discovery.rs
@@ -27,14 +27,14 @@
 /// A message of discovery: with `snapshot` the complete list, else the changes since the one
 /// before.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq)]
-pub struct Listing {
+pub struct EndpointUpdate {
     pub index: u64,
     pub snapshot: bool,
     pub endpoints: Vec<Endpoint>,
 }
 
 /// Reads one message of a watch; none for the empty line that only shows that the watch lives.
-pub fn message(bytes: &[u8]) -> Result<Option<Listing>, String> {
+pub fn message(bytes: &[u8]) -> Result<Option<EndpointUpdate>, String> {
     let bytes = bytes.trim_ascii();
     if bytes.is_empty() {
         return Ok(None);
--- a/crates/core/src/protocol/http.rs
+++ b/crates/core/src/protocol/http.rs
@@ -2,7 +2,7 @@
 //! and a client codec for one watch. Bodies have a length or come in chunks and hold 64 KiB at
 //! most.
 
-use crate::interface::Nanos;
+use crate::api::Nanos;
 use bytes::{Buf, Bytes, BytesMut};
 use std::io::{self, ErrorKind};
 use tokio_util::codec::{Decoder, Encoder};
@@ -16,13 +16,13 @@
 
 /// Why a request is turned away before any decision, with the status that says so.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Rejection {
+pub struct RequestError {
     pub status: u16,
     pub why: &'static str,
 }
 
-pub const fn bad(why: &'static str) -> Rejection {
-    Rejection { status: 400, why }
+pub const fn bad(why: &'static str) -> RequestError {
+    RequestError { status: 400, why }
 }
 
 /// One whole request; the last byte of its body has been read.
@@ -194,14 +194,14 @@
         self.dead = true;
     }
 
-    fn read_head(src: &mut BytesMut) -> Result<Option<(Request, Body)>, Rejection> {
+    fn read_head(src: &mut BytesMut) -> Result<Option<(Request, Body)>, RequestError> {
         let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
         let mut parsed = httparse::Request::new(&mut headers);
         let length = match parsed.parse(&src[..src.len().min(MOST_HEAD)]) {
             Ok(httparse::Status::Complete(length)) => length,
             Ok(httparse::Status::Partial) if src.len() < MOST_HEAD => return Ok(None),
             Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
-                return Err(Rejection {
+                return Err(RequestError {
                     status: 431,
                     why: "head too large",
                 });
@@ -212,7 +212,7 @@
             .map_err(bad)?
             .unwrap_or(Body::Length(0));
         if matches!(body, Body::Length(n) if n > MOST_BODY) {
-            return Err(Rejection {
+            return Err(RequestError {
                 status: 413,
                 why: "body too large",
             });
@@ -224,7 +224,7 @@
                 let value = std::str::from_utf8(h.value).map_err(|_| bad("header is not UTF-8"))?;
                 Ok((h.name.to_ascii_lowercase(), value.trim().to_string()))
             })
-            .collect::<Result<_, Rejection>>()?;
+            .collect::<Result<_, RequestError>>()?;
         let connection = headers
             .iter()
             .find(|(n, _)| n == "connection")
@@ -252,23 +252,23 @@
         )))
     }
 
-    fn read(&mut self, src: &mut BytesMut) -> Result<Option<Request>, Rejection> {
+    fn read(&mut self, src: &mut BytesMut) -> Result<Option<Request>, RequestError> {
         if self.head.is_none() {
             self.head = Self::read_head(src)?;
         }
         let Some((_, body)) = &mut self.head else {
             return Ok(None);
         };
-        let whole = body
-            .read(src, &mut self.body, MOST_BODY)
-            .map_err(|broken| match broken {
-                Broken::Chunk => bad("bad chunk"),
-                Broken::TooLarge => Rejection {
-                    status: 413,
-                    why: "body too large",
-                },
-            })?;
-        if !whole {
+        let complete =
+            body.read(src, &mut self.body, MOST_BODY)
+                .map_err(|broken| match broken {
+                    Broken::Chunk => bad("bad chunk"),
+                    Broken::TooLarge => RequestError {
+                        status: 413,
+                        why: "body too large",
+                    },
+                })?;
+        if !complete {
             return Ok(None);
         }
         let body = std::mem::take(&mut self.body).freeze();
@@ -277,7 +277,7 @@
 }
 
 impl Decoder for ServerCodec {
-    type Item = Result<Request, Rejection>;
+    type Item = Result<Request, RequestError>;
     type Error = io::Error;
 
     fn decode(&mut self, src: &mut BytesMut) -> io::Result<Option<Self::Item>> {
@@ -459,7 +459,7 @@
         let Some(body) = &mut self.body else {
             return Ok(None);
         };
-        let whole = body
+        let complete = body
             .read(src, &mut self.text, MOST_LIST)
             .map_err(|e| invalid(format!("{e:?}")))?;
         while let Some(found) = self.scan.on(&self.text) {
@@ -474,7 +474,7 @@
                 return Ok(Some(text));
             }
         }
-        if whole {
+        if complete {
             return Err(ErrorKind::UnexpectedEof.into());
         }
         Ok(None)
--- a/crates/core/src/protocol/leaf.rs
+++ b/crates/core/src/protocol/leaf.rs
@@ -20,11 +20,11 @@
 }
 
 #[derive(Clone, Debug, PartialEq)]
-pub enum ToLeaf {
+pub enum LeafRequest {
     Call(Vec<CallPart>),
-    GiveUp(Rc<str>),
-    Probe,
-    ProbeLoad,
+    Cancel(Rc<str>),
+    HealthCheck,
+    LoadReport,
 }
 
 /// How a leaf server says that a part ended.
@@ -36,22 +36,22 @@
 }
 
 #[derive(Clone, Debug, PartialEq)]
-pub enum FromLeaf {
-    Answer {
+pub enum LeafResponse {
+    PartResult {
         id: String,
         end: End,
         report: String,
         value: Bytes,
     },
-    Probed {
+    HealthCheckResult {
         ok: bool,
         report: String,
     },
     /// The frame before could not be used; the leaf server closes the connection.
-    Complaint(String),
+    ProtocolError(String),
     /// What can't be read, with the id it is for if that can. Where the next frame begins is not
     /// known, so the connection is of no more use.
-    Spoilt(Option<String>),
+    Malformed(Option<String>),
 }
 
 /// After what it can't read it reads nothing more.
@@ -62,20 +62,20 @@
 
 impl LeafCodec {
     /// What is held of a frame whose rest does not come: given up.
-    pub fn cut_short(&mut self, held: &[u8]) -> FromLeaf {
+    pub fn cut_short(&mut self, held: &[u8]) -> LeafResponse {
         self.dead = true;
         spoilt(held.get(4..).unwrap_or_default())
     }
 }
 
-impl Encoder<ToLeaf> for LeafCodec {
+impl Encoder<LeafRequest> for LeafCodec {
     type Error = io::Error;
 
-    fn encode(&mut self, frame: ToLeaf, dst: &mut BytesMut) -> io::Result<()> {
+    fn encode(&mut self, frame: LeafRequest, dst: &mut BytesMut) -> io::Result<()> {
         let at = dst.len();
         dst.put_u32(0);
         match frame {
-            ToLeaf::Call(parts) => {
+            LeafRequest::Call(parts) => {
                 dst.put_u8(b'Q');
                 for part in parts {
                     let CallPart {
@@ -88,12 +88,12 @@
                     dst.put_slice(&text);
                 }
             }
-            ToLeaf::GiveUp(id) => {
+            LeafRequest::Cancel(id) => {
                 dst.put_u8(b'X');
                 dst.put_slice(id.as_bytes());
             }
-            ToLeaf::Probe => dst.put_u8(b'P'),
-            ToLeaf::ProbeLoad => dst.put_u8(b'L'),
+            LeafRequest::HealthCheck => dst.put_u8(b'P'),
+            LeafRequest::LoadReport => dst.put_u8(b'L'),
         }
         let length = u32::try_from(dst.len() - at - 4).map_err(|_| ErrorKind::InvalidInput)?;
         dst[at..at + 4].copy_from_slice(&length.to_be_bytes());
@@ -102,10 +102,10 @@
 }
 
 impl Decoder for LeafCodec {
-    type Item = FromLeaf;
+    type Item = LeafResponse;
     type Error = io::Error;
 
-    fn decode(&mut self, src: &mut BytesMut) -> io::Result<Option<FromLeaf>> {
+    fn decode(&mut self, src: &mut BytesMut) -> io::Result<Option<LeafResponse>> {
         if self.dead {
             src.clear();
             return Ok(None);
@@ -133,19 +133,19 @@
         let body = Bytes::copy_from_slice(&src[..length]);
         src.advance(length);
         let frame = read(&body);
-        self.dead = matches!(frame, FromLeaf::Spoilt(_));
+        self.dead = matches!(frame, LeafResponse::Malformed(_));
         Ok(Some(frame))
     }
 }
 
-fn read(body: &Bytes) -> FromLeaf {
+fn read(body: &Bytes) -> LeafResponse {
     let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).trim().to_string();
     match body[0] {
         b'A' => answer(body.slice(1..)).unwrap_or_else(|| spoilt(body)),
-        b'E' => FromLeaf::Complaint(text(&body[1..])),
+        b'E' => LeafResponse::ProtocolError(text(&body[1..])),
         _ => {
             let report = text(&body[1..]);
-            FromLeaf::Probed {
+            LeafResponse::HealthCheckResult {
                 ok: report != "err",
                 report,
             }
@@ -155,20 +155,20 @@
 
 /// A frame that can't be read, from its letter on. The id is worth something only if it is there to
 /// its end.
-fn spoilt(body: &[u8]) -> FromLeaf {
+fn spoilt(body: &[u8]) -> LeafResponse {
     let words = body.strip_prefix(b"A").unwrap_or_default();
     let id = words
         .iter()
         .position(|b| *b == b' ')
         .map(|end| &words[..end]);
-    FromLeaf::Spoilt(
+    LeafResponse::Malformed(
         id.and_then(|id| std::str::from_utf8(id).ok())
             .map(str::to_string),
     )
 }
 
 /// An answer, if all of its line is as it should be. A report that can't be read is only no report.
-fn answer(rest: Bytes) -> Option<FromLeaf> {
+fn answer(rest: Bytes) -> Option<LeafResponse> {
     let end = rest.iter().position(|b| *b == b'\n')?;
     let line = std::str::from_utf8(&rest[..end]).ok()?;
     let mut words = line.splitn(4, ' ');
@@ -184,7 +184,7 @@
         "busy" => End::Busy,
         _ => return None,
     };
-    Some(FromLeaf::Answer {
+    Some(LeafResponse::PartResult {
         id: id.to_string(),
         end,
         report: report.to_string(),
--- a/crates/core/src/protocol/query.rs
+++ b/crates/core/src/protocol/query.rs
@@ -1,8 +1,8 @@
 //! Queries as clients put them over HTTP, and the replies: the only place that knows this dialect.
 //! Another protocol makes the same [`Asked`] from its own requests and renders the same [`Reply`].
 
-use super::http::{bad, Rejection, Request, Response};
-use crate::interface::Nanos;
+use super::http::{bad, Request, RequestError, Response};
+use crate::api::Nanos;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -15,12 +15,12 @@
     /// For each class, how long a client waits that does not say.
     pub deadlines: Vec<Nanos>,
     /// For each class, the least share of the weight that an answer may rest on.
-    pub floors: Vec<f64>,
+    pub minimum_coverages: Vec<f64>,
     pub shards: u32,
 }
 
 #[derive(Clone, Debug, PartialEq)]
-pub struct AskedPart {
+pub struct QueryPart {
     pub shard: u32,
     pub weight: f64,
     pub work: Option<Nanos>,
@@ -35,16 +35,16 @@
     pub tenant: u32,
     /// How long the client waits, from the moment it sent the query.
     pub timeout: Nanos,
-    pub repeat: bool,
+    pub is_retry: bool,
     /// The client's own name for a use, the same on each of its tries.
     pub idempotency_key: Option<String>,
-    pub parts: Vec<AskedPart>,
+    pub parts: Vec<QueryPart>,
     pub text: Bytes,
 }
 
 /// What a client wants.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Asked {
+pub enum ClientRequest {
     Query(Query),
     Ready,
     Stats,
@@ -60,17 +60,17 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
     Answer {
-        whole: bool,
+        complete: bool,
         hits: Vec<Hit>,
     },
-    Refused {
-        come_back: Option<Nanos>,
+    Rejected {
+        retry_after: Option<Nanos>,
     },
     Failed,
     Ready(bool),
     /// The counters, as JSON.
     Stats(Vec<u8>),
-    Rejected(Rejection),
+    InvalidRequest(RequestError),
 }
 
 #[derive(Deserialize)]
@@ -88,18 +88,18 @@
 }
 
 /// Reads what a request wants, or says what is wrong with it.
-pub fn read(request: &Request, names: &Names) -> Result<Asked, Rejection> {
+pub fn read(request: &Request, names: &Names) -> Result<ClientRequest, RequestError> {
     let path = request.path.split(['?', '#']).next().unwrap_or_default();
-    let wanted = |method: &'static str, asked: Asked| {
+    let wanted = |method: &'static str, asked: ClientRequest| {
         let fits = request.method == method;
-        fits.then_some(asked).ok_or(Rejection {
+        fits.then_some(asked).ok_or(RequestError {
             status: 405,
             why: "GET",
         })
     };
     match path {
-        "/-/ready" => return wanted("GET", Asked::Ready),
-        "/-/stats" => return wanted("GET", Asked::Stats),
+        "/-/ready" => return wanted("GET", ClientRequest::Ready),
+        "/-/stats" => return wanted("GET", ClientRequest::Stats),
         _ => {}
     }
     let first = path
@@ -109,12 +109,12 @@
         .next()
         .unwrap_or_default();
     let class = names.classes.iter().position(|name| name == first);
-    let class = class.ok_or(Rejection {
+    let class = class.ok_or(RequestError {
         status: 404,
         why: "no such class",
     })?;
     if request.method != "POST" {
-        return Err(Rejection {
+        return Err(RequestError {
             status: 405,
             why: "POST",
         });
@@ -151,12 +151,12 @@
     };
     let body: Body =
         serde_json::from_slice(&request.body).map_err(|_| bad("body is not a query"))?;
-    Ok(Asked::Query(Query {
+    Ok(ClientRequest::Query(Query {
         name: name.to_string(),
         class: class as u16,
         tenant: tenant as u32,
         timeout,
-        repeat: request.header("x-retried") == Some("1"),
+        is_retry: request.header("x-retried") == Some("1"),
         idempotency_key,
         parts: parts(body.shards, names.shards)?,
         text: Bytes::from(body.q),
@@ -170,7 +170,7 @@
 const ROUNDING: f64 = 0.01;
 
 /// The parts, each shard once: a second one would have the same name at the leaf server.
-fn parts(shards: Vec<Shard>, most: u32) -> Result<Vec<AskedPart>, Rejection> {
+fn parts(shards: Vec<Shard>, most: u32) -> Result<Vec<QueryPart>, RequestError> {
     let mut seen = BTreeSet::new();
     if shards.is_empty() {
         return Err(bad("no shards"));
@@ -186,13 +186,13 @@
             .cost
             .filter(|c| *c >= 0.0)
             .map(|c| (c * 1e3).min(LONGEST) as Nanos);
-        Ok(AskedPart {
+        Ok(QueryPart {
             shard: s.shard,
             weight: s.weight,
             work,
         })
     };
-    let parts: Vec<AskedPart> = shards.into_iter().map(part).collect::<Result<_, _>>()?;
+    let parts: Vec<QueryPart> = shards.into_iter().map(part).collect::<Result<_, _>>()?;
     let sum: f64 = parts.iter().map(|part| part.weight).sum();
     let fits = (sum - 1.0).abs() <= ROUNDING;
     fits.then_some(parts)
@@ -236,25 +236,25 @@
         ..Response::default()
     };
     match reply {
-        Reply::Answer { whole, hits } => {
+        Reply::Answer { complete, hits } => {
             let body = serde_json::to_vec(&AnswerBody {
-                complete: *whole,
+                complete: *complete,
                 hits,
             });
             plain(200, body.unwrap_or_default())
         }
-        Reply::Refused { come_back } => Response {
-            retry_after: *come_back,
+        Reply::Rejected { retry_after } => Response {
+            retry_after: *retry_after,
             ..plain(503, note("refused, try again"))
         },
         Reply::Failed => plain(504, note("failed")),
         Reply::Ready(true) => plain(200, b"{\"ready\":true}".to_vec()),
         Reply::Ready(false) => plain(503, b"{\"ready\":false}".to_vec()),
         Reply::Stats(text) => plain(200, text.clone()),
-        Reply::Rejected(Rejection { status: 405, why }) => Response {
+        Reply::InvalidRequest(RequestError { status: 405, why }) => Response {
             allow: Some(why),
             ..plain(405, note("method not allowed"))
         },
-        Reply::Rejected(Rejection { status, why }) => plain(*status, note(why)),
+        Reply::InvalidRequest(RequestError { status, why }) => plain(*status, note(why)),
     }
 }
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -3,7 +3,7 @@
 //! out of range, is named in the error. The simulator's wire carries this text; a real mixer's JSON
 //! is flattened to it first.
 
-use crate::interface::{Budget, Class, Effect, Settings};
+use crate::api::{Idempotency, QueryClass, RetryBudget, Settings};
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
@@ -32,7 +32,7 @@
             .get::<usize>(&format!("{list}.count"))?
             .unwrap_or_default();
         (0..count)
-            .map(|i| self.need(&format!("{list}.{i}.name")))
+            .map(|i| self.required(&format!("{list}.{i}.name")))
             .collect()
     }
 
@@ -44,7 +44,7 @@
         self.0.get(key).map(parse).transpose()
     }
 
-    fn need<T: FromStr>(&self, key: &str) -> Result<T, String> {
+    fn required<T: FromStr>(&self, key: &str) -> Result<T, String> {
         self.get(key)?.ok_or(format!("setting {key} is missing"))
     }
 
@@ -61,7 +61,7 @@
 
     /// A whole number above zero.
     fn positive(&self, key: &str) -> Result<u64, String> {
-        match self.need(key)? {
+        match self.required(key)? {
             0 => Err(format!("setting {key}: 0 is out of range")),
             number => Ok(number),
         }
@@ -96,41 +96,41 @@
 
 pub fn parse(text: &str) -> Result<Settings, String> {
     let pairs = Pairs::read(text)?;
-    let classes: Vec<Class> = (0..pairs.positive("classes.count")? as usize)
+    let classes: Vec<QueryClass> = (0..pairs.positive("classes.count")? as usize)
         .map(|i| class(&pairs, i))
         .collect::<Result<_, _>>()?;
     Ok(Settings {
         classes,
         zone: pairs.get("my_zone")?.unwrap_or_default(),
-        zone_price: pairs.number("tariffs.cross_zone")?.unwrap_or_default(),
-        cells: number32(&pairs, "extra.places")?,
-        reach: number32(&pairs, "extra.reach")?,
-        call_parts: pairs.get("extra.bundle_max")?,
-        coordinators: number32(&pairs, "replicas_of_me")?,
+        cross_zone_price: pairs.number("tariffs.cross_zone")?.unwrap_or_default(),
+        placement_cells: number32(&pairs, "extra.places")?,
+        cells_per_shard: number32(&pairs, "extra.reach")?,
+        max_parts_per_call: pairs.get("extra.bundle_max")?,
+        aggregators: number32(&pairs, "replicas_of_me")?,
         tick: pairs.positive("tick_ns")?,
         max_attempts: pairs.get("limits.max_attempts")?,
-        may_cancel: pairs.flag("limits.cancelling")?,
-        repeats_marked: pairs.flag("callers.marks_retry")?,
-        second_copies: pairs.flag("limits.may_duplicate")?,
-        may_probe: pairs.flag("limits.may_probe")?,
-        longest_retry_advice: come_back(&pairs)?.unwrap_or_default(),
-        cold_from: pairs.number("guarantees.cold_from")?,
-        cold_time: pairs.time("guarantees.cold_ns")?,
-        fall_multiple: pairs.number("guarantees.fall_multiple")?,
-        fall_time: pairs.time("guarantees.fall_ns")?,
-        budget: budget(&pairs)?,
-        idle_time: pairs.time("limits.conn_idle_ns")?,
-        drain_grace: pairs
+        cancellation_allowed: pairs.flag("limits.cancelling")?,
+        retries_marked: pairs.flag("callers.marks_retry")?,
+        hedging_allowed: pairs.flag("limits.may_duplicate")?,
+        health_checks_allowed: pairs.flag("limits.may_probe")?,
+        max_retry_after: retry_after(&pairs)?.unwrap_or_default(),
+        initial_capacity: pairs.number("guarantees.cold_from")?,
+        warm_up_time: pairs.time("guarantees.cold_ns")?,
+        overload_multiple: pairs.number("guarantees.fall_multiple")?,
+        overload_window: pairs.time("guarantees.fall_ns")?,
+        retry_budget: retry_budget(&pairs)?,
+        idle_timeout: pairs.time("limits.conn_idle_ns")?,
+        drain_notice: pairs
             .get("guarantees.stop_sending_within_ns")?
             .filter(|it| *it > 0)
-            .unwrap_or(DRAIN_GRACE),
-        list_on_request: pairs.0.get("discovery") == Some(&"on_request"),
-        list_within: pairs.time("guarantees.ask_within_ns")?,
+            .unwrap_or(DEFAULT_DRAIN_NOTICE),
+        endpoint_list_polled: pairs.0.get("discovery") == Some(&"on_request"),
+        poll_interval: pairs.time("guarantees.ask_within_ns")?,
     })
 }
 
 /// The longest advice on when to come back; none where the settings allow none.
-fn come_back(pairs: &Pairs) -> Result<Option<u64>, String> {
+fn retry_after(pairs: &Pairs) -> Result<Option<u64>, String> {
     let longest = pairs.time("limits.max_retry_after_ns")?;
     let allowed = pairs.flag("limits.retry_after")?;
     Ok(Some(longest).filter(|longest| allowed && *longest > 0))
@@ -140,40 +140,40 @@
     u32::try_from(pairs.positive(key)?).map_err(|_| format!("setting {key} is out of range"))
 }
 
-fn class(pairs: &Pairs, i: usize) -> Result<Class, String> {
+fn class(pairs: &Pairs, i: usize) -> Result<QueryClass, String> {
     let key = |name: &str| format!("classes.{i}.{name}");
-    let effect = match pairs.need::<String>(&key("semantics"))?.as_str() {
-        "read_like" => Effect::Safe,
-        "idempotency_key" => Effect::Keyed,
-        "non_idempotent" => Effect::Unsafe,
+    let idempotency = match pairs.required::<String>(&key("semantics"))?.as_str() {
+        "read_like" => Idempotency::Idempotent,
+        "idempotency_key" => Idempotency::IdempotentWithKey,
+        "non_idempotent" => Idempotency::NonIdempotent,
         other => return Err(format!("setting {}: bad value '{other}'", key("semantics"))),
     };
-    let late_worth = pairs.number(&key("late_value"))?.unwrap_or_default();
-    Ok(Class {
-        aim: pairs.positive(&key("aim_ns"))?,
-        aim_stretch: pairs.number(&key("aim_stretch"))?,
+    let late_value = pairs.number(&key("late_value"))?.unwrap_or_default();
+    Ok(QueryClass {
+        latency_objective: pairs.positive(&key("aim_ns"))?,
+        objective_stretch: pairs.number(&key("aim_stretch"))?,
         deadline: pairs.positive(&key("give_up_ns"))?,
-        effect,
-        repeat_window: pairs.time(&key("dedup_window_ns"))?,
-        worth: pairs.number(&key("importance"))?,
-        late_worth,
-        need: pairs.share("extra.class_need", i)?,
-        floor: pairs.share("extra.least_share", i)?,
-        partial_earns: pairs.share("extra.partial_earns", i)?,
-        second_step: pairs.item("extra.second_step", i)?,
+        idempotency,
+        idempotency_window: pairs.time(&key("dedup_window_ns"))?,
+        priority_weight: pairs.number(&key("importance"))?,
+        late_value,
+        completeness_threshold: pairs.share("extra.class_need", i)?,
+        minimum_coverage: pairs.share("extra.least_share", i)?,
+        partial_value: pairs.share("extra.partial_earns", i)?,
+        second_step_parts: pairs.item("extra.second_step", i)?,
     })
 }
 
-fn budget(pairs: &Pairs) -> Result<Option<Budget>, String> {
-    let floor = pairs.number("guarantees.extra_floor")?;
-    let share = pairs.number("guarantees.budget_share")?;
-    let span = pairs.get("guarantees.budget_span_ns")?;
-    Ok(match (floor, share, span) {
+fn retry_budget(pairs: &Pairs) -> Result<Option<RetryBudget>, String> {
+    let minimum = pairs.number("guarantees.extra_floor")?;
+    let ratio = pairs.number("guarantees.budget_share")?;
+    let window = pairs.get("guarantees.budget_span_ns")?;
+    Ok(match (minimum, ratio, window) {
         (None, None, _) | (_, _, None) => None,
-        (floor, share, Some(span)) => Some(Budget {
-            floor: floor.unwrap_or_default(),
-            share: share.unwrap_or_default(),
-            span,
+        (minimum, ratio, Some(window)) => Some(RetryBudget {
+            minimum: minimum.unwrap_or_default(),
+            ratio: ratio.unwrap_or_default(),
+            window,
         }),
     })
 }
@@ -186,25 +186,25 @@
     pub zones: Vec<String>,
     /// Where this mixer is, by number.
     pub zone: u16,
-    /// For each class: the longest that a client waits, the share a whole answer needs, the least
+    /// For each class: the longest that a client waits, the share a whole answer completeness_thresholds, the least
     /// share.
     pub deadlines: Vec<u64>,
-    pub needs: Vec<f64>,
-    pub floors: Vec<f64>,
+    pub completeness_thresholds: Vec<f64>,
+    pub minimum_coverages: Vec<f64>,
     pub shards: u32,
-    pub call_parts: usize,
-    pub streams: usize,
+    pub max_parts_per_call: usize,
+    pub max_streams: usize,
     pub max_attempts: usize,
     /// Queries and parts that may be open.
-    pub open_cap: usize,
+    pub max_open: usize,
     pub connect_timeout: u64,
-    pub idle_time: u64,
+    pub idle_timeout: u64,
     /// What a refused client is told at most of when to come back, where it may be told.
-    pub come_back: Option<u64>,
-    pub peers: bool,
-    pub may_probe: bool,
+    pub retry_after: Option<u64>,
+    pub gossip_allowed: bool,
+    pub health_checks_allowed: bool,
     /// Names of the values in a load report; none where nothing is reported.
-    pub report: Vec<String>,
+    pub load_report_fields: Vec<String>,
 }
 
 pub fn site(text: &str) -> Result<Site, String> {
@@ -224,32 +224,34 @@
     let deadlines = (0..classes.len()).map(|i| pairs.positive(&format!("classes.{i}.give_up_ns")));
     Ok(Site {
         deadlines: deadlines.collect::<Result<_, _>>()?,
-        needs: each("extra.class_need")?,
-        floors: each("extra.least_share")?,
+        completeness_thresholds: each("extra.class_need")?,
+        minimum_coverages: each("extra.least_share")?,
         tenants: pairs.names("orgs")?,
         zones: pairs.list("localities"),
         zone: pairs.get("my_zone")?.unwrap_or_default(),
         shards: number32(&pairs, "extra.ranges")?,
-        call_parts: pairs.get("extra.bundle_max")?.unwrap_or(1).max(1),
-        streams: pairs.get("limits.streams_per_conn")?.unwrap_or(1).max(1),
+        max_parts_per_call: pairs.get("extra.bundle_max")?.unwrap_or(1).max(1),
+        max_streams: pairs.get("limits.streams_per_conn")?.unwrap_or(1).max(1),
         max_attempts: pairs
             .get("limits.max_attempts")?
             .unwrap_or(usize::from(u8::MAX)),
-        open_cap: pairs.get("limits.open_cap")?.unwrap_or(OPEN_CAP),
+        max_open: pairs.get("limits.open_cap")?.unwrap_or(DEFAULT_MAX_OPEN),
         connect_timeout: pairs
             .get("limits.connect_timeout_ns")?
-            .unwrap_or(CONNECT_TIMEOUT),
-        idle_time: pairs.get("limits.conn_idle_ns")?.unwrap_or(IDLE_TIME),
-        come_back: come_back(&pairs)?,
-        peers: pairs.flag("limits.peers")?,
-        may_probe: pairs.flag("limits.may_probe")?,
-        report: pairs.list("reporting.fields"),
+            .unwrap_or(DEFAULT_CONNECT_TIMEOUT),
+        idle_timeout: pairs
+            .get("limits.conn_idle_ns")?
+            .unwrap_or(DEFAULT_IDLE_TIMEOUT),
+        retry_after: retry_after(&pairs)?,
+        gossip_allowed: pairs.flag("limits.peers")?,
+        health_checks_allowed: pairs.flag("limits.may_probe")?,
+        load_report_fields: pairs.list("reporting.fields"),
         classes,
     })
 }
 
 /// Where the settings are silent: bounds that keep memory and waits in hand.
-const OPEN_CAP: usize = 4096;
-const DRAIN_GRACE: u64 = 2_000_000_000;
-const CONNECT_TIMEOUT: u64 = 250_000_000;
-const IDLE_TIME: u64 = 30_000_000_000;
+const DEFAULT_MAX_OPEN: usize = 4096;
+const DEFAULT_DRAIN_NOTICE: u64 = 2_000_000_000;
+const DEFAULT_CONNECT_TIMEOUT: u64 = 250_000_000;
+const DEFAULT_IDLE_TIMEOUT: u64 = 30_000_000_000;
--- a/crates/core/tests/bed/mod.rs
+++ b/crates/core/tests/bed/mod.rs
@@ -3,11 +3,11 @@
 
 #![allow(dead_code)] // Each test file uses its own part of it.
 
-use aggregator_core::protocol::discovery::Listing;
-use aggregator_core::protocol::leaf::{End, FromLeaf, ToLeaf};
-use aggregator_core::protocol::query::{Asked, AskedPart, Query, Reply};
-use aggregator_core::routing::usage::{Mark, Usage};
-use aggregator_core::routing::{ClientId, Effect, Input, LinkId, State};
+use aggregator_core::engine::usage::{UsageRecord, UsageWatermark};
+use aggregator_core::engine::{ClientId, ConnectionId, Effect, Engine, Input};
+use aggregator_core::protocol::discovery::EndpointUpdate;
+use aggregator_core::protocol::leaf::{End, LeafRequest, LeafResponse};
+use aggregator_core::protocol::query::{ClientRequest, Query, QueryPart, Reply};
 use aggregator_core::settings;
 use bytes::Bytes;
 use std::collections::{BTreeMap, BTreeSet};
@@ -25,28 +25,28 @@
 limits.max_retry_after_ns=500000000\nlimits.retry_after=true\nlocalities=north,south\n";
 
 pub struct Bed {
-    pub state: State,
+    pub state: Engine,
     pub now: u64,
     pub replies: BTreeMap<ClientId, Vec<(u64, Reply)>>,
     pub left: BTreeSet<ClientId>,
     /// Connections by their number: the address, and whether it is up.
-    pub links: BTreeMap<LinkId, (String, bool)>,
+    pub connections: BTreeMap<ConnectionId, (String, bool)>,
     /// All frames, and what is out at each connection.
-    pub frames: Vec<(LinkId, ToLeaf)>,
-    pub out: BTreeMap<LinkId, Vec<String>>,
+    pub frames: Vec<(ConnectionId, LeafRequest)>,
+    pub out: BTreeMap<ConnectionId, Vec<String>>,
     pub closed: Vec<ClientId>,
     pub listening: bool,
     pub exited: bool,
     /// No socket takes the last byte of a frame.
     pub stuck: bool,
-    pub records: Vec<Usage>,
-    pub marks: Vec<Mark>,
+    pub records: Vec<UsageRecord>,
+    pub marks: Vec<UsageWatermark>,
     /// When the list was watched anew.
     pub watches: Vec<u64>,
     /// The number of the last one.
     pub watch: u64,
     told: BTreeMap<String, String>,
-    writing: BTreeSet<LinkId>,
+    writing: BTreeSet<ConnectionId>,
     clients: u64,
     index: u64,
 }
@@ -55,7 +55,7 @@
     format!("127.0.{}.{}:7070", replica / 256, replica % 256)
 }
 
-fn listing(index: u64, snapshot: bool, lines: &[(u64, &str, u64)]) -> Listing {
+fn listing(index: u64, snapshot: bool, lines: &[(u64, &str, u64)]) -> EndpointUpdate {
     let line = |(replica, status, since): &(u64, &str, u64)| {
         serde_json::json!({"name": format!("s-{replica}"), "address": address(*replica), "zone": "north",
             "type": "m", "group": 0, "status": status, "weight": 1.0, "since_ms": since / MS})
@@ -83,7 +83,7 @@
         );
         let lines: Vec<_> = (1..=replicas).map(|r| (r, "up", 0)).collect();
         let mut bed = Bed {
-            state: State::new(
+            state: Engine::new(
                 START,
                 site,
                 decisions,
@@ -94,7 +94,7 @@
             now: START,
             replies: BTreeMap::new(),
             left: BTreeSet::new(),
-            links: BTreeMap::new(),
+            connections: BTreeMap::new(),
             frames: Vec::new(),
             out: BTreeMap::new(),
             closed: Vec::new(),
@@ -112,22 +112,22 @@
             clients: 0,
             index: 1,
         };
-        bed.put(Input::Turn);
+        bed.put(Input::BatchEnded);
         bed
     }
 
     /// One input and the turn after it.
     pub fn put(&mut self, input: Input) {
         let mut effects = self.state.apply(self.now, input);
-        effects.extend(self.state.apply(self.now, Input::Turn));
+        effects.extend(self.state.apply(self.now, Input::BatchEnded));
         effects.into_iter().for_each(|effect| self.perform(effect));
     }
 
     fn perform(&mut self, effect: Effect) {
         match effect {
-            Effect::Record(usage) => self.records.push(usage),
-            Effect::Mark(mark) => self.marks.push(mark),
-            Effect::Reply {
+            Effect::RecordUsage(usage) => self.records.push(usage),
+            Effect::RecordWatermark(mark) => self.marks.push(mark),
+            Effect::SendReply {
                 client,
                 reply,
                 close,
@@ -137,28 +137,32 @@
                     .or_default()
                     .push((self.now, reply));
                 if close {
-                    self.put(Input::ClientClosed { client });
+                    self.put(Input::ClientDisconnected { client });
                 }
             }
             Effect::CloseClient { client } => {
                 self.closed.push(client);
-                self.put(Input::ClientClosed { client });
+                self.put(Input::ClientDisconnected { client });
             }
-            Effect::Connect { link, address } => {
+            Effect::OpenConnection {
+                connection,
+                address,
+            } => {
                 assert_eq!(
                     self.told[&address.to_string()],
                     "up",
                     "no new connection where nothing may go"
                 );
-                self.links.insert(link, (address.to_string(), false));
+                self.connections
+                    .insert(connection, (address.to_string(), false));
             }
-            Effect::Write { link, frame } => {
-                let (address, up) = &self.links[&link];
+            Effect::WriteFrame { connection, frame } => {
+                let (address, up) = &self.connections[&connection];
                 assert!(*up, "nothing is written before the connection is up");
-                assert!(self.writing.insert(link), "one frame at a time");
-                let out = self.out.entry(link).or_default();
+                assert!(self.writing.insert(connection), "one frame at a time");
+                let out = self.out.entry(connection).or_default();
                 match &frame {
-                    ToLeaf::Call(parts) => {
+                    LeafRequest::Call(parts) => {
                         assert_eq!(
                             self.told[address], "up",
                             "nothing new goes to what drains or is gone"
@@ -173,24 +177,24 @@
                         }
                         assert!(out.len() <= 4, "no more than streams_per_conn");
                     }
-                    ToLeaf::GiveUp(id) => out.retain(|other| **other != **id),
-                    ToLeaf::Probe | ToLeaf::ProbeLoad => {}
+                    LeafRequest::Cancel(id) => out.retain(|other| **other != **id),
+                    LeafRequest::HealthCheck | LeafRequest::LoadReport => {}
                 }
-                self.frames.push((link, frame));
+                self.frames.push((connection, frame));
                 if !self.stuck {
-                    self.writing.remove(&link);
-                    self.put(Input::LinkWrote { link });
+                    self.writing.remove(&connection);
+                    self.put(Input::FrameWritten { connection });
                 }
             }
-            Effect::CloseLink { link } => {
-                self.links.remove(&link);
-                self.out.remove(&link);
+            Effect::CloseConnection { connection } => {
+                self.connections.remove(&connection);
+                self.out.remove(&connection);
             }
-            Effect::Watch { watch, .. } => {
+            Effect::StartWatch { watch, .. } => {
                 self.watches.push(self.now);
                 self.watch = watch;
             }
-            Effect::Datagram { .. } => {}
+            Effect::SendGossip { .. } => {}
             Effect::StopListening => self.listening = false,
             Effect::Exit(_) => self.exited = true,
         }
@@ -201,14 +205,14 @@
         let end = self.now + ms * MS;
         while let Some(due) = self.state.next_due().filter(|due| *due <= end) {
             self.now = self.now.max(due);
-            self.put(Input::Turn);
+            self.put(Input::BatchEnded);
         }
         self.now = end;
     }
 
     pub fn connect(&mut self) -> ClientId {
         self.clients += 1;
-        self.put(Input::ClientOpened {
+        self.put(Input::ClientConnected {
             client: self.clients,
         });
         self.clients
@@ -221,7 +225,7 @@
     }
 
     pub fn ask_on(&mut self, client: ClientId, class: u16, weights: &[f64], timeout_ms: u64) {
-        let part = |(shard, weight): (usize, &f64)| AskedPart {
+        let part = |(shard, weight): (usize, &f64)| QueryPart {
             shard: shard as u32,
             weight: *weight,
             work: None,
@@ -231,86 +235,86 @@
             class,
             tenant: 0,
             timeout: timeout_ms * MS,
-            repeat: false,
+            is_retry: false,
             idempotency_key: None,
             parts: weights.iter().enumerate().map(part).collect(),
             text: Bytes::from_static(b"c41e77d0"),
         };
         self.replies.entry(client).or_default();
-        self.put(Input::Asked {
+        self.put(Input::RequestReceived {
             client,
             arrived: self.now,
-            asked: Ok(Asked::Query(query)),
+            request: Ok(ClientRequest::Query(query)),
         });
     }
 
-    pub fn open(&mut self, link: LinkId) {
-        if let Some(it) = self.links.get_mut(&link).filter(|it| !it.1) {
+    pub fn open(&mut self, connection: ConnectionId) {
+        if let Some(it) = self.connections.get_mut(&connection).filter(|it| !it.1) {
             it.1 = true;
-            self.put(Input::LinkOpened { link });
+            self.put(Input::ConnectionOpened { connection });
         }
     }
 
     pub fn open_all(&mut self) {
-        self.links
+        self.connections
             .keys()
             .copied()
             .collect::<Vec<_>>()
             .into_iter()
-            .for_each(|link| self.open(link));
+            .for_each(|connection| self.open(connection));
     }
 
     /// The oldest part out at a connection ends.
-    pub fn answer(&mut self, link: LinkId, end: End) {
-        let out = self.out.entry(link).or_default();
+    pub fn answer(&mut self, connection: ConnectionId, end: End) {
+        let out = self.out.entry(connection).or_default();
         if !out.is_empty() {
             let id = out.remove(0);
-            self.answer_to(link, &id, end);
+            self.answer_to(connection, &id, end);
         }
     }
 
-    pub fn answer_to(&mut self, link: LinkId, id: &str, end: End) {
+    pub fn answer_to(&mut self, connection: ConnectionId, id: &str, end: End) {
         let value = Bytes::from(format!("doc {id}"));
-        let frame = FromLeaf::Answer {
+        let frame = LeafResponse::PartResult {
             id: id.to_string(),
             end,
             report: "-".into(),
             value,
         };
-        self.put(Input::LinkHeard { link, frame });
+        self.put(Input::FrameReceived { connection, frame });
     }
 
     /// All that is out is answered.
     pub fn answer_all(&mut self) {
-        while let Some(link) = self
+        while let Some(connection) = self
             .out
             .iter()
             .find(|(_, out)| !out.is_empty())
-            .map(|(link, _)| *link)
+            .map(|(connection, _)| *connection)
         {
-            self.answer(link, End::Ok);
+            self.answer(connection, End::Ok);
         }
     }
 
     /// Something comes that can't be read, with or without the id of the oldest part out.
-    pub fn spoil(&mut self, link: LinkId, named: bool) {
+    pub fn spoil(&mut self, connection: ConnectionId, named: bool) {
         let id = self
             .out
-            .get(&link)
+            .get(&connection)
             .and_then(|out| out.first().cloned())
             .filter(|_| named);
-        if self.links[&link].1 {
-            self.put(Input::LinkHeard {
-                link,
-                frame: FromLeaf::Spoilt(id),
+        if self.connections[&connection].1 {
+            self.put(Input::FrameReceived {
+                connection,
+                frame: LeafResponse::Malformed(id),
             });
         }
     }
 
-    pub fn break_off(&mut self, link: LinkId) {
-        self.links.remove(&link);
-        self.out.remove(&link);
-        self.put(Input::LinkClosed { link });
+    pub fn break_off(&mut self, connection: ConnectionId) {
+        self.connections.remove(&connection);
+        self.out.remove(&connection);
+        self.put(Input::ConnectionClosed { connection });
     }
 
     /// Notes what a list says of an address, for the checks on what is written there.
@@ -321,7 +325,7 @@
     pub fn list(&mut self, replica: u64, status: &str, since: u64) {
         self.index += 1;
         self.told(&address(replica), status);
-        self.put(Input::Listed(listing(
+        self.put(Input::EndpointsUpdated(listing(
             self.index,
             false,
             &[(replica, status, since)],
@@ -333,7 +337,7 @@
         if self.clients > 0 {
             let client = 1 + dice % self.clients;
             if self.left.insert(client) {
-                self.put(Input::ClientClosed { client });
+                self.put(Input::ClientDisconnected { client });
             }
         }
     }
--- a/crates/core/tests/connection.rs
+++ b/crates/core/tests/connection.rs
@@ -4,8 +4,8 @@
 
 mod bed;
 
-use aggregator_core::protocol::leaf::{End, ToLeaf};
-use aggregator_core::routing::link::{Answered, AttemptId, Job, Link};
+use aggregator_core::engine::leaf_connection::{Answered, AttemptId, Job, LeafConnection};
+use aggregator_core::protocol::leaf::{End, LeafRequest};
 use bed::{Bed, MS};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -77,31 +77,31 @@
 
     #[test]
     fn a_connection_keeps_to_its_model(steps in prop::collection::vec(step(), 1..60), ours in any::<bool>()) {
-        let (mut link, mut model) = (Link::new(0), Model::default());
+        let (mut connection, mut model) = (LeafConnection::new(0), Model::default());
         for (n, step) in steps.into_iter().enumerate() {
             let now = n as u64 * MS;
             match step {
                 Step::Queue => {
                     let attempt = (n as u64, 0);
-                    link.queue(attempt, wire(attempt), false, 1);
+                    connection.queue(attempt, wire(attempt), false, 1);
                     model.stages.insert(attempt, Stage::Waiting);
                     model.frames.push_back(Job::Call(vec![(attempt, wire(attempt))]));
                 }
                 Step::Open => {
-                    link.opened(now);
+                    connection.opened(now);
                     model.open = true;
                 }
                 Step::Take => {
                     let due = model.open && model.writing.is_none();
                     let expected = if due { model.frames.pop_front() } else { None };
-                    prop_assert_eq!(link.take_next(now), expected.clone());
+                    prop_assert_eq!(connection.take_next(now), expected.clone());
                     if let Some(Job::Call(call)) = &expected {
                         model.stages.insert(call[0].0, Stage::Writing);
                     }
                     model.writing = expected.or(model.writing);
                 }
                 Step::Wrote => {
-                    link.wrote();
+                    connection.wrote();
                     match model.writing.take() {
                         Some(Job::Call(call)) => {
                             model.stages.entry(call[0].0).and_modify(|stage| *stage = Stage::Written);
@@ -114,20 +114,20 @@
                     let Some(attempt) = model.nth(k) else { continue };
                     let written = model.stages[&attempt] == Stage::Written;
                     let expected = if written { Answered::Attempt(attempt) } else { Answered::Unknown };
-                    prop_assert_eq!(link.answered(&wire(attempt)), expected);
-                    prop_assert_eq!(link.answered("never.asked"), Answered::Unknown);
+                    prop_assert_eq!(connection.answered(&wire(attempt)), expected);
+                    prop_assert_eq!(connection.answered("never.asked"), Answered::Unknown);
                     if written {
-                        prop_assert_eq!(link.answered(&wire(attempt)), Answered::Over, "a copy");
+                        prop_assert_eq!(connection.answered(&wire(attempt)), Answered::Over, "a copy");
                         model.stages.remove(&attempt);
                     }
                 }
                 Step::Drop(k) => {
                     let Some(attempt) = model.nth(k) else { continue };
                     let went_out = model.stages.remove(&attempt) != Some(Stage::Waiting);
-                    prop_assert_eq!(link.drop_attempt(attempt, now, MS), went_out);
-                    prop_assert!(!link.drop_attempt(attempt, now, MS), "it is over");
+                    prop_assert_eq!(connection.drop_attempt(attempt, now, MS), went_out);
+                    prop_assert!(!connection.drop_attempt(attempt, now, MS), "it is over");
                     let heard = if went_out { Answered::Over } else { Answered::Unknown };
-                    prop_assert_eq!(link.answered(&wire(attempt)), heard, "its answer may cross our words");
+                    prop_assert_eq!(connection.answered(&wire(attempt)), heard, "its answer may cross our words");
                     if went_out {
                         model.frames.push_back(Job::GiveUp(wire(attempt)));
                     } else {
@@ -135,24 +135,24 @@
                     }
                 }
                 Step::Probe => {
-                    link.queue_probe(n as u64);
+                    connection.queue_probe(n as u64);
                     model.frames.push_back(Job::Probe(n as u64));
                 }
-                Step::Probed => prop_assert_eq!(link.probed(), model.probes.pop_front()),
+                Step::Probed => prop_assert_eq!(connection.probed(), model.probes.pop_front()),
             }
             let waiting = model.stages.iter().filter(|(_, stage)| **stage == Stage::Waiting);
             let written = model.stages.iter().filter(|(_, stage)| **stage == Stage::Written);
             let written: Vec<AttemptId> = written.map(|(attempt, _)| *attempt).collect();
-            prop_assert_eq!(link.spoilt(None).is_some(), !written.is_empty());
+            prop_assert_eq!(connection.spoilt(None).is_some(), !written.is_empty());
             for attempt in &written {
-                prop_assert_eq!(link.spoilt(Some(&wire(*attempt))), Some(*attempt));
+                prop_assert_eq!(connection.spoilt(Some(&wire(*attempt))), Some(*attempt));
             }
-            prop_assert_eq!(link.written().len(), written.len());
-            prop_assert_eq!(link.unsent(), waiting.map(|(attempt, _)| *attempt).collect::<Vec<_>>());
+            prop_assert_eq!(connection.written().len(), written.len());
+            prop_assert_eq!(connection.unsent(), waiting.map(|(attempt, _)| *attempt).collect::<Vec<_>>());
             let busy = !(model.stages.is_empty() && model.frames.is_empty() && model.probes.is_empty());
-            prop_assert_eq!(link.is_idle(), !busy && model.writing.is_none());
+            prop_assert_eq!(connection.is_idle(), !busy && model.writing.is_none());
         }
-        let (mut ended, _) = link.end(ours);
+        let (mut ended, _) = connection.end(ours);
         ended.sort();
         // Where we close, the socket's word of a frame that it took may still be on the way.
         let may_have_run = |stage| stage == Stage::Written || ours && stage == Stage::Writing;
@@ -167,16 +167,16 @@
         let (ends, standings) = ([End::Ok, End::Ok, End::Err, End::Busy], ["up", "draining", "removed"]);
         let mut bed = Bed::new(4);
         for (kind, dice, ms) in steps {
-            let links: Vec<u64> = bed.links.keys().copied().collect();
-            let link = links.get(dice as usize % links.len().max(1)).copied();
-            match (kind, link) {
+            let connections: Vec<u64> = bed.connections.keys().copied().collect();
+            let connection = connections.get(dice as usize % connections.len().max(1)).copied();
+            match (kind, connection) {
                 (0..=2, _) => drop(bed.ask((dice % 3) as u16 % 2, &[0.5, 0.3, 0.2])),
-                (3..=4, Some(link)) => bed.open(link),
-                (5..=6, Some(link)) => bed.answer(link, ends[dice as usize % 4]),
-                (7, Some(link)) => bed.break_off(link),
+                (3..=4, Some(connection)) => bed.open(connection),
+                (5..=6, Some(connection)) => bed.answer(connection, ends[dice as usize % 4]),
+                (7, Some(connection)) => bed.break_off(connection),
                 (8, _) => bed.list(1 + dice % 4, standings[dice as usize / 4 % 3], bed.now),
                 (9, _) => bed.leave(dice),
-                (10, Some(link)) => bed.spoil(link, dice % 2 == 0),
+                (10, Some(connection)) => bed.spoil(connection, dice % 2 == 0),
                 _ => bed.pass(ms),
             }
         }
@@ -186,11 +186,11 @@
             prop_assert!(replies.len() == 1 || gone && replies.is_empty(), "client {client}: {replies:?}");
         }
         let counters = bed.state.counters().clone();
-        let e = &counters.ended;
-        let known = e.ok + e.error + e.refused + e.unreachable + e.not_sent;
-        let ended = known + e.timed_out + e.broken + e.cancelled;
+        let e = &counters.attempts_ended;
+        let known = e.success + e.error + e.rejected + e.unreachable + e.not_sent;
+        let ended = known + e.timed_out + e.connection_lost + e.cancelled;
         prop_assert_eq!(ended, counters.sent.attempts, "each attempt ends once");
         prop_assert_eq!(&counters.faults, &Default::default());
-        prop_assert!(bed.frames.iter().all(|(_, f)| !matches!(f, ToLeaf::Call(parts) if parts.is_empty())));
+        prop_assert!(bed.frames.iter().all(|(_, f)| !matches!(f, LeafRequest::Call(parts) if parts.is_empty())));
     }
 }
--- a/crates/core/tests/moments.rs
+++ b/crates/core/tests/moments.rs
@@ -5,7 +5,7 @@
 mod bed;
 mod stage;
 
-use aggregator_core::transport::Told;
+use aggregator_core::net::OperatorSignal;
 use bed::SETTINGS;
 use stage::{answer, client, play, query, Leaf, Stage, NEVER};
 use std::io;
@@ -147,7 +147,7 @@
 fn a_request_that_crosses_the_shutdown_of_its_connection_is_neither_sent_on_nor_reset() {
     play(SETTINGS, 100, |stage| async move {
         let (mut client, mut leaf) = resting(&stage, "d1").await;
-        stage.tell.send(Told::End).await.unwrap();
+        stage.tell.send(OperatorSignal::Shutdown).await.unwrap();
         ends_well(&mut client).await;
         client.write_all(query("d2", "").as_bytes()).await.unwrap();
         sleep(Duration::from_millis(100)).await;
@@ -174,7 +174,7 @@
         client.write_all(both.as_bytes()).await.unwrap();
         let mut leaf = Leaf::next(&stage.leaf).await;
         let first = leaf.call().await.0;
-        stage.tell.send(Told::End).await.unwrap();
+        stage.tell.send(OperatorSignal::Shutdown).await.unwrap();
         sleep(Duration::from_millis(1000)).await;
         assert!(
             TcpStream::connect(stage.mixer).await.is_err(),
@@ -210,7 +210,7 @@
         client.write_all(query("f1", "").as_bytes()).await.unwrap();
         sleep(Duration::from_millis(10)).await;
         let told = Instant::now();
-        stage.tell.send(Told::End).await.unwrap();
+        stage.tell.send(OperatorSignal::Shutdown).await.unwrap();
         // Neither client ever closes its side.
         let (head, _) = answer(&mut client).await;
         assert!(head.starts_with("HTTP/1.1 50"), "{head}");
@@ -249,7 +249,7 @@
         let mut leaf = Leaf::next(&stage.leaf).await;
         let first = leaf.call().await.0;
         assert_eq!(first, "g0.3");
-        stage.tell.send(Told::End).await.unwrap();
+        stage.tell.send(OperatorSignal::Shutdown).await.unwrap();
         let leaf = tokio::task::spawn_local(async move {
             sleep(Duration::from_millis(1000)).await;
             leaf.answer(&first).await;
--- a/crates/core/tests/protocol.rs
+++ b/crates/core/tests/protocol.rs
@@ -1,9 +1,9 @@
 //! Codecs and messages as bytes: split anywhere, malformed, too large.
 
 use aggregator_core::config::Config;
-use aggregator_core::protocol::http::{Rejection, Request, Response, ServerCodec, WatchCodec};
-use aggregator_core::protocol::leaf::{CallPart, End, FromLeaf, LeafCodec, ToLeaf};
-use aggregator_core::protocol::query::{self, Asked, Names, Reply};
+use aggregator_core::protocol::http::{Request, RequestError, Response, ServerCodec, WatchCodec};
+use aggregator_core::protocol::leaf::{CallPart, End, LeafCodec, LeafRequest, LeafResponse};
+use aggregator_core::protocol::query::{self, ClientRequest, Names, Reply};
 use aggregator_core::protocol::{discovery, http};
 use bytes::{Bytes, BytesMut};
 use proptest::prelude::*;
@@ -22,7 +22,7 @@
         classes,
         tenants: vec!["acme".into()],
         deadlines: vec![5_000_000_000],
-        floors: vec![0.6],
+        minimum_coverages: vec![0.6],
         shards: 4,
     }
 }
@@ -56,11 +56,11 @@
     found
 }
 
-fn one(text: &str) -> Result<Request, Rejection> {
+fn one(text: &str) -> Result<Request, RequestError> {
     feed(&mut ServerCodec::default(), text.as_bytes(), &[1000]).remove(0)
 }
 
-fn asked(text: &str) -> Result<Asked, u16> {
+fn asked(text: &str) -> Result<ClientRequest, u16> {
     one(text)
         .and_then(|request| query::read(&request, &names()))
         .map_err(|rejection| rejection.status)
@@ -108,7 +108,7 @@
 #[test]
 fn a_query_is_read_as_sent() {
     let headers = "X-Retried: 1\r\nIdempotency-Key: k 1\r\n";
-    let Ok(Asked::Query(query)) = asked(&post("/checkout?x=1", headers, QUERY)) else {
+    let Ok(ClientRequest::Query(query)) = asked(&post("/checkout?x=1", headers, QUERY)) else {
         panic!()
     };
     assert_eq!(query.idempotency_key.as_deref(), Some("k 1"));
@@ -116,7 +116,7 @@
         (query.name.as_str(), query.class, query.tenant),
         ("9b1f", 0, 0)
     );
-    assert_eq!((query.timeout, query.repeat), (480_000_000, true));
+    assert_eq!((query.timeout, query.is_retry), (480_000_000, true));
     assert_eq!(
         (query.parts[0].shard, query.parts[0].work),
         (3, Some(9_000_000))
@@ -218,8 +218,8 @@
 #[test]
 fn replies_say_when_to_come_back_and_whether_they_are_whole() {
     let refused = written(query::render(
-        &Reply::Refused {
-            come_back: Some(500_000_001),
+        &Reply::Rejected {
+            retry_after: Some(500_000_001),
         },
         false,
     ));
@@ -231,12 +231,18 @@
         shard: 3,
         doc: "5be2\"".into(),
     }];
-    let answer = written(query::render(&Reply::Answer { whole: false, hits }, true));
+    let answer = written(query::render(
+        &Reply::Answer {
+            complete: false,
+            hits,
+        },
+        true,
+    ));
     assert!(answer.contains("Connection: close\r\n"));
     assert!(answer
         .ends_with("\r\n\r\n{\"complete\":false,\"hits\":[{\"shard\":3,\"doc\":\"5be2\\\"\"}]}"));
     let allowed = written(query::render(
-        &Reply::Rejected(Rejection {
+        &Reply::InvalidRequest(RequestError {
             status: 405,
             why: "POST",
         }),
@@ -257,7 +263,7 @@
     let mut codec = LeafCodec::default();
     codec
         .encode(
-            ToLeaf::Call(vec![part("9b1f.3", 3), part("9b1f.9", 9)]),
+            LeafRequest::Call(vec![part("9b1f.3", 3), part("9b1f.9", 9)]),
             &mut out,
         )
         .unwrap();
@@ -267,7 +273,7 @@
     );
     out.clear();
     codec
-        .encode(ToLeaf::GiveUp("9b1f.3".into()), &mut out)
+        .encode(LeafRequest::Cancel("9b1f.3".into()), &mut out)
         .unwrap();
     assert_eq!(&out[..], b"\0\0\0\x07X9b1f.3");
     let answers = b"\0\0\0\x16A9b1f.3 ok 1840 -\n5be2\0\0\0\x03Pok\0\0\0\x11A9b1f.9 busy 0 -\n";
@@ -276,7 +282,7 @@
         let (id, report, value) = ("9b1f.3".to_string(), "-".to_string(), Bytes::from("5be2"));
         assert_eq!(
             found[0],
-            FromLeaf::Answer {
+            LeafResponse::PartResult {
                 id,
                 end: End::Ok,
                 report,
@@ -285,12 +291,15 @@
         );
         assert_eq!(
             found[1],
-            FromLeaf::Probed {
+            LeafResponse::HealthCheckResult {
                 ok: true,
                 report: "ok".into()
             }
         );
-        assert!(matches!(&found[2], FromLeaf::Answer { end: End::Busy, .. }));
+        assert!(matches!(
+            &found[2],
+            LeafResponse::PartResult { end: End::Busy, .. }
+        ));
     }
 }
 
@@ -302,7 +311,7 @@
 #[test]
 fn an_answer_counts_only_if_all_of_it_is_right() {
     let read = |bytes: &[u8]| feed(&mut LeafCodec::default(), bytes, &[9]);
-    let spoilt = |id: Option<&str>| vec![FromLeaf::Spoilt(id.map(str::to_string))];
+    let spoilt = |id: Option<&str>| vec![LeafResponse::Malformed(id.map(str::to_string))];
     for text in [
         "A9b1f.3  1840 -\n5be2",
         "A9b1f.3 ? 1 -\n5be2",
@@ -330,7 +339,9 @@
     ]
     .concat();
     let found = read(&noise);
-    assert!(matches!(&found[0], FromLeaf::Answer { end: End::Ok, report, .. } if report == "nan"));
+    assert!(
+        matches!(&found[0], LeafResponse::PartResult { end: End::Ok, report, .. } if report == "nan")
+    );
     assert_eq!(found[1..], spoilt(None), "nothing is read after it");
     let mut codec = LeafCodec::default();
     assert_eq!(
@@ -429,7 +440,7 @@
         (2, "a_b")
     );
     assert_eq!(
-        (read.settings.classes[0].floor, read.seed),
+        (read.settings.classes[0].minimum_coverage, read.seed),
         (0.6, 0x8c1f_30d2_7a5b_e964)
     );
     let mut broken = settings.clone();
--- a/crates/core/tests/reducer.rs
+++ b/crates/core/tests/reducer.rs
@@ -3,22 +3,25 @@
 
 mod bed;
 
-use aggregator_core::protocol::http::Rejection;
-use aggregator_core::protocol::leaf::{End, FromLeaf, ToLeaf};
-use aggregator_core::protocol::query::{Asked, AskedPart, Query, Reply};
-use aggregator_core::routing::{Effect, Input};
+use aggregator_core::engine::{Effect, Input};
+use aggregator_core::protocol::http::RequestError;
+use aggregator_core::protocol::leaf::{End, LeafRequest, LeafResponse};
+use aggregator_core::protocol::query::{ClientRequest, Query, QueryPart, Reply};
 use bed::{Bed, MS, SETTINGS, START};
 
 fn calls(bed: &Bed) -> Vec<(u64, String)> {
-    let call = |(link, frame): &(u64, ToLeaf)| match frame {
-        ToLeaf::Call(parts) => parts.iter().map(|p| (*link, p.id.to_string())).collect(),
+    let call = |(connection, frame): &(u64, LeafRequest)| match frame {
+        LeafRequest::Call(parts) => parts
+            .iter()
+            .map(|p| (*connection, p.id.to_string()))
+            .collect(),
         _ => Vec::new(),
     };
     bed.frames.iter().flat_map(call).collect()
 }
 
 fn refused(reply: Option<&Reply>) -> bool {
-    matches!(reply, Some(Reply::Refused { come_back: Some(after) }) if (1..=500 * MS).contains(after))
+    matches!(reply, Some(Reply::Rejected { retry_after: Some(after) }) if (1..=500 * MS).contains(after))
 }
 
 #[test]
@@ -27,7 +30,11 @@
     let client = bed.ask(1, &[0.5, 0.5]);
     bed.open_all();
     bed.answer_all();
-    let Some(Reply::Answer { whole: true, hits }) = bed.reply(client) else {
+    let Some(Reply::Answer {
+        complete: true,
+        hits,
+    }) = bed.reply(client)
+    else {
         panic!("{:?}", bed.reply(client))
     };
     assert_eq!(hits[1].doc, "doc q1.1");
@@ -42,7 +49,10 @@
     bed.answer_all();
     bed.ask(1, &[1.0]);
     assert_eq!(
-        (bed.links.len(), bed.state.counters().connections.opened),
+        (
+            bed.connections.len(),
+            bed.state.counters().connections.opened
+        ),
         (1, 1)
     );
     assert_eq!(calls(&bed).len(), 3);
@@ -52,7 +62,7 @@
 fn a_full_connection_gets_a_second_beside_it() {
     let mut bed = Bed::new(1);
     bed.ask(1, &[0.2; 5]);
-    assert_eq!(bed.links.len(), 2, "four streams on one connection");
+    assert_eq!(bed.connections.len(), 2, "four streams on one connection");
 }
 
 #[test]
@@ -60,9 +70,9 @@
     let mut bed = Bed::new(1);
     bed.ask(1, &[1.0]);
     bed.pass(249);
-    assert_eq!(bed.state.counters().ended.unreachable, 0);
+    assert_eq!(bed.state.counters().attempts_ended.unreachable, 0);
     bed.pass(2);
-    assert!(bed.state.counters().ended.unreachable >= 1);
+    assert!(bed.state.counters().attempts_ended.unreachable >= 1);
     assert!(calls(&bed).is_empty());
 }
 
@@ -70,39 +80,39 @@
 fn what_waits_for_a_connection_is_dropped_whole_when_its_replica_drains() {
     let mut bed = Bed::new(1);
     bed.ask(1, &[1.0]);
-    let link = *bed.links.keys().next().unwrap();
+    let connection = *bed.connections.keys().next().unwrap();
     bed.list(1, "draining", 0);
-    bed.open(link);
+    bed.open(connection);
     bed.pass(3000);
     assert!(
         calls(&bed).is_empty(),
         "its first byte would break the rule"
     );
-    assert_eq!(bed.state.counters().ended.not_sent, 1);
+    assert_eq!(bed.state.counters().attempts_ended.not_sent, 1);
 }
 
 #[test]
 fn a_frame_cut_off_before_its_end_never_ran_and_after_it_may_have() {
     let mut bed = Bed::new(1);
     bed.ask(1, &[1.0]);
-    let link = *bed.links.keys().next().unwrap();
-    bed.break_off(link);
+    let connection = *bed.connections.keys().next().unwrap();
+    bed.break_off(connection);
     assert_eq!(
         (
-            bed.state.counters().ended.unreachable,
-            bed.state.counters().ended.broken
+            bed.state.counters().attempts_ended.unreachable,
+            bed.state.counters().attempts_ended.connection_lost
         ),
         (1, 0)
     );
     let mut bed = Bed::new(1);
     bed.ask(1, &[1.0]);
     bed.open_all();
-    let link = *bed.links.keys().next().unwrap();
-    bed.break_off(link);
+    let connection = *bed.connections.keys().next().unwrap();
+    bed.break_off(connection);
     assert_eq!(
         (
-            bed.state.counters().ended.unreachable,
-            bed.state.counters().ended.broken
+            bed.state.counters().attempts_ended.unreachable,
+            bed.state.counters().attempts_ended.connection_lost
         ),
         (0, 1)
     );
@@ -113,17 +123,17 @@
     let mut bed = Bed::new(1);
     let client = bed.ask(1, &[1.0]);
     bed.open_all();
-    let old = *bed.links.keys().next().unwrap();
+    let old = *bed.connections.keys().next().unwrap();
     // The only replica answers nothing until the client gives up.
     bed.pass(6000);
     assert!(bed.reply(client).is_some());
     assert!(
-        !bed.links.contains_key(&old),
+        !bed.connections.contains_key(&old),
         "closed, since nothing more is out on it"
     );
     bed.ask(1, &[1.0]);
     assert!(
-        bed.links.keys().all(|link| *link > old),
+        bed.connections.keys().all(|connection| *connection > old),
         "a new one shows at once whether anyone is there"
     );
 }
@@ -134,10 +144,10 @@
     bed.stuck = true;
     bed.ask(1, &[1.0]);
     bed.open_all();
-    let old = *bed.links.keys().next().unwrap();
+    let old = *bed.connections.keys().next().unwrap();
     bed.pass(6000);
     assert!(
-        !bed.links.contains_key(&old),
+        !bed.connections.contains_key(&old),
         "its machine has vanished with the buffer full"
     );
 }
@@ -148,14 +158,14 @@
     bed.stuck = true;
     bed.ask(1, &[0.5, 0.5]);
     bed.open_all();
-    let link = *bed.links.keys().next().unwrap();
+    let connection = *bed.connections.keys().next().unwrap();
     let mut effects = bed
         .state
-        .apply(START + 2100 * MS, Input::LinkWrote { link });
-    effects.extend(bed.state.apply(START + 2100 * MS, Input::Turn));
-    effects.retain(|effect| matches!(effect, Effect::Write { .. }));
+        .apply(START + 2100 * MS, Input::FrameWritten { connection });
+    effects.extend(bed.state.apply(START + 2100 * MS, Input::BatchEnded));
+    effects.retain(|effect| matches!(effect, Effect::WriteFrame { .. }));
     assert_eq!(effects, [], "its time was the aim of 2 s");
-    assert_eq!(bed.state.counters().ended.not_sent, 1);
+    assert_eq!(bed.state.counters().attempts_ended.not_sent, 1);
 }
 
 #[test]
@@ -163,15 +173,15 @@
     let mut bed = Bed::new(1);
     let first = bed.ask(1, &[1.0]);
     bed.open_all();
-    let link = *bed.links.keys().next().unwrap();
+    let connection = *bed.connections.keys().next().unwrap();
     bed.left.insert(first);
-    bed.put(Input::ClientClosed { client: first });
+    bed.put(Input::ClientDisconnected { client: first });
     assert!(bed
         .frames
         .iter()
-        .any(|(_, frame)| *frame == ToLeaf::GiveUp("q1.0".into())));
-    bed.answer_to(link, "q1.0", End::Ok);
-    assert_eq!(bed.state.counters().ended.ok, 0);
+        .any(|(_, frame)| *frame == LeafRequest::Cancel("q1.0".into())));
+    bed.answer_to(connection, "q1.0", End::Ok);
+    assert_eq!(bed.state.counters().attempts_ended.success, 0);
     assert!(bed.replies[&first].is_empty(), "nobody is there to be told");
 }
 
@@ -180,18 +190,21 @@
     let mut bed = Bed::new(2);
     bed.ask(1, &[0.5, 0.5]);
     bed.told("127.0.0.9:7070", "up");
-    let old: Vec<u64> = bed.links.keys().copied().collect();
+    let old: Vec<u64> = bed.connections.keys().copied().collect();
     bed.put(only_the_second("127.0.0.9:7070"));
     bed.told(&bed::address(2), "removed");
     bed.open_all();
     bed.pass(100);
     assert!(
-        calls(&bed).iter().all(|(link, _)| !old.contains(link)),
+        calls(&bed)
+            .iter()
+            .all(|(connection, _)| !old.contains(connection)),
         "{:?}",
         calls(&bed)
     );
     assert!(
-        old.iter().all(|link| !bed.links.contains_key(link)),
+        old.iter()
+            .all(|connection| !bed.connections.contains_key(connection)),
         "nothing is left to do on them"
     );
     bed.open_all();
@@ -204,8 +217,8 @@
 fn a_client_that_left_and_a_drain_come_before_a_connection_that_came_up_with_them() {
     let gone = |bed: &Bed, client| {
         (
-            Input::ClientClosed { client },
-            bed.links.keys().next().copied().unwrap(),
+            Input::ClientDisconnected { client },
+            bed.connections.keys().next().copied().unwrap(),
         )
     };
     for (opened_first, cancelling) in [(true, true), (true, false), (false, true), (false, false)] {
@@ -214,37 +227,41 @@
             1,
         );
         let client = bed.ask(1, &[0.5, 0.5]);
-        let (left, link) = gone(&bed, client);
-        let mut inputs = vec![left, Input::LinkOpened { link }];
+        let (left, connection) = gone(&bed, client);
+        let mut inputs = vec![left, Input::ConnectionOpened { connection }];
         if opened_first {
             inputs.reverse();
         }
         let mut effects = Vec::new();
-        for input in inputs.into_iter().chain([Input::Turn]) {
+        for input in inputs.into_iter().chain([Input::BatchEnded]) {
             effects.extend(bed.state.apply(bed.now, input));
         }
-        effects.retain(|effect| matches!(effect, Effect::Write { .. }));
+        effects.retain(|effect| matches!(effect, Effect::WriteFrame { .. }));
         assert_eq!(
             effects,
             [],
             "nobody asks for it any more, cancelling or not"
         );
-        assert_eq!(bed.state.counters().ended.cancelled, 2);
+        assert_eq!(bed.state.counters().attempts_ended.cancelled, 2);
     }
     let mut bed = Bed::new(2);
     bed.ask(1, &[1.0]);
-    let link = *bed.links.keys().next().unwrap();
-    let (address, _) = bed.links[&link].clone();
+    let connection = *bed.connections.keys().next().unwrap();
+    let (address, _) = bed.connections[&connection].clone();
     let other = if address == bed::address(1) { 2 } else { 1 };
     let mut effects = Vec::new();
     let line = serde_json::json!(
         {"name": format!("s-{other}"), "address": bed::address(other), "group": 0, "status": "up"});
-    let whole = serde_json::json!({"index": 9, "snapshot": true, "endpoints": [line]});
-    let list = Input::Listed(serde_json::from_value(whole).expect("a list"));
-    for input in [Input::LinkOpened { link }, list, Input::Turn] {
+    let complete = serde_json::json!({"index": 9, "snapshot": true, "endpoints": [line]});
+    let list = Input::EndpointsUpdated(serde_json::from_value(complete).expect("a list"));
+    for input in [
+        Input::ConnectionOpened { connection },
+        list,
+        Input::BatchEnded,
+    ] {
         effects.extend(bed.state.apply(bed.now, input));
     }
-    effects.retain(|effect| matches!(effect, Effect::Write { .. }));
+    effects.retain(|effect| matches!(effect, Effect::WriteFrame { .. }));
     assert_eq!(effects, [], "whom the whole list does not name is gone");
 }
 
@@ -252,11 +269,11 @@
 fn an_answered_query_sends_nothing_more() {
     let mut bed = Bed::with(&SETTINGS.replace("cancelling=true", "cancelling=false"), 3);
     let client = bed.ask(0, &[0.7, 0.3]);
-    let links: Vec<u64> = bed.links.keys().copied().collect();
-    assert_eq!(links.len(), 2, "each part at a replica of its own");
-    let heavy = *links
+    let connections: Vec<u64> = bed.connections.keys().copied().collect();
+    assert_eq!(connections.len(), 2, "each part at a replica of its own");
+    let heavy = *connections
         .iter()
-        .find(|link| bed.frames.iter().all(|(l, _)| l != *link))
+        .find(|connection| bed.frames.iter().all(|(l, _)| l != *connection))
         .unwrap();
     bed.open(heavy);
     bed.answer_all();
@@ -285,10 +302,10 @@
     let client = bed.ask(1, &[1.0]);
     bed.open_all();
     assert_eq!(calls(&bed).len(), 1);
-    let link = calls(&bed)[0].0;
-    bed.put(Input::LinkHeard {
-        link,
-        frame: FromLeaf::Spoilt(None),
+    let connection = calls(&bed)[0].0;
+    bed.put(Input::FrameReceived {
+        connection,
+        frame: LeafResponse::Malformed(None),
     });
     bed.open_all();
     bed.pass(6000);
@@ -310,7 +327,10 @@
     let late = bed.connect();
     bed.ask_on(late, 1, &[1.0], 1);
     for client in [given_up, over_cap, late] {
-        assert_eq!(bed.reply(client), Some(&Reply::Refused { come_back: None }));
+        assert_eq!(
+            bed.reply(client),
+            Some(&Reply::Rejected { retry_after: None })
+        );
     }
 }
 
@@ -323,12 +343,16 @@
     for (up_after, sent) in [(60, 2), (150, 1)] {
         let mut bed = Bed::with(&text, 2);
         let client = bed.ask(1, &[1.0]);
-        let first = *bed.links.keys().next().unwrap();
+        let first = *bed.connections.keys().next().unwrap();
         bed.open(first);
         bed.pass(10);
         bed.answer(first, End::Err);
         bed.pass(20);
-        assert_eq!(bed.links.len(), 2, "the repeat waits for its connection");
+        assert_eq!(
+            bed.connections.len(),
+            2,
+            "the repeat waits for its connection"
+        );
         bed.pass(up_after - 30);
         bed.open_all();
         assert_eq!(calls(&bed).len(), sent, "up after {up_after} ms");
@@ -349,9 +373,9 @@
     bed.open_all();
     bed.answer_all();
     bed.pass(26_000);
-    assert_eq!(bed.links.len(), 1);
+    assert_eq!(bed.connections.len(), 1);
     bed.pass(3_000);
-    assert!(bed.links.is_empty());
+    assert!(bed.connections.is_empty());
 }
 
 #[test]
@@ -363,7 +387,7 @@
         .filter(|client| refused(bed.reply(**client)))
         .count();
     assert_eq!(
-        bed.state.counters().taken.over_cap,
+        bed.state.counters().received.over_capacity,
         10,
         "ten queries of five parts fill the cap of 60"
     );
@@ -377,8 +401,8 @@
         bed.ask(1, &[0.2; 5]);
     });
     bed.open_all();
-    let link = *bed.out.keys().next().unwrap();
-    bed.answer(link, End::Ok);
+    let connection = *bed.out.keys().next().unwrap();
+    bed.answer(connection, End::Ok);
     let client = bed.ask(1, &[0.2; 5]);
     assert_eq!(bed.reply(client), None, "59 are open, 60 may be");
     let client = bed.ask(1, &[0.2; 5]);
@@ -400,7 +424,7 @@
     let client = bed.connect();
     bed.ask_on(client, 1, &[1.0], 5);
     assert!(refused(bed.reply(client)));
-    assert!(bed.links.is_empty());
+    assert!(bed.connections.is_empty());
 }
 
 #[test]
@@ -409,17 +433,17 @@
     let client = bed.ask(0, &[0.5, 0.5]);
     bed.pass(10_000);
     assert!(bed.replies[&client][0].0 < START + 5000 * MS);
-    assert_eq!(bed.state.counters().faults.last_moment, 0);
+    assert_eq!(bed.state.counters().faults.reply_deadline, 0);
 }
 
 #[test]
 fn not_ready_without_a_list_nor_once_told_to_end() {
     let ready = |bed: &mut Bed| {
         let client = bed.connect();
-        bed.put(Input::Asked {
+        bed.put(Input::RequestReceived {
             client,
             arrived: bed.now,
-            asked: Ok(Asked::Ready),
+            request: Ok(ClientRequest::Ready),
         });
         bed.reply(client) == Some(&Reply::Ready(true))
     };
@@ -427,14 +451,14 @@
     assert!(!ready(&mut bed));
     bed.list(1, "up", 0);
     assert!(ready(&mut bed));
-    bed.put(Input::Terminate);
+    bed.put(Input::ShutdownRequested);
     assert!(!ready(&mut bed));
 }
 
 #[test]
 fn many_idle_clients_at_once_each_make_room_for_one_more() {
     let mut bed = Bed::new(1);
-    let opened = |client| bed.state.apply(START, Input::ClientOpened { client });
+    let opened = |client| bed.state.apply(START, Input::ClientConnected { client });
     let closed: Vec<Effect> = (1..=470).flat_map(opened).collect();
     let oldest: Vec<Effect> = (1..=20)
         .map(|client| Effect::CloseClient { client })
@@ -486,7 +510,7 @@
     let client = bed.ask(1, &[1.0]);
     let other = bed.connect();
     let ask_as = |bed: &mut Bed| {
-        let part = AskedPart {
+        let part = QueryPart {
             shard: 0,
             weight: 1.0,
             work: None,
@@ -496,21 +520,21 @@
             class: 1,
             tenant: 0,
             timeout: 5000 * MS,
-            repeat: false,
+            is_retry: false,
             idempotency_key: None,
             parts: vec![part],
             text: Default::default(),
         };
-        bed.put(Input::Asked {
+        bed.put(Input::RequestReceived {
             client: other,
             arrived: bed.now,
-            asked: Ok(Asked::Query(query)),
+            request: Ok(ClientRequest::Query(query)),
         });
         bed.reply(other).cloned()
     };
     assert!(matches!(
         ask_as(&mut bed),
-        Some(Reply::Rejected(Rejection { status: 409, .. }))
+        Some(Reply::InvalidRequest(RequestError { status: 409, .. }))
     ));
     bed.open_all();
     assert_eq!(calls(&bed).len(), 1, "its parts would have the same names");
@@ -525,23 +549,23 @@
         let mut bed = Bed::new(2);
         let client = bed.ask(1, &[0.25; 4]);
         bed.open_all();
-        let link = *bed.out.iter().max_by_key(|(_, out)| out.len()).unwrap().0;
-        let there = bed.out[&link].len() as u64;
-        bed.spoil(link, named);
-        let ended = bed.state.counters().ended.clone();
+        let connection = *bed.out.iter().max_by_key(|(_, out)| out.len()).unwrap().0;
+        let there = bed.out[&connection].len() as u64;
+        bed.spoil(connection, named);
+        let ended = bed.state.counters().attempts_ended.clone();
         assert_eq!(
-            (ended.error, ended.cancelled, ended.broken),
+            (ended.error, ended.cancelled, ended.connection_lost),
             (1, there - 1, 0)
         );
         assert!(
-            !bed.links.contains_key(&link),
+            !bed.connections.contains_key(&connection),
             "where its next frame begins is not known"
         );
         bed.open_all();
         bed.answer_all();
         assert!(matches!(
             bed.reply(client),
-            Some(Reply::Answer { whole: true, .. })
+            Some(Reply::Answer { complete: true, .. })
         ));
         assert_eq!(bed.now, START, "nothing was waited for");
     }
@@ -552,14 +576,14 @@
     let mut bed = Bed::new(1);
     bed.ask(1, &[0.5, 0.5]);
     bed.open_all();
-    let link = *bed.links.keys().next().unwrap();
-    bed.answer_to(link, "q1.1", End::Ok);
-    bed.answer_to(link, "q1.1", End::Ok);
-    assert_eq!(bed.state.counters().connections.spoilt, 0);
-    bed.answer_to(link, "q9.0", End::Ok);
-    assert_eq!(bed.state.counters().connections.spoilt, 1);
+    let connection = *bed.connections.keys().next().unwrap();
+    bed.answer_to(connection, "q1.1", End::Ok);
+    bed.answer_to(connection, "q1.1", End::Ok);
+    assert_eq!(bed.state.counters().connections.malformed, 0);
+    bed.answer_to(connection, "q9.0", End::Ok);
+    assert_eq!(bed.state.counters().connections.malformed, 1);
     assert_eq!(
-        bed.state.counters().ended.error,
+        bed.state.counters().attempts_ended.error,
         1,
         "the one that was out has failed"
     );
@@ -580,12 +604,12 @@
             bed.answer_all();
             bed.pass(150);
             bed.left.insert(client);
-            bed.put(Input::ClientClosed { client });
+            bed.put(Input::ClientDisconnected { client });
         }
         held.push(bed.state.held());
     }
     assert!(held[1..].iter().all(|now| *now <= held[0] + 5), "{held:?}");
-    assert_eq!(bed.state.counters().answered.whole, 400);
+    assert_eq!(bed.state.counters().queries_ended.complete, 400);
 }
 
 #[test]
@@ -594,7 +618,7 @@
     let idle = bed.ask(1, &[1.0]);
     bed.open_all();
     bed.answer_all();
-    bed.put(Input::Terminate);
+    bed.put(Input::ShutdownRequested);
     bed.pass(700);
     assert!(
         bed.listening && bed.closed.is_empty(),
@@ -608,7 +632,7 @@
     bed.answer_all();
     assert!(matches!(
         bed.reply(late),
-        Some(Reply::Answer { whole: true, .. })
+        Some(Reply::Answer { complete: true, .. })
     ));
     assert!(bed.exited);
 }
@@ -616,7 +640,7 @@
 #[test]
 fn told_to_end_it_leaves_nothing_for_the_kill() {
     let mut bed = Bed::new(1);
-    bed.put(Input::Terminate);
+    bed.put(Input::ShutdownRequested);
     bed.pass(690);
     let client = bed.connect();
     bed.ask_on(client, 1, &[1.0], 6000);
@@ -632,13 +656,13 @@
 #[test]
 fn a_client_accepted_as_the_listener_goes_does_not_hold_up_the_end() {
     let mut bed = Bed::new(1);
-    bed.put(Input::Terminate);
+    bed.put(Input::ShutdownRequested);
     bed.pass(800);
     assert!(bed.exited);
     let mut bed = Bed::new(1);
     let busy = bed.ask(1, &[1.0]);
     bed.open_all();
-    bed.put(Input::Terminate);
+    bed.put(Input::ShutdownRequested);
     bed.pass(800);
     let idle = bed.connect();
     assert_eq!(bed.closed, [idle]);
@@ -693,7 +717,7 @@
     bed.put(Input::WatchEnded { watch: bed.watch });
     bed.pass(1000);
     assert_eq!(bed.watches.len(), 2);
-    bed.put(Input::Reloaded { usable: true });
+    bed.put(Input::ConfigurationReloaded { usable: true });
     assert_eq!(bed.watches.len(), 3, "a new address is watched at once");
 }
 
@@ -701,7 +725,7 @@
 fn the_end_of_a_watch_that_was_replaced_begins_no_other() {
     let mut bed = Bed::new(1);
     let replaced = bed.watch;
-    bed.put(Input::Reloaded { usable: true });
+    bed.put(Input::ConfigurationReloaded { usable: true });
     bed.put(Input::WatchEnded { watch: replaced });
     bed.pass(20_000);
     assert_eq!(bed.watches.len(), 2, "the one in its place is kept");
@@ -710,8 +734,8 @@
 /// The whole list: replica 2 alone, at this address.
 fn only_the_second(address: &str) -> Input {
     let line = serde_json::json!({"name": "s-2", "address": address, "group": 0, "status": "up"});
-    let whole = serde_json::json!({"index": 9, "snapshot": true, "endpoints": [line]});
-    Input::Listed(serde_json::from_value(whole).expect("a list"))
+    let complete = serde_json::json!({"index": 9, "snapshot": true, "endpoints": [line]});
+    Input::EndpointsUpdated(serde_json::from_value(complete).expect("a list"))
 }
 
 #[test]
@@ -720,11 +744,11 @@
     bed.put(only_the_second(&bed::address(2)));
     bed.ask(1, &[0.5, 0.5]);
     assert!(
-        bed.links
+        bed.connections
             .values()
             .all(|(address, _)| *address == bed::address(2)),
         "{:?}",
-        bed.links
+        bed.connections
     );
     assert_eq!(bed.state.list_index(), 9);
 }
@@ -742,7 +766,7 @@
     bed.open_all();
     let sent: Vec<&str> = bed.frames[before..]
         .iter()
-        .map(|(link, _)| bed.links[link].0.as_str())
+        .map(|(connection, _)| bed.connections[connection].0.as_str())
         .collect();
     assert_eq!(sent, ["127.0.0.9:7070"]);
 }
--- a/crates/core/tests/sockets.rs
+++ b/crates/core/tests/sockets.rs
@@ -1,10 +1,10 @@
 //! The whole mixer on real sockets of the loopback, with a leaf server and discovery played by the
 //! test.
 
+use aggregator_core::engine::Engine;
+use aggregator_core::net::{self, Addresses, Clock};
 use aggregator_core::protocol::query::Names;
-use aggregator_core::routing::State;
 use aggregator_core::settings;
-use aggregator_core::transport::{self, Addresses, Clock};
 use std::future::Future;
 use std::net::SocketAddr;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -102,7 +102,7 @@
             ..Names::default()
         };
         let clock = Clock::start();
-        let state = State::new(
+        let state = Engine::new(
             clock.now(),
             site,
             decisions,
@@ -118,7 +118,7 @@
             peers_all: None,
         };
         let (_told, terminate) = mpsc::channel(1);
-        let mixer = transport::serve(
+        let mixer = net::serve(
             state,
             clock,
             names,
@@ -185,13 +185,13 @@
             stream.write_all(&[byte]).await.unwrap();
             tokio::task::yield_now().await;
         }
-        let whole = "{\"complete\":true,\"hits\":[{\"shard\":3,\"doc\":\"NAME.3\"}]}";
-        assert_eq!(answer(&mut stream).await.1, whole.replace("NAME", "a1"));
+        let complete = "{\"complete\":true,\"hits\":[{\"shard\":3,\"doc\":\"NAME.3\"}]}";
+        assert_eq!(answer(&mut stream).await.1, complete.replace("NAME", "a1"));
         // The next two arrive together: each still gets its own answer, in order.
         let both = query("a2", "") + &query("a3", "Connection: close\r\n");
         stream.write_all(both.as_bytes()).await.unwrap();
-        assert_eq!(answer(&mut stream).await.1, whole.replace("NAME", "a2"));
-        assert_eq!(answer(&mut stream).await.1, whole.replace("NAME", "a3"));
+        assert_eq!(answer(&mut stream).await.1, complete.replace("NAME", "a2"));
+        assert_eq!(answer(&mut stream).await.1, complete.replace("NAME", "a3"));
         assert_eq!(stream.read(&mut [0]).await.unwrap(), 0, "closed, as asked");
     });
 }
@@ -230,7 +230,7 @@
             .unwrap();
         let stats: serde_json::Value = serde_json::from_str(&answer(&mut stream).await.1).unwrap();
         assert_eq!(
-            (&stats["taken"]["queries"], &stats["taken"]["rejected"]),
+            (&stats["received"]["queries"], &stats["received"]["invalid"]),
             (&1.into(), &1.into())
         );
     });
--- a/crates/core/tests/stage/mod.rs
+++ b/crates/core/tests/stage/mod.rs
@@ -3,10 +3,10 @@
 
 #![allow(dead_code)] // Each test file uses its own part of it.
 
+use aggregator_core::engine::Engine;
+use aggregator_core::net::{self, Addresses, Clock, OperatorSignal};
 use aggregator_core::protocol::query::Names;
-use aggregator_core::routing::State;
 use aggregator_core::settings;
-use aggregator_core::transport::{self, Addresses, Clock, Told};
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -21,7 +21,7 @@
 
 pub struct Stage {
     pub mixer: SocketAddr,
-    pub tell: mpsc::Sender<Told>,
+    pub tell: mpsc::Sender<OperatorSignal>,
     pub discovery: TcpListener,
     pub leaf: TcpListener,
     pub served: JoinHandle<io::Result<()>>,
@@ -74,10 +74,10 @@
         };
         let clock = Clock::start();
         let known = serde_json::from_value(list(2, &[line(leaf.1, "up")])).unwrap();
-        let state = State::new(clock.now(), site, decisions, 7, &known, descriptors);
+        let state = Engine::new(clock.now(), site, decisions, 7, &known, descriptors);
         let (tell, told) = mpsc::channel(1);
         let to = addresses(discovery.1);
-        let served = transport::serve(state, clock, names, mixer.0, to, told, Default::default());
+        let served = net::serve(state, clock, names, mixer.0, to, told, Default::default());
         let served = tokio::task::spawn_local(served);
         script(Stage {
             mixer: mixer.1,
--- a/crates/core/tests/usage.rs
+++ b/crates/core/tests/usage.rs
@@ -3,10 +3,10 @@
 
 mod bed;
 
+use aggregator_core::engine::usage::{is_client_key, key_of_client, key_of_query, Outcome};
+use aggregator_core::engine::Input;
 use aggregator_core::protocol::leaf::End;
-use aggregator_core::protocol::query::{Asked, AskedPart, Query};
-use aggregator_core::routing::usage::{is_client_key, key_of_client, key_of_query, Outcome};
-use aggregator_core::routing::Input;
+use aggregator_core::protocol::query::{ClientRequest, Query, QueryPart};
 use bed::{Bed, MS, START};
 
 fn recording(replicas: u64) -> Bed {
@@ -17,7 +17,7 @@
 
 fn ask(bed: &mut Bed, name: &str, timeout_ms: u64, key: Option<&str>) -> u64 {
     let client = bed.connect();
-    let part = |shard| AskedPart {
+    let part = |shard| QueryPart {
         shard,
         weight: 0.5,
         work: None,
@@ -27,15 +27,15 @@
         class: 1,
         tenant: 0,
         timeout: timeout_ms * MS,
-        repeat: key.is_some(),
+        is_retry: key.is_some(),
         idempotency_key: key.map(str::to_string),
         parts: vec![part(0), part(1)],
         text: bytes::Bytes::from_static(b"text"),
     };
-    bed.put(Input::Asked {
+    bed.put(Input::RequestReceived {
         client,
         arrived: bed.now,
-        asked: Ok(Asked::Query(query)),
+        request: Ok(ClientRequest::Query(query)),
     });
     client
 }
@@ -48,7 +48,7 @@
     bed.answer_all();
     // Left before the answer.
     let client = bed.ask(1, &[1.0]);
-    bed.put(Input::ClientClosed { client });
+    bed.put(Input::ClientDisconnected { client });
     // Refused before any decision: no time left, and too much open.
     ask(&mut bed, "late", 1, None);
     let many: Vec<u64> = (0..30).map(|_| bed.ask(1, &[0.5, 0.5])).collect();
@@ -94,8 +94,8 @@
     let mut bed = recording(1);
     bed.ask(0, &[0.7, 0.2, 0.1]);
     bed.open_all();
-    let link = *bed.links.keys().next().unwrap();
-    bed.answer(link, End::Ok);
+    let connection = *bed.connections.keys().next().unwrap();
+    bed.answer(connection, End::Ok);
     bed.pass(5000);
     assert_eq!(bed.records.len(), 1);
     assert_eq!(
@@ -129,7 +129,7 @@
     assert!(complete > asked && bed.marks.last().unwrap().sequence == 1);
     // It waited for its turn since before the mark.
     let client = bed.connect();
-    let part = AskedPart {
+    let part = QueryPart {
         shard: 0,
         weight: 1.0,
         work: None,
@@ -139,20 +139,20 @@
         class: 1,
         tenant: 0,
         timeout: 5000 * MS,
-        repeat: false,
+        is_retry: false,
         idempotency_key: None,
         parts: vec![part],
         text: bytes::Bytes::from_static(b"text"),
     };
-    bed.put(Input::Asked {
+    bed.put(Input::RequestReceived {
         client,
         arrived: now - 190 * MS,
-        asked: Ok(Asked::Query(query)),
+        request: Ok(ClientRequest::Query(query)),
     });
     bed.open_all();
     bed.answer_all();
     assert_eq!(bed.records[1].arrived, complete);
-    bed.put(Input::Terminate);
+    bed.put(Input::ShutdownRequested);
     bed.pass(7000);
     assert!(
         bed.exited && bed.marks.last().unwrap().end,
--- a/crates/core/tests/watch.rs
+++ b/crates/core/tests/watch.rs
@@ -3,7 +3,7 @@
 mod bed;
 mod stage;
 
-use aggregator_core::transport::Told;
+use aggregator_core::net::OperatorSignal;
 use bed::SETTINGS;
 use stage::{addresses, answer, client, line, list, play, query, Leaf, Watch, NEVER};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -113,7 +113,11 @@
         let at = addresses(next.local_addr().unwrap());
         // The old watch ends in the very moment in which discovery moves.
         drop(old);
-        stage.tell.send(Told::Reload(Some(at))).await.unwrap();
+        stage
+            .tell
+            .send(OperatorSignal::Reload(Some(at)))
+            .await
+            .unwrap();
         let mut moved = Watch::next(&next).await;
         moved.begin().await;
         moved.write("\n").await;
@@ -157,10 +161,10 @@
             .write_all(b"HTTP/1.1 200 OK\r\n\r\n")
             .await
             .unwrap();
-        let whole = list(9, &[]).to_string();
+        let complete = list(9, &[]).to_string();
         watch
             .stream
-            .write_all(&whole.as_bytes()[..whole.len() - 1])
+            .write_all(&complete.as_bytes()[..complete.len() - 1])
             .await
             .unwrap();
         sleep(Duration::from_millis(10)).await;
--- a/crates/opensearch-gateway/src/front.rs
+++ b/crates/opensearch-gateway/src/front.rs
@@ -7,8 +7,8 @@
 use crate::shape::{self, Answer, Shards};
 use crate::tenant;
 use crate::tls::{self, Tls};
-use aggregator_core::protocol::query::{AskedPart, Query, Reply};
-use aggregator_core::transport::Door;
+use aggregator_core::net::InternalClient;
+use aggregator_core::protocol::query::{Query, QueryPart, Reply};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -46,7 +46,7 @@
 
 struct Context {
     front: Front,
-    door: Door,
+    door: InternalClient,
     /// Begins the names of this run's queries: leaf servers must never see one of another mixer or
     /// run again.
     run: String,
@@ -54,7 +54,7 @@
 }
 
 /// Serves on `listener` until the mixer stops; in the mixer's own `LocalSet`.
-pub fn start(front: Front, tls: Option<Rc<Tls>>, listener: TcpListener, door: Door) {
+pub fn start(front: Front, tls: Option<Rc<Tls>>, listener: TcpListener, door: InternalClient) {
     let run = format!("os{:016x}", rand::random::<u64>());
     let room = Arc::new(Semaphore::new(front.connections));
     let context = Rc::new(Context {
@@ -499,13 +499,13 @@
         class: class as u16,
         tenant: tenant as u32,
         timeout: stated.unwrap_or(longest).min(longest),
-        repeat: header("x-retried") == Some("1"),
+        is_retry: header("x-retried") == Some("1"),
         idempotency_key: header("idempotency-key")
             .filter(|key| (1..=128).contains(&key.len()))
             .map(str::to_string),
         parts: chosen
             .iter()
-            .map(|(shard, weight)| AskedPart {
+            .map(|(shard, weight)| QueryPart {
                 shard: *shard,
                 weight: weight / sum,
                 work: None,
@@ -515,10 +515,10 @@
     };
     let hits = match context.door.ask(arrived, query).await {
         Reply::Answer { hits, .. } => hits,
-        Reply::Refused { come_back } => {
-            return Err(shape::refused(come_back.map(Duration::from_nanos)))
+        Reply::Rejected { retry_after } => {
+            return Err(shape::refused(retry_after.map(Duration::from_nanos)))
         }
-        Reply::Rejected(rejection) => {
+        Reply::InvalidRequest(rejection) => {
             return Err(shape::error(
                 rejection.status,
                 "illegal_argument_exception",
@@ -572,7 +572,7 @@
     }
     shards.successful = answers.len();
     // What came back as an error counts as little as what did not come back.
-    let floor = names.floors.get(class).copied().unwrap_or(1.0);
+    let floor = names.minimum_coverages.get(class).copied().unwrap_or(1.0);
     if share + 1e-6 < floor {
         let reason = format!(
             "{} of {} shards failed",
@@ -668,7 +668,7 @@
     index: Option<Value>,
     preference: Option<String>,
     allow_partial_search_results: Option<bool>,
-    routing: Option<String>,
+    engine: Option<String>,
     search_type: Option<String>,
 }
 
@@ -744,7 +744,7 @@
                         "one search goes to one index here",
                     ));
                 }
-                if line.routing.is_some()
+                if line.engine.is_some()
                     || line
                         .search_type
                         .is_some_and(|kind| kind != "query_then_fetch")
--- /dev/null
+++ b/crates/policy/src/api/action.rs
@@ -0,0 +1,78 @@
+//! What a policy requests.
+
+use super::{Nanos, ReplicaId, RequestId};
+
+/// One request of the policy. Actions are executed in their order at the time of their batch.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send a part to a replica.
+    SendAttempt {
+        /// The part.
+        part: RequestId,
+        /// The replica to send it to.
+        replica: ReplicaId,
+        /// The attempt times out then.
+        until: Nanos,
+        /// The attempt is dropped if it has not been sent by then.
+        latest_start: Option<Nanos>,
+    },
+    /// Cancel an attempt that is out.
+    CancelAttempt {
+        /// The part that is attempted.
+        part: RequestId,
+        /// The number of the attempt.
+        attempt: u8,
+    },
+    /// Answer a query from the parts that are in.
+    Answer {
+        /// The query.
+        query: RequestId,
+        /// The answer is to be marked as complete.
+        complete: bool,
+    },
+    /// Reject a query: trying again is harmless.
+    Reject {
+        /// The query.
+        query: RequestId,
+        /// The client does best not to try again before this has passed.
+        retry_after: Option<Nanos>,
+    },
+    /// End a query with no promise about its effect.
+    Fail {
+        /// The query.
+        query: RequestId,
+    },
+    /// Request an [`super::Event::TimerFired`] after this time.
+    SetTimer {
+        /// The timer's token.
+        token: u64,
+        /// The time until it fires.
+        after: Nanos,
+    },
+    /// Watch the endpoint list, or stop watching it.
+    WatchEndpoints {
+        /// Whether to watch.
+        enabled: bool,
+    },
+    /// Read the whole endpoint list once.
+    FetchEndpoints,
+    /// Send a replica a health check.
+    CheckHealth {
+        /// The replica.
+        replica: ReplicaId,
+    },
+    /// Close the idle connections to a replica.
+    CloseIdleConnections {
+        /// The replica.
+        replica: ReplicaId,
+    },
+    /// Send bytes to one other aggregator, or to all.
+    SendGossip {
+        /// The receiver, by number; all where there is none.
+        to: Option<u32>,
+        /// The message.
+        bytes: Vec<u8>,
+    },
+    /// Write a line to the log.
+    Log(String),
+}
