--- /dev/null
+++ b/crates/policy/src/api/event.rs
@@ -0,0 +1,157 @@
+//! What a policy is told.
+
+use super::{Nanos, ReplicaId, RequestId};
+
+/// The state of a replica on the endpoint list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ReplicaState {
+    /// It takes requests.
+    #[default]
+    Ready,
+    /// It finishes what it has and takes nothing new.
+    Draining,
+    /// It has left.
+    Gone,
+}
+
+/// One line of the endpoint list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReplicaEntry {
+    /// The replica that the line is about.
+    pub replica: ReplicaId,
+    /// Its placement cell.
+    pub cell: u16,
+    /// Its zone.
+    pub zone: u16,
+    /// When it last started; 0 means long ago.
+    pub started: Nanos,
+    /// Its state.
+    pub state: ReplicaState,
+}
+
+/// What an update of the endpoint list carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndpointUpdateKind {
+    /// Changed lines only.
+    Delta,
+    /// The complete list.
+    Snapshot,
+    /// The complete list as last held before a restart; it may be stale.
+    Cached,
+    /// A poll or a watch failed; there are no lines.
+    Unavailable,
+}
+
+/// How an attempt or a health check ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptOutcome {
+    /// The part was executed and its result is in.
+    Success,
+    /// The replica reports an error; the part may have been executed.
+    Error,
+    /// The replica is full and rejected the part without executing it.
+    Rejected,
+    /// No reply in time; the part may have been executed.
+    TimedOut,
+    /// No connection; the part was not executed.
+    Unreachable,
+    /// The connection was lost; the part may have been executed.
+    ConnectionLost,
+    /// Cancelled by us; the part may have been executed.
+    Cancelled,
+    /// Never sent.
+    NotSent,
+}
+
+/// A replica's statement of its own load, in the order that the operator defines.
+pub type LoadReport = Vec<f32>;
+
+/// One thing that happened. Events of one batch happened in their order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// The endpoint list has changed, or could not be read.
+    EndpointsUpdated {
+        /// What `entries` are.
+        kind: EndpointUpdateKind,
+        /// Lines of the list.
+        entries: Vec<ReplicaEntry>,
+    },
+    /// A query has come in; its parts follow in the same batch and carry the same `group`.
+    QueryReceived {
+        /// The query.
+        id: RequestId,
+        /// Joins the query and its parts.
+        group: u32,
+        /// Index into the settings' classes.
+        class: u16,
+        /// The tenant, by number.
+        tenant: u32,
+        /// How long the client still waits.
+        client_timeout: Nanos,
+        /// The work that the query is expected to take.
+        work: Option<Nanos>,
+        /// The client has marked it as a retry of an earlier try.
+        is_retry: bool,
+    },
+    /// A part of the query with this `group`.
+    PartReceived {
+        /// The part.
+        id: RequestId,
+        /// Joins the part and its query.
+        group: u32,
+        /// The shard that the part asks.
+        shard: u32,
+        /// Its share of its step's weight.
+        weight: f64,
+    },
+    /// An attempt has ended. Attempts of a part count from 0 in the order sent.
+    AttemptEnded {
+        /// The part that was attempted.
+        part: RequestId,
+        /// The number of the attempt.
+        attempt: u8,
+        /// The replica that it was sent to.
+        replica: ReplicaId,
+        /// How it ended.
+        outcome: AttemptOutcome,
+        /// What the replica said of its load.
+        report: LoadReport,
+    },
+    /// A streamed response has started.
+    ResponseStarted {
+        /// The part that was attempted.
+        part: RequestId,
+        /// The number of the attempt.
+        attempt: u8,
+        /// The replica that responds.
+        replica: ReplicaId,
+    },
+    /// The client has closed its connection; the query is over.
+    ClientDisconnected {
+        /// The query.
+        id: RequestId,
+    },
+    /// A timer set by [`super::Action::SetTimer`] has fired.
+    TimerFired {
+        /// The timer's token.
+        token: u64,
+    },
+    /// A health check has ended.
+    HealthCheckEnded {
+        /// The replica that was checked.
+        replica: ReplicaId,
+        /// How the check ended.
+        outcome: AttemptOutcome,
+        /// How long it took.
+        latency: Nanos,
+        /// What the replica said of its load.
+        report: LoadReport,
+    },
+    /// A message of another aggregator has come in.
+    GossipReceived {
+        /// The sender, by number.
+        from: u32,
+        /// The message.
+        bytes: Vec<u8>,
+    },
+}
--- /dev/null
+++ b/crates/policy/src/api/settings.rs
@@ -0,0 +1,110 @@
+//! What the operator states about the deployment. `None` means that a value has not been stated.
+
+use super::Nanos;
+
+/// The effect of executing a part more than once.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Idempotency {
+    /// None: a part may be retried freely.
+    #[default]
+    Idempotent,
+    /// The leaf server drops duplicates within the class's idempotency window, which opens with the
+    /// first attempt that may have been executed.
+    IdempotentWithKey,
+    /// A second effect: only an attempt that is known not to have been executed may be retried.
+    NonIdempotent,
+}
+
+/// A class of queries.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct QueryClass {
+    /// An answer within this time earns its full weight.
+    pub latency_objective: Nanos,
+    /// The objective grows by this multiple of the query's own expected work.
+    pub objective_stretch: Option<f64>,
+    /// The longest that a client waits, over all its tries.
+    pub deadline: Nanos,
+    /// Whether parts may be retried.
+    pub idempotency: Idempotency,
+    /// How long duplicates of a part with an idempotency key are dropped.
+    pub idempotency_window: Nanos,
+    /// What an answer earns, relative to other classes.
+    pub priority_weight: Option<f64>,
+    /// Fraction of the weight that an answer after the latency objective earns.
+    pub late_value: f64,
+    /// Share of the first step's part weight that a complete answer needs.
+    pub completeness_threshold: f64,
+    /// Least share of the part weight that an answer may rest on.
+    pub minimum_coverage: f64,
+    /// What an incomplete answer earns, times its share over `completeness_threshold`.
+    pub partial_value: f64,
+    /// The most parts that a second step may have; 0 where there is no second step.
+    pub second_step_parts: u32,
+}
+
+/// The retries allowed in any `window`: `minimum`, and `ratio` of the queries and parts received in
+/// it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RetryBudget {
+    /// Retries that are always allowed.
+    pub minimum: f64,
+    /// Further retries for each query and part received.
+    pub ratio: f64,
+    /// The length of the sliding window.
+    pub window: Nanos,
+}
+
+/// All that a policy is told at its start.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Settings {
+    /// The classes of queries, by number.
+    pub classes: Vec<QueryClass>,
+    /// Number of placement cells. Shard s is held by the replicas in cells s, s + 1, ...
+    /// s + `cells_per_shard` - 1, modulo this.
+    pub placement_cells: u32,
+    /// Number of consecutive cells whose replicas hold a shard.
+    pub cells_per_shard: u32,
+    /// The zone of this aggregator.
+    pub zone: u16,
+    /// The price of sending all parts to other zones, as a share of all priority weight.
+    pub cross_zone_price: f64,
+    /// The most parts that share a call when sent to one replica in one batch.
+    pub max_parts_per_call: Option<u32>,
+    /// The number of aggregators, this one included.
+    pub aggregators: u32,
+    /// Least time between two batches of events.
+    pub tick: Nanos,
+    /// The most attempts for a part.
+    pub max_attempts: Option<u32>,
+    /// Attempts may be cancelled.
+    pub cancellation_allowed: bool,
+    /// Clients mark their retries; a query without the mark is a first try.
+    pub retries_marked: bool,
+    /// A second attempt may be sent while the first is out.
+    pub hedging_allowed: bool,
+    /// Replicas may be sent health checks.
+    pub health_checks_allowed: bool,
+    /// The longest `Retry-After` that a rejected client may be given; 0 where none may be given.
+    pub max_retry_after: Nanos,
+    /// A replica that has just started has at least this share of its capacity, and all of it after
+    /// `warm_up_time`.
+    pub initial_capacity: Option<f64>,
+    /// How long a replica warms up.
+    pub warm_up_time: Nanos,
+    /// Sent more than this multiple of its present capacity for `overload_window`, a replica that
+    /// is warming up fails.
+    pub overload_multiple: Option<f64>,
+    /// See `overload_multiple`.
+    pub overload_window: Nanos,
+    /// The limit on retries, if one is set.
+    pub retry_budget: Option<RetryBudget>,
+    /// Connections without use are closed after this time.
+    pub idle_timeout: Nanos,
+    /// Nothing new may go to a replica this long after the notice that it drains or is gone.
+    pub drain_notice: Nanos,
+    /// The endpoint list has to be polled; otherwise it is pushed.
+    pub endpoint_list_polled: bool,
+    /// An aggregator that has not polled for this long is held to know what was listed that long
+    /// ago.
+    pub poll_interval: Nanos,
+}
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -1,9 +1,9 @@
-//! Every decision of a co-ordinator. What goes in and out is defined in `src/interface.rs`.
+//! Every decision of a co-ordinator. What goes in and out is defined in `src/api.rs`.
 //!
 //! One [`Coordinator`] is told of events in batches and answers each batch with actions. It holds no clock,
 //! no thread and nothing global: the same settings, seed and events give the same actions.
 
-use crate::interface::*;
+use crate::api::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 // ---- Tuned constants ----------------------------------------------------------------------------------
@@ -96,7 +96,7 @@
     cell: u16,
     zone: u16,
     started: Nanos,
-    standing: Standing,
+    state: ReplicaState,
     /// Smoothed latency in ns (none while unheard), when it last changed, and the last sign of life.
     latency: Option<f64>,
     learned: Nanos,
@@ -146,7 +146,7 @@
     group: u32,
     class: usize,
     arrived: Nanos,
-    aim: Nanos,
+    latency_objective: Nanos,
     deadline: Nanos,
     /// A repeat by a client that gives up its tries before the aim.
     hasty: bool,
@@ -162,7 +162,7 @@
 
 /// The decisions of one co-ordinator.
 #[derive(Debug, Default)]
-pub struct Coordinator {
+pub struct Policy {
     settings: Settings,
     seed: u64,
     random: u64,
@@ -192,7 +192,7 @@
     served: (f64, Nanos),
     born: Nanos,
     /// The usual patience of first tries of a class and tenant, and by how many votes it leads.
-    patience: BTreeMap<(usize, usize), (Nanos, u32)>,
+    client_timeout: BTreeMap<(usize, usize), (Nanos, u32)>,
     usual_density: Option<f64>,
     /// For each class that has lost queries to full replicas, its free permits and when they were counted.
     permits: BTreeMap<usize, (f64, Nanos)>,
@@ -214,15 +214,15 @@
 
 // ---- Events -------------------------------------------------------------------------------------------
 
-impl Coordinator {
+impl Policy {
     pub fn new(settings: Settings, seed: u64) -> Self {
-        Coordinator { settings, seed, random: seed, ..Coordinator::default() }
+        Policy { settings, seed, random: seed, ..Policy::default() }
     }
 
     /// How much is kept of queries, attempts and replicas.
     pub fn held(&self) -> usize {
         let open = self.queries.len() + self.groups.len() + self.owner.len() + self.flights.len();
-        open + self.taken.len() + self.patience.len() + self.replicas.len()
+        open + self.taken.len() + self.client_timeout.len() + self.replicas.len()
     }
 
     /// Takes what happened at `now`, in order, and appends what to do about it to `actions`.
@@ -230,11 +230,11 @@
         self.now = now;
         if self.born == 0 {
             self.born = now;
-            self.ask_at = self.settings.list_on_request.then(|| now + self.ask_wait(0.0, ASK_FIRST));
+            self.ask_at = self.settings.endpoint_list_polled.then(|| now + self.ask_wait(0.0, ASK_FIRST));
         }
         if self.ask_at.is_some_and(|at| at <= now) {
             self.ask_at = None;
-            actions.push(Action::Subscribe { on: true });
+            actions.push(Action::WatchEndpoints { enabled: true });
         }
         let mut fresh = BTreeSet::new();
         for event in events {
@@ -254,22 +254,24 @@
         let next = if self.queries.is_empty() { self.ask_at } else { Some(now + self.beat()) };
         if let Some(next) = next.filter(|next| self.wake_at.is_none_or(|at| at <= now || *next < at)) {
             self.wake_at = Some(next);
-            actions.push(Action::Wake { token: 0, after: next.saturating_sub(now) });
+            actions.push(Action::SetTimer { token: 0, after: next.saturating_sub(now) });
         }
     }
 
     fn take(&mut self, event: &Event, fresh: &mut BTreeSet<RequestId>, actions: &mut Vec<Action>) {
         match event {
-            Event::List { kind, members } => self.take_list(*kind, members),
-            Event::Query { .. } => self.take_query(event),
-            Event::Part { id, group, shard, weight } => {
+            Event::EndpointsUpdated { kind, entries } => self.take_list(*kind, entries),
+            Event::QueryReceived { .. } => self.take_query(event),
+            Event::PartReceived { id, group, shard, weight } => {
                 self.taken.push_back(self.now);
                 if let Some(owner) = self.take_part(*id, *group, *shard, *weight) {
                     fresh.insert(owner);
                 }
             }
-            Event::Ended { part, attempt, outcome, .. } => self.take_outcome(*part, *attempt, *outcome),
-            Event::ClientGone { id } => {
+            Event::AttemptEnded { part, attempt, outcome, .. } => {
+                self.take_outcome(*part, *attempt, *outcome)
+            }
+            Event::ClientDisconnected { id } => {
                 if let Some(mut query) = self.queries.remove(id) {
                     self.settle(&query, false, 0.0);
                     self.withdraw(&mut query, actions);
@@ -277,40 +279,40 @@
                     fresh.remove(id);
                 }
             }
-            Event::Began { replica, .. } => self.hear(*replica),
-            Event::Probed { replica, outcome, latency, .. } => match outcome {
-                Outcome::TimedOut | Outcome::Unreachable | Outcome::Broken => {
+            Event::ResponseStarted { replica, .. } => self.hear(*replica),
+            Event::HealthCheckEnded { replica, outcome, latency, .. } => match outcome {
+                AttemptOutcome::TimedOut | AttemptOutcome::Unreachable | AttemptOutcome::ConnectionLost => {
                     self.learn(*replica, self.now.saturating_sub(*latency), IN_USE, *outcome);
                 }
-                Outcome::Ok => self.hear(*replica),
+                AttemptOutcome::Success => self.hear(*replica),
                 _ => {}
             },
-            Event::Timer { .. } | Event::Message { .. } => {}
+            Event::TimerFired { .. } | Event::GossipReceived { .. } => {}
         }
     }
 
-    fn take_list(&mut self, kind: ListKind, members: &[Member]) {
-        if kind == ListKind::Failed {
+    fn take_list(&mut self, kind: EndpointUpdateKind, entries: &[ReplicaEntry]) {
+        if kind == EndpointUpdateKind::Unavailable {
             return self.ask_later();
         }
-        if kind != ListKind::Remembered {
+        if kind != EndpointUpdateKind::Cached {
             // What was asked for is here: to ask again would be one more call.
             self.ask_at = None;
         }
-        self.asks_failed = if kind == ListKind::Remembered { self.asks_failed } else { 0 };
-        if kind != ListKind::Changes {
-            let listed: BTreeSet<ReplicaId> = members.iter().map(|m| m.replica).collect();
+        self.asks_failed = if kind == EndpointUpdateKind::Cached { self.asks_failed } else { 0 };
+        if kind != EndpointUpdateKind::Delta {
+            let listed: BTreeSet<ReplicaId> = entries.iter().map(|m| m.replica).collect();
             for (id, replica) in &mut self.replicas {
                 if !listed.contains(id) {
-                    replica.standing = Standing::Gone;
+                    replica.state = ReplicaState::Gone;
                 }
             }
         }
-        for member in members {
+        for member in entries {
             let new = Replica { started: member.started, ..Replica::default() };
             let replica = self.replicas.entry(member.replica).or_insert(new);
-            (replica.cell, replica.zone, replica.standing) = (member.cell, member.zone, member.standing);
-            if member.standing == Standing::Ready && replica.started != member.started {
+            (replica.cell, replica.zone, replica.state) = (member.cell, member.zone, member.state);
+            if member.state == ReplicaState::Ready && replica.started != member.started {
                 replica.started = member.started;
                 (replica.latency, replica.pace) = (None, None);
                 (replica.strikes, replica.suspected) = (0, false);
@@ -318,7 +320,7 @@
         }
         // One that is gone is forgotten with what was learned of it, or new names would add up for good.
         let faded = self.now.saturating_sub((FADE_AIMS * self.shortest_aim()) as Nanos);
-        let needed = |r: &Replica| r.standing != Standing::Gone || !r.calls.is_empty();
+        let needed = |r: &Replica| r.state != ReplicaState::Gone || !r.calls.is_empty();
         self.replicas.retain(|_, r| needed(r) || r.learned > faded);
     }
 
@@ -329,7 +331,7 @@
             return;
         }
         let most = (ASK_AGAIN.0 * f64::from(1u32 << self.asks_failed.min(16))).min(ASK_AGAIN.1);
-        let asked_for = self.settings.list_on_request;
+        let asked_for = self.settings.endpoint_list_polled;
         let (least, most) = if asked_for { (0.5 * most, 1.5 * most) } else { WATCH_AGAIN };
         self.ask_at = Some(self.now + self.ask_wait(least, most));
         self.asks_failed += 1;
@@ -337,10 +339,10 @@
 
     /// A wait of our own between these shares of the time within which the list has to be asked for.
     fn ask_wait(&mut self, least: f64, most: f64) -> Nanos {
-        let within = if self.settings.list_on_request {
-            (self.settings.list_within as f64).max(FADE_AIMS * self.shortest_aim())
+        let within = if self.settings.endpoint_list_polled {
+            (self.settings.poll_interval as f64).max(FADE_AIMS * self.shortest_aim())
         } else {
-            self.settings.drain_grace as f64
+            self.settings.drain_notice as f64
         };
         let mut random = fastrand::Rng::with_seed(self.random);
         let share = least + (most - least) * random.f64();
@@ -349,22 +351,28 @@
     }
 
     fn take_query(&mut self, event: &Event) {
-        let Event::Query { id, group, class, tenant, patience, work, repeat } = *event else { return };
+        let Event::QueryReceived { id, group, class, tenant, client_timeout, work, is_retry } = *event else {
+            return;
+        };
         self.taken.push_back(self.now);
         let class = class as usize;
-        let spent = self.spent((class, tenant as usize), patience, repeat);
+        let spent = self.spent((class, tenant as usize), client_timeout, is_retry);
         let Some(kind) = self.settings.classes.get(class) else { return };
-        let stretch = kind.aim_stretch.unwrap_or(0.0) * work.unwrap_or(0) as f64;
-        let deadline = self.now + patience;
-        let aim = (self.now + kind.aim + stretch as Nanos).saturating_sub(spent);
+        let stretch = kind.objective_stretch.unwrap_or(0.0) * work.unwrap_or(0) as f64;
+        let deadline = self.now + client_timeout;
+        let latency_objective = (self.now + kind.latency_objective + stretch as Nanos).saturating_sub(spent);
         let query = Query {
             id,
             group,
             class,
             arrived: self.now,
-            aim: if aim > self.now { aim.min(deadline) } else { deadline },
-            late: aim <= self.now,
-            hasty: repeat && spent == 0 && patience < kind.aim,
+            latency_objective: if latency_objective > self.now {
+                latency_objective.min(deadline)
+            } else {
+                deadline
+            },
+            late: latency_objective <= self.now,
+            hasty: is_retry && spent == 0 && client_timeout < kind.latency_objective,
             deadline,
             step: 1,
             step_began: self.now,
@@ -376,18 +384,18 @@
 
     /// How much of its aim a repeat has spent: its patience ends with the first try's deadline. First tries
     /// set by majority what is usual for a class and tenant: one's hasty clients must not spoil another's.
-    fn spent(&mut self, (class, tenant): (usize, usize), patience: Nanos, repeat: bool) -> Nanos {
+    fn spent(&mut self, (class, tenant): (usize, usize), client_timeout: Nanos, is_retry: bool) -> Nanos {
         let Some(kind) = self.settings.classes.get(class) else { return 0 };
-        let (usual, lead) = self.patience.entry((class, tenant)).or_default();
-        let alike = |usual: Nanos| patience.abs_diff(usual) <= kind.aim / 100;
-        if !repeat && *lead == 0 {
-            (*usual, *lead) = (patience, 1);
-        } else if !repeat {
+        let (usual, lead) = self.client_timeout.entry((class, tenant)).or_default();
+        let alike = |usual: Nanos| client_timeout.abs_diff(usual) <= kind.latency_objective / 100;
+        if !is_retry && *lead == 0 {
+            (*usual, *lead) = (client_timeout, 1);
+        } else if !is_retry {
             *lead = if alike(*usual) { (*lead + 1).min(PATIENCE_VOTES) } else { *lead - 1 };
         }
-        let first_try = self.settings.repeats_marked && !repeat;
+        let first_try = self.settings.retries_marked && !is_retry;
         let unspent = first_try || alike(*usual) || *lead == 0;
-        kind.deadline.saturating_sub(if unspent { kind.deadline } else { patience })
+        kind.deadline.saturating_sub(if unspent { kind.deadline } else { client_timeout })
     }
 
     fn take_part(&mut self, id: RequestId, group: u32, shard: u32, weight: f64) -> Option<RequestId> {
@@ -399,28 +407,31 @@
         Some(owner)
     }
 
-    fn take_outcome(&mut self, part: RequestId, number: u8, outcome: Outcome) {
+    fn take_outcome(&mut self, part: RequestId, number: u8, outcome: AttemptOutcome) {
         let Some((replica, sent, connection)) = self.flights.remove(&(part, number)) else { return };
         // A failed connection is lost capacity where the replica was heard lately or attempts are rationed;
         // elsewhere it may just be slow to greet, and light parts dropped for that help nobody.
         let known = self.replicas.get(&replica).is_some_and(|r| self.news_age(r.heard) < 1.0);
-        let pressing = known || self.settings.budget.is_some();
+        let pressing = known || self.settings.retry_budget.is_some();
         self.learn(replica, sent, connection, outcome);
         let Some(owner) = self.owner.get(&part) else { return };
         let Some(query) = self.queries.get_mut(owner) else { return };
         let Some(part) = query.parts.iter_mut().find(|p| p.id == part) else { return };
         if let Some(attempt) = part.attempts.get_mut(number as usize) {
             attempt.out = false;
-            attempt.broke = outcome == Outcome::Broken;
-            attempt.full = outcome == Outcome::Refused;
-            attempt.never_ran = matches!(outcome, Outcome::Refused | Outcome::Unreachable | Outcome::NotSent);
+            attempt.broke = outcome == AttemptOutcome::ConnectionLost;
+            attempt.full = outcome == AttemptOutcome::Rejected;
+            attempt.never_ran = matches!(
+                outcome,
+                AttemptOutcome::Rejected | AttemptOutcome::Unreachable | AttemptOutcome::NotSent
+            );
         }
-        if outcome == Outcome::Ok && !part.landed && part.attempts.iter().any(|a| a.out) {
+        if outcome == AttemptOutcome::Success && !part.landed && part.attempts.iter().any(|a| a.out) {
             let first = part.attempts.iter().take(number as usize).all(|a| !a.out);
             self.races_lost += RACE * (f64::from(u8::from(first)) - self.races_lost);
         }
-        part.landed |= outcome == Outcome::Ok;
-        let bad = outcome == Outcome::Refused || outcome == Outcome::Unreachable && pressing;
+        part.landed |= outcome == AttemptOutcome::Success;
+        let bad = outcome == AttemptOutcome::Rejected || outcome == AttemptOutcome::Unreachable && pressing;
         if (part.landed || bad) && !part.counted {
             part.counted = true;
             self.judged.push_back((self.now, bad));
@@ -435,7 +446,7 @@
     }
 
     fn forget_old(&mut self) {
-        let span = self.settings.budget.as_ref().map_or(0, |b| b.span).max(2 * SECOND);
+        let span = self.settings.retry_budget.as_ref().map_or(0, |b| b.window).max(2 * SECOND);
         let (window, span) = (self.now.saturating_sub(SECOND), self.now.saturating_sub(span));
         while self.judged.front().is_some_and(|(at, _)| *at < window) {
             self.judged.pop_front();
@@ -452,7 +463,7 @@
     }
 
     fn shortest_aim(&self) -> f64 {
-        self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(SECOND) as f64
+        self.settings.classes.iter().map(|c| c.latency_objective).min().unwrap_or(SECOND) as f64
     }
 
     // ---- Admission ----------------------------------------------------------------------------------------
@@ -485,19 +496,19 @@
     /// Overload: a query that cannot make its aim only delays others.
     fn hopeless(&mut self, query: &mut Query) -> bool {
         let share = REFUSE_AT * self.density(query);
-        let left = (query.aim - query.arrived) as f64;
+        let left = (query.latency_objective - query.arrived) as f64;
         let limit = share * left / self.steps_of(query) as f64;
         let class = &self.settings.classes[query.class];
         // Work for a client who leaves too soon is lost. By the aim, or a slow spell would never end.
-        let usual = self.mean.unwrap_or(0.0).min(REFUSE_AT * class.aim as f64);
-        if query.late && class.late_worth <= 0.0 || query.hasty || left < usual {
+        let usual = self.mean.unwrap_or(0.0).min(REFUSE_AT * class.latency_objective as f64);
+        if query.late && class.late_value <= 0.0 || query.hasty || left < usual {
             return true;
         }
-        let least = class.floor.min(class.need);
+        let least = class.minimum_coverage.min(class.completeness_threshold);
         let slow: Vec<usize> =
             (0..query.parts.len()).filter(|i| self.best_latency(&query.parts[*i]) > limit).collect();
         let left = 1.0 - slow.iter().map(|i| query.parts[*i].weight).sum::<f64>();
-        if left + 1e-4 >= least && least < class.need {
+        if left + 1e-4 >= least && least < class.completeness_threshold {
             slow.into_iter().for_each(|i| query.parts[i].dropped = true);
         }
         left + 1e-4 < least
@@ -519,7 +530,7 @@
     /// Whether an answer past the aim is worth its work: what waits at full replicas until then keeps others from
     /// theirs, and nothing but its time takes it out of their queues.
     fn may_be_late(&self, class: usize) -> bool {
-        self.settings.classes[class].late_worth > 0.0 && !self.permits.contains_key(&class)
+        self.settings.classes[class].late_value > 0.0 && !self.permits.contains_key(&class)
     }
 
     /// Gives a query's permit back, with something beside for one that was answered; `lost` to full replicas, it
@@ -543,8 +554,8 @@
 
     /// Worth of a part against the usual: queries that earn much for little work may wait in longer queues.
     fn density(&mut self, query: &Query) -> f64 {
-        let worth = self.settings.classes[query.class].worth.unwrap_or(1.0);
-        let own = worth / query.parts.len().max(1) as f64;
+        let priority_weight = self.settings.classes[query.class].priority_weight.unwrap_or(1.0);
+        let own = priority_weight / query.parts.len().max(1) as f64;
         let usual = self.usual_density.get_or_insert(own);
         *usual += SMOOTHING_ALL * (own - *usual);
         (own / usual.max(f64::MIN_POSITIVE)).clamp(DENSITY.0, DENSITY.1)
@@ -562,12 +573,12 @@
     }
 
     fn best_latency(&self, part: &Part) -> f64 {
-        let holders = self.holders(part.shard).filter(|(_, r)| r.standing == Standing::Ready);
+        let holders = self.holders(part.shard).filter(|(_, r)| r.state == ReplicaState::Ready);
         holders.map(|(_, r)| self.expected(r)).fold(f64::INFINITY, f64::min)
     }
 
     fn steps_of(&self, query: &Query) -> u64 {
-        1 + u64::from(self.settings.classes[query.class].second_step > 0)
+        1 + u64::from(self.settings.classes[query.class].second_step_parts > 0)
     }
 
     // ---- Selection ----------------------------------------------------------------------------------------
@@ -575,12 +586,12 @@
     /// The design's cutoff: parts lighter than it stay unsent, lightest first, never below the class's floor.
     /// Each step lets go a share of what may go, or one bad second would take a hundred light parts at once.
     fn select(&self, query: &mut Query) {
-        let floor = self.settings.classes[query.class].floor;
-        if self.cutoff <= 0.0 || floor >= 1.0 {
+        let minimum_coverage = self.settings.classes[query.class].minimum_coverage;
+        if self.cutoff <= 0.0 || minimum_coverage >= 1.0 {
             return;
         }
         let sent: f64 = query.parts.iter().filter(|p| !p.dropped).map(|p| p.weight).sum();
-        let mut spare = (sent - floor) * self.cutoff / CUTOFF_TOP;
+        let mut spare = (sent - minimum_coverage) * self.cutoff / CUTOFF_TOP;
         for i in by_weight(query) {
             let part = &mut query.parts[i];
             if part.weight >= self.cutoff || part.weight > spare {
@@ -620,8 +631,11 @@
     // ---- Replica choice -----------------------------------------------------------------------------------
 
     fn holders(&self, shard: u32) -> impl Iterator<Item = (ReplicaId, &Replica)> {
-        let (cells, reach) = (self.settings.cells.max(1), self.settings.reach);
-        let held = move |cell: u16| (cell as u32 + cells - shard % cells) % cells < reach;
+        let (placement_cells, cells_per_shard) =
+            (self.settings.placement_cells.max(1), self.settings.cells_per_shard);
+        let held = move |cell: u16| {
+            (cell as u32 + placement_cells - shard % placement_cells) % placement_cells < cells_per_shard
+        };
         self.replicas.iter().filter(move |(_, r)| held(r.cell)).map(|(id, r)| (*id, r))
     }
 
@@ -636,7 +650,8 @@
             }
             let tried = part.attempts.iter().any(|a| a.replica == id) as u32;
             let rank = 2 * self.suspect(replica) as u32 + tried;
-            let price = self.settings.zone_price * f64::from(u8::from(replica.zone != self.settings.zone));
+            let price =
+                self.settings.cross_zone_price * f64::from(u8::from(replica.zone != self.settings.zone));
             let queue = self.latency(replica) * f64::from(self.open_calls(replica) + 1);
             let score = queue + FAR * price * self.shortest_aim();
             let key = (rank, score, !replica.calls.contains_key(&self.now), random.u32(..));
@@ -669,7 +684,7 @@
 
     /// Calls of ours still out at it; one opened this turn that has room for one more part is not counted.
     fn open_calls(&self, replica: &Replica) -> u32 {
-        let room = self.settings.call_parts.unwrap_or(1).max(1);
+        let room = self.settings.max_parts_per_call.unwrap_or(1).max(1);
         let full =
             |sent: Nanos, parts: u32| if sent == self.now { parts / room } else { parts.div_ceil(room) };
         replica.calls.iter().map(|(sent, parts)| full(*sent, *parts)).sum()
@@ -677,53 +692,53 @@
 
     /// Drains and cold replicas: whether the rules leave room for one more part there.
     fn may_send(&self, replica: &Replica) -> bool {
-        let since = self.now.saturating_sub(self.settings.fall_time);
+        let since = self.now.saturating_sub(self.settings.overload_window);
         let recent = replica.sends.iter().filter(|at| **at >= since).count();
-        replica.standing == Standing::Ready && (recent as f64) < self.cold_room(replica)
+        replica.state == ReplicaState::Ready && (recent as f64) < self.cold_room(replica)
     }
 
     /// Slow start: the guide is what its likes answered to us for long; what was sent is nothing where all
     /// are cold. Dozens with one part each push it over: of less than one, the seed decides when it goes.
     fn cold_room(&self, replica: &Replica) -> f64 {
-        let told = self.settings.cold_from.zip(self.settings.fall_multiple);
+        let told = self.settings.initial_capacity.zip(self.settings.overload_multiple);
         let Some((from, multiple)) = told else { return f64::INFINITY };
         let age = self.now.saturating_sub(replica.started);
-        if replica.started == 0 || age >= self.settings.cold_time {
+        if replica.started == 0 || age >= self.settings.warm_up_time {
             return f64::INFINITY;
         }
-        let warmth = from + (1.0 - from) * age as f64 / self.settings.cold_time as f64;
-        let ready = self.replicas.values().filter(|r| r.standing == Standing::Ready).count().max(1);
-        let span = self.settings.fall_time.max(1);
+        let warmth = from + (1.0 - from) * age as f64 / self.settings.warm_up_time as f64;
+        let ready = self.replicas.values().filter(|r| r.state == ReplicaState::Ready).count().max(1);
+        let span = self.settings.overload_window.max(1);
         let counted = self.memory().min((self.now - self.born).max(span) as f64);
         let usual = self.served.0 / ready as f64 * span as f64 / counted;
         let seed = self.seed ^ replica.started ^ (self.now / span).rotate_left(32);
         let turn = fastrand::Rng::with_seed(seed).f64();
-        ((multiple * warmth * usual).max(1.0 / self.settings.coordinators.max(1) as f64) + turn).floor()
+        ((multiple * warmth * usual).max(1.0 / self.settings.aggregators.max(1) as f64) + turn).floor()
     }
 
     fn memory(&self) -> f64 {
-        COLD_MEMORY * self.settings.cold_time.max(1) as f64
+        COLD_MEMORY * self.settings.warm_up_time.max(1) as f64
     }
 
     // ---- Attempts -----------------------------------------------------------------------------------------
 
     /// Sends part `i` of the query to the best replica that may have it; false where there is none.
     fn send(&mut self, query: &mut Query, i: usize, actions: &mut Vec<Action>) -> bool {
-        let until = if self.may_be_late(query.class) { query.deadline } else { query.aim };
+        let until = if self.may_be_late(query.class) { query.deadline } else { query.latency_objective };
         let part = &mut query.parts[i];
         if until <= self.now || !self.may_try(part, query.class) {
             return false;
         }
         let Some(id) = self.choose(part) else { return false };
         let number = part.attempts.len() as u8;
-        let begin_by = self.repeat_until(part, query.class);
+        let latest_start = self.repeat_until(part, query.class);
         if number > 0 {
             self.extras.push_back(self.now);
         }
         part.attempts.push(Attempt { replica: id, sent: self.now, out: true, ..Attempt::default() });
         let connection = self.connection(id, actions);
         self.flights.insert((part.id, number), (id, self.now, connection));
-        let window = self.now.saturating_sub(self.settings.fall_time);
+        let window = self.now.saturating_sub(self.settings.overload_window);
         if let Some(replica) = self.replicas.get_mut(&id) {
             *replica.calls.entry(self.now).or_insert(0) += 1;
             replica.sends.push_back(self.now);
@@ -731,21 +746,21 @@
                 replica.sends.pop_front();
             }
         }
-        actions.push(Action::Send { part: part.id, replica: id, until, begin_by });
+        actions.push(Action::SendAttempt { part: part.id, replica: id, until, latest_start });
         true
     }
 
     /// On what connection a send goes out. Something on the way may drop a long unused one unseen: while that
     /// shows, it is closed first, so that a new one is opened.
     fn connection(&mut self, id: ReplicaId, actions: &mut Vec<Action>) -> usize {
-        let long = (STALE * self.settings.idle_time as f64) as Nanos;
+        let long = (STALE * self.settings.idle_timeout as f64) as Nanos;
         let Some(replica) = self.replicas.get_mut(&id).filter(|_| long > 0) else { return IN_USE };
         if !replica.calls.contains_key(&self.now) {
             let unused = replica.calls.is_empty() && replica.heard > 0 && self.now - replica.heard > long;
             replica.connection = if unused { UNUSED } else { IN_USE };
             if unused && self.now < self.renew.1 {
                 replica.connection = RENEWED;
-                actions.push(Action::CloseIdle { replica: id });
+                actions.push(Action::CloseIdleConnections { replica: id });
             }
         }
         replica.connection
@@ -771,10 +786,12 @@
     fn may_repeat(&self, part: &Part, index: usize) -> bool {
         let class = &self.settings.classes[index];
         let cap = self.settings.max_attempts.unwrap_or(u32::MAX) as usize;
-        let repeats = match class.effect {
-            Effect::Unsafe => part.attempts.iter().all(|a| a.never_ran),
-            Effect::Keyed => self.repeat_until(part, index).is_none_or(|until| self.now <= until),
-            Effect::Safe => true,
+        let repeats = match class.idempotency {
+            Idempotency::NonIdempotent => part.attempts.iter().all(|a| a.never_ran),
+            Idempotency::IdempotentWithKey => {
+                self.repeat_until(part, index).is_none_or(|until| self.now <= until)
+            }
+            Idempotency::Idempotent => true,
         };
         part.attempts.len() < cap && repeats
     }
@@ -782,25 +799,29 @@
     /// Until when one more attempt is dropped as a repeat; none where it need not be.
     fn repeat_until(&self, part: &Part, class: usize) -> Option<Nanos> {
         let class = &self.settings.classes[class];
-        let first = part.attempts.iter().find(|a| !a.never_ran).filter(|_| class.effect == Effect::Keyed)?;
-        Some(first.sent + class.repeat_window)
+        let first = part
+            .attempts
+            .iter()
+            .find(|a| !a.never_ran)
+            .filter(|_| class.idempotency == Idempotency::IdempotentWithKey)?;
+        Some(first.sent + class.idempotency_window)
     }
 
     fn may_try(&self, part: &Part, class: usize) -> bool {
-        let alone = self.settings.second_copies || part.attempts.iter().all(|a| !a.out);
+        let alone = self.settings.hedging_allowed || part.attempts.iter().all(|a| !a.out);
         self.may_repeat(part, class)
             && (part.attempts.is_empty() || alone && self.budget_left(class, self.now))
     }
 
     /// Within a tight budget, classes that need every part come first: others may leave half of it at most.
     fn budget_left(&self, class: usize, at: Nanos) -> bool {
-        let Some(budget) = &self.settings.budget else { return true };
-        let since = at.saturating_sub(budget.span);
+        let Some(retry_budget) = &self.settings.retry_budget else { return true };
+        let since = at.saturating_sub(retry_budget.window);
         let used = self.extras.iter().filter(|at| **at >= since).count() as f64;
         let taken = self.taken.iter().filter(|at| **at > since).count() as f64;
         let class = &self.settings.classes[class];
-        let part = if class.floor < class.need { BUDGET_PARTIAL } else { 1.0 };
-        used + 1.0 <= part * (budget.floor + budget.share * taken)
+        let part = if class.minimum_coverage < class.completeness_threshold { BUDGET_PARTIAL } else { 1.0 };
+        used + 1.0 <= part * (retry_budget.minimum + retry_budget.ratio * taken)
     }
 
     /// Second copies feed an overload: a cap, nearly all gone where they lose races. Open parts count too.
@@ -821,7 +842,7 @@
 
     /// Judges lateness, and sends again what failed or has been out too long.
     fn push_on(&mut self, query: &mut Query, actions: &mut Vec<Action>) {
-        let time = self.settings.classes[query.class].aim as f64 / self.steps_of(query) as f64;
+        let time = self.settings.classes[query.class].latency_objective as f64 / self.steps_of(query) as f64;
         let (wait, late) = (self.wait(time), LATE_AT * time);
         let in_step = query.parts.iter().filter(|p| p.step == query.step && !p.dropped);
         let (count, landed) = in_step.fold((0, 0), |(n, l), p| (n + 1, l + p.landed as usize));
@@ -872,23 +893,23 @@
         }
     }
 
-    fn learn(&mut self, id: ReplicaId, sent: Nanos, connection: usize, outcome: Outcome) {
+    fn learn(&mut self, id: ReplicaId, sent: Nanos, connection: usize, outcome: AttemptOutcome) {
         let age = (self.now - sent) as f64;
         let Some(replica) = self.replicas.get(&id) else { return };
         let (known, faded) = (self.latency(replica), self.smoothed(replica));
         let sample = match outcome {
-            Outcome::Ok => age,
-            Outcome::NotSent => known,
-            Outcome::Cancelled => age.max(known),
+            AttemptOutcome::Success => age,
+            AttemptOutcome::NotSent => known,
+            AttemptOutcome::Cancelled => age.max(known),
             _ => known.max(LATE_AT * self.shortest_aim()),
         };
         let overdue = age > self.wait(self.shortest_aim()) && replica.heard <= sent;
         let full_until = self.now + (FULL_REST * self.shortest_aim()) as Nanos;
         if let Some(replica) = self.replicas.get_mut(&id) {
-            if outcome == Outcome::Refused {
+            if outcome == AttemptOutcome::Rejected {
                 replica.full_until = full_until;
             }
-            if outcome == Outcome::Ok {
+            if outcome == AttemptOutcome::Success {
                 let since = replica.answered.max(replica.calls.keys().next().copied().unwrap_or(sent));
                 let gap = (self.now - since) as f64;
                 let old = replica.pace.unwrap_or(gap);
@@ -901,18 +922,19 @@
                     replica.calls.remove(&sent);
                 }
             }
-            if outcome != Outcome::NotSent {
-                let failed = outcome != Outcome::Ok && (outcome != Outcome::Cancelled || overdue);
+            if outcome != AttemptOutcome::NotSent {
+                let failed =
+                    outcome != AttemptOutcome::Success && (outcome != AttemptOutcome::Cancelled || overdue);
                 let weight = if failed { SMOOTHING_FAILED } else { SMOOTHING };
                 replica.latency = Some(faded + weight * (sample - faded));
                 replica.learned = self.now;
-                if failed && !matches!(outcome, Outcome::Error | Outcome::Refused) {
+                if failed && !matches!(outcome, AttemptOutcome::Error | AttemptOutcome::Rejected) {
                     replica.lost.push(connection);
                 }
             }
         }
         match outcome {
-            Outcome::Ok => {
+            AttemptOutcome::Success => {
                 let kept = (-((self.now - self.served.1) as f64) / self.memory()).exp();
                 self.served = (self.served.0 * kept + 1.0, self.now);
                 let mean = self.mean.unwrap_or(age);
@@ -921,15 +943,17 @@
                 self.hear(id);
                 self.count(connection, false);
             }
-            Outcome::Error | Outcome::Refused => self.hear(id),
-            Outcome::Unreachable | Outcome::Broken | Outcome::TimedOut => self.strike(id, sent),
-            Outcome::Cancelled | Outcome::NotSent => {}
+            AttemptOutcome::Error | AttemptOutcome::Rejected => self.hear(id),
+            AttemptOutcome::Unreachable | AttemptOutcome::ConnectionLost | AttemptOutcome::TimedOut => {
+                self.strike(id, sent)
+            }
+            AttemptOutcome::Cancelled | AttemptOutcome::NotSent => {}
         }
     }
 
     /// Silence, whatever its cause: the replica rests, longer each time, then gets one call until it answers.
     fn strike(&mut self, id: ReplicaId, sent: Nanos) {
-        let (now, aim) = (self.now, self.shortest_aim());
+        let (now, latency_objective) = (self.now, self.shortest_aim());
         let Some(replica) = self.replicas.get_mut(&id) else { return };
         if replica.heard > sent || now < replica.rests_until {
             return;
@@ -937,23 +961,27 @@
         if !std::mem::replace(&mut self.struck, true) {
             self.notes.push(format!("replica {:x} suspected: it is silent", id.0));
         }
-        let rest = REST_AIMS.0 * aim * f64::from(1u32 << replica.strikes.min(16));
+        let rest = REST_AIMS.0 * latency_objective * f64::from(1u32 << replica.strikes.min(16));
         replica.strikes += 1;
         replica.suspected = true;
-        replica.rests_until = now + rest.min(REST_AIMS.1 * aim) as Nanos;
+        replica.rests_until = now + rest.min(REST_AIMS.1 * latency_objective) as Nanos;
     }
 
     /// Trouble at many replicas: one probe for each long quiet one, or queries find them out one by one.
     fn probe_round(&mut self, actions: &mut Vec<Action>) {
-        let aim = self.shortest_aim();
-        if !self.settings.may_probe || self.news_age(self.probed) < 1.0 || !std::mem::take(&mut self.struck) {
+        let latency_objective = self.shortest_aim();
+        if !self.settings.health_checks_allowed
+            || self.news_age(self.probed) < 1.0
+            || !std::mem::take(&mut self.struck)
+        {
             return;
         }
-        let ready = || self.replicas.iter().filter(|(_, r)| r.standing == Standing::Ready);
+        let ready = || self.replicas.iter().filter(|(_, r)| r.state == ReplicaState::Ready);
         if ready().filter(|(_, r)| r.suspected).count() as f64 >= PROBE_SHARE * ready().count() as f64 {
-            let fresh = |r: &Replica| self.now.saturating_sub(r.heard.max(r.learned)) as f64 <= aim;
+            let fresh =
+                |r: &Replica| self.now.saturating_sub(r.heard.max(r.learned)) as f64 <= latency_objective;
             let unheard = ready().filter(|(_, r)| r.calls.is_empty() && !fresh(r));
-            actions.extend(unheard.map(|(id, _)| Action::Probe { replica: *id }));
+            actions.extend(unheard.map(|(id, _)| Action::CheckHealth { replica: *id }));
             self.probed = self.now;
         }
     }
@@ -968,7 +996,7 @@
 
     /// When the running step has to be over: just before the aim, earlier where a second step follows.
     fn step_end(&self, query: &Query) -> Nanos {
-        let end = query.aim.saturating_sub(SPARE_BEATS * self.beat());
+        let end = query.latency_objective.saturating_sub(SPARE_BEATS * self.beat());
         if query.step < self.steps_of(query) as u8 {
             return query.arrived + (end - query.arrived) / 2;
         }
@@ -978,8 +1006,8 @@
     /// Whether a part may still land: one that can't go out again (rules, holders, budget) is given up.
     fn may_land(&self, part: &Part, query: &Query) -> bool {
         let out = part.attempts.iter().any(|a| a.out);
-        let held = || self.holders(part.shard).any(|(_, r)| r.standing == Standing::Ready);
-        let paid = || part.attempts.is_empty() || self.budget_left(query.class, query.aim);
+        let held = || self.holders(part.shard).any(|(_, r)| r.state == ReplicaState::Ready);
+        let paid = || part.attempts.is_empty() || self.budget_left(query.class, query.latency_objective);
         out || self.may_repeat(part, query.class) && paid() && held()
     }
 
@@ -992,20 +1020,28 @@
         let open = |p: &&Part| !p.landed && !p.dropped && self.may_land(p, &query);
         let open: Vec<f64> = query.parts.iter().filter(own).filter(open).map(|p| p.weight).collect();
         let waiting = !open.is_empty();
-        let (need, floor) = (class.need, class.floor.min(class.need));
-        let least = if floor < need || query.step == 1 { floor } else { 1.0 };
-        let whole =
-            if query.step == 1 { all_in || landed + 1e-6 >= need } else { all_in && query.first_whole };
-        let enough = whole || landed > 0.0 && landed + 1e-6 >= least;
+        let (completeness_threshold, minimum_coverage) =
+            (class.completeness_threshold, class.minimum_coverage.min(class.completeness_threshold));
+        let least =
+            if minimum_coverage < completeness_threshold || query.step == 1 { minimum_coverage } else { 1.0 };
+        let complete = if query.step == 1 {
+            all_in || landed + 1e-6 >= completeness_threshold
+        } else {
+            all_in && query.first_whole
+        };
+        let enough = complete || landed > 0.0 && landed + 1e-6 >= least;
         let begun = query.parts.iter().any(|p| p.step == query.step);
         let last_call = query.deadline.saturating_sub(SPARE_BEATS * self.beat());
-        let late_earns = class.late_worth > class.partial_earns * landed / need;
+        let late_earns = class.late_value > class.partial_value * landed / completeness_threshold;
         let end = if late_earns { last_call } else { self.step_end(&query) };
-        if begun && enough && (whole || all_in || !waiting || self.now >= end) {
-            return self.answer(query, whole, actions);
+        if begun && enough && (complete || all_in || !waiting || self.now >= end) {
+            return self.answer(query, complete, actions);
         }
-        let useful =
-            if self.may_be_late(query.class) { last_call } else { query.aim.saturating_sub(self.beat()) };
+        let useful = if self.may_be_late(query.class) {
+            last_call
+        } else {
+            query.latency_objective.saturating_sub(self.beat())
+        };
         let harm = Self::harmful(&query);
         let idle = query.parts.iter().flat_map(|p| &p.attempts).all(|a| !a.out);
         let lost = begun && (!waiting || landed + open.iter().sum::<f64>() + 1e-4 < least);
@@ -1018,16 +1054,16 @@
         self.queries.insert(id, query);
     }
 
-    fn answer(&mut self, mut query: Query, whole: bool, actions: &mut Vec<Action>) {
-        actions.push(Action::Answer { query: query.id, whole });
+    fn answer(&mut self, mut query: Query, complete: bool, actions: &mut Vec<Action>) {
+        actions.push(Action::Answer { query: query.id, complete });
         self.withdraw(&mut query, actions);
         if query.step < self.steps_of(&query) as u8 {
             query.step = 2;
             query.step_began = self.now;
-            query.first_whole = whole;
+            query.first_whole = complete;
             self.queries.insert(query.id, query);
         } else {
-            let beside = if self.now <= query.aim { PERMITS.1 } else { -PERMITS.2 };
+            let beside = if self.now <= query.latency_objective { PERMITS.1 } else { -PERMITS.2 };
             self.settle(&query, false, beside);
             self.forget(&query);
         }
@@ -1037,20 +1073,20 @@
     fn give_up(&mut self, mut query: Query, actions: &mut Vec<Action>) {
         let class = &self.settings.classes[query.class];
         let may_have_run = query.parts.iter().flat_map(|p| &p.attempts).any(|a| !a.never_ran);
-        let advice = Some(self.settings.longest_retry_advice).filter(|longest| *longest > 0);
+        let advice = Some(self.settings.max_retry_after).filter(|longest| *longest > 0);
         let back = self.now + advice.unwrap_or_default();
-        let runs_again = match class.effect {
-            Effect::Unsafe => may_have_run,
+        let runs_again = match class.idempotency {
+            Idempotency::NonIdempotent => may_have_run,
             // A client that comes back past the window finds no repeat dropped.
-            Effect::Keyed => {
+            Idempotency::IdempotentWithKey => {
                 query.parts.iter().any(|p| self.repeat_until(p, query.class).is_some_and(|at| at < back))
             }
-            Effect::Safe => false,
+            Idempotency::Idempotent => false,
         };
         if runs_again {
             actions.push(Action::Fail { query: query.id });
         } else {
-            actions.push(Action::Refuse { query: query.id, come_back: advice });
+            actions.push(Action::Reject { query: query.id, retry_after: advice });
         }
         let full = |p: &Part| !p.landed && p.attempts.iter().any(|a| a.full);
         let lost = query.parts.iter().any(full);
@@ -1068,8 +1104,8 @@
     fn withdraw_part(&self, part: &mut Part, actions: &mut Vec<Action>) {
         for (number, attempt) in part.attempts.iter_mut().enumerate().filter(|(_, a)| a.out) {
             attempt.out = false;
-            if self.settings.may_cancel {
-                actions.push(Action::Cancel { part: part.id, attempt: number as u8 });
+            if self.settings.cancellation_allowed {
+                actions.push(Action::CancelAttempt { part: part.id, attempt: number as u8 });
             }
         }
     }
--- a/crates/policy/tests/module.rs
+++ b/crates/policy/tests/module.rs
@@ -1,52 +1,59 @@
 //! The decision module with hand-made events: the design's ordinary path, the six rules, and one test for
 //! each failure found, named for the danger.
 
-use aggregator_policy::interface::*;
-use aggregator_policy::Coordinator;
+use aggregator_policy::api::*;
+use aggregator_policy::Policy;
 
 const MS: u64 = 1_000_000;
 const START: u64 = 100_000 * MS;
 
-fn class(aim: u64, floor: f64) -> Class {
-    Class { aim: aim * MS, deadline: 3 * aim * MS, need: 1.0, floor, partial_earns: 0.9, ..Class::default() }
+fn class(latency_objective: u64, minimum_coverage: f64) -> QueryClass {
+    QueryClass {
+        latency_objective: latency_objective * MS,
+        deadline: 3 * latency_objective * MS,
+        completeness_threshold: 1.0,
+        minimum_coverage,
+        partial_value: 0.9,
+        ..QueryClass::default()
+    }
 }
 
-fn settings(classes: Vec<Class>) -> Settings {
+fn settings(classes: Vec<QueryClass>) -> Settings {
     Settings {
         classes,
-        cells: 1,
-        reach: 1,
-        call_parts: Some(16),
-        coordinators: 2,
+        placement_cells: 1,
+        cells_per_shard: 1,
+        max_parts_per_call: Some(16),
+        aggregators: 2,
         tick: 5 * MS,
         max_attempts: Some(4),
-        may_cancel: true,
-        second_copies: true,
-        longest_retry_advice: 1000 * MS,
+        cancellation_allowed: true,
+        hedging_allowed: true,
+        max_retry_after: 1000 * MS,
         ..Settings::default()
     }
 }
 
 /// One class that needs every part, and clients that mark their repeats.
 fn marked() -> Settings {
-    Settings { repeats_marked: true, ..settings(vec![class(2000, 1.0)]) }
+    Settings { retries_marked: true, ..settings(vec![class(2000, 1.0)]) }
 }
 
-fn member(replica: u64) -> Member {
-    Member { replica: ReplicaId(replica), cell: 0, zone: 0, started: 0, standing: Standing::Ready }
+fn member(replica: u64) -> ReplicaEntry {
+    ReplicaEntry { replica: ReplicaId(replica), cell: 0, zone: 0, started: 0, state: ReplicaState::Ready }
 }
 
 /// One co-ordinator with the actions of its last batch.
 struct Bed {
-    module: Coordinator,
+    module: Policy,
     now: u64,
     next: u64,
 }
 
 impl Bed {
     fn new(settings: Settings, replicas: u64) -> Bed {
-        let mut bed = Bed { module: Coordinator::new(settings, 7), now: START, next: 1 };
-        bed.list(ListKind::Remembered, (1..=replicas).map(member).collect());
+        let mut bed = Bed { module: Policy::new(settings, 7), now: START, next: 1 };
+        bed.list(EndpointUpdateKind::Cached, (1..=replicas).map(member).collect());
         bed
     }
 
@@ -57,42 +64,50 @@
         actions
     }
 
-    fn list(&mut self, kind: ListKind, members: Vec<Member>) {
+    fn list(&mut self, kind: EndpointUpdateKind, entries: Vec<ReplicaEntry>) {
         let ms = (self.now - START) / MS;
-        self.at(ms, &[Event::List { kind, members }]);
+        self.at(ms, &[Event::EndpointsUpdated { kind, entries }]);
     }
 
     /// A query of class 0 with parts of these weights, at shards 0, 1, ...; its id and the actions. The
     /// parts' ids follow the query's.
     fn query(&mut self, ms: u64, class: u16, weights: &[f64]) -> (u64, Vec<Action>) {
-        let patience = 6000 * MS;
-        self.query_with_patience(ms, class, weights, patience)
+        let client_timeout = 6000 * MS;
+        self.query_with_patience(ms, class, weights, client_timeout)
     }
 
     fn query_with_patience(
-        &mut self, ms: u64, class: u16, weights: &[f64], patience: u64,
+        &mut self, ms: u64, class: u16, weights: &[f64], client_timeout: u64,
     ) -> (u64, Vec<Action>) {
-        self.ask(ms, class, weights, patience, false)
+        self.ask(ms, class, weights, client_timeout, false)
     }
 
     fn ask(
-        &mut self, ms: u64, class: u16, weights: &[f64], patience: u64, repeat: bool,
+        &mut self, ms: u64, class: u16, weights: &[f64], client_timeout: u64, is_retry: bool,
     ) -> (u64, Vec<Action>) {
         let (id, group) = (self.next * 100, self.next as u32);
         self.next += 1;
-        let mut events = vec![Event::Query { id, group, class, tenant: 0, patience, work: None, repeat }];
+        let mut events =
+            vec![Event::QueryReceived { id, group, class, tenant: 0, client_timeout, work: None, is_retry }];
         for (i, weight) in weights.iter().enumerate() {
-            events.push(Event::Part { id: id + 1 + i as u64, group, shard: i as u32, weight: *weight });
+            events.push(Event::PartReceived {
+                id: id + 1 + i as u64,
+                group,
+                shard: i as u32,
+                weight: *weight,
+            });
         }
         (id, self.at(ms, &events))
     }
 
-    fn end(&mut self, ms: u64, part: u64, attempt: u8, replica: ReplicaId, outcome: Outcome) -> Vec<Action> {
+    fn end(
+        &mut self, ms: u64, part: u64, attempt: u8, replica: ReplicaId, outcome: AttemptOutcome,
+    ) -> Vec<Action> {
         self.at(ms, &[ended(part, attempt, replica, outcome)])
     }
 
     fn tick(&mut self, ms: u64) -> Vec<Action> {
-        self.at(ms, &[Event::Timer { token: 0 }])
+        self.at(ms, &[Event::TimerFired { token: 0 }])
     }
 
     /// Ticks every 10 ms from one time to another and gathers what is done.
@@ -104,24 +119,24 @@
     fn served(&mut self, ms: u64, took: u64) -> ReplicaId {
         let (id, actions) = self.query(ms, 0, &[1.0]);
         let (_, replica) = sends(&actions)[0];
-        self.end(ms + took, id + 1, 0, replica, Outcome::Ok);
+        self.end(ms + took, id + 1, 0, replica, AttemptOutcome::Success);
         replica
     }
 }
 
-fn ended(part: u64, attempt: u8, replica: ReplicaId, outcome: Outcome) -> Event {
-    Event::Ended { part, attempt, replica, outcome, report: vec![f32::NAN] }
+fn ended(part: u64, attempt: u8, replica: ReplicaId, outcome: AttemptOutcome) -> Event {
+    Event::AttemptEnded { part, attempt, replica, outcome, report: vec![f32::NAN] }
 }
 
 /// The end of all these first attempts.
-fn all_end(sent: &[(u64, ReplicaId)], outcome: Outcome) -> Vec<Event> {
+fn all_end(sent: &[(u64, ReplicaId)], outcome: AttemptOutcome) -> Vec<Event> {
     sent.iter().map(|(part, replica)| ended(*part, 0, *replica, outcome)).collect()
 }
 
 /// What is sent, in order, as part and replica.
 fn sends(actions: &[Action]) -> Vec<(u64, ReplicaId)> {
     let send = |a: &Action| match a {
-        Action::Send { part, replica, .. } => Some((*part, *replica)),
+        Action::SendAttempt { part, replica, .. } => Some((*part, *replica)),
         _ => None,
     };
     actions.iter().filter_map(send).collect()
@@ -130,9 +145,9 @@
 /// Final words on queries: "whole", "partial", "refused" or "failed".
 fn finals(actions: &[Action]) -> Vec<&'static str> {
     let word = |a: &Action| match a {
-        Action::Answer { whole: true, .. } => Some("whole"),
-        Action::Answer { whole: false, .. } => Some("partial"),
-        Action::Refuse { .. } => Some("refused"),
+        Action::Answer { complete: true, .. } => Some("whole"),
+        Action::Answer { complete: false, .. } => Some("partial"),
+        Action::Reject { .. } => Some("refused"),
         Action::Fail { .. } => Some("failed"),
         _ => None,
     };
@@ -155,7 +170,7 @@
 #[test]
 fn parts_spread_where_calls_are_not_shared() {
     let mut alone = settings(vec![class(2000, 1.0)]);
-    alone.call_parts = None;
+    alone.max_parts_per_call = None;
     let mut bed = Bed::new(alone, 3);
     let (_, actions) = bed.query(0, 0, &[1.0 / 3.0; 3]);
     let used: std::collections::BTreeSet<_> = sends(&actions).into_iter().map(|(_, r)| r).collect();
@@ -172,7 +187,7 @@
         let (id, actions) = bed.query(at, 0, &[1.0]);
         let (_, replica) = sends(&actions)[0];
         let took = if replica == fast { 100 } else { 450 };
-        bed.end(at + took, id + 1, 0, replica, Outcome::Ok);
+        bed.end(at + took, id + 1, 0, replica, AttemptOutcome::Success);
         at += 500;
     }
     let (_, first) = bed.query(at + 500, 0, &[1.0]);
@@ -252,9 +267,9 @@
 
 #[test]
 fn every_query_ends_once_and_before_the_deadline() {
-    for late_worth in [0.0, 0.3] {
+    for late_value in [0.0, 0.3] {
         let mut kind = class(2000, 1.0);
-        kind.late_worth = late_worth;
+        kind.late_value = late_value;
         let mut bed = Bed::new(settings(vec![kind]), 3);
         bed.query(0, 0, &[0.5, 0.5]);
         let actions = bed.run(0, 7000);
@@ -269,12 +284,18 @@
     let mut bed = Bed::new(settings(vec![class(2000, 1.0)]), 3);
     let (id, actions) = bed.query(0, 0, &[1.0]);
     let (part, replica) = sends(&actions)[0];
-    let lost = Event::Ended { part, attempt: 0, replica, outcome: Outcome::Broken, report: vec![] };
-    let after = bed.at(50, &[lost, Event::ClientGone { id }]);
+    let lost = Event::AttemptEnded {
+        part,
+        attempt: 0,
+        replica,
+        outcome: AttemptOutcome::ConnectionLost,
+        report: vec![],
+    };
+    let after = bed.at(50, &[lost, Event::ClientDisconnected { id }]);
     assert!(sends(&after).is_empty() && finals(&after).is_empty());
     let (id, _) = bed.query(60, 0, &[1.0]);
-    let gone = bed.at(100, &[Event::ClientGone { id }]);
-    assert!(gone.contains(&Action::Cancel { part: id + 1, attempt: 0 }), "its work is withdrawn");
+    let gone = bed.at(100, &[Event::ClientDisconnected { id }]);
+    assert!(gone.contains(&Action::CancelAttempt { part: id + 1, attempt: 0 }), "its work is withdrawn");
 }
 
 #[test]
@@ -282,8 +303,8 @@
     let mut bed = Bed::new(settings(vec![class(2000, 0.6)]), 3);
     let (id, actions) = bed.query(0, 0, &[0.5, 0.5]);
     let replica = sends(&actions)[0].1;
-    bed.end(100, id + 1, 0, replica, Outcome::Ok);
-    let again = bed.end(110, id + 1, 0, replica, Outcome::Ok);
+    bed.end(100, id + 1, 0, replica, AttemptOutcome::Success);
+    let again = bed.end(110, id + 1, 0, replica, AttemptOutcome::Success);
     assert!(finals(&again).is_empty());
     assert_eq!(finals(&bed.run(120, 6000)), ["refused"]);
 }
@@ -292,7 +313,7 @@
 fn partial_answer_leaves_just_before_the_aim() {
     let mut bed = Bed::new(settings(vec![class(2000, 0.6)]), 3);
     let (id, actions) = bed.query(0, 0, &[0.7, 0.3]);
-    bed.end(100, id + 1, 0, sends(&actions)[0].1, Outcome::Ok);
+    bed.end(100, id + 1, 0, sends(&actions)[0].1, AttemptOutcome::Success);
     assert!(finals(&bed.run(110, 1900)).is_empty());
     assert_eq!(finals(&bed.run(1910, 1995)), ["partial"]);
 }
@@ -300,44 +321,44 @@
 #[test]
 fn whole_answer_leaves_when_all_is_in_and_the_rest_is_withdrawn() {
     let mut kind = class(2000, 1.0);
-    kind.need = 0.5;
-    kind.floor = 0.5;
+    kind.completeness_threshold = 0.5;
+    kind.minimum_coverage = 0.5;
     let mut bed = Bed::new(settings(vec![kind]), 3);
     let (id, actions) = bed.query(0, 0, &[0.5, 0.5]);
-    let done = bed.end(100, id + 1, 0, sends(&actions)[0].1, Outcome::Ok);
+    let done = bed.end(100, id + 1, 0, sends(&actions)[0].1, AttemptOutcome::Success);
     assert_eq!(finals(&done), ["whole"]);
-    assert!(done.contains(&Action::Cancel { part: id + 2, attempt: 0 }));
+    assert!(done.contains(&Action::CancelAttempt { part: id + 2, attempt: 0 }));
 }
 
 #[test]
 fn second_step_is_whole_only_if_the_first_was() {
     for (landing, word) in [(2, "whole"), (1, "partial")] {
         let mut kind = class(2000, 0.4);
-        kind.second_step = 1;
+        kind.second_step_parts = 1;
         let mut bed = Bed::new(settings(vec![kind]), 3);
         let (id, actions) = bed.query(0, 0, &[0.5, 0.5]);
         let replica = sends(&actions)[0].1;
         for part in 1..=landing {
-            bed.end(100, id + part, 0, replica, Outcome::Ok);
+            bed.end(100, id + part, 0, replica, AttemptOutcome::Success);
         }
         let end = bed.run(110, 1000);
         assert!(landing == 2 || finals(&end) == ["partial"], "half of the aim is left for the second step");
-        let second = bed.at(1010, &[Event::Part { id: id + 50, group: 1, shard: 0, weight: 1.0 }]);
+        let second = bed.at(1010, &[Event::PartReceived { id: id + 50, group: 1, shard: 0, weight: 1.0 }]);
         let (part, replica) = sends(&second)[0];
-        assert_eq!(finals(&bed.end(1100, part, 0, replica, Outcome::Ok)), [word]);
+        assert_eq!(finals(&bed.end(1100, part, 0, replica, AttemptOutcome::Success)), [word]);
     }
 }
 
 #[test]
 fn an_unsafe_part_that_may_have_run_is_neither_resent_nor_refused() {
     let mut kind = class(2000, 1.0);
-    kind.effect = Effect::Unsafe;
+    kind.idempotency = Idempotency::NonIdempotent;
     let mut bed = Bed::new(settings(vec![kind]), 3);
     let (id, actions) = bed.query(0, 0, &[1.0]);
     let replica = sends(&actions)[0].1;
-    let again = bed.end(10, id + 1, 0, replica, Outcome::Unreachable);
+    let again = bed.end(10, id + 1, 0, replica, AttemptOutcome::Unreachable);
     assert_eq!(sends(&again).len(), 1, "it never ran, so it may go again");
-    let lost = bed.end(20, id + 1, 1, sends(&again)[0].1, Outcome::Broken);
+    let lost = bed.end(20, id + 1, 1, sends(&again)[0].1, AttemptOutcome::ConnectionLost);
     assert!(sends(&lost).is_empty());
     assert_eq!(finals(&lost), ["failed"]);
 }
@@ -346,11 +367,11 @@
 fn a_keyed_part_is_resent_only_inside_its_window() {
     for (at, resent) in [(300, 1), (900, 0)] {
         let mut kind = class(2000, 1.0);
-        kind.effect = Effect::Keyed;
-        kind.repeat_window = 500 * MS;
-        let mut bed = Bed::new(Settings { second_copies: false, ..settings(vec![kind]) }, 3);
+        kind.idempotency = Idempotency::IdempotentWithKey;
+        kind.idempotency_window = 500 * MS;
+        let mut bed = Bed::new(Settings { hedging_allowed: false, ..settings(vec![kind]) }, 3);
         let (id, actions) = bed.query(0, 0, &[1.0]);
-        let after = bed.end(at, id + 1, 0, sends(&actions)[0].1, Outcome::Broken);
+        let after = bed.end(at, id + 1, 0, sends(&actions)[0].1, AttemptOutcome::ConnectionLost);
         assert_eq!(sends(&after).len(), resent);
     }
 }
@@ -358,27 +379,27 @@
 #[test]
 fn a_draining_replica_gets_nothing_new() {
     let mut bed = Bed::new(settings(vec![class(2000, 1.0)]), 2);
-    let drains = Member { standing: Standing::Draining, ..member(1) };
-    bed.list(ListKind::Changes, vec![drains]);
+    let drains = ReplicaEntry { state: ReplicaState::Draining, ..member(1) };
+    bed.list(EndpointUpdateKind::Delta, vec![drains]);
     for i in 0..20 {
         let (_, actions) = bed.query(i * 20, 0, &[1.0]);
         assert!(sends(&actions).iter().all(|(_, r)| *r == ReplicaId(2)));
     }
-    bed.list(ListKind::Full, vec![]);
+    bed.list(EndpointUpdateKind::Snapshot, vec![]);
     assert!(sends(&bed.query(500, 0, &[1.0]).1).is_empty(), "all have left the list");
 }
 
 #[test]
 fn the_budget_holds_up_to_the_edge_of_its_window() {
     let mut tight = settings(vec![class(2000, 1.0)]);
-    tight.budget = Some(Budget { floor: 1.0, share: 0.0, span: 1000 * MS });
+    tight.retry_budget = Some(RetryBudget { minimum: 1.0, ratio: 0.0, window: 1000 * MS });
     let mut bed = Bed::new(tight, 3);
     let (first, actions) = bed.query(0, 0, &[1.0]);
-    let spent = bed.end(10, first + 1, 0, sends(&actions)[0].1, Outcome::Error);
+    let spent = bed.end(10, first + 1, 0, sends(&actions)[0].1, AttemptOutcome::Error);
     assert_eq!(sends(&spent).len(), 1);
-    bed.end(15, first + 1, 1, sends(&spent)[0].1, Outcome::Ok);
+    bed.end(15, first + 1, 1, sends(&spent)[0].1, AttemptOutcome::Success);
     let (second, actions) = bed.query(20, 0, &[1.0]);
-    bed.end(30, second + 1, 0, sends(&actions)[0].1, Outcome::Error);
+    bed.end(30, second + 1, 0, sends(&actions)[0].1, AttemptOutcome::Error);
     let resent = |actions: &[Action]| sends(actions).iter().filter(|(part, _)| *part == second + 1).count();
     assert_eq!(resent(&bed.run(40, 1010)), 0);
     assert_eq!(resent(&bed.run(1020, 1100)), 1);
@@ -390,7 +411,7 @@
     let (id, mut actions) = bed.query(0, 0, &[1.0]);
     for attempt in 0..2 {
         let replica = sends(&actions)[0].1;
-        actions = bed.end(10 + u64::from(attempt), id + 1, attempt, replica, Outcome::Error);
+        actions = bed.end(10 + u64::from(attempt), id + 1, attempt, replica, AttemptOutcome::Error);
     }
     assert!(sends(&actions).is_empty());
     assert_eq!(finals(&actions), ["refused"], "given up at once");
@@ -398,18 +419,18 @@
 
 fn cold() -> Settings {
     let mut cold = settings(vec![class(2000, 1.0)]);
-    cold.coordinators = 1;
-    cold.cold_from = Some(0.2);
-    cold.cold_time = 10_000 * MS;
-    cold.fall_multiple = Some(4.0);
-    cold.fall_time = 1000 * MS;
+    cold.aggregators = 1;
+    cold.initial_capacity = Some(0.2);
+    cold.warm_up_time = 10_000 * MS;
+    cold.overload_multiple = Some(4.0);
+    cold.overload_window = 1000 * MS;
     cold
 }
 
 #[test]
 fn a_cold_replica_is_not_pushed_over_by_a_burst() {
     let mut bed = Bed::new(cold(), 0);
-    bed.list(ListKind::Full, vec![Member { started: START - MS, ..member(1) }]);
+    bed.list(EndpointUpdateKind::Snapshot, vec![ReplicaEntry { started: START - MS, ..member(1) }]);
     let burst: usize = (0..50).map(|i| sends(&bed.query(i, 0, &[0.5, 0.5]).1).len()).sum();
     assert!(burst <= 3, "{burst} parts sent to a cold replica at once");
 }
@@ -417,7 +438,7 @@
 #[test]
 fn slow_start_lets_go_as_time_passes() {
     let mut bed = Bed::new(cold(), 0);
-    bed.list(ListKind::Full, vec![Member { started: START - MS, ..member(1) }]);
+    bed.list(EndpointUpdateKind::Snapshot, vec![ReplicaEntry { started: START - MS, ..member(1) }]);
     let sent = |bed: &mut Bed, ms| sends(&bed.query(ms, 0, &[1.0]).1).len();
     assert_eq!(sent(&mut bed, 0), 1);
     assert_eq!(sent(&mut bed, 10), 0);
@@ -438,7 +459,7 @@
         let (_, actions) = bed.query(410 + i, 0, &[1.0]);
         assert_ne!(sends(&actions)[0].1, silent);
     }
-    let back = bed.end(950, id + 1, 0, silent, Outcome::Ok);
+    let back = bed.end(950, id + 1, 0, silent, AttemptOutcome::Success);
     assert_eq!(finals(&back)[0], "whole");
 }
 
@@ -468,17 +489,17 @@
         bed.query(400 + i, 0, &[1.0]);
     }
     let (query, actions) = bed.query(450, 0, &[1.0]);
-    assert!(actions.contains(&Action::Refuse { query, come_back: Some(1000 * MS) }));
+    assert!(actions.contains(&Action::Reject { query, retry_after: Some(1000 * MS) }));
     assert!(sends(&actions).is_empty());
 }
 
 #[test]
 fn parts_of_a_swamped_shard_are_left_out_where_the_floor_allows() {
-    let two_cells = Settings { cells: 2, ..settings(vec![class(2000, 0.5)]) };
+    let two_cells = Settings { placement_cells: 2, ..settings(vec![class(2000, 0.5)]) };
     let mut bed = Bed::new(two_cells, 0);
-    bed.list(ListKind::Full, vec![member(1), Member { cell: 1, ..member(2) }]);
+    bed.list(EndpointUpdateKind::Snapshot, vec![member(1), ReplicaEntry { cell: 1, ..member(2) }]);
     let hot = bed.query(0, 0, &[1.0]).0;
-    bed.end(300, hot + 1, 0, ReplicaId(1), Outcome::Ok);
+    bed.end(300, hot + 1, 0, ReplicaId(1), AttemptOutcome::Success);
     for i in 0..20 {
         bed.query(400 + i, 0, &[1.0]);
     }
@@ -513,7 +534,7 @@
     let mut bed = Bed::new(settings(vec![class(2000, 1.0)]), 2);
     let (id, actions) = bed.query(0, 0, &[1.0]);
     let full = sends(&actions)[0].1;
-    bed.end(1, id + 1, 0, full, Outcome::Refused);
+    bed.end(1, id + 1, 0, full, AttemptOutcome::Rejected);
     for i in 0..10 {
         let (_, actions) = bed.query(10 + i, 0, &[1.0]);
         assert_ne!(sends(&actions)[0].1, full);
@@ -525,8 +546,8 @@
     let mut bed = Bed::new(settings(vec![class(2000, 1.0)]), 1);
     bed.served(0, 100);
     let (lost, _) = bed.query(200, 0, &[0.5, 0.5]);
-    bed.list(ListKind::Changes, vec![member(2)]);
-    bed.end(300, lost + 1, 0, ReplicaId(1), Outcome::Ok);
+    bed.list(EndpointUpdateKind::Delta, vec![member(2)]);
+    bed.end(300, lost + 1, 0, ReplicaId(1), AttemptOutcome::Success);
     let copies = sends(&bed.run(310, 900));
     assert_eq!(copies, [(lost + 2, ReplicaId(2))]);
     let (_, actions) = bed.query(910, 0, &[1.0]);
@@ -542,14 +563,14 @@
         let (_, replica) = sends(&actions)[0];
         match (replica == ReplicaId(1), broken) {
             (true, Some(at)) => {
-                bed.end(ms + 10, id + 1, 0, replica, Outcome::Ok);
+                bed.end(ms + 10, id + 1, 0, replica, AttemptOutcome::Success);
                 return ms - at;
             }
             (true, None) => {
                 broken = Some(ms);
-                bed.end(ms + 1, id + 1, 0, replica, Outcome::Broken);
+                bed.end(ms + 1, id + 1, 0, replica, AttemptOutcome::ConnectionLost);
             }
-            (false, _) => drop(bed.end(ms + 1, id + 1, 0, replica, Outcome::Error)),
+            (false, _) => drop(bed.end(ms + 1, id + 1, 0, replica, AttemptOutcome::Error)),
         }
     }
     panic!("it was never tried again");
@@ -565,14 +586,14 @@
 #[test]
 fn odd_events_do_no_harm() {
     let mut bed = Bed::new(settings(vec![class(2000, 0.5)]), 2);
-    bed.end(0, 9, 3, ReplicaId(77), Outcome::Ok);
-    bed.at(1, &[Event::ClientGone { id: 5 }, Event::Timer { token: 9 }]);
-    bed.at(2, &[Event::Part { id: 3, group: 99, shard: 0, weight: 1.0 }]);
+    bed.end(0, 9, 3, ReplicaId(77), AttemptOutcome::Success);
+    bed.at(1, &[Event::ClientDisconnected { id: 5 }, Event::TimerFired { token: 9 }]);
+    bed.at(2, &[Event::PartReceived { id: 3, group: 99, shard: 0, weight: 1.0 }]);
     let (_, actions) = bed.query(3, 0, &[f64::NAN, -1.0, 1.0]);
     assert_eq!(sends(&actions).len(), 3);
     let (_, unknown_class) = bed.query(4, 9, &[1.0]);
     assert!(sends(&unknown_class).is_empty());
-    bed.list(ListKind::Full, vec![]);
+    bed.list(EndpointUpdateKind::Snapshot, vec![]);
     assert_eq!(finals(&bed.query(5, 0, &[1.0]).1), ["refused"], "no holder is left");
     assert_eq!(finals(&bed.run(10, 6000)).len(), 1);
 }
@@ -580,26 +601,29 @@
 /// All that fail and ask again at once keep the service of the list too busy to answer any.
 #[test]
 fn a_list_that_must_be_asked_for_is_asked_again_after_a_failure_but_not_at_once() {
-    let on_request =
-        Settings { list_on_request: true, list_within: 20_000 * MS, ..settings(vec![class(2000, 1.0)]) };
-    let mut bed = Bed { module: Coordinator::new(on_request, 1), now: START, next: 1 };
-    let asked = |actions: &[Action]| actions.contains(&Action::Subscribe { on: true });
+    let on_request = Settings {
+        endpoint_list_polled: true,
+        poll_interval: 20_000 * MS,
+        ..settings(vec![class(2000, 1.0)])
+    };
+    let mut bed = Bed { module: Policy::new(on_request, 1), now: START, next: 1 };
+    let asked = |actions: &[Action]| actions.contains(&Action::WatchEndpoints { enabled: true });
     let first = (0..).map(|t| t * 10).find(|ms| asked(&bed.at(*ms, &[]))).unwrap();
     assert!(first <= 6_000, "soon, though not all at once");
     assert!(!asked(&bed.at(first + 10, &[])));
     let mut last = first;
     for failure in 0..4 {
         let at = last + 20;
-        let failed = Event::List { kind: ListKind::Failed, members: vec![] };
+        let failed = Event::EndpointsUpdated { kind: EndpointUpdateKind::Unavailable, entries: vec![] };
         let actions = bed.at(at, &[failed]);
-        let woken = actions.iter().any(|a| matches!(a, Action::Wake { .. }));
+        let woken = actions.iter().any(|a| matches!(a, Action::SetTimer { .. }));
         assert!(woken && !asked(&actions), "a timer, no call, though no query is open");
         let again = (at / 10 + 1..).map(|t| t * 10).find(|ms| asked(&bed.tick(*ms))).unwrap();
         assert!(again - at >= (2_000 << failure).min(6_000), "longer each time");
         assert!(again - at <= 20_000, "within the time in which it has to be asked for");
         last = again;
     }
-    bed.list(ListKind::Changes, vec![member(1)]);
+    bed.list(EndpointUpdateKind::Delta, vec![member(1)]);
     assert!((0..300).all(|t| !asked(&bed.tick(last + 100 + t * 100))), "subscribed");
 }
 
@@ -609,8 +633,8 @@
     let mut bed = Bed::new(settings(vec![class(2000, 1.0)]), 2);
     let (id, actions) = bed.query(0, 0, &[1.0]);
     let (_, dead) = sends(&actions)[0];
-    let again = bed.end(250, id + 1, 0, dead, Outcome::Unreachable);
-    bed.end(1000, id + 1, 1, sends(&again)[0].1, Outcome::Ok);
+    let again = bed.end(250, id + 1, 0, dead, AttemptOutcome::Unreachable);
+    bed.end(1000, id + 1, 1, sends(&again)[0].1, AttemptOutcome::Success);
     for at in [6000, 7000, 8000] {
         assert_ne!(bed.served(at, 700), dead);
     }
@@ -620,7 +644,7 @@
 fn sent_after_one_reading(late: usize) -> usize {
     let mut bed = Bed::new(settings(vec![class(2000, 0.5), class(90_000, 0.6)]), 3);
     let (_, actions) = bed.query(0, 0, &[1.0 / 30.0; 30]);
-    bed.at(1500, &all_end(&sends(&actions)[late..], Outcome::Ok));
+    bed.at(1500, &all_end(&sends(&actions)[late..], AttemptOutcome::Success));
     bed.run(1510, 1650);
     let (id, actions) = bed.query(1660, 1, &[0.01; 100]);
     sends(&actions).iter().filter(|(part, _)| *part > id).count()
@@ -678,7 +702,7 @@
     let (id, actions) = bed.query(3000, 0, &[1.0]);
     let (_, lossy) = sends(&actions)[0];
     let copy = sends(&bed.run(3010, 3900))[0].1;
-    bed.end(4000, id + 1, 1, copy, Outcome::Ok);
+    bed.end(4000, id + 1, 1, copy, AttemptOutcome::Success);
     assert_ne!(copy, lossy);
     for at in [6000, 6500, 7000] {
         assert_eq!(bed.served(at, 150), copy);
@@ -688,10 +712,10 @@
 /// A lone query of many parts, most of them lost: its copies must not end when its parts are two seconds old.
 #[test]
 fn a_lone_long_query_gets_copies_late() {
-    let mut bed = Bed::new(Settings { call_parts: None, ..settings(vec![class(4000, 1.0)]) }, 200);
+    let mut bed = Bed::new(Settings { max_parts_per_call: None, ..settings(vec![class(4000, 1.0)]) }, 200);
     let (id, actions) = bed.query(0, 0, &[0.01; 100]);
     for (part, replica) in sends(&actions).into_iter().skip(30) {
-        bed.end(300, part, 0, replica, Outcome::Ok);
+        bed.end(300, part, 0, replica, AttemptOutcome::Success);
     }
     let copies = sends(&bed.run(310, 3900));
     let late = copies.iter().filter(|(part, _)| *part > id).count();
@@ -727,13 +751,13 @@
 #[test]
 fn half_of_the_budget_is_kept_for_classes_that_need_every_part() {
     let mut tight = settings(vec![class(2000, 0.5), class(2000, 1.0)]);
-    tight.budget = Some(Budget { floor: 4.0, share: 0.0, span: 1000 * MS });
-    tight.call_parts = None;
+    tight.retry_budget = Some(RetryBudget { minimum: 4.0, ratio: 0.0, window: 1000 * MS });
+    tight.max_parts_per_call = None;
     let mut bed = Bed::new(tight, 20);
     let again: Vec<usize> = [0, 1]
         .map(|class| {
             let (_, actions) = bed.query(100 * u64::from(class), class, &[0.1; 10]);
-            let lost = all_end(&sends(&actions), Outcome::Error);
+            let lost = all_end(&sends(&actions), AttemptOutcome::Error);
             sends(&bed.at(100 * u64::from(class) + 20, &lost)).len()
         })
         .into();
@@ -744,21 +768,25 @@
 #[test]
 fn many_silent_replicas_set_off_one_round_of_probes() {
     let probes = |actions: &[Action]| -> Vec<ReplicaId> {
-        let probe = |a: &Action| if let Action::Probe { replica } = a { Some(*replica) } else { None };
+        let probe = |a: &Action| if let Action::CheckHealth { replica } = a { Some(*replica) } else { None };
         actions.iter().filter_map(probe).collect()
     };
-    for may_probe in [false, true] {
-        let kind = Settings { may_probe, call_parts: None, ..settings(vec![class(2000, 1.0)]) };
+    for health_checks_allowed in [false, true] {
+        let kind =
+            Settings { health_checks_allowed, max_parts_per_call: None, ..settings(vec![class(2000, 1.0)]) };
         let mut bed = Bed::new(kind, 20);
         let (_, actions) = bed.query(0, 0, &[0.25; 4]);
         let sent = sends(&actions);
-        let asked = probes(&bed.at(250, &all_end(&sent, Outcome::Unreachable)));
-        assert_eq!(asked.is_empty(), !may_probe);
+        let asked = probes(&bed.at(250, &all_end(&sent, AttemptOutcome::Unreachable)));
+        assert_eq!(asked.is_empty(), !health_checks_allowed);
         assert!(sent.iter().all(|(_, failed)| !asked.contains(failed)), "only those not met yet");
         assert!(probes(&bed.run(260, 1000)).is_empty(), "one round only");
         let Some(bad) = asked.first() else { continue };
         let (latency, report) = (250 * MS, vec![]);
-        bed.at(1010, &[Event::Probed { replica: *bad, outcome: Outcome::TimedOut, latency, report }]);
+        bed.at(
+            1010,
+            &[Event::HealthCheckEnded { replica: *bad, outcome: AttemptOutcome::TimedOut, latency, report }],
+        );
         let (_, next) = bed.query(1020, 0, &[0.1; 10]);
         assert!(sends(&next).iter().all(|(_, replica)| replica != bad));
     }
@@ -779,7 +807,7 @@
         for i in 0..12 {
             let (_, actions) = bed.query(at + i * 10, 0, &[1.0]);
             let (part, replica) = sends(&actions)[0];
-            seen.extend(bed.end(at + i * 10 + 5, part, 0, replica, Outcome::Unreachable));
+            seen.extend(bed.end(at + i * 10 + 5, part, 0, replica, AttemptOutcome::Unreachable));
         }
         assert_eq!(logs(&seen, "cutoff off zero"), heard);
     }
@@ -788,11 +816,11 @@
 /// Dozens of co-ordinators, each with one part a window, would push a cold replica over together.
 #[test]
 fn many_co_ordinators_share_what_a_cold_replica_bears() {
-    let crowd = Settings { coordinators: 50, ..cold() };
+    let crowd = Settings { aggregators: 50, ..cold() };
     let mut together = 0;
     for seed in 0..50 {
-        let mut bed = Bed { module: Coordinator::new(crowd.clone(), seed), now: START, next: 1 };
-        bed.list(ListKind::Full, vec![Member { started: START - MS, ..member(1) }]);
+        let mut bed = Bed { module: Policy::new(crowd.clone(), seed), now: START, next: 1 };
+        bed.list(EndpointUpdateKind::Snapshot, vec![ReplicaEntry { started: START - MS, ..member(1) }]);
         let (_, actions) = bed.query(0, 0, &[1.0]);
         together += sends(&actions).len();
     }
@@ -801,37 +829,37 @@
 
 /// The most parts that all co-ordinators together send a replica that starts, in any window of the rule, over what
 /// it bears in that window. Each serves warm replicas at an even rate first; then a burst comes.
-fn most_over_what_a_cold_one_bears(coordinators: u32, seed: u64) -> f64 {
+fn most_over_what_a_cold_one_bears(aggregators: u32, seed: u64) -> f64 {
     const WARM: u64 = 4;
     let (cold, rate) = (cold(), 20.0);
-    let each = rate * WARM as f64 / f64::from(coordinators);
+    let each = rate * WARM as f64 / f64::from(aggregators);
     let mut at: Vec<u64> = Vec::new();
-    for n in 0..coordinators {
-        let settings = Settings { coordinators, ..cold.clone() };
-        let module = Coordinator::new(settings, seed * 1000 + u64::from(n));
+    for n in 0..aggregators {
+        let settings = Settings { aggregators, ..cold.clone() };
+        let module = Policy::new(settings, seed * 1000 + u64::from(n));
         let mut bed = Bed { module, now: START, next: 1 };
-        bed.list(ListKind::Remembered, (1..=WARM).map(member).collect());
+        bed.list(EndpointUpdateKind::Cached, (1..=WARM).map(member).collect());
         let offset = u64::from(n) * 997 % (1000.0 / each) as u64;
         (0..(160.0 * each) as u64).for_each(|i| {
             bed.served(offset + (i as f64 * 1000.0 / each) as u64, 10);
         });
         let told = 160_500 + u64::from(n) * 37 % 500;
         bed.now = START + told * MS;
-        let fresh = Member { started: START + 160_000 * MS, ..member(9) };
-        bed.list(ListKind::Changes, vec![fresh]);
+        let fresh = ReplicaEntry { started: START + 160_000 * MS, ..member(9) };
+        bed.list(EndpointUpdateKind::Delta, vec![fresh]);
         for ms in (told..told + 6_000).step_by(100) {
             let (id, actions) = bed.query(ms + u64::from(n) % 100, 0, &[0.5, 0.5]);
             let sent = sends(&actions);
             at.extend(sent.iter().filter(|(_, replica)| replica.0 == 9).map(|_| bed.now));
-            let ends = sent.iter().map(|(part, to)| ended(*part, 0, *to, Outcome::Cancelled));
+            let ends = sent.iter().map(|(part, to)| ended(*part, 0, *to, AttemptOutcome::Cancelled));
             let mut ends: Vec<Event> = ends.collect();
-            ends.push(Event::ClientGone { id });
+            ends.push(Event::ClientDisconnected { id });
             bed.at(ms + u64::from(n) % 100, &ends);
         }
     }
     at.sort_unstable();
     let over = at.iter().map(|end| {
-        let sent = at.iter().filter(|t| **t <= *end && *end - **t < cold.fall_time).count() as f64;
+        let sent = at.iter().filter(|t| **t <= *end && *end - **t < cold.overload_window).count() as f64;
         let age = (*end - START) as f64 / MS as f64 - 160_000.0;
         let warmth = 0.2 + 0.8 * age / 10_000.0;
         let bears = 4.0 * warmth * rate;
@@ -843,10 +871,10 @@
 /// Each one's fraction of a part is drawn anew in every window, and the rule's window slides over two of them.
 #[test]
 fn a_cold_replica_bears_what_a_whole_fleet_sends_it_in_any_window() {
-    for coordinators in [2, 6, 25, 100, 300] {
+    for aggregators in [2, 6, 25, 100, 300] {
         for seed in 0..2 {
-            let over = most_over_what_a_cold_one_bears(coordinators, seed);
-            assert!(over <= 0.0, "{coordinators} co-ordinators: {over:.1} parts more than chance allows");
+            let over = most_over_what_a_cold_one_bears(aggregators, seed);
+            assert!(over <= 0.0, "{aggregators} co-ordinators: {over:.1} parts more than chance allows");
         }
     }
 }
@@ -854,12 +882,12 @@
 /// What a cold replica bears was reckoned from sends kept for the span of a budget: five times too many.
 #[test]
 fn a_long_budget_span_does_not_swell_what_a_cold_replica_may_get() {
-    let budget = Some(Budget { floor: 10.0, share: 0.2, span: 10_000 * MS });
-    let mut bed = Bed::new(Settings { budget, ..cold() }, 1);
+    let retry_budget = Some(RetryBudget { minimum: 10.0, ratio: 0.2, window: 10_000 * MS });
+    let mut bed = Bed::new(Settings { retry_budget, ..cold() }, 1);
     (0..100).for_each(|i| {
         bed.served(i * 100, 50);
     });
-    bed.list(ListKind::Changes, vec![Member { started: START + 9_990 * MS, ..member(2) }]);
+    bed.list(EndpointUpdateKind::Delta, vec![ReplicaEntry { started: START + 9_990 * MS, ..member(2) }]);
     let burst: Vec<_> = (0..40).flat_map(|i| sends(&bed.query(10_000 + i, 0, &[1.0]).1)).collect();
     let cold = burst.iter().filter(|(_, replica)| *replica == ReplicaId(2)).count();
     assert!((1..=6).contains(&cold), "{cold} parts for one that bears about four");
@@ -873,7 +901,7 @@
     (0..100).for_each(|i| {
         bed.served(i * 20, 10);
     });
-    bed.list(ListKind::Changes, vec![Member { started: START + 1_990 * MS, ..member(2) }]);
+    bed.list(EndpointUpdateKind::Delta, vec![ReplicaEntry { started: START + 1_990 * MS, ..member(2) }]);
     let burst: Vec<_> = (0..40).flat_map(|i| sends(&bed.query(2000 + i, 0, &[1.0]).1)).collect();
     let cold = burst.iter().filter(|(_, replica)| *replica == ReplicaId(2)).count();
     assert!((10..=21).contains(&cold), "{cold} parts for one that bears about twenty");
@@ -881,7 +909,7 @@
 
 /// Twenty queries a second of three parts, each ended 20 ms after it was sent, the first part of a query so: how many
 /// of them were admitted, by second.
-fn admitted(bed: &mut Bed, seconds: std::ops::Range<u64>, first: Outcome) -> Vec<usize> {
+fn admitted(bed: &mut Bed, seconds: std::ops::Range<u64>, first: AttemptOutcome) -> Vec<usize> {
     let mut admitted = Vec::new();
     for second in seconds {
         let mut count = 0;
@@ -893,12 +921,17 @@
             for step in 1..5 {
                 let end = |(part, replica): (u64, ReplicaId)| {
                     let attempt = attempts.entry(part).and_modify(|n| *n += 1).or_insert(0);
-                    ended(part, *attempt, replica, if part == id + 1 { first } else { Outcome::Ok })
+                    ended(
+                        part,
+                        *attempt,
+                        replica,
+                        if part == id + 1 { first } else { AttemptOutcome::Success },
+                    )
                 };
                 let ends: Vec<Event> = sends(&actions).into_iter().map(end).collect();
                 actions = bed.at(ms + step * 10, &ends);
             }
-            bed.at(ms + 49, &[Event::ClientGone { id }]);
+            bed.at(ms + 49, &[Event::ClientDisconnected { id }]);
         }
         admitted.push(count);
     }
@@ -911,33 +944,35 @@
 fn after_queries_lost_to_full_replicas_fewer_are_admitted_until_some_are_answered() {
     let quick = Settings { max_attempts: Some(2), ..settings(vec![class(400, 1.0)]) };
     let mut bed = Bed::new(quick.clone(), 3);
-    assert_eq!(admitted(&mut bed, 0..3, Outcome::Ok), [20; 3]);
-    let full = admitted(&mut bed, 3..15, Outcome::Refused);
+    assert_eq!(admitted(&mut bed, 0..3, AttemptOutcome::Success), [20; 3]);
+    let full = admitted(&mut bed, 3..15, AttemptOutcome::Rejected);
     assert!(full[1..].iter().sum::<usize>() <= 12, "{full:?}");
     assert!(
         full.windows(4).all(|four| four.iter().sum::<usize>() > 0),
         "nobody is turned away throughout: {full:?}"
     );
-    let after = admitted(&mut bed, 15..25, Outcome::Ok);
+    let after = admitted(&mut bed, 15..25, AttemptOutcome::Success);
     assert_eq!(after[9], 20, "{after:?}");
     // Lost to a dead replica, it says nothing of the load on the others.
     let mut bed = Bed::new(quick, 3);
-    let dead = admitted(&mut bed, 0..5, Outcome::Unreachable);
+    let dead = admitted(&mut bed, 0..5, AttemptOutcome::Unreachable);
     assert!(dead.iter().sum::<usize>() > 50, "{dead:?}");
 }
 
 /// Cancelled or not, a part waits at a full replica until its time has passed: in an overload that is the aim's.
 #[test]
 fn while_permits_are_short_nothing_is_waited_for_past_the_aim() {
-    let late = Class { late_worth: 0.3, ..class(400, 1.0) };
+    let late = QueryClass { late_value: 0.3, ..class(400, 1.0) };
     let mut bed = Bed::new(Settings { max_attempts: Some(2), ..settings(vec![late]) }, 3);
     let until = |actions: &[Action]| {
-        actions.iter().find_map(|a| if let Action::Send { until, .. } = a { Some(*until) } else { None })
+        actions
+            .iter()
+            .find_map(|a| if let Action::SendAttempt { until, .. } = a { Some(*until) } else { None })
     };
     let (_, actions) = bed.query(0, 0, &[0.4, 0.3, 0.3]);
     assert_eq!(until(&actions), Some(START + 6000 * MS), "its client's time");
-    bed.at(10, &all_end(&sends(&actions), Outcome::Ok));
-    admitted(&mut bed, 1..3, Outcome::Refused);
+    bed.at(10, &all_end(&sends(&actions), AttemptOutcome::Success));
+    admitted(&mut bed, 1..3, AttemptOutcome::Rejected);
     let mut asked = (3000..9000).step_by(50).map(|ms| (ms, bed.query(ms, 0, &[0.4, 0.3, 0.3]).1));
     let (ms, actions) = asked.find(|(_, actions)| !sends(actions).is_empty()).unwrap();
     assert_eq!(until(&actions), Some(START + (ms + 400) * MS), "the aim");
@@ -946,21 +981,22 @@
 /// Something on the way drops unused connections unseen: what is sent on one is lost, though the replica
 /// lives. Rounds of a query whose attempts on unused connections break; in which connections are renewed.
 fn unused_connections_break(rounds: u64, renewed_break: bool) -> Vec<bool> {
-    let mut bed = Bed::new(Settings { idle_time: 15_000 * MS, ..settings(vec![class(2000, 1.0)]) }, 2);
+    let mut bed = Bed::new(Settings { idle_timeout: 15_000 * MS, ..settings(vec![class(2000, 1.0)]) }, 2);
     bed.served(0, 50);
     bed.served(10, 60);
     let mut renewed = Vec::new();
     for at in (1..=rounds).map(|i| i * 4000) {
         let (id, mut actions) = bed.query(at, 0, &[1.0]);
-        let closes = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::CloseIdle { .. }));
+        let closes =
+            |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::CloseIdleConnections { .. }));
         renewed.push(closes(&actions));
         let mut number = 0;
         if renewed_break || !closes(&actions) {
             let (_, replica) = sends(&actions)[0];
-            actions = bed.end(at + 5, id + 1, 0, replica, Outcome::Broken);
+            actions = bed.end(at + 5, id + 1, 0, replica, AttemptOutcome::ConnectionLost);
             number = 1;
         }
-        bed.end(at + 200, id + 1, number, sends(&actions)[0].1, Outcome::Ok);
+        bed.end(at + 200, id + 1, number, sends(&actions)[0].1, AttemptOutcome::Success);
     }
     renewed
 }
@@ -982,10 +1018,10 @@
 /// Some queries bring down each replica that begins a part: asked again and again, they take the whole fleet.
 #[test]
 fn a_query_that_breaks_every_replica_goes_out_once() {
-    let mut bed = Bed::new(Settings { call_parts: None, ..settings(vec![class(2000, 1.0)]) }, 12);
+    let mut bed = Bed::new(Settings { max_parts_per_call: None, ..settings(vec![class(2000, 1.0)]) }, 12);
     let (_, actions) = bed.query(0, 0, &[0.25; 4]);
     let sent = sends(&actions);
-    let broken = all_end(&sent, Outcome::Broken);
+    let broken = all_end(&sent, AttemptOutcome::ConnectionLost);
     let last = bed.at(10, &broken);
     assert!(sends(&last).is_empty(), "no replica more");
     assert_eq!(finals(&last), ["refused"], "at once");
@@ -993,12 +1029,12 @@
 
 #[test]
 fn a_query_that_met_dying_replicas_by_chance_is_asked_again() {
-    let mut bed = Bed::new(Settings { call_parts: None, ..settings(vec![class(2000, 1.0)]) }, 12);
+    let mut bed = Bed::new(Settings { max_parts_per_call: None, ..settings(vec![class(2000, 1.0)]) }, 12);
     let (_, actions) = bed.query(0, 0, &[0.2; 5]);
     let sent = sends(&actions);
-    let first = bed.at(10, &all_end(&sent[..4], Outcome::Broken));
+    let first = bed.at(10, &all_end(&sent[..4], AttemptOutcome::ConnectionLost));
     assert!(sends(&first).is_empty() && finals(&first).is_empty(), "held while a part may still land");
-    let landed = bed.at(150, &all_end(&sent[4..], Outcome::Ok));
+    let landed = bed.at(150, &all_end(&sent[4..], AttemptOutcome::Success));
     assert_eq!(sends(&landed).len(), 4, "it does no harm");
 }
 
@@ -1008,22 +1044,22 @@
     let once = Settings { max_attempts: Some(1), ..settings(vec![class(2000, 1.0)]) };
     let mut bed = Bed::new(once, 4);
     let (id, actions) = bed.query(0, 0, &[0.5, 0.5]);
-    let after = bed.end(20, id + 1, 0, sends(&actions)[0].1, Outcome::Unreachable);
+    let after = bed.end(20, id + 1, 0, sends(&actions)[0].1, AttemptOutcome::Unreachable);
     assert_eq!(finals(&after), ["refused"]);
 }
 
 /// No budget before the aim, or no holder left: waiting for a repeat that can't be sent is holding the query.
 #[test]
 fn a_query_whose_repeat_can_not_be_sent_is_refused_at_once() {
-    let spent = Budget { floor: 0.0, share: 0.0, span: 10_000 * MS };
-    let mut bed = Bed::new(Settings { budget: Some(spent), ..settings(vec![class(2000, 1.0)]) }, 4);
+    let spent = RetryBudget { minimum: 0.0, ratio: 0.0, window: 10_000 * MS };
+    let mut bed = Bed::new(Settings { retry_budget: Some(spent), ..settings(vec![class(2000, 1.0)]) }, 4);
     let (id, actions) = bed.query(0, 0, &[1.0]);
-    let after = bed.end(20, id + 1, 0, sends(&actions)[0].1, Outcome::Unreachable);
+    let after = bed.end(20, id + 1, 0, sends(&actions)[0].1, AttemptOutcome::Unreachable);
     assert_eq!(finals(&after), ["refused"], "no budget");
     let mut bed = Bed::new(settings(vec![class(2000, 1.0)]), 1);
     let (id, actions) = bed.query(0, 0, &[1.0]);
-    bed.list(ListKind::Full, vec![]);
-    let after = bed.end(20, id + 1, 0, sends(&actions)[0].1, Outcome::Unreachable);
+    bed.list(EndpointUpdateKind::Snapshot, vec![]);
+    let after = bed.end(20, id + 1, 0, sends(&actions)[0].1, AttemptOutcome::Unreachable);
     assert_eq!(finals(&after), ["refused"], "no holder");
 }
 
@@ -1031,9 +1067,14 @@
 /// near replica is better than crossing, and a long one is not.
 #[test]
 fn a_replica_in_the_own_zone_is_preferred_while_its_queue_is_short() {
-    let priced = Settings { zone: 1, zone_price: 0.04, call_parts: None, ..settings(vec![class(2000, 1.0)]) };
+    let priced = Settings {
+        zone: 1,
+        cross_zone_price: 0.04,
+        max_parts_per_call: None,
+        ..settings(vec![class(2000, 1.0)])
+    };
     let mut bed = Bed::new(priced, 0);
-    bed.list(ListKind::Full, vec![member(1), Member { zone: 1, ..member(2) }, member(3)]);
+    bed.list(EndpointUpdateKind::Snapshot, vec![member(1), ReplicaEntry { zone: 1, ..member(2) }, member(3)]);
     let sent = sends(&bed.query(0, 0, &[0.4, 0.3, 0.3]).1);
     let near = sent.iter().map(|(_, replica)| *replica == ReplicaId(2)).collect::<Vec<_>>();
     assert_eq!(near, [true, true, false], "one in its queue costs less than crossing, two cost more");
@@ -1043,7 +1084,7 @@
 #[test]
 fn copies_that_lose_their_races_become_few() {
     let copies = |first_lands: bool| {
-        let mut bed = Bed::new(Settings { call_parts: None, ..settings(vec![class(2000, 1.0)]) }, 24);
+        let mut bed = Bed::new(Settings { max_parts_per_call: None, ..settings(vec![class(2000, 1.0)]) }, 24);
         (0..40).for_each(|i| {
             bed.served(i * 20, 100);
         });
@@ -1056,13 +1097,13 @@
             let mut events = Vec::new();
             for (part, replica) in &sent {
                 let Some((_, other)) = again.iter().find(|(p, _)| p == part) else {
-                    events.push(ended(*part, 0, *replica, Outcome::Ok));
+                    events.push(ended(*part, 0, *replica, AttemptOutcome::Success));
                     continue;
                 };
                 let (won, lost) = if first_lands { (0, 1) } else { (1, 0) };
                 let by = [*replica, *other];
-                events.push(ended(*part, won, by[won as usize], Outcome::Ok));
-                events.push(ended(*part, lost, by[lost as usize], Outcome::Cancelled));
+                events.push(ended(*part, won, by[won as usize], AttemptOutcome::Success));
+                events.push(ended(*part, lost, by[lost as usize], AttemptOutcome::Cancelled));
             }
             bed.at(at + 910, &events);
         }
--- a/crates/policy/tests/recorded_decisions.rs
+++ b/crates/policy/tests/recorded_decisions.rs
@@ -4,8 +4,8 @@
 //! [`BATCHES_PER_DIGEST`] batches. A change that decides differently on purpose says so and renews the file with what
 //! the failing test prints; any other difference is a fault of the change.
 
-use aggregator_policy::interface::*;
-use aggregator_policy::Coordinator;
+use aggregator_policy::api::*;
+use aggregator_policy::Policy;
 use fastrand::Rng;
 use std::collections::{BTreeMap, HashSet};
 use xxhash_rust::xxh3::Xxh3;
@@ -50,22 +50,27 @@
     }
 }
 
-fn class(random: &mut Rng) -> Class {
-    let aim = random.u64(200..2_500) * MS;
+fn class(random: &mut Rng) -> QueryClass {
+    let latency_objective = random.u64(200..2_500) * MS;
     let partial = random.bool();
-    let need = if random.u32(..4) == 0 { 0.9 } else { 1.0 };
-    Class {
-        aim,
-        aim_stretch: random.bool().then_some(1.5),
-        deadline: aim * random.u64(1..4) + 50 * MS,
-        effect: [Effect::Safe, Effect::Safe, Effect::Keyed, Effect::Unsafe][random.usize(..4)],
-        repeat_window: random.u64(20..3_000) * MS,
-        worth: random.bool().then(|| random.f64() * 4.0),
-        late_worth: if random.bool() { 0.3 } else { 0.0 },
-        need,
-        floor: if partial { 0.6 } else { need },
-        partial_earns: 0.95,
-        second_step: if random.u32(..5) == 0 { 4 } else { 0 },
+    let completeness_threshold = if random.u32(..4) == 0 { 0.9 } else { 1.0 };
+    QueryClass {
+        latency_objective,
+        objective_stretch: random.bool().then_some(1.5),
+        deadline: latency_objective * random.u64(1..4) + 50 * MS,
+        idempotency: [
+            Idempotency::Idempotent,
+            Idempotency::Idempotent,
+            Idempotency::IdempotentWithKey,
+            Idempotency::NonIdempotent,
+        ][random.usize(..4)],
+        idempotency_window: random.u64(20..3_000) * MS,
+        priority_weight: random.bool().then(|| random.f64() * 4.0),
+        late_value: if random.bool() { 0.3 } else { 0.0 },
+        completeness_threshold,
+        minimum_coverage: if partial { 0.6 } else { completeness_threshold },
+        partial_value: 0.95,
+        second_step_parts: if random.u32(..5) == 0 { 4 } else { 0 },
     }
 }
 
@@ -73,28 +78,32 @@
     let cold = random.u32(..3) > 0;
     Settings {
         classes: (0..random.usize(1..4)).map(|_| class(random)).collect(),
-        cells: random.u32(1..5),
-        reach: random.u32(1..4),
+        placement_cells: random.u32(1..5),
+        cells_per_shard: random.u32(1..4),
         zone: 0,
-        zone_price: if random.bool() { 0.01 } else { 0.0 },
-        call_parts: [None, Some(1), Some(4)][random.usize(..3)],
-        coordinators: [1, 3, 300][random.usize(..3)],
+        cross_zone_price: if random.bool() { 0.01 } else { 0.0 },
+        max_parts_per_call: [None, Some(1), Some(4)][random.usize(..3)],
+        aggregators: [1, 3, 300][random.usize(..3)],
         tick: random.u64(1..10) * MS,
         max_attempts: [None, Some(2), Some(3)][random.usize(..3)],
-        may_cancel: random.bool(),
-        repeats_marked: random.bool(),
-        second_copies: random.u32(..4) > 0,
-        may_probe: random.bool(),
-        longest_retry_advice: if random.bool() { 1_500 * MS } else { 0 },
-        cold_from: cold.then_some(0.2),
-        cold_time: 18 * SECOND,
-        fall_multiple: cold.then_some(2.5),
-        fall_time: 3 * SECOND,
-        budget: (random.u32(..3) == 0).then_some(Budget { floor: 3.0, share: 0.1, span: 10 * SECOND }),
-        idle_time: if random.bool() { 3 * SECOND } else { 0 },
-        drain_grace: 2 * SECOND,
-        list_on_request: random.bool(),
-        list_within: 8 * SECOND,
+        cancellation_allowed: random.bool(),
+        retries_marked: random.bool(),
+        hedging_allowed: random.u32(..4) > 0,
+        health_checks_allowed: random.bool(),
+        max_retry_after: if random.bool() { 1_500 * MS } else { 0 },
+        initial_capacity: cold.then_some(0.2),
+        warm_up_time: 18 * SECOND,
+        overload_multiple: cold.then_some(2.5),
+        overload_window: 3 * SECOND,
+        retry_budget: (random.u32(..3) == 0).then_some(RetryBudget {
+            minimum: 3.0,
+            ratio: 0.1,
+            window: 10 * SECOND,
+        }),
+        idle_timeout: if random.bool() { 3 * SECOND } else { 0 },
+        drain_notice: 2 * SECOND,
+        endpoint_list_polled: random.bool(),
+        poll_interval: 8 * SECOND,
     }
 }
 
@@ -109,10 +118,10 @@
 struct Scenario {
     random: Rng,
     settings: Settings,
-    policy: Coordinator,
+    policy: Policy,
     now: Nanos,
     weather: Weather,
-    members: Vec<Member>,
+    entries: Vec<ReplicaEntry>,
     /// What happens later, in order of time and then of planning.
     planned: BTreeMap<(Nanos, u64), Event>,
     attempts: BTreeMap<(RequestId, u8), (Nanos, u64)>,
@@ -128,17 +137,17 @@
         let mut random = Rng::with_seed(seed);
         let settings = settings(&mut random);
         let replicas = random.u64(1..13);
-        let cells = settings.cells;
-        let members = (1..=replicas).map(|replica| Member {
+        let placement_cells = settings.placement_cells;
+        let entries = (1..=replicas).map(|replica| ReplicaEntry {
             replica: ReplicaId(replica),
-            cell: (replica as u32 % cells) as u16,
+            cell: (replica as u32 % placement_cells) as u16,
             zone: (replica % 2) as u16,
             started: 0,
-            standing: Standing::Ready,
+            state: ReplicaState::Ready,
         });
         Scenario {
-            policy: Coordinator::new(settings.clone(), seed.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
-            members: members.collect(),
+            policy: Policy::new(settings.clone(), seed.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+            entries: entries.collect(),
             weather: weather(&mut random),
             settings,
             random,
@@ -155,7 +164,8 @@
 
     /// Runs all batches and returns the digests.
     fn run(&mut self) -> Vec<u64> {
-        let first = Event::List { kind: ListKind::Remembered, members: self.members.clone() };
+        let first =
+            Event::EndpointsUpdated { kind: EndpointUpdateKind::Cached, entries: self.entries.clone() };
         self.batch(&[first]);
         let mut digests = Vec::new();
         for number in 1..=BATCHES {
@@ -192,27 +202,30 @@
 
     fn list_event(&mut self) -> Event {
         if self.random.u32(..3) == 0 {
-            return Event::List { kind: ListKind::Failed, members: Vec::new() };
+            return Event::EndpointsUpdated { kind: EndpointUpdateKind::Unavailable, entries: Vec::new() };
         }
-        let changed = self.random.usize(..self.members.len());
-        let member = &mut self.members[changed];
+        let changed = self.random.usize(..self.entries.len());
+        let member = &mut self.entries[changed];
         match self.random.u32(..4) {
-            0 => member.standing = Standing::Draining,
-            1 => member.standing = Standing::Gone,
-            _ => (member.standing, member.started) = (Standing::Ready, self.now.saturating_sub(300 * MS)),
+            0 => member.state = ReplicaState::Draining,
+            1 => member.state = ReplicaState::Gone,
+            _ => (member.state, member.started) = (ReplicaState::Ready, self.now.saturating_sub(300 * MS)),
         }
         if self.random.bool() {
-            return Event::List { kind: ListKind::Changes, members: vec![member.clone()] };
+            return Event::EndpointsUpdated {
+                kind: EndpointUpdateKind::Delta,
+                entries: vec![member.clone()],
+            };
         }
-        let listed = self.members.iter().filter(|member| member.standing != Standing::Gone);
-        Event::List { kind: ListKind::Full, members: listed.cloned().collect() }
+        let listed = self.entries.iter().filter(|member| member.state != ReplicaState::Gone);
+        Event::EndpointsUpdated { kind: EndpointUpdateKind::Snapshot, entries: listed.cloned().collect() }
     }
 
     fn client_gone(&mut self) -> Option<Event> {
         let ids: Vec<RequestId> = self.queries.keys().copied().collect();
         let id = *ids.get(self.random.usize(..ids.len().max(1)))?;
         self.queries.remove(&id);
-        Some(Event::ClientGone { id })
+        Some(Event::ClientDisconnected { id })
     }
 
     fn query(&mut self, events: &mut Vec<Event>) {
@@ -221,16 +234,16 @@
         let (id, group) = (self.last_id, self.last_group);
         let class = self.random.usize(..self.settings.classes.len());
         let deadline = self.settings.classes[class].deadline;
-        let repeat = self.random.u32(..4) == 0;
-        let patience = if repeat { self.random.u64(deadline / 8..deadline) } else { deadline };
-        events.push(Event::Query {
+        let is_retry = self.random.u32(..4) == 0;
+        let client_timeout = if is_retry { self.random.u64(deadline / 8..deadline) } else { deadline };
+        events.push(Event::QueryReceived {
             id,
             group,
             class: class as u16,
             tenant: self.random.u32(..3),
-            patience,
+            client_timeout,
             work: self.random.bool().then(|| self.random.u64(..40) * MS),
-            repeat,
+            is_retry,
         });
         self.queries.insert(id, OpenQuery { group, class, parts: Vec::new(), second_step_begun: false });
         let count = self.random.usize(1..9);
@@ -245,7 +258,12 @@
             let Some(open) = self.queries.get_mut(&query) else { return };
             open.parts.push(self.last_id);
             let shard = self.random.u32(..12);
-            events.push(Event::Part { id: self.last_id, group: open.group, shard, weight: weight / sum });
+            events.push(Event::PartReceived {
+                id: self.last_id,
+                group: open.group,
+                shard,
+                weight: weight / sum,
+            });
         }
     }
 
@@ -268,23 +286,24 @@
 
     fn react(&mut self, action: &Action) {
         match action {
-            Action::Send { part, replica, until, .. } => self.attempt(*part, *replica, *until),
-            Action::Cancel { part, attempt } => {
+            Action::SendAttempt { part, replica, until, .. } => self.attempt(*part, *replica, *until),
+            Action::CancelAttempt { part, attempt } => {
                 let Some(key) = self.attempts.remove(&(*part, *attempt)) else { return };
-                let Some(Event::Ended { replica, .. }) = self.planned.remove(&key) else { return };
-                let (part, attempt, outcome) = (*part, *attempt, Outcome::Cancelled);
+                let Some(Event::AttemptEnded { replica, .. }) = self.planned.remove(&key) else { return };
+                let (part, attempt, outcome) = (*part, *attempt, AttemptOutcome::Cancelled);
                 let report = LoadReport::new();
-                self.plan(self.now, Event::Ended { part, attempt, replica, outcome, report });
+                self.plan(self.now, Event::AttemptEnded { part, attempt, replica, outcome, report });
             }
             Action::Answer { query, .. } => self.answered(*query),
-            Action::Refuse { query, .. } | Action::Fail { query } => drop(self.queries.remove(query)),
-            Action::Wake { token, after } => {
-                self.plan(self.now + after, Event::Timer { token: *token });
+            Action::Reject { query, .. } | Action::Fail { query } => drop(self.queries.remove(query)),
+            Action::SetTimer { token, after } => {
+                self.plan(self.now + after, Event::TimerFired { token: *token });
             }
-            Action::Probe { replica } => {
-                let outcome = if self.random.bool() { Outcome::Ok } else { Outcome::TimedOut };
+            Action::CheckHealth { replica } => {
+                let outcome =
+                    if self.random.bool() { AttemptOutcome::Success } else { AttemptOutcome::TimedOut };
                 let (replica, latency, report) = (*replica, 40 * MS, LoadReport::new());
-                self.plan(self.now + latency, Event::Probed { replica, outcome, latency, report });
+                self.plan(self.now + latency, Event::HealthCheckEnded { replica, outcome, latency, report });
             }
             _ => {}
         }
@@ -298,31 +317,32 @@
         let Weather { refused, error, broken, unreachable, silent, latency, .. } = self.weather;
         let took = latency / 2 + self.random.u64(..latency);
         let ends = [
-            (refused, Outcome::Refused, 2 * MS),
-            (error, Outcome::Error, took / 4),
-            (broken, Outcome::Broken, took),
-            (unreachable, Outcome::Unreachable, 3 * MS),
-            (silent, Outcome::TimedOut, until.saturating_sub(self.now)),
+            (refused, AttemptOutcome::Rejected, 2 * MS),
+            (error, AttemptOutcome::Error, took / 4),
+            (broken, AttemptOutcome::ConnectionLost, took),
+            (unreachable, AttemptOutcome::Unreachable, 3 * MS),
+            (silent, AttemptOutcome::TimedOut, until.saturating_sub(self.now)),
         ];
         let mut least = 0;
         let end = ends.iter().find(|(chance, ..)| {
             least += chance;
             roll < least
         });
-        let (outcome, after) = end.map_or((Outcome::Ok, took), |(_, outcome, after)| (*outcome, *after));
+        let (outcome, after) =
+            end.map_or((AttemptOutcome::Success, took), |(_, outcome, after)| (*outcome, *after));
         let at = self.now + after;
-        let (outcome, at) = if at > until { (Outcome::TimedOut, until) } else { (outcome, at) };
-        if outcome == Outcome::Ok && self.random.u32(..8) == 0 {
-            self.plan(self.now + after / 2, Event::Began { part, attempt, replica });
+        let (outcome, at) = if at > until { (AttemptOutcome::TimedOut, until) } else { (outcome, at) };
+        if outcome == AttemptOutcome::Success && self.random.u32(..8) == 0 {
+            self.plan(self.now + after / 2, Event::ResponseStarted { part, attempt, replica });
         }
         let report = LoadReport::new();
-        let key = self.plan(at, Event::Ended { part, attempt, replica, outcome, report });
+        let key = self.plan(at, Event::AttemptEnded { part, attempt, replica, outcome, report });
         self.attempts.insert((part, attempt), key);
     }
 
     fn answered(&mut self, query: RequestId) {
         let Some(open) = self.queries.get_mut(&query) else { return };
-        if self.settings.classes[open.class].second_step == 0 || open.second_step_begun {
+        if self.settings.classes[open.class].second_step_parts == 0 || open.second_step_begun {
             self.queries.remove(&query);
             return;
         }
@@ -339,19 +359,19 @@
     fn record(&mut self, action: &Action) {
         let none = u64::MAX;
         let words: [u64; 5] = match action {
-            Action::Send { part, replica, until, begin_by } => {
-                [1, *part, replica.0, *until, begin_by.unwrap_or(none)]
+            Action::SendAttempt { part, replica, until, latest_start } => {
+                [1, *part, replica.0, *until, latest_start.unwrap_or(none)]
             }
-            Action::Cancel { part, attempt } => [2, *part, u64::from(*attempt), 0, 0],
-            Action::Answer { query, whole } => [3, *query, u64::from(*whole), 0, 0],
-            Action::Refuse { query, come_back } => [4, *query, come_back.unwrap_or(none), 0, 0],
+            Action::CancelAttempt { part, attempt } => [2, *part, u64::from(*attempt), 0, 0],
+            Action::Answer { query, complete } => [3, *query, u64::from(*complete), 0, 0],
+            Action::Reject { query, retry_after } => [4, *query, retry_after.unwrap_or(none), 0, 0],
             Action::Fail { query } => [5, *query, 0, 0, 0],
-            Action::Wake { token, after } => [6, *token, *after, 0, 0],
-            Action::Subscribe { on } => [7, u64::from(*on), 0, 0, 0],
-            Action::FetchList => [8, 0, 0, 0, 0],
-            Action::Probe { replica } => [9, replica.0, 0, 0, 0],
-            Action::CloseIdle { replica } => [10, replica.0, 0, 0, 0],
-            Action::Tell { to, bytes } => [11, to.map_or(none, u64::from), bytes.len() as u64, 0, 0],
+            Action::SetTimer { token, after } => [6, *token, *after, 0, 0],
+            Action::WatchEndpoints { enabled } => [7, u64::from(*enabled), 0, 0, 0],
+            Action::FetchEndpoints => [8, 0, 0, 0, 0],
+            Action::CheckHealth { replica } => [9, replica.0, 0, 0, 0],
+            Action::CloseIdleConnections { replica } => [10, replica.0, 0, 0, 0],
+            Action::SendGossip { to, bytes } => [11, to.map_or(none, u64::from), bytes.len() as u64, 0, 0],
             Action::Log(_) => [12, 0, 0, 0, 0],
         };
         words.iter().for_each(|word| self.digest.update(&word.to_le_bytes()));
--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -4,7 +4,7 @@
 mod wire;
 
 use aggregator_core::settings;
-use aggregator_policy::Coordinator;
+use aggregator_policy::Policy;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, BufReader, BufWriter, Read, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -26,7 +26,7 @@
 }
 
 fn run(input: &mut impl Read, output: &mut impl Write) -> Result<(), String> {
-    let mut instances: BTreeMap<u16, Coordinator> = BTreeMap::new();
+    let mut instances: BTreeMap<u16, Policy> = BTreeMap::new();
     let mut rosters: BTreeMap<u32, Roster> = BTreeMap::new();
     while let Some(batch) = Batch::read(input)? {
         let reply = play(&batch, &mut instances, &mut rosters)?;
@@ -41,7 +41,7 @@
 /// Hands each instance its events of one batch, in order, and gathers the actions.
 fn play(
     batch: &Batch,
-    instances: &mut BTreeMap<u16, Coordinator>,
+    instances: &mut BTreeMap<u16, Policy>,
     rosters: &mut BTreeMap<u32, Roster>,
 ) -> Result<Reply, String> {
     let mut pending = BTreeMap::new();
@@ -50,7 +50,7 @@
     for (who, input) in wire::inputs(batch, rosters)? {
         match input {
             Input::Start { seed, settings } => {
-                instances.insert(who, Coordinator::new(settings::parse(&settings)?, seed));
+                instances.insert(who, Policy::new(settings::parse(&settings)?, seed));
                 pending.insert(who, Vec::new());
             }
             Input::Stop => {
--- a/crates/simulator-adapter/src/wire.rs
+++ b/crates/simulator-adapter/src/wire.rs
@@ -1,6 +1,6 @@
 //! The layout of batches and replies, byte by byte.
 
-use aggregator_policy::interface::*;
+use aggregator_policy::api::*;
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read};
 
@@ -9,7 +9,7 @@
 const ACTION: usize = 32;
 const ENTRY: usize = 25;
 
-pub type Roster = Vec<Member>;
+pub type Roster = Vec<ReplicaEntry>;
 
 /// One frame from the simulator: its records and its tail.
 pub struct Batch {
@@ -101,16 +101,16 @@
         let count = usize::from(self.u8(at)).min(4);
         (0..count).map(|i| self.f32(at + 1 + 4 * i)).collect()
     }
-    fn outcome(&self, at: usize) -> Result<Outcome, String> {
+    fn outcome(&self, at: usize) -> Result<AttemptOutcome, String> {
         Ok(match self.u16(at) {
-            0 => Outcome::Ok,
-            255 => Outcome::Error,
-            254 => Outcome::Refused,
-            253 => Outcome::TimedOut,
-            252 => Outcome::Unreachable,
-            251 => Outcome::Broken,
-            250 => Outcome::Cancelled,
-            249 => Outcome::NotSent,
+            0 => AttemptOutcome::Success,
+            255 => AttemptOutcome::Error,
+            254 => AttemptOutcome::Rejected,
+            253 => AttemptOutcome::TimedOut,
+            252 => AttemptOutcome::Unreachable,
+            251 => AttemptOutcome::ConnectionLost,
+            250 => AttemptOutcome::Cancelled,
+            249 => AttemptOutcome::NotSent,
             other => return Err(format!("unknown outcome {other}")),
         })
     }
@@ -138,8 +138,8 @@
         if record.u8(0) == 3 {
             let bytes = (record.u32(9) as usize).saturating_mul(ENTRY);
             let bytes = slice(&batch.tail, record.u32(5), bytes).map_err(place)?;
-            let members: Result<Roster, String> = bytes.chunks_exact(ENTRY).map(member).collect();
-            rosters.insert(record.u32(1), members.map_err(place)?);
+            let entries: Result<Roster, String> = bytes.chunks_exact(ENTRY).map(member).collect();
+            rosters.insert(record.u32(1), entries.map_err(place)?);
         } else {
             found.push((
                 record.u16(1),
@@ -150,21 +150,21 @@
     Ok(found)
 }
 
-fn member(bytes: &[u8]) -> Result<Member, String> {
+fn member(bytes: &[u8]) -> Result<ReplicaEntry, String> {
     let entry = Fields(bytes);
-    let standing = match entry.u8(24) {
-        0 => Standing::Gone,
-        1 => Standing::Ready,
-        2 => Standing::Draining,
+    let state = match entry.u8(24) {
+        0 => ReplicaState::Gone,
+        1 => ReplicaState::Ready,
+        2 => ReplicaState::Draining,
         other => return Err(format!("unknown standing {other} of a replica")),
     };
     let (cell, zone, started) = (entry.u16(0), entry.u16(8), entry.u64(14));
-    Ok(Member {
+    Ok(ReplicaEntry {
         replica: entry.replica(2),
         cell,
         zone,
         started,
-        standing,
+        state,
     })
 }
 
@@ -180,15 +180,15 @@
             });
         }
         4 => return Ok(Input::Stop),
-        2 => Event::Began {
+        2 => Event::ResponseStarted {
             part: record.u64(3),
             attempt: record.u8(17),
             replica: record.replica(11),
         },
-        5 => Event::Timer {
+        5 => Event::TimerFired {
             token: record.u64(3),
         },
-        6 => Event::Ended {
+        6 => Event::AttemptEnded {
             part: record.u64(3),
             attempt: record.u8(11),
             replica: record.replica(12),
@@ -199,13 +199,13 @@
         8 => list(record, rosters)?,
         9 => {
             let bytes = slice(tail, record.u32(7), record.u32(11) as usize)?.to_vec();
-            Event::Message {
+            Event::GossipReceived {
                 from: record.u32(3),
                 bytes,
             }
         }
-        10 => Event::ClientGone { id: record.u64(3) },
-        11 => Event::Probed {
+        10 => Event::ClientDisconnected { id: record.u64(3) },
+        11 => Event::HealthCheckEnded {
             replica: record.replica(13),
             outcome: record.outcome(3)?,
             latency: record.u64(5),
@@ -219,43 +219,43 @@
 fn arrival(record: &Fields) -> Event {
     let (id, group, shard) = (record.u64(3), record.f32(33) as u32, record.f32(11));
     if shard >= 0.0 {
-        return Event::Part {
+        return Event::PartReceived {
             id,
             group,
             shard: shard as u32,
             weight: f64::from(record.f32(50)),
         };
     }
-    Event::Query {
+    Event::QueryReceived {
         id,
         group,
         class: record.u16(31),
         tenant: record.u32(37),
-        patience: record.u64(15),
+        client_timeout: record.u64(15),
         work: (record.u8(49) & 1 != 0).then(|| record.u64(23)),
-        repeat: record.u8(49) & 2 != 0,
+        is_retry: record.u8(49) & 2 != 0,
     }
 }
 
 fn list(record: &Fields, rosters: &BTreeMap<u32, Roster>) -> Result<Event, String> {
     let kind = match record.u8(15) {
-        0 => ListKind::Changes,
-        1 => ListKind::Full,
-        2 => ListKind::Remembered,
+        0 => EndpointUpdateKind::Delta,
+        1 => EndpointUpdateKind::Snapshot,
+        2 => EndpointUpdateKind::Cached,
         3 => {
-            return Ok(Event::List {
-                kind: ListKind::Failed,
-                members: Vec::new(),
+            return Ok(Event::EndpointsUpdated {
+                kind: EndpointUpdateKind::Unavailable,
+                entries: Vec::new(),
             })
         }
         other => return Err(format!("unknown scope {other} of a list")),
     };
     let number = record.u32(3);
-    let members = rosters
+    let entries = rosters
         .get(&number)
         .cloned()
         .ok_or(format!("list {number} was never sent"))?;
-    Ok(Event::List { kind, members })
+    Ok(Event::EndpointsUpdated { kind, entries })
 }
 
 /// A reply in the making.
@@ -311,7 +311,7 @@
 /// Appends one action of instance `who` to a reply.
 pub fn write_action(reply: &mut Reply, who: u16, action: &Action) {
     match action {
-        Action::Send {
+        Action::SendAttempt {
             part,
             replica,
             until,
@@ -327,23 +327,26 @@
                 ],
             );
         }
-        Action::Refuse { query, come_back } => {
+        Action::Reject { query, retry_after } => {
             reply.record(
                 2,
                 who,
-                &[&query.to_le_bytes(), &come_back.unwrap_or(0).to_le_bytes()],
+                &[
+                    &query.to_le_bytes(),
+                    &retry_after.unwrap_or(0).to_le_bytes(),
+                ],
             );
         }
         Action::Fail { query } => reply.record(3, who, &[&query.to_le_bytes()]),
-        Action::Cancel { part, attempt } => {
+        Action::CancelAttempt { part, attempt } => {
             reply.record(4, who, &[&part.to_le_bytes(), &[*attempt]])
         }
-        Action::Wake { token, after } => {
+        Action::SetTimer { token, after } => {
             reply.record(5, who, &[&token.to_le_bytes(), &after.to_le_bytes()]);
         }
-        Action::Probe { replica } => reply.record(6, who, &[&address(*replica)]),
-        Action::CloseIdle { replica } => reply.record(7, who, &[&address(*replica)]),
-        Action::Tell { to, bytes } => {
+        Action::CheckHealth { replica } => reply.record(6, who, &[&address(*replica)]),
+        Action::CloseIdleConnections { replica } => reply.record(7, who, &[&address(*replica)]),
+        Action::SendGossip { to, bytes } => {
             let bytes = reply.keep(bytes);
             reply.record(8, who, &[&to.unwrap_or(u32::MAX).to_le_bytes(), &bytes]);
         }
@@ -351,10 +354,10 @@
             let text = reply.keep(text.as_bytes());
             reply.record(9, who, &[&text]);
         }
-        Action::Subscribe { on } => reply.record(11, who, &[&[u8::from(*on)]]),
-        Action::FetchList => reply.record(12, who, &[]),
-        Action::Answer { query, whole } => {
-            reply.record(13, who, &[&query.to_le_bytes(), &[u8::from(*whole)]]);
+        Action::WatchEndpoints { enabled } => reply.record(11, who, &[&[u8::from(*enabled)]]),
+        Action::FetchEndpoints => reply.record(12, who, &[]),
+        Action::Answer { query, complete } => {
+            reply.record(13, who, &[&query.to_le_bytes(), &[u8::from(*complete)]]);
         }
     }
 }
--- a/crates/simulator-adapter/tests/wire.rs
+++ b/crates/simulator-adapter/tests/wire.rs
@@ -211,9 +211,9 @@
 #[test]
 fn broken_frames_are_named() {
     assert!(complaint(&[1, 2, 3]).contains("header cut short"));
-    let whole = frame(6, &[record(&[&[5], &[0, 0]])], &[]);
-    assert!(complaint(&whole[..40]).contains("batch 6 cut short"));
-    let mut crowded = whole.clone();
+    let complete = frame(6, &[record(&[&[5], &[0, 0]])], &[]);
+    assert!(complaint(&complete[..40]).contains("batch 6 cut short"));
+    let mut crowded = complete.clone();
     crowded[16] = 9;
     assert!(complaint(&crowded).contains("do not fit"));
     assert!(complaint(&frame(1, &[record(&[&[99]])], &[])).contains("unknown event code 99"));
--- a/crates/testkit/src/bin/prove-ledger.rs
+++ b/crates/testkit/src/bin/prove-ledger.rs
@@ -8,7 +8,7 @@
 //! clients' own records are set beside the statements and the documents, by code that shares
 //! nothing with the ledger's.
 
-use aggregator_core::routing::usage::{key_of_client, key_of_query};
+use aggregator_core::engine::usage::{key_of_client, key_of_query};
 use aggregator_testkit::client::{Attempt, Connection, Got, Question};
 use aggregator_testkit::installation::{
     free_port, get, now_ms, own_ip, Installation, Plan, CLASSES, SHARDS, TENANTS,
