Move the core's test harnesses into a support module

Cause: the harnesses were called bed and stage and stood in folders of their own. Result: no test changed.

--- a/crates/core/tests/connection.rs
+++ b/crates/core/tests/connection.rs
@@ -2,14 +2,14 @@
 //! checked; and the whole reducer under random steps, against the promises that the sockets must
 //! keep.
 
-mod bed;
+mod support;
 
 use aggregator_core::engine::leaf_connection::{Answered, AttemptId, Job, LeafConnection};
 use aggregator_core::protocol::leaf::{End, LeafRequest};
-use bed::{Bed, MS};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::collections::{BTreeMap, VecDeque};
+use support::engine_harness::{Bed, MS};
 
 fn config(cases: u32) -> ProptestConfig {
     ProptestConfig {
--- a/crates/core/tests/moments.rs
+++ b/crates/core/tests/moments.rs
@@ -2,13 +2,12 @@
 //! on their way, an end that comes between two requests. The test plays all others, so each
 //! crossing is forced.
 
-mod bed;
-mod stage;
+mod support;
 
 use aggregator_core::net::OperatorSignal;
-use bed::SETTINGS;
-use stage::{answer, client, play, query, Leaf, Stage, NEVER};
 use std::io;
+use support::engine_harness::SETTINGS;
+use support::socket_harness::{answer, client, play, query, Leaf, Stage, NEVER};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, Duration, Instant};
@@ -354,9 +353,9 @@
                 .unwrap();
             assert!(answer(&mut client).await.0.starts_with("HTTP/1.1 200"));
             resting.push(client);
-            resting.push(stage::client(stage.mixer).await);
+            resting.push(support::socket_harness::client(stage.mixer).await);
         }
-        let mut watch = stage::Watch::next(&stage.discovery).await;
+        let mut watch = support::socket_harness::Watch::next(&stage.discovery).await;
         watch.begin().await;
         watch.write("\n").await;
         let mut client = client(stage.mixer).await;
--- a/crates/core/tests/reducer.rs
+++ b/crates/core/tests/reducer.rs
@@ -1,13 +1,13 @@
 //! The reducer with hand-made inputs: what the sockets owe their clients and leaf servers, one test
 //! a danger.
 
-mod bed;
+mod support;
 
 use aggregator_core::engine::{Effect, Input};
 use aggregator_core::protocol::http::RequestError;
 use aggregator_core::protocol::leaf::{End, LeafRequest, LeafResponse};
 use aggregator_core::protocol::query::{ClientRequest, Query, QueryPart, Reply};
-use bed::{Bed, MS, SETTINGS, START};
+use support::engine_harness::{Bed, MS, SETTINGS, START};
 
 fn calls(bed: &Bed) -> Vec<(u64, String)> {
     let call = |(connection, frame): &(u64, LeafRequest)| match frame {
@@ -192,7 +192,7 @@
     bed.told("127.0.0.9:7070", "up");
     let old: Vec<u64> = bed.connections.keys().copied().collect();
     bed.put(only_the_second("127.0.0.9:7070"));
-    bed.told(&bed::address(2), "removed");
+    bed.told(&support::engine_harness::address(2), "removed");
     bed.open_all();
     bed.pass(100);
     assert!(
@@ -248,10 +248,14 @@
     bed.ask(1, &[1.0]);
     let connection = *bed.connections.keys().next().unwrap();
     let (address, _) = bed.connections[&connection].clone();
-    let other = if address == bed::address(1) { 2 } else { 1 };
+    let other = if address == support::engine_harness::address(1) {
+        2
+    } else {
+        1
+    };
     let mut effects = Vec::new();
     let line = serde_json::json!(
-        {"name": format!("s-{other}"), "address": bed::address(other), "group": 0, "status": "up"});
+        {"name": format!("s-{other}"), "address": support::engine_harness::address(other), "group": 0, "status": "up"});
     let complete = serde_json::json!({"index": 9, "snapshot": true, "endpoints": [line]});
     let list = Input::EndpointsUpdated(serde_json::from_value(complete).expect("a list"));
     for input in [
@@ -741,12 +745,12 @@
 #[test]
 fn a_remembered_list_may_be_old_and_a_whole_one_replaces_it() {
     let mut bed = Bed::new(2);
-    bed.put(only_the_second(&bed::address(2)));
+    bed.put(only_the_second(&support::engine_harness::address(2)));
     bed.ask(1, &[0.5, 0.5]);
     assert!(
         bed.connections
             .values()
-            .all(|(address, _)| *address == bed::address(2)),
+            .all(|(address, _)| *address == support::engine_harness::address(2)),
         "{:?}",
         bed.connections
     );
--- a/crates/core/tests/sockets.rs
+++ b/crates/core/tests/sockets.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{sleep, Duration, Instant};
 
-mod bed;
+mod support;
 
 /// Few: a test can fill the room that clients have.
 const DESCRIPTORS: usize = 40;
@@ -92,8 +92,8 @@
         tokio::task::spawn_local(discovery(discovery_at.0, leaf_at.1));
         tokio::task::spawn_local(leaf(leaf_at.0));
         let (site, decisions) = (
-            settings::site(bed::SETTINGS).unwrap(),
-            settings::parse(bed::SETTINGS).unwrap(),
+            settings::site(support::engine_harness::SETTINGS).unwrap(),
+            settings::parse(support::engine_harness::SETTINGS).unwrap(),
         );
         let names = Names {
             classes: site.classes.clone(),
--- a/crates/core/tests/bed/mod.rs
+++ b/crates/core/tests/support/engine_harness.rs
@@ -1,8 +1,6 @@
 //! A reducer with hand-made inputs in place of sockets. It carries the effects out as sockets
 //! would, and checks at each step what must hold at every one.
 
-#![allow(dead_code)] // Each test file uses its own part of it.
-
 use aggregator_core::engine::usage::{UsageRecord, UsageWatermark};
 use aggregator_core::engine::{ClientId, ConnectionId, Effect, Engine, Input};
 use aggregator_core::protocol::discovery::EndpointUpdate;
--- a/crates/core/tests/stage/mod.rs
+++ b/crates/core/tests/support/socket_harness.rs
@@ -1,8 +1,6 @@
 //! A whole mixer on real sockets of the loopback; the test plays everyone else, one step after the
 //! other, so that what crosses does so because the test makes it.
 
-#![allow(dead_code)] // Each test file uses its own part of it.
-
 use aggregator_core::engine::Engine;
 use aggregator_core::net::{self, Addresses, Clock, OperatorSignal};
 use aggregator_core::protocol::query::Names;
--- a/crates/core/tests/usage.rs
+++ b/crates/core/tests/usage.rs
@@ -1,13 +1,13 @@
 //! The ledger's hook in the reducer: one record for each query that ends, and marks that keep their
 //! word.
 
-mod bed;
+mod support;
 
 use aggregator_core::engine::usage::{is_client_key, key_of_client, key_of_query, Outcome};
 use aggregator_core::engine::Input;
 use aggregator_core::protocol::leaf::End;
 use aggregator_core::protocol::query::{ClientRequest, Query, QueryPart};
-use bed::{Bed, MS, START};
+use support::engine_harness::{Bed, MS, START};
 
 fn recording(replicas: u64) -> Bed {
     let mut bed = Bed::new(replicas);
--- a/crates/core/tests/watch.rs
+++ b/crates/core/tests/watch.rs
@@ -1,11 +1,12 @@
 //! The watch on the list, on real sockets: silent, ended, moved, and laid out in every form.
 
-mod bed;
-mod stage;
+mod support;
 
 use aggregator_core::net::OperatorSignal;
-use bed::SETTINGS;
-use stage::{addresses, answer, client, line, list, play, query, Leaf, Watch, NEVER};
+use support::engine_harness::SETTINGS;
+use support::socket_harness::{
+    addresses, answer, client, line, list, play, query, Leaf, Watch, NEVER,
+};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout, Duration, Instant};
