--- a/crates/core/src/engine/state/attempts.rs
+++ b/crates/core/src/engine/state/attempts.rs
@@ -91,13 +91,13 @@
             "attempt not placed"
         );
         self.count(outcome);
-        self.events.push(Event::AttemptEnded {
+        self.events.push(Event::AttemptEnded(AttemptEnded {
             part,
             attempt,
             replica,
             outcome,
             report: LoadReport::new(),
-        });
+        }));
     }
 
     /// The one end of an attempt that was placed.
@@ -128,13 +128,13 @@
         self.alarms.remove(&(attempt.until, Alarm::Attempt(id)));
         self.count(outcome);
         let (replica, (part, attempt)) = (attempt.replica, id);
-        self.events.push(Event::AttemptEnded {
+        self.events.push(Event::AttemptEnded(AttemptEnded {
             part,
             attempt,
             replica,
             outcome,
             report,
-        });
+        }));
     }
 
     pub(super) fn count(&mut self, outcome: AttemptOutcome) {
@@ -277,12 +277,12 @@
         };
         let Some(connection) = connection else {
             let (outcome, report) = (AttemptOutcome::NotSent, LoadReport::new());
-            return self.events.push(Event::HealthCheckEnded {
+            return self.events.push(Event::HealthCheckEnded(HealthCheckEnded {
                 replica,
                 outcome,
                 latency: 0,
                 report,
-            });
+            }));
         };
         let probe = self.id();
         if let Some((_, it)) = self.connections.get_mut(&connection) {
@@ -322,11 +322,11 @@
             it.drop_probe(probe);
         }
         let report = self.report(report);
-        self.events.push(Event::HealthCheckEnded {
+        self.events.push(Event::HealthCheckEnded(HealthCheckEnded {
             replica,
             outcome,
             latency: now.saturating_sub(asked),
             report,
-        });
+        }));
     }
 }
--- a/crates/core/src/engine/state/clients.rs
+++ b/crates/core/src/engine/state/clients.rs
@@ -1,7 +1,7 @@
 //! Clients: their connections, what they ask, and the replies.
 
 use super::{Alarm, Client, Engine, Part, Query, CLIENT_IDLE, CLOSED_AT_ONCE, MARGIN, MS};
-use crate::api::{AttemptOutcome, Event, Nanos, RequestId};
+use crate::api::{AttemptOutcome, Event, Nanos, PartReceived, QueryReceived, RequestId};
 use crate::engine::messages::{ClientId, ConnectionId, Effect};
 use crate::engine::usage::Outcome;
 use crate::protocol::http::RequestError;
@@ -152,7 +152,7 @@
         }
         let work = asked.parts.iter().map(|p| p.work).sum();
         let (class, tenant) = (asked.class, asked.tenant);
-        self.events.push(Event::QueryReceived {
+        self.events.push(Event::QueryReceived(QueryReceived {
             id,
             group,
             class,
@@ -160,7 +160,7 @@
             client_timeout,
             work,
             is_retry: asked.is_retry,
-        });
+        }));
         let mut parts = Vec::with_capacity(asked.parts.len());
         for part in &asked.parts {
             let (part_id, shard, weight) = (self.id(), part.shard, part.weight);
@@ -177,12 +177,12 @@
                 value: None,
             };
             self.parts.insert(part_id, new);
-            self.events.push(Event::PartReceived {
+            self.events.push(Event::PartReceived(PartReceived {
                 id: part_id,
                 group,
                 shard,
                 weight,
-            });
+            }));
             parts.push(part_id);
         }
         self.counters.received.queries += 1;
--- a/crates/policy/src/api/event.rs
+++ b/crates/policy/src/api/event.rs
@@ -66,6 +66,66 @@
 /// A replica's statement of its own load, in the order that the operator defines.
 pub type LoadReport = Vec<f32>;
 
+/// A query that has come in; its parts follow in the same batch and carry the same `group`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct QueryReceived {
+    /// The query.
+    pub id: RequestId,
+    /// Joins the query and its parts.
+    pub group: u32,
+    /// Index into the settings' classes.
+    pub class: u16,
+    /// The tenant, by number.
+    pub tenant: u32,
+    /// How long the client still waits.
+    pub client_timeout: Nanos,
+    /// The work that the query is expected to take.
+    pub work: Option<Nanos>,
+    /// The client has marked it as a retry of an earlier try.
+    pub is_retry: bool,
+}
+
+/// A part of the query with the same `group`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PartReceived {
+    /// The part.
+    pub id: RequestId,
+    /// Joins the part and its query.
+    pub group: u32,
+    /// The shard that the part asks.
+    pub shard: u32,
+    /// Its share of its step's weight.
+    pub weight: f64,
+}
+
+/// The end of an attempt. Attempts of a part count from 0 in the order sent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AttemptEnded {
+    /// The part that was attempted.
+    pub part: RequestId,
+    /// The number of the attempt.
+    pub attempt: u8,
+    /// The replica that it was sent to.
+    pub replica: ReplicaId,
+    /// How it ended.
+    pub outcome: AttemptOutcome,
+    /// What the replica said of its load.
+    pub report: LoadReport,
+}
+
+/// The end of a health check.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HealthCheckEnded {
+    /// The replica that was checked.
+    pub replica: ReplicaId,
+    /// How the check ended.
+    pub outcome: AttemptOutcome,
+    /// How long it took.
+    pub latency: Nanos,
+    /// What the replica said of its load.
+    pub report: LoadReport,
+}
+
 /// One thing that happened. Events of one batch happened in their order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -76,47 +136,12 @@
         /// Lines of the list.
         entries: Vec<ReplicaEntry>,
     },
-    /// A query has come in; its parts follow in the same batch and carry the same `group`.
-    QueryReceived {
-        /// The query.
-        id: RequestId,
-        /// Joins the query and its parts.
-        group: u32,
-        /// Index into the settings' classes.
-        class: u16,
-        /// The tenant, by number.
-        tenant: u32,
-        /// How long the client still waits.
-        client_timeout: Nanos,
-        /// The work that the query is expected to take.
-        work: Option<Nanos>,
-        /// The client has marked it as a retry of an earlier try.
-        is_retry: bool,
-    },
-    /// A part of the query with this `group`.
-    PartReceived {
-        /// The part.
-        id: RequestId,
-        /// Joins the part and its query.
-        group: u32,
-        /// The shard that the part asks.
-        shard: u32,
-        /// Its share of its step's weight.
-        weight: f64,
-    },
-    /// An attempt has ended. Attempts of a part count from 0 in the order sent.
-    AttemptEnded {
-        /// The part that was attempted.
-        part: RequestId,
-        /// The number of the attempt.
-        attempt: u8,
-        /// The replica that it was sent to.
-        replica: ReplicaId,
-        /// How it ended.
-        outcome: AttemptOutcome,
-        /// What the replica said of its load.
-        report: LoadReport,
-    },
+    /// A query has come in.
+    QueryReceived(QueryReceived),
+    /// A part of a query has come in.
+    PartReceived(PartReceived),
+    /// An attempt has ended.
+    AttemptEnded(AttemptEnded),
     /// A streamed response has started.
     ResponseStarted {
         /// The part that was attempted.
@@ -137,16 +162,7 @@
         token: u64,
     },
     /// A health check has ended.
-    HealthCheckEnded {
-        /// The replica that was checked.
-        replica: ReplicaId,
-        /// How the check ended.
-        outcome: AttemptOutcome,
-        /// How long it took.
-        latency: Nanos,
-        /// What the replica said of its load.
-        report: LoadReport,
-    },
+    HealthCheckEnded(HealthCheckEnded),
     /// A message of another aggregator has come in.
     GossipReceived {
         /// The sender, by number.
--- a/crates/policy/src/api/mod.rs
+++ b/crates/policy/src/api/mod.rs
@@ -8,7 +8,10 @@
 mod settings;
 
 pub use action::Action;
-pub use event::{AttemptOutcome, EndpointUpdateKind, Event, LoadReport, ReplicaEntry, ReplicaState};
+pub use event::{
+    AttemptEnded, AttemptOutcome, EndpointUpdateKind, Event, HealthCheckEnded, LoadReport,
+    PartReceived, QueryReceived, ReplicaEntry, ReplicaState,
+};
 pub use settings::{Idempotency, QueryClass, RetryBudget, Settings};
 
 /// Nanoseconds, as a point on the caller's clock or as a length of time.
--- a/crates/policy/src/api/settings.rs
+++ b/crates/policy/src/api/settings.rs
@@ -108,3 +108,53 @@
     /// ago.
     pub poll_interval: Nanos,
 }
+
+impl Settings {
+    /// The shortest latency objective of a class; a second where there is no class.
+    pub fn shortest_objective(&self) -> Nanos {
+        let objectives = self.classes.iter().map(|class| class.latency_objective);
+        objectives.min().unwrap_or(1_000_000_000)
+    }
+
+    /// The most parts that share a call; one where nothing is stated.
+    pub fn parts_per_call(&self) -> u32 {
+        self.max_parts_per_call.unwrap_or(1).max(1)
+    }
+
+    /// How long a step of a query of this class may take, ns.
+    pub fn step_objective(&self, class: usize) -> f64 {
+        self.classes[class].latency_objective as f64 / f64::from(self.steps(class))
+    }
+
+    /// The number of steps of a query of this class.
+    pub fn steps(&self, class: usize) -> u8 {
+        1 + u8::from(self.classes[class].second_step_parts > 0)
+    }
+}
+
+impl QueryClass {
+    /// How long an answer may take, for a query that is expected to take this work.
+    pub fn objective_for(&self, work: Option<Nanos>) -> Nanos {
+        let stretch = self.objective_stretch.unwrap_or(0.0) * work.unwrap_or(0) as f64;
+        self.latency_objective + stretch as Nanos
+    }
+
+    /// The weight that an answer to this step needs at the least.
+    pub fn minimum_of_step(&self, step: u8) -> f64 {
+        if step == 1 || self.takes_partial_answers() {
+            self.minimum()
+        } else {
+            1.0
+        }
+    }
+
+    /// The weight that any answer needs at the least.
+    pub fn minimum(&self) -> f64 {
+        self.minimum_coverage.min(self.completeness_threshold)
+    }
+
+    /// Whether an incomplete answer may be given.
+    pub fn takes_partial_answers(&self) -> bool {
+        self.minimum_coverage < self.completeness_threshold
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,7 +1,12 @@
-//! Every decision about queries and parts: admission, selection, replica choice, further attempts, when to answer
-//! or refuse. Events go in, actions come out; there is no I/O and no clock in here.
+//! Every decision about queries and their parts: admission, selection, replica choice, retries, and
+//! when to answer or to reject. Events go in and actions come out; there is no I/O and no clock.
+//!
+//! The decisions are in `policy`, one concern to a file. [`api`] is what goes in and out; the records
+//! and statistics that the decisions rest on are private.
 
 pub mod api;
-pub mod choice;
+mod policy;
+mod state;
+mod stats;
 
-pub use choice::Policy;
+pub use state::Policy;
--- /dev/null
+++ b/crates/policy/src/policy/completion.rs
@@ -0,0 +1,153 @@
+//! Completion: when a query is answered, completely or in part, rejected or failed.
+//!
+//! Invariant: each query ends once, before its client's time is over, and at once when given up. An
+//! answer rests on the class's minimum coverage, and is marked complete only if it is; a rejection
+//! says that trying again is harmless, so it is made only where that is so.
+
+use super::*;
+
+impl Policy {
+    /// Starts a step of a query, unless overload has the query rejected.
+    pub(super) fn start_step(&mut self, id: RequestId) {
+        let query = self.queries.take(id);
+        let Some(mut query) = query else { return };
+        if query.step == 1 {
+            if self.is_hopeless(&mut query) || !self.admit(&mut query) {
+                return self.give_up(query);
+            }
+            self.drop_light_parts(&mut query);
+        }
+        for index in query.lightest_first().into_iter().rev() {
+            let part = &query.parts[index];
+            if part.attempts.is_empty() && !part.is_dropped {
+                self.send_attempt(&mut query, index);
+            }
+        }
+        self.queries.put_back(query);
+    }
+
+    /// Ends a query if it is time to; otherwise advances its attempts.
+    pub(super) fn advance(&mut self, id: RequestId) {
+        let query = self.queries.take(id);
+        let Some(mut query) = query else { return };
+        let sums = query.step_sums(|part| self.is_open(part, &query));
+        let is_complete = self.is_complete(&query, &sums);
+        if is_complete || self.is_sufficient(&query, &sums) && self.is_time_to_answer(&query, &sums)
+        {
+            return self.answer(query, is_complete);
+        }
+        let crashes_replicas = crashes_replicas(&query);
+        let is_idle = query.attempts().all(|attempt| !attempt.is_out);
+        let is_useless = self.is_lost(&query, &sums) || crashes_replicas && is_idle;
+        if is_useless || self.now >= self.last_useful_moment(&query) {
+            return self.give_up(query);
+        }
+        let waited = (self.now - query.step_started) as f64 > self.hedging_delay(self.objective);
+        if !crashes_replicas || waited {
+            self.advance_attempts(&mut query);
+        }
+        self.queries.put_back(query);
+    }
+
+    /// Whether a part without a result may still get one: an attempt is out or may be sent.
+    fn is_open(&self, part: &Part, query: &Query) -> bool {
+        if part.has_attempt_out() {
+            return true;
+        }
+        let has_budget = part.attempts.is_empty() || self.has_budget(query.class, query.objective);
+        let mut holders = self.replicas.holders(&self.settings, part.shard);
+        has_budget && self.may_repeat(part, query.class) && holders.next().is_some()
+    }
+
+    fn is_complete(&self, query: &Query, sums: &StepSums) -> bool {
+        let threshold = self.settings.classes[query.class].completeness_threshold;
+        let has_threshold = sums.answered_weight + tuning::WEIGHT_EPSILON >= threshold;
+        let is_threshold_enough = query.step == 1 && has_threshold;
+        let is_whole = sums.all_answered && query.earlier_steps_complete;
+        sums.has_parts && (is_threshold_enough || is_whole)
+    }
+
+    /// Whether an incomplete answer may be given.
+    fn is_sufficient(&self, query: &Query, sums: &StepSums) -> bool {
+        let minimum = self.settings.classes[query.class].minimum_of_step(query.step);
+        let has_minimum = sums.answered_weight + tuning::WEIGHT_EPSILON >= minimum;
+        sums.answered_weight > 0.0 && has_minimum
+    }
+
+    /// Whether the minimum can't be reached any more.
+    fn is_lost(&self, query: &Query, sums: &StepSums) -> bool {
+        let minimum = self.settings.classes[query.class].minimum_of_step(query.step);
+        let reachable = sums.answered_weight + sums.open_weight + tuning::COVERAGE_EPSILON;
+        sums.has_parts && (!sums.any_open || reachable < minimum)
+    }
+
+    /// Whether a sufficient answer goes out: nothing more can come in, or it is just before the
+    /// objective, earlier where a second step follows, or the last moment if a late complete answer
+    /// earns more.
+    fn is_time_to_answer(&self, query: &Query, sums: &StepSums) -> bool {
+        let class = &self.settings.classes[query.class];
+        let value = class.partial_value * sums.answered_weight / class.completeness_threshold;
+        let mut end = self.before(query.objective);
+        if class.late_value > value {
+            end = self.before(query.deadline);
+        } else if query.step < self.settings.steps(query.class) {
+            end = query.arrived + (end - query.arrived) / 2;
+        }
+        sums.all_answered || !sums.any_open || self.now >= end
+    }
+
+    fn last_useful_moment(&self, query: &Query) -> Nanos {
+        let last_moment = self.before(query.deadline);
+        let in_time = query.objective.saturating_sub(self.timer_period());
+        let is_late_useful = self.may_be_late(query.class);
+        let end = if is_late_useful { last_moment } else { in_time };
+        end.min(last_moment)
+    }
+
+    fn answer(&mut self, mut open: Query, complete: bool) {
+        let query = open.id;
+        self.actions.push(Action::Answer { query, complete });
+        open.cancel_attempts(self.settings.cancellation_allowed, &mut self.actions);
+        if open.step < self.settings.steps(open.class) {
+            open.start_second_step(self.now, complete);
+            return self.queries.put_back(open);
+        }
+        let change = match self.now <= open.objective {
+            true => tuning::PERMIT_REWARD,
+            false => -tuning::PERMIT_PENALTY,
+        };
+        self.return_permit(&open, change);
+        self.queries.forget(&open);
+    }
+
+    /// Ends a query without an answer, at once.
+    fn give_up(&mut self, open: Query) {
+        let query = open.id;
+        let max_retry_after = self.settings.max_retry_after;
+        let retry_after = (max_retry_after > 0).then_some(max_retry_after);
+        let class = &self.settings.classes[open.class];
+        let end = match open.is_safe_to_repeat(class, self.now + max_retry_after) {
+            true => Action::Reject { query, retry_after },
+            false => Action::Fail { query },
+        };
+        self.actions.push(end);
+        match open.parts.iter().any(Part::is_lost_to_full_replicas) {
+            true => self.lose_permit(&open),
+            false => self.return_permit(&open, 0.0),
+        }
+        self.discard(open);
+    }
+
+    pub(super) fn on_client_disconnected(&mut self, id: RequestId) {
+        let query = self.queries.take(id);
+        let Some(query) = query else { return };
+        self.return_permit(&query, 0.0);
+        self.discard(query);
+    }
+}
+
+/// Whether a query may crash replicas. It waits a while: one that met dying ones gets answers.
+fn crashes_replicas(query: &Query) -> bool {
+    let is_answered = query.parts.iter().any(|part| part.is_answered);
+    !is_answered && query.replicas_lost() >= tuning::CRASHING_REPLICAS
+}
--- /dev/null
+++ b/crates/policy/src/policy/connection_renewal.rs
@@ -0,0 +1,50 @@
+//! Renewal of connections that were idle for long, and may have been dropped unnoticed.
+//!
+//! Invariant: renewal runs only while attempts on such connections are lost clearly more often than
+//! on others, and ends where it does not help, since all are lost alike (hang, cut or slow network).
+
+use super::*;
+
+impl Policy {
+    /// The connection for an attempt. Renewal closes one that was idle for long first.
+    pub(super) fn connection_for(&mut self, id: ReplicaId) -> ConnectionUse {
+        let long = (tuning::LONG_IDLE_SHARE * self.settings.idle_timeout as f64) as Nanos;
+        let replica = self.replicas.get_mut(id).filter(|_| long > 0);
+        let Some(replica) = replica else {
+            return ConnectionUse::Recent;
+        };
+        if replica.outstanding.has_call_of(self.now) {
+            return replica.connection;
+        }
+        let was_heard = replica.outstanding.is_empty() && replica.last_heard > 0;
+        replica.connection = if !was_heard || self.now - replica.last_heard <= long {
+            ConnectionUse::Recent
+        } else if self.now >= self.renewal.until {
+            ConnectionUse::LongIdle
+        } else {
+            let close = Action::CloseIdleConnections { replica: id };
+            self.actions.push(close);
+            ConnectionUse::Renewed
+        };
+        replica.connection
+    }
+
+    /// Counts an attempt. A loss counts once the replica is heard again: before, it may be dead.
+    pub(super) fn count_loss(&mut self, connection: ConnectionUse, is_lost: bool) {
+        let renewal = &mut self.renewal;
+        renewal.record(connection, is_lost, tuning::LOSS_WEIGHT);
+        let next = self.now + (tuning::RENEWAL_OBJECTIVES * self.objective) as Nanos;
+        let as_idle = tuning::LOSS_LIKENESS * renewal.long_idle_loss;
+        let as_recent = renewal.recent_loss / tuning::LOSS_LIKENESS;
+        let is_useless = renewal.renewed_loss > as_idle.max(tuning::LOSS_THRESHOLD);
+        let is_fault = renewal.long_idle_loss > as_recent.max(tuning::LOSS_THRESHOLD);
+        let may_start = connection == ConnectionUse::LongIdle && self.now >= renewal.allowed_from;
+        if self.now < renewal.until && is_useless {
+            renewal.stop(next);
+        } else if may_start && is_fault {
+            renewal.start(next);
+            let line = "attempts are lost on idle connections: they are renewed";
+            self.log_lines.push(line.into());
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/policy/outlier.rs
@@ -0,0 +1,147 @@
+//! Outlier detection: replicas that swallow work are ejected, then get one call until they answer.
+//!
+//! Invariant: any sign of life ends an ejection; what failed stays in the smoothed latency for a
+//! while. The design leaves health to us.
+
+use super::*;
+use AttemptOutcome::*;
+
+impl Policy {
+    pub(super) fn on_attempt_ended(&mut self, ended: &AttemptEnded) {
+        let attempt = self.in_flight.remove(&(ended.part, ended.attempt));
+        let Some(attempt) = attempt else { return };
+        // A failed connection is lost capacity where the replica was heard lately or attempts are
+        // rationed; elsewhere it may just be slow, and light parts dropped for it help nobody.
+        let replica = self.replicas.get(attempt.replica);
+        let was_heard = replica.is_some_and(|replica| self.staleness(replica.last_heard) < 1.0);
+        let is_capacity_lost = was_heard || self.settings.retry_budget.is_some();
+        self.record_outcome(attempt, ended.outcome);
+        let part = self.queries.part_mut(ended.part);
+        let Some(part) = part else { return };
+        if let Some(winner) = part.end_attempt(ended.attempt, ended.outcome) {
+            let lost = f64::from(u8::from(winner == RaceWinner::First));
+            self.races_lost = blend(self.races_lost, lost, tuning::RACE_WEIGHT);
+        }
+        let is_unreachable = ended.outcome == Unreachable;
+        let is_missed = ended.outcome == Rejected || is_unreachable && is_capacity_lost;
+        if part.is_answered || is_missed {
+            self.cutoff.judge(self.now, part, is_missed);
+        }
+    }
+
+    pub(super) fn on_health_check_ended(&mut self, ended: &HealthCheckEnded) {
+        match ended.outcome {
+            Success => self.on_sign_of_life(ended.replica),
+            TimedOut | Unreachable | ConnectionLost => {
+                let sent = self.now.saturating_sub(ended.latency);
+                let check = InFlightAttempt::new(ended.replica, sent, ConnectionUse::Recent);
+                self.record_outcome(check, ended.outcome);
+            }
+            Error | Rejected | Cancelled | NotSent => {}
+        }
+    }
+
+    pub(super) fn on_sign_of_life(&mut self, id: ReplicaId) {
+        let replica = self.replicas.get_mut(id);
+        let Some(replica) = replica else { return };
+        for connection in replica.record_sign_of_life(self.now) {
+            self.count_loss(connection, true);
+        }
+    }
+
+    /// Records what an attempt tells of its replica. A failure is as bad as a late answer; one that
+    /// we cancelled has failed if it was overdue and nothing was heard since.
+    fn record_outcome(&mut self, attempt: InFlightAttempt, outcome: AttemptOutcome) {
+        let (id, sent) = (attempt.replica, attempt.sent);
+        let replica = self.replicas.get(id);
+        let Some(replica) = replica else { return };
+        let age = (self.now - sent) as f64;
+        let smoothed = self.smoothed_latency(replica);
+        let known = smoothed.max(replica.oldest_age(self.now) as f64);
+        let sample = match outcome {
+            Success => age,
+            NotSent => known,
+            Cancelled => age.max(known),
+            _ => known.max(tuning::LATE_SHARE * self.objective),
+        };
+        let is_overdue = age > self.hedging_delay(self.objective) && replica.last_heard <= sent;
+        let is_failure = outcome != Success && (outcome != Cancelled || is_overdue);
+        let full_time = (tuning::FULL_SHARE * self.objective) as Nanos;
+        let replica = self.replicas.get_mut(id);
+        let Some(replica) = replica else { return };
+        match outcome {
+            Rejected => replica.full_until = self.now + full_time,
+            Success => replica.record_result(sent, self.now, tuning::LATENCY_WEIGHT),
+            _ => {}
+        }
+        replica.outstanding.remove_part(sent);
+        let weight = match is_failure {
+            true => tuning::FAILURE_LATENCY_WEIGHT,
+            false => tuning::LATENCY_WEIGHT,
+        };
+        if outcome != NotSent {
+            replica.record_latency(self.now, smoothed, sample, weight);
+        }
+        if is_failure && !matches!(outcome, Error | Rejected | NotSent) {
+            replica.lost_on.push(attempt.connection);
+        }
+        match outcome {
+            Success => self.record_success(attempt, age),
+            Error | Rejected => self.on_sign_of_life(id),
+            Unreachable | ConnectionLost | TimedOut => self.record_failure(id, sent),
+            Cancelled | NotSent => {}
+        }
+    }
+
+    fn record_success(&mut self, attempt: InFlightAttempt, latency: f64) {
+        self.results.increment(self.now, self.slow_start_memory());
+        self.fleet_latency.add(latency, tuning::FLEET_WEIGHT);
+        self.on_sign_of_life(attempt.replica);
+        self.count_loss(attempt.connection, false);
+    }
+
+    /// Silence, whatever its cause: the replica is ejected, longer each time.
+    pub(super) fn record_failure(&mut self, id: ReplicaId, sent: Nanos) {
+        let replica = self.replicas.get_mut(id);
+        let Some(replica) = replica else { return };
+        if replica.last_heard > sent || self.now < replica.ejected_until {
+            return;
+        }
+        let base = tuning::EJECTION_OBJECTIVES * self.objective;
+        let max = tuning::MAX_EJECTION_OBJECTIVES * self.objective;
+        let ejection = exponential_backoff(base, max, replica.consecutive_failures);
+        replica.eject(self.now + ejection as Nanos);
+        if !std::mem::replace(&mut self.health_checks.outlier_found, true) {
+            let line = format!("replica {:x} is an outlier: it is silent", id.0);
+            self.log_lines.push(line);
+        }
+    }
+
+    /// Faults at many replicas: a health check for each quiet one, before queries find them out.
+    pub(super) fn check_quiet_replicas(&mut self) {
+        let is_time = self.staleness(self.health_checks.last_round) >= 1.0;
+        let is_due = self.settings.health_checks_allowed && is_time;
+        if !is_due || !std::mem::take(&mut self.health_checks.outlier_found) {
+            return;
+        }
+        let ready = || self.replicas.ready();
+        let outliers = ready().filter(|(_, replica)| replica.is_outlier).count() as f64;
+        if outliers < tuning::HEALTH_CHECK_SHARE * ready().count() as f64 {
+            return;
+        }
+        let age = |replica: &Replica| self.now.saturating_sub(replica.last_news()) as f64;
+        let is_idle = |replica: &Replica| replica.outstanding.is_empty();
+        let quiet =
+            ready().filter(|(_, replica)| is_idle(replica) && age(replica) > self.objective);
+        let checks = quiet.map(|(replica, _)| Action::CheckHealth { replica });
+        self.actions.extend(checks);
+        self.health_checks.last_round = self.now;
+    }
+
+    /// Whether others come first: it is silent, full, ejected, or an outlier with its one call out.
+    pub(super) fn is_avoided(&self, replica: &Replica) -> bool {
+        let is_silent = replica.oldest_age(self.now) as f64 > self.hedging_delay(self.objective);
+        let is_ejected = self.now < replica.ejected_until || !replica.outstanding.is_empty();
+        is_silent || replica.is_outlier && is_ejected || self.now < replica.full_until
+    }
+}
--- /dev/null
+++ b/crates/policy/src/state/replica.rs
@@ -0,0 +1,265 @@
+//! Replicas: what the endpoint list says of them and what has been measured.
+
+use crate::api::{EndpointUpdateKind, Nanos, ReplicaEntry, ReplicaId, ReplicaState, Settings};
+use crate::stats::{blend, Ewma, SlidingWindow};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How the connection that an attempt goes out on was used before.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ConnectionUse {
+    /// Used a short while ago.
+    #[default]
+    Recent,
+    /// Without use for long: something on the way may have dropped it unnoticed.
+    LongIdle,
+    /// Opened anew in place of one without use for long.
+    Renewed,
+}
+
+/// A replica as this aggregator knows it.
+#[derive(Debug, Default)]
+pub struct Replica {
+    /// Its placement cell.
+    pub cell: u16,
+    /// Its zone.
+    pub zone: u16,
+    /// When it last started; 0 means long ago.
+    pub started: Nanos,
+    /// Its state on the endpoint list.
+    pub state: ReplicaState,
+    /// Smoothed latency, ns; none while it has not been heard.
+    pub latency: Option<f64>,
+    /// When `latency` last changed.
+    pub latency_updated: Nanos,
+    /// The last sign of life.
+    pub last_heard: Nanos,
+    /// Smoothed time between two results while it had work of ours, ns.
+    pub result_interval: Ewma,
+    /// When the last result came.
+    pub last_result: Nanos,
+    /// The connection of the last attempt.
+    pub connection: ConnectionUse,
+    /// The connections of the attempts lost since it was last heard.
+    pub lost_on: Vec<ConnectionUse>,
+    /// Calls of ours that are still out.
+    pub outstanding: OutstandingCalls,
+    /// Times in a row that it swallowed work.
+    pub consecutive_failures: u32,
+    /// It swallowed work and has not been heard since.
+    pub is_outlier: bool,
+    /// No attempts go to it before this, if others can have them.
+    pub ejected_until: Nanos,
+    /// It is taken to be full until then.
+    pub full_until: Nanos,
+    /// Parts sent to it lately.
+    pub recent_parts: SlidingWindow<()>,
+}
+
+impl Replica {
+    /// For how long the oldest call has been out without a sign of life.
+    pub fn oldest_age(&self, now: Nanos) -> Nanos {
+        let oldest = self.outstanding.oldest();
+        oldest.map_or(0, |sent| now - sent.max(self.last_heard))
+    }
+
+    /// The number of calls that are out; see [`OutstandingCalls::count`].
+    pub fn open_calls(&self, now: Nanos, max_parts: u32) -> f64 {
+        f64::from(self.outstanding.count(now, max_parts))
+    }
+
+    /// When one more part should be back, ns: what is out there, at the pace of its results, which
+    /// fades over this time.
+    pub fn expected_wait(&self, now: Nanos, fade_time: f64) -> f64 {
+        let since_result = now.saturating_sub(self.last_result) as f64;
+        let fading = (-(since_result / fade_time)).exp();
+        let interval = self.result_interval.value().unwrap_or(0.0);
+        let queued = interval * f64::from(self.outstanding.parts() + 1) * fading;
+        queued.max(self.oldest_age(now) as f64)
+    }
+
+    /// The latest sign of life or measurement.
+    pub fn last_news(&self) -> Nanos {
+        self.last_heard.max(self.latency_updated)
+    }
+
+    /// Records that a part is sent now; parts sent before `oldest` are no longer recent.
+    pub fn record_part(&mut self, now: Nanos, oldest: Nanos) {
+        self.outstanding.add_part(now);
+        self.recent_parts.push(now, ());
+        self.recent_parts.expire(oldest);
+    }
+
+    /// Records a result of a call that was sent then.
+    pub fn record_result(&mut self, sent: Nanos, now: Nanos, weight: f64) {
+        let oldest = self.outstanding.oldest().unwrap_or(sent);
+        let interval = (now - self.last_result.max(oldest)) as f64;
+        self.result_interval.add(interval, weight);
+        self.last_result = now;
+    }
+
+    /// Records a sample of the latency, which was `smoothed` so far.
+    pub fn record_latency(&mut self, now: Nanos, smoothed: f64, sample: f64, weight: f64) {
+        self.latency = Some(blend(smoothed, sample, weight));
+        self.latency_updated = now;
+    }
+
+    /// Records a sign of life. Returns the connections of the attempts lost since the last one.
+    pub fn record_sign_of_life(&mut self, now: Nanos) -> Vec<ConnectionUse> {
+        self.last_heard = now;
+        self.is_outlier = false;
+        self.ejected_until = 0;
+        self.consecutive_failures = 0;
+        std::mem::take(&mut self.lost_on)
+    }
+
+    /// Records that it has swallowed work.
+    pub fn eject(&mut self, until: Nanos) {
+        self.consecutive_failures += 1;
+        self.is_outlier = true;
+        self.ejected_until = until;
+    }
+
+    /// Forgets what was measured before a restart.
+    fn restart(&mut self, started: Nanos) {
+        self.started = started;
+        self.latency = None;
+        self.result_interval = Ewma::default();
+        self.consecutive_failures = 0;
+        self.is_outlier = false;
+    }
+}
+
+/// The calls to one replica that are out, each by the time it was sent and with the number of its
+/// parts that are still out.
+#[derive(Debug, Default)]
+pub struct OutstandingCalls {
+    calls: BTreeMap<Nanos, u32>,
+}
+
+impl OutstandingCalls {
+    /// Adds a part to the call that is sent now.
+    pub fn add_part(&mut self, now: Nanos) {
+        *self.calls.entry(now).or_insert(0) += 1;
+    }
+
+    /// Removes a part of the call that was sent then.
+    pub fn remove_part(&mut self, sent: Nanos) {
+        let Some(parts) = self.calls.get_mut(&sent) else {
+            return;
+        };
+        *parts -= 1;
+        if *parts == 0 {
+            self.calls.remove(&sent);
+        }
+    }
+
+    /// Whether nothing is out.
+    pub fn is_empty(&self) -> bool {
+        self.calls.is_empty()
+    }
+
+    /// Whether a call is sent now.
+    pub fn has_call_of(&self, now: Nanos) -> bool {
+        self.calls.contains_key(&now)
+    }
+
+    /// When the oldest call was sent.
+    pub fn oldest(&self) -> Option<Nanos> {
+        self.calls.first_key_value().map(|(sent, _)| *sent)
+    }
+
+    /// The number of parts that are out.
+    pub fn parts(&self) -> u32 {
+        self.calls.values().sum()
+    }
+
+    /// The number of calls that are out, where a call has so many parts at most. One that is sent
+    /// now and has room for one more part is not counted.
+    pub fn count(&self, now: Nanos, max_parts: u32) -> u32 {
+        let calls = self.calls.iter().map(|(sent, parts)| {
+            if *sent == now {
+                parts / max_parts
+            } else {
+                parts.div_ceil(max_parts)
+            }
+        });
+        calls.sum()
+    }
+}
+
+/// All replicas that are known.
+#[derive(Debug, Default)]
+pub struct ReplicaTable {
+    replicas: BTreeMap<ReplicaId, Replica>,
+}
+
+impl ReplicaTable {
+    /// The number of replicas known, those gone included.
+    pub fn len(&self) -> usize {
+        self.replicas.len()
+    }
+
+    /// A replica by its identifier.
+    pub fn get(&self, id: ReplicaId) -> Option<&Replica> {
+        self.replicas.get(&id)
+    }
+
+    /// A replica by its identifier, to change it.
+    pub fn get_mut(&mut self, id: ReplicaId) -> Option<&mut Replica> {
+        self.replicas.get_mut(&id)
+    }
+
+    /// The replicas that are ready, in order of their identifiers.
+    pub fn ready(&self) -> impl Iterator<Item = (ReplicaId, &Replica)> {
+        let ready = |replica: &Replica| replica.state == ReplicaState::Ready;
+        let replicas = self.replicas.iter().map(|(id, replica)| (*id, replica));
+        replicas.filter(move |(_, replica)| ready(replica))
+    }
+
+    /// The ready replicas that hold a shard, by the placement that the settings state.
+    pub fn holders(
+        &self,
+        settings: &Settings,
+        shard: u32,
+    ) -> impl Iterator<Item = (ReplicaId, &Replica)> {
+        let (cells, per_shard) = (settings.placement_cells.max(1), settings.cells_per_shard);
+        let distance = move |cell: u16| (u32::from(cell) + cells - shard % cells) % cells;
+        self.ready()
+            .filter(move |(_, replica)| distance(replica.cell) < per_shard)
+    }
+
+    /// Applies an update of the endpoint list. A replica that has restarted is as good as new.
+    pub fn apply(&mut self, kind: EndpointUpdateKind, entries: &[ReplicaEntry]) {
+        if kind != EndpointUpdateKind::Delta {
+            let listed: BTreeSet<ReplicaId> = entries.iter().map(|entry| entry.replica).collect();
+            for (id, replica) in &mut self.replicas {
+                if !listed.contains(id) {
+                    replica.state = ReplicaState::Gone;
+                }
+            }
+        }
+        for entry in entries {
+            let new = Replica {
+                started: entry.started,
+                ..Replica::default()
+            };
+            let replica = self.replicas.entry(entry.replica).or_insert(new);
+            replica.cell = entry.cell;
+            replica.zone = entry.zone;
+            replica.state = entry.state;
+            if entry.state == ReplicaState::Ready && replica.started != entry.started {
+                replica.restart(entry.started);
+            }
+        }
+    }
+
+    /// Forgets the replicas that are gone, have nothing of ours, and whose measurements are not
+    /// newer than `oldest`.
+    pub fn forget_gone(&mut self, oldest: Nanos) {
+        self.replicas.retain(|_, replica| {
+            replica.state != ReplicaState::Gone
+                || !replica.outstanding.is_empty()
+                || replica.latency_updated > oldest
+        });
+    }
+}
--- a/crates/policy/tests/module.rs
+++ b/crates/policy/tests/module.rs
@@ -36,11 +36,20 @@
 
 /// One class that needs every part, and clients that mark their repeats.
 fn marked() -> Settings {
-    Settings { retries_marked: true, ..settings(vec![class(2000, 1.0)]) }
+    Settings {
+        retries_marked: true,
+        ..settings(vec![class(2000, 1.0)])
+    }
 }
 
 fn member(replica: u64) -> ReplicaEntry {
-    ReplicaEntry { replica: ReplicaId(replica), cell: 0, zone: 0, started: 0, state: ReplicaState::Ready }
+    ReplicaEntry {
+        replica: ReplicaId(replica),
+        cell: 0,
+        zone: 0,
+        started: 0,
+        state: ReplicaState::Ready,
+    }
 }
 
 /// One co-ordinator with the actions of its last batch.
@@ -52,8 +61,15 @@
 
 impl Bed {
     fn new(settings: Settings, replicas: u64) -> Bed {
-        let mut bed = Bed { module: Policy::new(settings, 7), now: START, next: 1 };
-        bed.list(EndpointUpdateKind::Cached, (1..=replicas).map(member).collect());
+        let mut bed = Bed {
+            module: Policy::new(settings, 7),
+            now: START,
+            next: 1,
+        };
+        bed.list(
+            EndpointUpdateKind::Cached,
+            (1..=replicas).map(member).collect(),
+        );
         bed
     }
 
@@ -77,31 +93,52 @@
     }
 
     fn query_with_patience(
-        &mut self, ms: u64, class: u16, weights: &[f64], client_timeout: u64,
+        &mut self,
+        ms: u64,
+        class: u16,
+        weights: &[f64],
+        client_timeout: u64,
     ) -> (u64, Vec<Action>) {
         self.ask(ms, class, weights, client_timeout, false)
     }
 
     fn ask(
-        &mut self, ms: u64, class: u16, weights: &[f64], client_timeout: u64, is_retry: bool,
+        &mut self,
+        ms: u64,
+        class: u16,
+        weights: &[f64],
+        client_timeout: u64,
+        is_retry: bool,
     ) -> (u64, Vec<Action>) {
         let (id, group) = (self.next * 100, self.next as u32);
         self.next += 1;
-        let mut events =
-            vec![Event::QueryReceived { id, group, class, tenant: 0, client_timeout, work: None, is_retry }];
+        let mut events = vec![Event::QueryReceived(QueryReceived {
+            id,
+            group,
+            class,
+            tenant: 0,
+            client_timeout,
+            work: None,
+            is_retry,
+        })];
         for (i, weight) in weights.iter().enumerate() {
-            events.push(Event::PartReceived {
+            events.push(Event::PartReceived(PartReceived {
                 id: id + 1 + i as u64,
                 group,
                 shard: i as u32,
                 weight: *weight,
-            });
+            }));
         }
         (id, self.at(ms, &events))
     }
 
     fn end(
-        &mut self, ms: u64, part: u64, attempt: u8, replica: ReplicaId, outcome: AttemptOutcome,
+        &mut self,
+        ms: u64,
+        part: u64,
+        attempt: u8,
+        replica: ReplicaId,
+        outcome: AttemptOutcome,
     ) -> Vec<Action> {
         self.at(ms, &[ended(part, attempt, replica, outcome)])
     }
@@ -112,7 +149,9 @@
 
     /// Ticks every 10 ms from one time to another and gathers what is done.
     fn run(&mut self, from: u64, to: u64) -> Vec<Action> {
-        (from / 10..=to / 10).flat_map(|t| self.tick(t * 10)).collect()
+        (from / 10..=to / 10)
+            .flat_map(|t| self.tick(t * 10))
+            .collect()
     }
 
     /// A query of one part that is answered after `took` ms.
@@ -125,12 +164,20 @@
 }
 
 fn ended(part: u64, attempt: u8, replica: ReplicaId, outcome: AttemptOutcome) -> Event {
-    Event::AttemptEnded { part, attempt, replica, outcome, report: vec![f32::NAN] }
+    Event::AttemptEnded(AttemptEnded {
+        part,
+        attempt,
+        replica,
+        outcome,
+        report: vec![f32::NAN],
+    })
 }
 
 /// The end of all these first attempts.
 fn all_end(sent: &[(u64, ReplicaId)], outcome: AttemptOutcome) -> Vec<Event> {
-    sent.iter().map(|(part, replica)| ended(*part, 0, *replica, outcome)).collect()
+    sent.iter()
+        .map(|(part, replica)| ended(*part, 0, *replica, outcome))
+        .collect()
 }
 
 /// What is sent, in order, as part and replica.
@@ -146,7 +193,9 @@
 fn finals(actions: &[Action]) -> Vec<&'static str> {
     let word = |a: &Action| match a {
         Action::Answer { complete: true, .. } => Some("whole"),
-        Action::Answer { complete: false, .. } => Some("partial"),
+        Action::Answer {
+            complete: false, ..
+        } => Some("partial"),
         Action::Reject { .. } => Some("refused"),
         Action::Fail { .. } => Some("failed"),
         _ => None,
@@ -155,7 +204,9 @@
 }
 
 fn logs(actions: &[Action], word: &str) -> bool {
-    actions.iter().any(|a| matches!(a, Action::Log(text) if text.contains(word)))
+    actions
+        .iter()
+        .any(|a| matches!(a, Action::Log(text) if text.contains(word)))
 }
 
 #[test]
@@ -229,17 +280,32 @@
     };
     assert!(logs(&pressed, "cutoff off zero"));
     let (id, after) = bed.query(1760, 1, &[0.6, 0.39, 0.01]);
-    let own: Vec<u64> = sends(&after).into_iter().map(|(part, _)| part).filter(|p| *p > id).collect();
+    let own: Vec<u64> = sends(&after)
+        .into_iter()
+        .map(|(part, _)| part)
+        .filter(|p| *p > id)
+        .collect();
     assert_eq!(own, [id + 1, id + 2]);
 }
 
 #[test]
 fn cutoff_never_goes_below_the_floor_nor_touches_whole_answers() {
-    let mut bed = Bed::new(settings(vec![class(2000, 0.5), class(90_000, 0.995), class(90_000, 1.0)]), 3);
+    let mut bed = Bed::new(
+        settings(vec![
+            class(2000, 0.5),
+            class(90_000, 0.995),
+            class(90_000, 1.0),
+        ]),
+        3,
+    );
     press(&mut bed, 0, 0);
     for class in [1, 2] {
         let (id, actions) = bed.query(1900 + u64::from(class) * 10, class, &[0.6, 0.39, 0.01]);
-        let own: Vec<u64> = sends(&actions).into_iter().map(|(part, _)| part).filter(|p| *p > id).collect();
+        let own: Vec<u64> = sends(&actions)
+            .into_iter()
+            .map(|(part, _)| part)
+            .filter(|p| *p > id)
+            .collect();
         assert_eq!(own, [id + 1, id + 2, id + 3]);
     }
 }
@@ -284,18 +350,24 @@
     let mut bed = Bed::new(settings(vec![class(2000, 1.0)]), 3);
     let (id, actions) = bed.query(0, 0, &[1.0]);
     let (part, replica) = sends(&actions)[0];
-    let lost = Event::AttemptEnded {
+    let lost = Event::AttemptEnded(AttemptEnded {
         part,
         attempt: 0,
         replica,
         outcome: AttemptOutcome::ConnectionLost,
         report: vec![],
-    };
+    });
     let after = bed.at(50, &[lost, Event::ClientDisconnected { id }]);
     assert!(sends(&after).is_empty() && finals(&after).is_empty());
     let (id, _) = bed.query(60, 0, &[1.0]);
     let gone = bed.at(100, &[Event::ClientDisconnected { id }]);
-    assert!(gone.contains(&Action::CancelAttempt { part: id + 1, attempt: 0 }), "its work is withdrawn");
+    assert!(
+        gone.contains(&Action::CancelAttempt {
+            part: id + 1,
+            attempt: 0
+        }),
+        "its work is withdrawn"
+    );
 }
 
 #[test]
@@ -313,7 +385,13 @@
 fn partial_answer_leaves_just_before_the_aim() {
     let mut bed = Bed::new(settings(vec![class(2000, 0.6)]), 3);
     let (id, actions) = bed.query(0, 0, &[0.7, 0.3]);
-    bed.end(100, id + 1, 0, sends(&actions)[0].1, AttemptOutcome::Success);
+    bed.end(
+        100,
+        id + 1,
+        0,
+        sends(&actions)[0].1,
+        AttemptOutcome::Success,
+    );
     assert!(finals(&bed.run(110, 1900)).is_empty());
     assert_eq!(finals(&bed.run(1910, 1995)), ["partial"]);
 }
@@ -325,9 +403,18 @@
     kind.minimum_coverage = 0.5;
     let mut bed = Bed::new(settings(vec![kind]), 3);
     let (id, actions) = bed.query(0, 0, &[0.5, 0.5]);
-    let done = bed.end(100, id + 1, 0, sends(&actions)[0].1, AttemptOutcome::Success);
+    let done = bed.end(
+        100,
+        id + 1,
+        0,
+        sends(&actions)[0].1,
+        AttemptOutcome::Success,
+    );
     assert_eq!(finals(&done), ["whole"]);
-    assert!(done.contains(&Action::CancelAttempt { part: id + 2, attempt: 0 }));
+    assert!(done.contains(&Action::CancelAttempt {
+        part: id + 2,
+        attempt: 0
+    }));
 }
 
 #[test]
@@ -342,10 +429,24 @@
             bed.end(100, id + part, 0, replica, AttemptOutcome::Success);
         }
         let end = bed.run(110, 1000);
-        assert!(landing == 2 || finals(&end) == ["partial"], "half of the aim is left for the second step");
-        let second = bed.at(1010, &[Event::PartReceived { id: id + 50, group: 1, shard: 0, weight: 1.0 }]);
+        assert!(
+            landing == 2 || finals(&end) == ["partial"],
+            "half of the aim is left for the second step"
+        );
+        let second = bed.at(
+            1010,
+            &[Event::PartReceived(PartReceived {
+                id: id + 50,
+                group: 1,
+                shard: 0,
+                weight: 1.0,
+            })],
+        );
         let (part, replica) = sends(&second)[0];
-        assert_eq!(finals(&bed.end(1100, part, 0, replica, AttemptOutcome::Success)), [word]);
+        assert_eq!(
+            finals(&bed.end(1100, part, 0, replica, AttemptOutcome::Success)),
+            [word]
+        );
     }
 }
 
@@ -358,7 +459,13 @@
     let replica = sends(&actions)[0].1;
     let again = bed.end(10, id + 1, 0, replica, AttemptOutcome::Unreachable);
     assert_eq!(sends(&again).len(), 1, "it never ran, so it may go again");
-    let lost = bed.end(20, id + 1, 1, sends(&again)[0].1, AttemptOutcome::ConnectionLost);
+    let lost = bed.end(
+        20,
+        id + 1,
+        1,
+        sends(&again)[0].1,
+        AttemptOutcome::ConnectionLost,
+    );
     assert!(sends(&lost).is_empty());
     assert_eq!(finals(&lost), ["failed"]);
 }
@@ -369,9 +476,21 @@
         let mut kind = class(2000, 1.0);
         kind.idempotency = Idempotency::IdempotentWithKey;
         kind.idempotency_window = 500 * MS;
-        let mut bed = Bed::new(Settings { hedging_allowed: false, ..settings(vec![kind]) }, 3);
+        let mut bed = Bed::new(
+            Settings {
+                hedging_allowed: false,
+                ..settings(vec![kind])
+            },
+            3,
+        );
         let (id, actions) = bed.query(0, 0, &[1.0]);
-        let after = bed.end(at, id + 1, 0, sends(&actions)[0].1, AttemptOutcome::ConnectionLost);
+        let after = bed.end(
+            at,
+            id + 1,
+            0,
+            sends(&actions)[0].1,
+            AttemptOutcome::ConnectionLost,
+        );
         assert_eq!(sends(&after).len(), resent);
     }
 }
@@ -379,39 +498,84 @@
 #[test]
 fn a_draining_replica_gets_nothing_new() {
     let mut bed = Bed::new(settings(vec![class(2000, 1.0)]), 2);
-    let drains = ReplicaEntry { state: ReplicaState::Draining, ..member(1) };
+    let drains = ReplicaEntry {
+        state: ReplicaState::Draining,
+        ..member(1)
+    };
     bed.list(EndpointUpdateKind::Delta, vec![drains]);
     for i in 0..20 {
         let (_, actions) = bed.query(i * 20, 0, &[1.0]);
         assert!(sends(&actions).iter().all(|(_, r)| *r == ReplicaId(2)));
     }
     bed.list(EndpointUpdateKind::Snapshot, vec![]);
-    assert!(sends(&bed.query(500, 0, &[1.0]).1).is_empty(), "all have left the list");
+    assert!(
+        sends(&bed.query(500, 0, &[1.0]).1).is_empty(),
+        "all have left the list"
+    );
 }
 
 #[test]
 fn the_budget_holds_up_to_the_edge_of_its_window() {
     let mut tight = settings(vec![class(2000, 1.0)]);
-    tight.retry_budget = Some(RetryBudget { minimum: 1.0, ratio: 0.0, window: 1000 * MS });
+    tight.retry_budget = Some(RetryBudget {
+        minimum: 1.0,
+        ratio: 0.0,
+        window: 1000 * MS,
+    });
     let mut bed = Bed::new(tight, 3);
     let (first, actions) = bed.query(0, 0, &[1.0]);
-    let spent = bed.end(10, first + 1, 0, sends(&actions)[0].1, AttemptOutcome::Error);
+    let spent = bed.end(
+        10,
+        first + 1,
+        0,
+        sends(&actions)[0].1,
+        AttemptOutcome::Error,
+    );
     assert_eq!(sends(&spent).len(), 1);
-    bed.end(15, first + 1, 1, sends(&spent)[0].1, AttemptOutcome::Success);
+    bed.end(
+        15,
+        first + 1,
+        1,
+        sends(&spent)[0].1,
+        AttemptOutcome::Success,
+    );
     let (second, actions) = bed.query(20, 0, &[1.0]);
-    bed.end(30, second + 1, 0, sends(&actions)[0].1, AttemptOutcome::Error);
-    let resent = |actions: &[Action]| sends(actions).iter().filter(|(part, _)| *part == second + 1).count();
+    bed.end(
+        30,
+        second + 1,
+        0,
+        sends(&actions)[0].1,
+        AttemptOutcome::Error,
+    );
+    let resent = |actions: &[Action]| {
+        sends(actions)
+            .iter()
+            .filter(|(part, _)| *part == second + 1)
+            .count()
+    };
     assert_eq!(resent(&bed.run(40, 1010)), 0);
     assert_eq!(resent(&bed.run(1020, 1100)), 1);
 }
 
 #[test]
 fn no_more_attempts_than_allowed() {
-    let mut bed = Bed::new(Settings { max_attempts: Some(2), ..settings(vec![class(2000, 1.0)]) }, 3);
+    let mut bed = Bed::new(
+        Settings {
+            max_attempts: Some(2),
+            ..settings(vec![class(2000, 1.0)])
+        },
+        3,
+    );
     let (id, mut actions) = bed.query(0, 0, &[1.0]);
     for attempt in 0..2 {
         let replica = sends(&actions)[0].1;
-        actions = bed.end(10 + u64::from(attempt), id + 1, attempt, replica, AttemptOutcome::Error);
+        actions = bed.end(
+            10 + u64::from(attempt),
+            id + 1,
+            attempt,
+            replica,
+            AttemptOutcome::Error,
+        );
     }
     assert!(sends(&actions).is_empty());
     assert_eq!(finals(&actions), ["refused"], "given up at once");
@@ -430,19 +594,36 @@
 #[test]
 fn a_cold_replica_is_not_pushed_over_by_a_burst() {
     let mut bed = Bed::new(cold(), 0);
-    bed.list(EndpointUpdateKind::Snapshot, vec![ReplicaEntry { started: START - MS, ..member(1) }]);
-    let burst: usize = (0..50).map(|i| sends(&bed.query(i, 0, &[0.5, 0.5]).1).len()).sum();
+    bed.list(
+        EndpointUpdateKind::Snapshot,
+        vec![ReplicaEntry {
+            started: START - MS,
+            ..member(1)
+        }],
+    );
+    let burst: usize = (0..50)
+        .map(|i| sends(&bed.query(i, 0, &[0.5, 0.5]).1).len())
+        .sum();
     assert!(burst <= 3, "{burst} parts sent to a cold replica at once");
 }
 
 #[test]
 fn slow_start_lets_go_as_time_passes() {
     let mut bed = Bed::new(cold(), 0);
-    bed.list(EndpointUpdateKind::Snapshot, vec![ReplicaEntry { started: START - MS, ..member(1) }]);
+    bed.list(
+        EndpointUpdateKind::Snapshot,
+        vec![ReplicaEntry {
+            started: START - MS,
+            ..member(1)
+        }],
+    );
     let sent = |bed: &mut Bed, ms| sends(&bed.query(ms, 0, &[1.0]).1).len();
     assert_eq!(sent(&mut bed, 0), 1);
     assert_eq!(sent(&mut bed, 10), 0);
-    assert!(!sends(&bed.run(1020, 1500)).is_empty(), "its allowance comes back without a further send");
+    assert!(
+        !sends(&bed.run(1020, 1500)).is_empty(),
+        "its allowance comes back without a further send"
+    );
 }
 
 #[test]
@@ -454,7 +635,7 @@
     let copies = sends(&later);
     assert_eq!(copies.len(), 1);
     assert_ne!(copies[0].1, silent);
-    assert!(logs(&later, "suspected"));
+    assert!(logs(&later, "is an outlier"));
     for i in 0..10 {
         let (_, actions) = bed.query(410 + i, 0, &[1.0]);
         assert_ne!(sends(&actions)[0].1, silent);
@@ -489,15 +670,30 @@
         bed.query(400 + i, 0, &[1.0]);
     }
     let (query, actions) = bed.query(450, 0, &[1.0]);
-    assert!(actions.contains(&Action::Reject { query, retry_after: Some(1000 * MS) }));
+    assert!(actions.contains(&Action::Reject {
+        query,
+        retry_after: Some(1000 * MS)
+    }));
     assert!(sends(&actions).is_empty());
 }
 
 #[test]
 fn parts_of_a_swamped_shard_are_left_out_where_the_floor_allows() {
-    let two_cells = Settings { placement_cells: 2, ..settings(vec![class(2000, 0.5)]) };
+    let two_cells = Settings {
+        placement_cells: 2,
+        ..settings(vec![class(2000, 0.5)])
+    };
     let mut bed = Bed::new(two_cells, 0);
-    bed.list(EndpointUpdateKind::Snapshot, vec![member(1), ReplicaEntry { cell: 1, ..member(2) }]);
+    bed.list(
+        EndpointUpdateKind::Snapshot,
+        vec![
+            member(1),
+            ReplicaEntry {
+                cell: 1,
+                ..member(2)
+            },
+        ],
+    );
     let hot = bed.query(0, 0, &[1.0]).0;
     bed.end(300, hot + 1, 0, ReplicaId(1), AttemptOutcome::Success);
     for i in 0..20 {
@@ -526,7 +722,10 @@
     bed.ask(1, 0, &[1.0], 5900 * MS, true);
     bed.ask(2, 0, &[1.0], 5000 * MS, false);
     let answered = bed.run(10, 1850);
-    assert!(finals(&answered).is_empty(), "none has been given up before its aim");
+    assert!(
+        finals(&answered).is_empty(),
+        "none has been given up before its aim"
+    );
 }
 
 #[test]
@@ -551,7 +750,11 @@
     let copies = sends(&bed.run(310, 900));
     assert_eq!(copies, [(lost + 2, ReplicaId(2))]);
     let (_, actions) = bed.query(910, 0, &[1.0]);
-    assert_eq!(sends(&actions).len(), 1, "the lost call stands in nobody's way");
+    assert_eq!(
+        sends(&actions).len(),
+        1,
+        "the lost call stands in nobody's way"
+    );
 }
 
 /// Breaks the connection to replica 1 and tells how many ms it rests. Replica 2 fails all that it gets.
@@ -578,23 +781,50 @@
 
 #[test]
 fn a_replica_that_keeps_dying_rests_each_time() {
-    let mut bed = Bed::new(Settings { max_attempts: Some(1), ..settings(vec![class(2000, 1.0)]) }, 2);
+    let mut bed = Bed::new(
+        Settings {
+            max_attempts: Some(1),
+            ..settings(vec![class(2000, 1.0)])
+        },
+        2,
+    );
     let (first, second) = (rest_after_break(&mut bed), rest_after_break(&mut bed));
-    assert!(first >= 1000 && second >= 1000, "rested {first} ms, then {second} ms");
+    assert!(
+        first >= 1000 && second >= 1000,
+        "rested {first} ms, then {second} ms"
+    );
 }
 
 #[test]
 fn odd_events_do_no_harm() {
     let mut bed = Bed::new(settings(vec![class(2000, 0.5)]), 2);
     bed.end(0, 9, 3, ReplicaId(77), AttemptOutcome::Success);
-    bed.at(1, &[Event::ClientDisconnected { id: 5 }, Event::TimerFired { token: 9 }]);
-    bed.at(2, &[Event::PartReceived { id: 3, group: 99, shard: 0, weight: 1.0 }]);
+    bed.at(
+        1,
+        &[
+            Event::ClientDisconnected { id: 5 },
+            Event::TimerFired { token: 9 },
+        ],
+    );
+    bed.at(
+        2,
+        &[Event::PartReceived(PartReceived {
+            id: 3,
+            group: 99,
+            shard: 0,
+            weight: 1.0,
+        })],
+    );
     let (_, actions) = bed.query(3, 0, &[f64::NAN, -1.0, 1.0]);
     assert_eq!(sends(&actions).len(), 3);
     let (_, unknown_class) = bed.query(4, 9, &[1.0]);
     assert!(sends(&unknown_class).is_empty());
     bed.list(EndpointUpdateKind::Snapshot, vec![]);
-    assert_eq!(finals(&bed.query(5, 0, &[1.0]).1), ["refused"], "no holder is left");
+    assert_eq!(
+        finals(&bed.query(5, 0, &[1.0]).1),
+        ["refused"],
+        "no holder is left"
+    );
     assert_eq!(finals(&bed.run(10, 6000)).len(), 1);
 }
 
@@ -606,25 +836,50 @@
         poll_interval: 20_000 * MS,
         ..settings(vec![class(2000, 1.0)])
     };
-    let mut bed = Bed { module: Policy::new(on_request, 1), now: START, next: 1 };
+    let mut bed = Bed {
+        module: Policy::new(on_request, 1),
+        now: START,
+        next: 1,
+    };
     let asked = |actions: &[Action]| actions.contains(&Action::WatchEndpoints { enabled: true });
-    let first = (0..).map(|t| t * 10).find(|ms| asked(&bed.at(*ms, &[]))).unwrap();
+    let first = (0..)
+        .map(|t| t * 10)
+        .find(|ms| asked(&bed.at(*ms, &[])))
+        .unwrap();
     assert!(first <= 6_000, "soon, though not all at once");
     assert!(!asked(&bed.at(first + 10, &[])));
     let mut last = first;
     for failure in 0..4 {
         let at = last + 20;
-        let failed = Event::EndpointsUpdated { kind: EndpointUpdateKind::Unavailable, entries: vec![] };
+        let failed = Event::EndpointsUpdated {
+            kind: EndpointUpdateKind::Unavailable,
+            entries: vec![],
+        };
         let actions = bed.at(at, &[failed]);
         let woken = actions.iter().any(|a| matches!(a, Action::SetTimer { .. }));
-        assert!(woken && !asked(&actions), "a timer, no call, though no query is open");
-        let again = (at / 10 + 1..).map(|t| t * 10).find(|ms| asked(&bed.tick(*ms))).unwrap();
-        assert!(again - at >= (2_000 << failure).min(6_000), "longer each time");
-        assert!(again - at <= 20_000, "within the time in which it has to be asked for");
+        assert!(
+            woken && !asked(&actions),
+            "a timer, no call, though no query is open"
+        );
+        let again = (at / 10 + 1..)
+            .map(|t| t * 10)
+            .find(|ms| asked(&bed.tick(*ms)))
+            .unwrap();
+        assert!(
+            again - at >= (2_000 << failure).min(6_000),
+            "longer each time"
+        );
+        assert!(
+            again - at <= 20_000,
+            "within the time in which it has to be asked for"
+        );
         last = again;
     }
     bed.list(EndpointUpdateKind::Delta, vec![member(1)]);
-    assert!((0..300).all(|t| !asked(&bed.tick(last + 100 + t * 100))), "subscribed");
+    assert!(
+        (0..300).all(|t| !asked(&bed.tick(last + 100 + t * 100))),
+        "subscribed"
+    );
 }
 
 /// Rare queries: a replica that never answered must not look like the average again a moment after it failed.
@@ -644,10 +899,16 @@
 fn sent_after_one_reading(late: usize) -> usize {
     let mut bed = Bed::new(settings(vec![class(2000, 0.5), class(90_000, 0.6)]), 3);
     let (_, actions) = bed.query(0, 0, &[1.0 / 30.0; 30]);
-    bed.at(1500, &all_end(&sends(&actions)[late..], AttemptOutcome::Success));
+    bed.at(
+        1500,
+        &all_end(&sends(&actions)[late..], AttemptOutcome::Success),
+    );
     bed.run(1510, 1650);
     let (id, actions) = bed.query(1660, 1, &[0.01; 100]);
-    sends(&actions).iter().filter(|(part, _)| *part > id).count()
+    sends(&actions)
+        .iter()
+        .filter(|(part, _)| *part > id)
+        .count()
 }
 
 /// A hundred light parts: a pause at one replica must not drop all that the floor lets go.
@@ -655,7 +916,10 @@
 fn a_step_of_the_cutoff_gives_up_a_quarter_of_what_may_go() {
     assert_eq!(sent_after_one_reading(3), 100, "no pressure");
     let sent = sent_after_one_reading(5);
-    assert!((80..100).contains(&sent), "{sent} of 100 parts sent after a reading with a sixth of it late");
+    assert!(
+        (80..100).contains(&sent),
+        "{sent} of 100 parts sent after a reading with a sixth of it late"
+    );
 }
 
 /// A mixer among a hundred gets a long query every few seconds: at a step a second its cutoff came ten
@@ -663,7 +927,10 @@
 #[test]
 fn a_reading_that_is_late_all_over_takes_the_cutoff_to_its_top() {
     let sent = sent_after_one_reading(20);
-    assert!((60..=62).contains(&sent), "{sent} of 100 parts sent, and 60 is the floor");
+    assert!(
+        (60..=62).contains(&sent),
+        "{sent} of 100 parts sent, and 60 is the floor"
+    );
 }
 
 /// One tenant's clients give up early and repeat at once: another tenant's queries are no late repeats.
@@ -676,7 +943,10 @@
     let (_, sound) = bed.query_with_patience(200, 0, &[1.0], 6000 * MS);
     assert!(!finals(&sound).contains(&"refused"));
     let (_, short) = bed.query_with_patience(210, 0, &[1.0], 700 * MS);
-    assert!(!finals(&short).contains(&"refused"), "a first try is never spent");
+    assert!(
+        !finals(&short).contains(&"refused"),
+        "a first try is never spent"
+    );
 }
 
 /// Clients that leave before a usual part is back and repeat at once: their work would only delay the others.
@@ -712,7 +982,13 @@
 /// A lone query of many parts, most of them lost: its copies must not end when its parts are two seconds old.
 #[test]
 fn a_lone_long_query_gets_copies_late() {
-    let mut bed = Bed::new(Settings { max_parts_per_call: None, ..settings(vec![class(4000, 1.0)]) }, 200);
+    let mut bed = Bed::new(
+        Settings {
+            max_parts_per_call: None,
+            ..settings(vec![class(4000, 1.0)])
+        },
+        200,
+    );
     let (id, actions) = bed.query(0, 0, &[0.01; 100]);
     for (part, replica) in sends(&actions).into_iter().skip(30) {
         bed.end(300, part, 0, replica, AttemptOutcome::Success);
@@ -751,7 +1027,11 @@
 #[test]
 fn half_of_the_budget_is_kept_for_classes_that_need_every_part() {
     let mut tight = settings(vec![class(2000, 0.5), class(2000, 1.0)]);
-    tight.retry_budget = Some(RetryBudget { minimum: 4.0, ratio: 0.0, window: 1000 * MS });
+    tight.retry_budget = Some(RetryBudget {
+        minimum: 4.0,
+        ratio: 0.0,
+        window: 1000 * MS,
+    });
     tight.max_parts_per_call = None;
     let mut bed = Bed::new(tight, 20);
     let again: Vec<usize> = [0, 1]
@@ -768,24 +1048,41 @@
 #[test]
 fn many_silent_replicas_set_off_one_round_of_probes() {
     let probes = |actions: &[Action]| -> Vec<ReplicaId> {
-        let probe = |a: &Action| if let Action::CheckHealth { replica } = a { Some(*replica) } else { None };
+        let probe = |a: &Action| {
+            if let Action::CheckHealth { replica } = a {
+                Some(*replica)
+            } else {
+                None
+            }
+        };
         actions.iter().filter_map(probe).collect()
     };
     for health_checks_allowed in [false, true] {
-        let kind =
-            Settings { health_checks_allowed, max_parts_per_call: None, ..settings(vec![class(2000, 1.0)]) };
+        let kind = Settings {
+            health_checks_allowed,
+            max_parts_per_call: None,
+            ..settings(vec![class(2000, 1.0)])
+        };
         let mut bed = Bed::new(kind, 20);
         let (_, actions) = bed.query(0, 0, &[0.25; 4]);
         let sent = sends(&actions);
         let asked = probes(&bed.at(250, &all_end(&sent, AttemptOutcome::Unreachable)));
         assert_eq!(asked.is_empty(), !health_checks_allowed);
-        assert!(sent.iter().all(|(_, failed)| !asked.contains(failed)), "only those not met yet");
+        assert!(
+            sent.iter().all(|(_, failed)| !asked.contains(failed)),
+            "only those not met yet"
+        );
         assert!(probes(&bed.run(260, 1000)).is_empty(), "one round only");
         let Some(bad) = asked.first() else { continue };
         let (latency, report) = (250 * MS, vec![]);
         bed.at(
             1010,
-            &[Event::HealthCheckEnded { replica: *bad, outcome: AttemptOutcome::TimedOut, latency, report }],
+            &[Event::HealthCheckEnded(HealthCheckEnded {
+                replica: *bad,
+                outcome: AttemptOutcome::TimedOut,
+                latency,
+                report,
+            })],
         );
         let (_, next) = bed.query(1020, 0, &[0.1; 10]);
         assert!(sends(&next).iter().all(|(_, replica)| replica != bad));
@@ -807,7 +1104,13 @@
         for i in 0..12 {
             let (_, actions) = bed.query(at + i * 10, 0, &[1.0]);
             let (part, replica) = sends(&actions)[0];
-            seen.extend(bed.end(at + i * 10 + 5, part, 0, replica, AttemptOutcome::Unreachable));
+            seen.extend(bed.end(
+                at + i * 10 + 5,
+                part,
+                0,
+                replica,
+                AttemptOutcome::Unreachable,
+            ));
         }
         assert_eq!(logs(&seen, "cutoff off zero"), heard);
     }
@@ -816,15 +1119,31 @@
 /// Dozens of co-ordinators, each with one part a window, would push a cold replica over together.
 #[test]
 fn many_co_ordinators_share_what_a_cold_replica_bears() {
-    let crowd = Settings { aggregators: 50, ..cold() };
+    let crowd = Settings {
+        aggregators: 50,
+        ..cold()
+    };
     let mut together = 0;
     for seed in 0..50 {
-        let mut bed = Bed { module: Policy::new(crowd.clone(), seed), now: START, next: 1 };
-        bed.list(EndpointUpdateKind::Snapshot, vec![ReplicaEntry { started: START - MS, ..member(1) }]);
+        let mut bed = Bed {
+            module: Policy::new(crowd.clone(), seed),
+            now: START,
+            next: 1,
+        };
+        bed.list(
+            EndpointUpdateKind::Snapshot,
+            vec![ReplicaEntry {
+                started: START - MS,
+                ..member(1)
+            }],
+        );
         let (_, actions) = bed.query(0, 0, &[1.0]);
         together += sends(&actions).len();
     }
-    assert!(together <= 5, "{together} parts at once from fifty that have just started");
+    assert!(
+        together <= 5,
+        "{together} parts at once from fifty that have just started"
+    );
 }
 
 /// The most parts that all co-ordinators together send a replica that starts, in any window of the rule, over what
@@ -835,9 +1154,16 @@
     let each = rate * WARM as f64 / f64::from(aggregators);
     let mut at: Vec<u64> = Vec::new();
     for n in 0..aggregators {
-        let settings = Settings { aggregators, ..cold.clone() };
+        let settings = Settings {
+            aggregators,
+            ..cold.clone()
+        };
         let module = Policy::new(settings, seed * 1000 + u64::from(n));
-        let mut bed = Bed { module, now: START, next: 1 };
+        let mut bed = Bed {
+            module,
+            now: START,
+            next: 1,
+        };
         bed.list(EndpointUpdateKind::Cached, (1..=WARM).map(member).collect());
         let offset = u64::from(n) * 997 % (1000.0 / each) as u64;
         (0..(160.0 * each) as u64).for_each(|i| {
@@ -845,13 +1171,22 @@
         });
         let told = 160_500 + u64::from(n) * 37 % 500;
         bed.now = START + told * MS;
-        let fresh = ReplicaEntry { started: START + 160_000 * MS, ..member(9) };
+        let fresh = ReplicaEntry {
+            started: START + 160_000 * MS,
+            ..member(9)
+        };
         bed.list(EndpointUpdateKind::Delta, vec![fresh]);
         for ms in (told..told + 6_000).step_by(100) {
             let (id, actions) = bed.query(ms + u64::from(n) % 100, 0, &[0.5, 0.5]);
             let sent = sends(&actions);
-            at.extend(sent.iter().filter(|(_, replica)| replica.0 == 9).map(|_| bed.now));
-            let ends = sent.iter().map(|(part, to)| ended(*part, 0, *to, AttemptOutcome::Cancelled));
+            at.extend(
+                sent.iter()
+                    .filter(|(_, replica)| replica.0 == 9)
+                    .map(|_| bed.now),
+            );
+            let ends = sent
+                .iter()
+                .map(|(part, to)| ended(*part, 0, *to, AttemptOutcome::Cancelled));
             let mut ends: Vec<Event> = ends.collect();
             ends.push(Event::ClientDisconnected { id });
             bed.at(ms + u64::from(n) % 100, &ends);
@@ -859,7 +1194,10 @@
     }
     at.sort_unstable();
     let over = at.iter().map(|end| {
-        let sent = at.iter().filter(|t| **t <= *end && *end - **t < cold.overload_window).count() as f64;
+        let sent = at
+            .iter()
+            .filter(|t| **t <= *end && *end - **t < cold.overload_window)
+            .count() as f64;
         let age = (*end - START) as f64 / MS as f64 - 160_000.0;
         let warmth = 0.2 + 0.8 * age / 10_000.0;
         let bears = 4.0 * warmth * rate;
@@ -874,7 +1212,10 @@
     for aggregators in [2, 6, 25, 100, 300] {
         for seed in 0..2 {
             let over = most_over_what_a_cold_one_bears(aggregators, seed);
-            assert!(over <= 0.0, "{aggregators} co-ordinators: {over:.1} parts more than chance allows");
+            assert!(
+                over <= 0.0,
+                "{aggregators} co-ordinators: {over:.1} parts more than chance allows"
+            );
         }
     }
 }
@@ -882,15 +1223,39 @@
 /// What a cold replica bears was reckoned from sends kept for the span of a budget: five times too many.
 #[test]
 fn a_long_budget_span_does_not_swell_what_a_cold_replica_may_get() {
-    let retry_budget = Some(RetryBudget { minimum: 10.0, ratio: 0.2, window: 10_000 * MS });
-    let mut bed = Bed::new(Settings { retry_budget, ..cold() }, 1);
+    let retry_budget = Some(RetryBudget {
+        minimum: 10.0,
+        ratio: 0.2,
+        window: 10_000 * MS,
+    });
+    let mut bed = Bed::new(
+        Settings {
+            retry_budget,
+            ..cold()
+        },
+        1,
+    );
     (0..100).for_each(|i| {
         bed.served(i * 100, 50);
     });
-    bed.list(EndpointUpdateKind::Delta, vec![ReplicaEntry { started: START + 9_990 * MS, ..member(2) }]);
-    let burst: Vec<_> = (0..40).flat_map(|i| sends(&bed.query(10_000 + i, 0, &[1.0]).1)).collect();
-    let cold = burst.iter().filter(|(_, replica)| *replica == ReplicaId(2)).count();
-    assert!((1..=6).contains(&cold), "{cold} parts for one that bears about four");
+    bed.list(
+        EndpointUpdateKind::Delta,
+        vec![ReplicaEntry {
+            started: START + 9_990 * MS,
+            ..member(2)
+        }],
+    );
+    let burst: Vec<_> = (0..40)
+        .flat_map(|i| sends(&bed.query(10_000 + i, 0, &[1.0]).1))
+        .collect();
+    let cold = burst
+        .iter()
+        .filter(|(_, replica)| *replica == ReplicaId(2))
+        .count();
+    assert!(
+        (1..=6).contains(&cold),
+        "{cold} parts for one that bears about four"
+    );
 }
 
 /// One that has run for less than the time of warming up took its answers for those of all that time: after a
@@ -901,10 +1266,24 @@
     (0..100).for_each(|i| {
         bed.served(i * 20, 10);
     });
-    bed.list(EndpointUpdateKind::Delta, vec![ReplicaEntry { started: START + 1_990 * MS, ..member(2) }]);
-    let burst: Vec<_> = (0..40).flat_map(|i| sends(&bed.query(2000 + i, 0, &[1.0]).1)).collect();
-    let cold = burst.iter().filter(|(_, replica)| *replica == ReplicaId(2)).count();
-    assert!((10..=21).contains(&cold), "{cold} parts for one that bears about twenty");
+    bed.list(
+        EndpointUpdateKind::Delta,
+        vec![ReplicaEntry {
+            started: START + 1_990 * MS,
+            ..member(2)
+        }],
+    );
+    let burst: Vec<_> = (0..40)
+        .flat_map(|i| sends(&bed.query(2000 + i, 0, &[1.0]).1))
+        .collect();
+    let cold = burst
+        .iter()
+        .filter(|(_, replica)| *replica == ReplicaId(2))
+        .count();
+    assert!(
+        (10..=21).contains(&cold),
+        "{cold} parts for one that bears about twenty"
+    );
 }
 
 /// Twenty queries a second of three parts, each ended 20 ms after it was sent, the first part of a query so: how many
@@ -925,7 +1304,11 @@
                         part,
                         *attempt,
                         replica,
-                        if part == id + 1 { first } else { AttemptOutcome::Success },
+                        if part == id + 1 {
+                            first
+                        } else {
+                            AttemptOutcome::Success
+                        },
                     )
                 };
                 let ends: Vec<Event> = sends(&actions).into_iter().map(end).collect();
@@ -942,7 +1325,10 @@
 /// the queries of an overload keep each other from being answered.
 #[test]
 fn after_queries_lost_to_full_replicas_fewer_are_admitted_until_some_are_answered() {
-    let quick = Settings { max_attempts: Some(2), ..settings(vec![class(400, 1.0)]) };
+    let quick = Settings {
+        max_attempts: Some(2),
+        ..settings(vec![class(400, 1.0)])
+    };
     let mut bed = Bed::new(quick.clone(), 3);
     assert_eq!(admitted(&mut bed, 0..3, AttemptOutcome::Success), [20; 3]);
     let full = admitted(&mut bed, 3..15, AttemptOutcome::Rejected);
@@ -962,33 +1348,63 @@
 /// Cancelled or not, a part waits at a full replica until its time has passed: in an overload that is the aim's.
 #[test]
 fn while_permits_are_short_nothing_is_waited_for_past_the_aim() {
-    let late = QueryClass { late_value: 0.3, ..class(400, 1.0) };
-    let mut bed = Bed::new(Settings { max_attempts: Some(2), ..settings(vec![late]) }, 3);
+    let late = QueryClass {
+        late_value: 0.3,
+        ..class(400, 1.0)
+    };
+    let mut bed = Bed::new(
+        Settings {
+            max_attempts: Some(2),
+            ..settings(vec![late])
+        },
+        3,
+    );
     let until = |actions: &[Action]| {
-        actions
-            .iter()
-            .find_map(|a| if let Action::SendAttempt { until, .. } = a { Some(*until) } else { None })
+        actions.iter().find_map(|a| {
+            if let Action::SendAttempt { until, .. } = a {
+                Some(*until)
+            } else {
+                None
+            }
+        })
     };
     let (_, actions) = bed.query(0, 0, &[0.4, 0.3, 0.3]);
-    assert_eq!(until(&actions), Some(START + 6000 * MS), "its client's time");
+    assert_eq!(
+        until(&actions),
+        Some(START + 6000 * MS),
+        "its client's time"
+    );
     bed.at(10, &all_end(&sends(&actions), AttemptOutcome::Success));
     admitted(&mut bed, 1..3, AttemptOutcome::Rejected);
-    let mut asked = (3000..9000).step_by(50).map(|ms| (ms, bed.query(ms, 0, &[0.4, 0.3, 0.3]).1));
-    let (ms, actions) = asked.find(|(_, actions)| !sends(actions).is_empty()).unwrap();
+    let mut asked = (3000..9000)
+        .step_by(50)
+        .map(|ms| (ms, bed.query(ms, 0, &[0.4, 0.3, 0.3]).1));
+    let (ms, actions) = asked
+        .find(|(_, actions)| !sends(actions).is_empty())
+        .unwrap();
     assert_eq!(until(&actions), Some(START + (ms + 400) * MS), "the aim");
 }
 
 /// Something on the way drops unused connections unseen: what is sent on one is lost, though the replica
 /// lives. Rounds of a query whose attempts on unused connections break; in which connections are renewed.
 fn unused_connections_break(rounds: u64, renewed_break: bool) -> Vec<bool> {
-    let mut bed = Bed::new(Settings { idle_timeout: 15_000 * MS, ..settings(vec![class(2000, 1.0)]) }, 2);
+    let mut bed = Bed::new(
+        Settings {
+            idle_timeout: 15_000 * MS,
+            ..settings(vec![class(2000, 1.0)])
+        },
+        2,
+    );
     bed.served(0, 50);
     bed.served(10, 60);
     let mut renewed = Vec::new();
     for at in (1..=rounds).map(|i| i * 4000) {
         let (id, mut actions) = bed.query(at, 0, &[1.0]);
-        let closes =
-            |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::CloseIdleConnections { .. }));
+        let closes = |actions: &[Action]| {
+            actions
+                .iter()
+                .any(|a| matches!(a, Action::CloseIdleConnections { .. }))
+        };
         renewed.push(closes(&actions));
         let mut number = 0;
         if renewed_break || !closes(&actions) {
@@ -996,7 +1412,13 @@
             actions = bed.end(at + 5, id + 1, 0, replica, AttemptOutcome::ConnectionLost);
             number = 1;
         }
-        bed.end(at + 200, id + 1, number, sends(&actions)[0].1, AttemptOutcome::Success);
+        bed.end(
+            at + 200,
+            id + 1,
+            number,
+            sends(&actions)[0].1,
+            AttemptOutcome::Success,
+        );
     }
     renewed
 }
@@ -1004,7 +1426,10 @@
 #[test]
 fn unused_connections_are_renewed_while_they_are_lost() {
     let renewed = unused_connections_break(40, false);
-    assert!(!renewed[..2].contains(&true), "a chance loss or two is no reason");
+    assert!(
+        !renewed[..2].contains(&true),
+        "a chance loss or two is no reason"
+    );
     assert!(renewed.iter().filter(|r| **r).count() > 20, "{renewed:?}");
 }
 
@@ -1018,7 +1443,13 @@
 /// Some queries bring down each replica that begins a part: asked again and again, they take the whole fleet.
 #[test]
 fn a_query_that_breaks_every_replica_goes_out_once() {
-    let mut bed = Bed::new(Settings { max_parts_per_call: None, ..settings(vec![class(2000, 1.0)]) }, 12);
+    let mut bed = Bed::new(
+        Settings {
+            max_parts_per_call: None,
+            ..settings(vec![class(2000, 1.0)])
+        },
+        12,
+    );
     let (_, actions) = bed.query(0, 0, &[0.25; 4]);
     let sent = sends(&actions);
     let broken = all_end(&sent, AttemptOutcome::ConnectionLost);
@@ -1029,11 +1460,20 @@
 
 #[test]
 fn a_query_that_met_dying_replicas_by_chance_is_asked_again() {
-    let mut bed = Bed::new(Settings { max_parts_per_call: None, ..settings(vec![class(2000, 1.0)]) }, 12);
+    let mut bed = Bed::new(
+        Settings {
+            max_parts_per_call: None,
+            ..settings(vec![class(2000, 1.0)])
+        },
+        12,
+    );
     let (_, actions) = bed.query(0, 0, &[0.2; 5]);
     let sent = sends(&actions);
     let first = bed.at(10, &all_end(&sent[..4], AttemptOutcome::ConnectionLost));
-    assert!(sends(&first).is_empty() && finals(&first).is_empty(), "held while a part may still land");
+    assert!(
+        sends(&first).is_empty() && finals(&first).is_empty(),
+        "held while a part may still land"
+    );
     let landed = bed.at(150, &all_end(&sent[4..], AttemptOutcome::Success));
     assert_eq!(sends(&landed).len(), 4, "it does no harm");
 }
@@ -1041,25 +1481,56 @@
 /// A whole answer that one part has made impossible is given up, though others are still out.
 #[test]
 fn a_query_that_can_not_be_whole_any_more_is_refused_at_once() {
-    let once = Settings { max_attempts: Some(1), ..settings(vec![class(2000, 1.0)]) };
+    let once = Settings {
+        max_attempts: Some(1),
+        ..settings(vec![class(2000, 1.0)])
+    };
     let mut bed = Bed::new(once, 4);
     let (id, actions) = bed.query(0, 0, &[0.5, 0.5]);
-    let after = bed.end(20, id + 1, 0, sends(&actions)[0].1, AttemptOutcome::Unreachable);
+    let after = bed.end(
+        20,
+        id + 1,
+        0,
+        sends(&actions)[0].1,
+        AttemptOutcome::Unreachable,
+    );
     assert_eq!(finals(&after), ["refused"]);
 }
 
 /// No budget before the aim, or no holder left: waiting for a repeat that can't be sent is holding the query.
 #[test]
 fn a_query_whose_repeat_can_not_be_sent_is_refused_at_once() {
-    let spent = RetryBudget { minimum: 0.0, ratio: 0.0, window: 10_000 * MS };
-    let mut bed = Bed::new(Settings { retry_budget: Some(spent), ..settings(vec![class(2000, 1.0)]) }, 4);
+    let spent = RetryBudget {
+        minimum: 0.0,
+        ratio: 0.0,
+        window: 10_000 * MS,
+    };
+    let mut bed = Bed::new(
+        Settings {
+            retry_budget: Some(spent),
+            ..settings(vec![class(2000, 1.0)])
+        },
+        4,
+    );
     let (id, actions) = bed.query(0, 0, &[1.0]);
-    let after = bed.end(20, id + 1, 0, sends(&actions)[0].1, AttemptOutcome::Unreachable);
+    let after = bed.end(
+        20,
+        id + 1,
+        0,
+        sends(&actions)[0].1,
+        AttemptOutcome::Unreachable,
+    );
     assert_eq!(finals(&after), ["refused"], "no budget");
     let mut bed = Bed::new(settings(vec![class(2000, 1.0)]), 1);
     let (id, actions) = bed.query(0, 0, &[1.0]);
     bed.list(EndpointUpdateKind::Snapshot, vec![]);
-    let after = bed.end(20, id + 1, 0, sends(&actions)[0].1, AttemptOutcome::Unreachable);
+    let after = bed.end(
+        20,
+        id + 1,
+        0,
+        sends(&actions)[0].1,
+        AttemptOutcome::Unreachable,
+    );
     assert_eq!(finals(&after), ["refused"], "no holder");
 }
 
@@ -1074,17 +1545,40 @@
         ..settings(vec![class(2000, 1.0)])
     };
     let mut bed = Bed::new(priced, 0);
-    bed.list(EndpointUpdateKind::Snapshot, vec![member(1), ReplicaEntry { zone: 1, ..member(2) }, member(3)]);
+    bed.list(
+        EndpointUpdateKind::Snapshot,
+        vec![
+            member(1),
+            ReplicaEntry {
+                zone: 1,
+                ..member(2)
+            },
+            member(3),
+        ],
+    );
     let sent = sends(&bed.query(0, 0, &[0.4, 0.3, 0.3]).1);
-    let near = sent.iter().map(|(_, replica)| *replica == ReplicaId(2)).collect::<Vec<_>>();
-    assert_eq!(near, [true, true, false], "one in its queue costs less than crossing, two cost more");
+    let near = sent
+        .iter()
+        .map(|(_, replica)| *replica == ReplicaId(2))
+        .collect::<Vec<_>>();
+    assert_eq!(
+        near,
+        [true, true, false],
+        "one in its queue costs less than crossing, two cost more"
+    );
 }
 
 /// When all are slow the first attempt lands before its copy: copies double the load and win nothing.
 #[test]
 fn copies_that_lose_their_races_become_few() {
     let copies = |first_lands: bool| {
-        let mut bed = Bed::new(Settings { max_parts_per_call: None, ..settings(vec![class(2000, 1.0)]) }, 24);
+        let mut bed = Bed::new(
+            Settings {
+                max_parts_per_call: None,
+                ..settings(vec![class(2000, 1.0)])
+            },
+            24,
+        );
         (0..40).for_each(|i| {
             bed.served(i * 20, 100);
         });
@@ -1103,13 +1597,23 @@
                 let (won, lost) = if first_lands { (0, 1) } else { (1, 0) };
                 let by = [*replica, *other];
                 events.push(ended(*part, won, by[won as usize], AttemptOutcome::Success));
-                events.push(ended(*part, lost, by[lost as usize], AttemptOutcome::Cancelled));
+                events.push(ended(
+                    *part,
+                    lost,
+                    by[lost as usize],
+                    AttemptOutcome::Cancelled,
+                ));
             }
             bed.at(at + 910, &events);
         }
         last
     };
-    assert!(copies(false) > copies(true), "{} and {}", copies(false), copies(true));
+    assert!(
+        copies(false) > copies(true),
+        "{} and {}",
+        copies(false),
+        copies(true)
+    );
 }
 
 /// What answers usually take is their mean: a query with time for that is not turned away for a few slow
--- a/crates/policy/tests/recorded_decisions.rs
+++ b/crates/policy/tests/recorded_decisions.rs
@@ -41,11 +41,31 @@
         queries_per_batch: 1,
     };
     match random.u32(..6) {
-        0 => Weather { refused: 40, queries_per_batch: 3, ..calm },
-        1 => Weather { broken: 20, unreachable: 15, ..calm },
-        2 => Weather { silent: 30, latency: 120 * MS, ..calm },
-        3 => Weather { latency: 400 * MS, queries_per_batch: 2, ..calm },
-        4 => Weather { error: 30, refused: 10, ..calm },
+        0 => Weather {
+            refused: 40,
+            queries_per_batch: 3,
+            ..calm
+        },
+        1 => Weather {
+            broken: 20,
+            unreachable: 15,
+            ..calm
+        },
+        2 => Weather {
+            silent: 30,
+            latency: 120 * MS,
+            ..calm
+        },
+        3 => Weather {
+            latency: 400 * MS,
+            queries_per_batch: 2,
+            ..calm
+        },
+        4 => Weather {
+            error: 30,
+            refused: 10,
+            ..calm
+        },
         _ => calm,
     }
 }
@@ -164,12 +184,18 @@
 
     /// Runs all batches and returns the digests.
     fn run(&mut self) -> Vec<u64> {
-        let first =
-            Event::EndpointsUpdated { kind: EndpointUpdateKind::Cached, entries: self.entries.clone() };
+        let first = Event::EndpointsUpdated {
+            kind: EndpointUpdateKind::Cached,
+            entries: self.entries.clone(),
+        };
         self.batch(&[first]);
         let mut digests = Vec::new();
         for number in 1..=BATCHES {
-            let pause = if self.random.u32(..50) == 0 { 900 } else { self.random.u64(1..25) };
+            let pause = if self.random.u32(..50) == 0 {
+                900
+            } else {
+                self.random.u64(1..25)
+            };
             self.now += pause * MS;
             if number % 75 == 0 {
                 self.weather = weather(&mut self.random);
@@ -185,7 +211,11 @@
 
     fn next_events(&mut self) -> Vec<Event> {
         let mut events = Vec::new();
-        while let Some(entry) = self.planned.first_entry().filter(|entry| entry.key().0 <= self.now) {
+        while let Some(entry) = self
+            .planned
+            .first_entry()
+            .filter(|entry| entry.key().0 <= self.now)
+        {
             events.push(entry.remove());
         }
         if self.random.u32(..25) == 0 {
@@ -202,14 +232,20 @@
 
     fn list_event(&mut self) -> Event {
         if self.random.u32(..3) == 0 {
-            return Event::EndpointsUpdated { kind: EndpointUpdateKind::Unavailable, entries: Vec::new() };
+            return Event::EndpointsUpdated {
+                kind: EndpointUpdateKind::Unavailable,
+                entries: Vec::new(),
+            };
         }
         let changed = self.random.usize(..self.entries.len());
         let member = &mut self.entries[changed];
         match self.random.u32(..4) {
             0 => member.state = ReplicaState::Draining,
             1 => member.state = ReplicaState::Gone,
-            _ => (member.state, member.started) = (ReplicaState::Ready, self.now.saturating_sub(300 * MS)),
+            _ => {
+                (member.state, member.started) =
+                    (ReplicaState::Ready, self.now.saturating_sub(300 * MS))
+            }
         }
         if self.random.bool() {
             return Event::EndpointsUpdated {
@@ -217,8 +253,14 @@
                 entries: vec![member.clone()],
             };
         }
-        let listed = self.entries.iter().filter(|member| member.state != ReplicaState::Gone);
-        Event::EndpointsUpdated { kind: EndpointUpdateKind::Snapshot, entries: listed.cloned().collect() }
+        let listed = self
+            .entries
+            .iter()
+            .filter(|member| member.state != ReplicaState::Gone);
+        Event::EndpointsUpdated {
+            kind: EndpointUpdateKind::Snapshot,
+            entries: listed.cloned().collect(),
+        }
     }
 
     fn client_gone(&mut self) -> Option<Event> {
@@ -235,8 +277,12 @@
         let class = self.random.usize(..self.settings.classes.len());
         let deadline = self.settings.classes[class].deadline;
         let is_retry = self.random.u32(..4) == 0;
-        let client_timeout = if is_retry { self.random.u64(deadline / 8..deadline) } else { deadline };
-        events.push(Event::QueryReceived {
+        let client_timeout = if is_retry {
+            self.random.u64(deadline / 8..deadline)
+        } else {
+            deadline
+        };
+        events.push(Event::QueryReceived(QueryReceived {
             id,
             group,
             class: class as u16,
@@ -244,26 +290,38 @@
             client_timeout,
             work: self.random.bool().then(|| self.random.u64(..40) * MS),
             is_retry,
-        });
-        self.queries.insert(id, OpenQuery { group, class, parts: Vec::new(), second_step_begun: false });
+        }));
+        self.queries.insert(
+            id,
+            OpenQuery {
+                group,
+                class,
+                parts: Vec::new(),
+                second_step_begun: false,
+            },
+        );
         let count = self.random.usize(1..9);
         self.parts(id, count, events);
     }
 
     fn parts(&mut self, query: RequestId, count: usize, events: &mut Vec<Event>) {
-        let weights: Vec<f64> = (0..count).map(|_| self.random.f64().powi(3) + 0.01).collect();
+        let weights: Vec<f64> = (0..count)
+            .map(|_| self.random.f64().powi(3) + 0.01)
+            .collect();
         let sum: f64 = weights.iter().sum();
         for weight in weights {
             self.last_id += 1;
-            let Some(open) = self.queries.get_mut(&query) else { return };
+            let Some(open) = self.queries.get_mut(&query) else {
+                return;
+            };
             open.parts.push(self.last_id);
             let shard = self.random.u32(..12);
-            events.push(Event::PartReceived {
+            events.push(Event::PartReceived(PartReceived {
                 id: self.last_id,
                 group: open.group,
                 shard,
                 weight: weight / sum,
-            });
+            }));
         }
     }
 
@@ -274,7 +332,8 @@
             self.record(action);
             self.react(action);
         }
-        self.digest.update(&(self.policy.held() as u64).to_le_bytes());
+        self.digest
+            .update(&(self.policy.held() as u64).to_le_bytes());
     }
 
     fn plan(&mut self, at: Nanos, event: Event) -> (Nanos, u64) {
@@ -286,24 +345,57 @@
 
     fn react(&mut self, action: &Action) {
         match action {
-            Action::SendAttempt { part, replica, until, .. } => self.attempt(*part, *replica, *until),
+            Action::SendAttempt {
+                part,
+                replica,
+                until,
+                ..
+            } => self.attempt(*part, *replica, *until),
             Action::CancelAttempt { part, attempt } => {
-                let Some(key) = self.attempts.remove(&(*part, *attempt)) else { return };
-                let Some(Event::AttemptEnded { replica, .. }) = self.planned.remove(&key) else { return };
+                let Some(key) = self.attempts.remove(&(*part, *attempt)) else {
+                    return;
+                };
+                let Some(Event::AttemptEnded(AttemptEnded { replica, .. })) =
+                    self.planned.remove(&key)
+                else {
+                    return;
+                };
                 let (part, attempt, outcome) = (*part, *attempt, AttemptOutcome::Cancelled);
                 let report = LoadReport::new();
-                self.plan(self.now, Event::AttemptEnded { part, attempt, replica, outcome, report });
+                self.plan(
+                    self.now,
+                    Event::AttemptEnded(AttemptEnded {
+                        part,
+                        attempt,
+                        replica,
+                        outcome,
+                        report,
+                    }),
+                );
             }
             Action::Answer { query, .. } => self.answered(*query),
-            Action::Reject { query, .. } | Action::Fail { query } => drop(self.queries.remove(query)),
+            Action::Reject { query, .. } | Action::Fail { query } => {
+                drop(self.queries.remove(query))
+            }
             Action::SetTimer { token, after } => {
                 self.plan(self.now + after, Event::TimerFired { token: *token });
             }
             Action::CheckHealth { replica } => {
-                let outcome =
-                    if self.random.bool() { AttemptOutcome::Success } else { AttemptOutcome::TimedOut };
+                let outcome = if self.random.bool() {
+                    AttemptOutcome::Success
+                } else {
+                    AttemptOutcome::TimedOut
+                };
                 let (replica, latency, report) = (*replica, 40 * MS, LoadReport::new());
-                self.plan(self.now + latency, Event::HealthCheckEnded { replica, outcome, latency, report });
+                self.plan(
+                    self.now + latency,
+                    Event::HealthCheckEnded(HealthCheckEnded {
+                        replica,
+                        outcome,
+                        latency,
+                        report,
+                    }),
+                );
             }
             _ => {}
         }
@@ -314,34 +406,70 @@
         let attempt = *count;
         *count += 1;
         let roll = self.random.u32(..100);
-        let Weather { refused, error, broken, unreachable, silent, latency, .. } = self.weather;
+        let Weather {
+            refused,
+            error,
+            broken,
+            unreachable,
+            silent,
+            latency,
+            ..
+        } = self.weather;
         let took = latency / 2 + self.random.u64(..latency);
         let ends = [
             (refused, AttemptOutcome::Rejected, 2 * MS),
             (error, AttemptOutcome::Error, took / 4),
             (broken, AttemptOutcome::ConnectionLost, took),
             (unreachable, AttemptOutcome::Unreachable, 3 * MS),
-            (silent, AttemptOutcome::TimedOut, until.saturating_sub(self.now)),
+            (
+                silent,
+                AttemptOutcome::TimedOut,
+                until.saturating_sub(self.now),
+            ),
         ];
         let mut least = 0;
         let end = ends.iter().find(|(chance, ..)| {
             least += chance;
             roll < least
         });
-        let (outcome, after) =
-            end.map_or((AttemptOutcome::Success, took), |(_, outcome, after)| (*outcome, *after));
+        let (outcome, after) = end
+            .map_or((AttemptOutcome::Success, took), |(_, outcome, after)| {
+                (*outcome, *after)
+            });
         let at = self.now + after;
-        let (outcome, at) = if at > until { (AttemptOutcome::TimedOut, until) } else { (outcome, at) };
+        let (outcome, at) = if at > until {
+            (AttemptOutcome::TimedOut, until)
+        } else {
+            (outcome, at)
+        };
         if outcome == AttemptOutcome::Success && self.random.u32(..8) == 0 {
-            self.plan(self.now + after / 2, Event::ResponseStarted { part, attempt, replica });
+            self.plan(
+                self.now + after / 2,
+                Event::ResponseStarted {
+                    part,
+                    attempt,
+                    replica,
+                },
+            );
         }
         let report = LoadReport::new();
-        let key = self.plan(at, Event::AttemptEnded { part, attempt, replica, outcome, report });
+        let key = self.plan(
+            at,
+            Event::AttemptEnded(AttemptEnded {
+                part,
+                attempt,
+                replica,
+                outcome,
+                report,
+            }),
+        );
         self.attempts.insert((part, attempt), key);
     }
 
     fn answered(&mut self, query: RequestId) {
-        let Some(open) = self.queries.get_mut(&query) else { return };
+        let Some(open) = self.queries.get_mut(&query) else {
+            return;
+        };
         if self.settings.classes[open.class].second_step_parts == 0 || open.second_step_begun {
             self.queries.remove(&query);
             return;
@@ -359,9 +487,12 @@
     fn record(&mut self, action: &Action) {
         let none = u64::MAX;
         let words: [u64; 5] = match action {
-            Action::SendAttempt { part, replica, until, latest_start } => {
-                [1, *part, replica.0, *until, latest_start.unwrap_or(none)]
-            }
+            Action::SendAttempt {
+                part,
+                replica,
+                until,
+                latest_start,
+            } => [1, *part, replica.0, *until, latest_start.unwrap_or(none)],
             Action::CancelAttempt { part, attempt } => [2, *part, u64::from(*attempt), 0, 0],
             Action::Answer { query, complete } => [3, *query, u64::from(*complete), 0, 0],
             Action::Reject { query, retry_after } => [4, *query, retry_after.unwrap_or(none), 0, 0],
@@ -371,30 +502,46 @@
             Action::FetchEndpoints => [8, 0, 0, 0, 0],
             Action::CheckHealth { replica } => [9, replica.0, 0, 0, 0],
             Action::CloseIdleConnections { replica } => [10, replica.0, 0, 0, 0],
-            Action::SendGossip { to, bytes } => [11, to.map_or(none, u64::from), bytes.len() as u64, 0, 0],
+            Action::SendGossip { to, bytes } => {
+                [11, to.map_or(none, u64::from), bytes.len() as u64, 0, 0]
+            }
             Action::Log(_) => [12, 0, 0, 0, 0],
         };
-        words.iter().for_each(|word| self.digest.update(&word.to_le_bytes()));
+        words
+            .iter()
+            .for_each(|word| self.digest.update(&word.to_le_bytes()));
     }
 }
 
 fn line(seed: u64, digests: &[u64]) -> String {
-    let digests: Vec<String> = digests.iter().map(|digest| format!("{digest:016x}")).collect();
+    let digests: Vec<String> = digests
+        .iter()
+        .map(|digest| format!("{digest:016x}"))
+        .collect();
     format!("{seed} {}", digests.join(" "))
 }
 
 #[test]
 fn decisions_are_those_that_were_recorded() {
-    let lines: Vec<String> = (1..=SCENARIOS).map(|seed| line(seed, &Scenario::new(seed).run())).collect();
+    let lines: Vec<String> = (1..=SCENARIOS)
+        .map(|seed| line(seed, &Scenario::new(seed).run()))
+        .collect();
     let recorded: Vec<&str> = RECORDED.lines().collect();
-    let differing: Vec<&String> = lines.iter().filter(|line| !recorded.contains(&line.as_str())).collect();
+    let differing: Vec<&String> = lines
+        .iter()
+        .filter(|line| !recorded.contains(&line.as_str()))
+        .collect();
     assert!(
         differing.is_empty(),
         "{} scenarios differ; all lines now:\n{}",
         differing.len(),
         lines.join("\n")
     );
-    assert_eq!(recorded.len(), lines.len(), "one recorded line for each scenario");
+    assert_eq!(
+        recorded.len(),
+        lines.len(),
+        "one recorded line for each scenario"
+    );
 }
 
 /// What the recording is worth depends on how much of the policy the scenarios reach.
--- a/crates/simulator-adapter/src/wire.rs
+++ b/crates/simulator-adapter/src/wire.rs
@@ -188,13 +188,13 @@
         5 => Event::TimerFired {
             token: record.u64(3),
         },
-        6 => Event::AttemptEnded {
+        6 => Event::AttemptEnded(AttemptEnded {
             part: record.u64(3),
             attempt: record.u8(11),
             replica: record.replica(12),
             outcome: record.outcome(18)?,
             report: record.report(29),
-        },
+        }),
         7 => arrival(record),
         8 => list(record, rosters)?,
         9 => {
@@ -205,12 +205,12 @@
             }
         }
         10 => Event::ClientDisconnected { id: record.u64(3) },
-        11 => Event::HealthCheckEnded {
+        11 => Event::HealthCheckEnded(HealthCheckEnded {
             replica: record.replica(13),
             outcome: record.outcome(3)?,
             latency: record.u64(5),
             report: record.report(19),
-        },
+        }),
         other => return Err(format!("unknown event code {other}")),
     };
     Ok(Input::Event(event))
@@ -219,14 +219,14 @@
 fn arrival(record: &Fields) -> Event {
     let (id, group, shard) = (record.u64(3), record.f32(33) as u32, record.f32(11));
     if shard >= 0.0 {
-        return Event::PartReceived {
+        return Event::PartReceived(PartReceived {
             id,
             group,
             shard: shard as u32,
             weight: f64::from(record.f32(50)),
-        };
+        });
     }
-    Event::QueryReceived {
+    Event::QueryReceived(QueryReceived {
         id,
         group,
         class: record.u16(31),
@@ -234,7 +234,7 @@
         client_timeout: record.u64(15),
         work: (record.u8(49) & 1 != 0).then(|| record.u64(23)),
         is_retry: record.u8(49) & 2 != 0,
-    }
+    })
 }
 
 fn list(record: &Fields, rosters: &BTreeMap<u32, Roster>) -> Result<Event, String> {
