--- a/crates/policy/src/policy/completion.rs
+++ b/crates/policy/src/policy/completion.rs
@@ -63,8 +63,8 @@
         let threshold = self.settings.classes[query.class].completeness_threshold;
         let has_threshold = sums.answered_weight + tuning::WEIGHT_EPSILON >= threshold;
         let is_threshold_enough = query.step == 1 && has_threshold;
-        let is_whole = sums.all_answered && query.earlier_steps_complete;
-        sums.has_parts && (is_threshold_enough || is_whole)
+        let all_complete = sums.all_answered && query.earlier_steps_complete;
+        sums.has_parts && (is_threshold_enough || all_complete)
     }
 
     /// Whether an incomplete answer may be given.
--- a/crates/policy/src/policy/connection_renewal.rs
+++ b/crates/policy/src/policy/connection_renewal.rs
@@ -1,7 +1,7 @@
 //! Renewal of connections that were idle for long, and may have been dropped unnoticed.
 //!
 //! Invariant: renewal runs only while attempts on such connections are lost clearly more often than
-//! on others, and ends where it does not help, since all are lost alike (hang, cut or slow network).
+//! on others, and ends where it does not help: a hang, a cut or a slow network loses all alike.
 
 use super::*;
 
@@ -16,8 +16,8 @@
         if replica.outstanding.has_call_of(self.now) {
             return replica.connection;
         }
-        let was_heard = replica.outstanding.is_empty() && replica.last_heard > 0;
-        replica.connection = if !was_heard || self.now - replica.last_heard <= long {
+        let was_seen = replica.outstanding.is_empty() && replica.last_seen > 0;
+        replica.connection = if !was_seen || self.now - replica.last_seen <= long {
             ConnectionUse::Recent
         } else if self.now >= self.renewal.until {
             ConnectionUse::LongIdle
--- a/crates/policy/src/policy/hedging.rs
+++ b/crates/policy/src/policy/hedging.rs
@@ -48,7 +48,7 @@
         let Some(last) = last else { return false };
         let age = (self.now - last.sent) as f64;
         let replica = self.replicas.get(last.replica);
-        let is_silent = replica.is_none_or(|replica| replica.last_heard <= last.sent);
+        let is_silent = replica.is_none_or(|replica| replica.last_seen <= last.sent);
         let is_slow = age > self.hedging_delay(self.settings.step_objective(query.class));
         if !is_slow || !(is_confirmed || is_silent) {
             return false;
--- a/crates/policy/src/policy/outlier.rs
+++ b/crates/policy/src/policy/outlier.rs
@@ -13,8 +13,8 @@
         // A failed connection is lost capacity where the replica was heard lately or attempts are
         // rationed; elsewhere it may just be slow, and light parts dropped for it help nobody.
         let replica = self.replicas.get(attempt.replica);
-        let was_heard = replica.is_some_and(|replica| self.staleness(replica.last_heard) < 1.0);
-        let is_capacity_lost = was_heard || self.settings.retry_budget.is_some();
+        let was_seen = replica.is_some_and(|replica| self.staleness(replica.last_seen) < 1.0);
+        let is_capacity_lost = was_seen || self.settings.retry_budget.is_some();
         self.record_outcome(attempt, ended.outcome);
         let part = self.queries.part_mut(ended.part);
         let Some(part) = part else { return };
@@ -64,7 +64,7 @@
             Cancelled => age.max(known),
             _ => known.max(tuning::LATE_SHARE * self.objective),
         };
-        let is_overdue = age > self.hedging_delay(self.objective) && replica.last_heard <= sent;
+        let is_overdue = age > self.hedging_delay(self.objective) && replica.last_seen <= sent;
         let is_failure = outcome != Success && (outcome != Cancelled || is_overdue);
         let full_time = (tuning::FULL_SHARE * self.objective) as Nanos;
         let replica = self.replicas.get_mut(id);
@@ -104,7 +104,7 @@
     pub(super) fn record_failure(&mut self, id: ReplicaId, sent: Nanos) {
         let replica = self.replicas.get_mut(id);
         let Some(replica) = replica else { return };
-        if replica.last_heard > sent || self.now < replica.ejected_until {
+        if replica.last_seen > sent || self.now < replica.ejected_until {
             return;
         }
         let base = tuning::EJECTION_OBJECTIVES * self.objective;
--- a/crates/policy/src/policy/retry.rs
+++ b/crates/policy/src/policy/retry.rs
@@ -48,7 +48,7 @@
         part.attempts.len() < max_attempts && is_safe
     }
 
-    /// Whether one more retry is within the budget then. Classes with partial answers leave a share.
+    /// Whether a retry is within the budget then; classes with partial answers leave a share.
     pub(super) fn has_budget(&self, class: usize, at: Nanos) -> bool {
         let budget = self.settings.retry_budget.as_ref();
         let Some(budget) = budget else { return true };
--- a/crates/policy/src/state/mod.rs
+++ b/crates/policy/src/state/mod.rs
@@ -1,9 +1,13 @@
 //! Records of replicas, queries, parts and attempts: data and its bookkeeping, no decisions.
 
+mod part;
 mod query;
+mod query_table;
 mod replica;
 
-pub use query::{Attempt, InFlightAttempt, Part, Query, QueryTable, RaceWinner, StepSums};
+pub use part::{Attempt, InFlightAttempt, Part, RaceWinner};
+pub use query::{Query, StepSums};
+pub use query_table::QueryTable;
 pub use replica::{ConnectionUse, Replica, ReplicaTable};
 
 use crate::api::{Action, Nanos, ReplicaId, RequestId, Settings};
--- /dev/null
+++ b/crates/policy/src/state/part.rs
@@ -0,0 +1,194 @@
+//! Parts of queries and the attempts at them.
+
+use super::ConnectionUse;
+use crate::api::{
+    Action, AttemptOutcome, Idempotency, Nanos, PartReceived, QueryClass, ReplicaId, RequestId,
+};
+
+/// One attempt at a part.
+#[derive(Clone, Debug, Default)]
+pub struct Attempt {
+    /// The replica that it was sent to.
+    pub replica: ReplicaId,
+    /// When it was sent.
+    pub sent: Nanos,
+    /// It has not ended.
+    pub is_out: bool,
+    /// It is known not to have been executed.
+    pub not_executed: bool,
+    /// Its connection was lost.
+    pub connection_lost: bool,
+    /// A full replica rejected it.
+    pub rejected: bool,
+}
+
+impl Attempt {
+    /// An attempt that is sent now.
+    pub fn new(replica: ReplicaId, now: Nanos) -> Attempt {
+        Attempt {
+            replica,
+            sent: now,
+            is_out: true,
+            ..Attempt::default()
+        }
+    }
+
+    /// Records how the attempt ended.
+    pub fn end(&mut self, outcome: AttemptOutcome) {
+        use AttemptOutcome::{ConnectionLost, NotSent, Rejected, Unreachable};
+        self.is_out = false;
+        self.connection_lost = outcome == ConnectionLost;
+        self.rejected = outcome == Rejected;
+        self.not_executed = matches!(outcome, Rejected | Unreachable | NotSent);
+    }
+}
+
+/// Which of the attempts at a part that were out together was answered first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RaceWinner {
+    /// The first.
+    First,
+    /// A later one.
+    Later,
+}
+
+/// One part of a query.
+#[derive(Debug, Default)]
+pub struct Part {
+    /// Its identifier.
+    pub id: RequestId,
+    /// The shard that it asks.
+    pub shard: u32,
+    /// Its share of its step's weight.
+    pub weight: f64,
+    /// The step that it belongs to, from 1.
+    pub step: u8,
+    /// Its result is in.
+    pub is_answered: bool,
+    /// It is left out of the answer.
+    pub is_dropped: bool,
+    /// It counts in the overload signal already.
+    pub is_judged: bool,
+    /// The attempts so far.
+    pub attempts: Vec<Attempt>,
+}
+
+impl Part {
+    /// A part that has come in. A weight that is no number counts as none.
+    pub fn new(received: &PartReceived) -> Part {
+        let has_weight = received.weight.is_finite();
+        Part {
+            id: received.id,
+            shard: received.shard,
+            weight: if has_weight {
+                received.weight.max(0.0)
+            } else {
+                0.0
+            },
+            ..Part::default()
+        }
+    }
+
+    /// Whether an attempt has not ended.
+    pub fn has_attempt_out(&self) -> bool {
+        self.attempts.iter().any(|attempt| attempt.is_out)
+    }
+
+    /// Whether an attempt at this replica has not ended.
+    pub fn is_out_at(&self, replica: ReplicaId) -> bool {
+        self.attempts
+            .iter()
+            .any(|attempt| attempt.is_out && attempt.replica == replica)
+    }
+
+    /// Whether an attempt was sent to this replica.
+    pub fn has_tried(&self, replica: ReplicaId) -> bool {
+        self.attempts
+            .iter()
+            .any(|attempt| attempt.replica == replica)
+    }
+
+    /// The first attempt that may have been executed.
+    pub fn first_executed(&self) -> Option<&Attempt> {
+        self.attempts.iter().find(|attempt| !attempt.not_executed)
+    }
+
+    /// Records how the attempt with this number ended. Returns whether the first of several
+    /// attempts that were out has won, or a later one; none where there was no such race.
+    pub fn end_attempt(&mut self, number: u8, outcome: AttemptOutcome) -> Option<RaceWinner> {
+        let number = usize::from(number);
+        if let Some(attempt) = self.attempts.get_mut(number) {
+            attempt.end(outcome);
+        }
+        if outcome != AttemptOutcome::Success {
+            return None;
+        }
+        let was_answered = std::mem::replace(&mut self.is_answered, true);
+        if was_answered || !self.has_attempt_out() {
+            return None;
+        }
+        let mut earlier = self.attempts.iter().take(number);
+        Some(if earlier.all(|attempt| !attempt.is_out) {
+            RaceWinner::First
+        } else {
+            RaceWinner::Later
+        })
+    }
+
+    /// Ends the attempts that are out and requests their cancellation, if that is allowed.
+    pub fn cancel_attempts(&mut self, allowed: bool, actions: &mut Vec<Action>) {
+        let part = self.id;
+        for (attempt, record) in (0..).zip(&mut self.attempts) {
+            let was_out = std::mem::replace(&mut record.is_out, false);
+            if was_out && allowed {
+                actions.push(Action::CancelAttempt { part, attempt });
+            }
+        }
+    }
+
+    /// Until when a repeated attempt is dropped as a duplicate; none where it need not be.
+    pub fn idempotency_expiry(&self, class: &QueryClass) -> Option<Nanos> {
+        let has_window = class.idempotency == Idempotency::IdempotentWithKey;
+        let first = self.first_executed().filter(|_| has_window)?;
+        Some(first.sent + class.idempotency_window)
+    }
+
+    /// Whether one more attempt now can't have it executed twice.
+    pub fn is_safe_to_repeat(&self, class: &QueryClass, now: Nanos) -> bool {
+        match class.idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::IdempotentWithKey => {
+                let expiry = self.idempotency_expiry(class);
+                expiry.is_none_or(|expiry| now <= expiry)
+            }
+            Idempotency::NonIdempotent => self.first_executed().is_none(),
+        }
+    }
+
+    /// Whether a full replica rejected it and no other answered.
+    pub fn is_lost_to_full_replicas(&self) -> bool {
+        !self.is_answered && self.attempts.iter().any(|attempt| attempt.rejected)
+    }
+}
+
+/// An attempt that has not ended; it may outlive its query.
+#[derive(Clone, Copy, Debug)]
+pub struct InFlightAttempt {
+    /// The replica that it was sent to.
+    pub replica: ReplicaId,
+    /// When it was sent.
+    pub sent: Nanos,
+    /// The connection that it went out on.
+    pub connection: ConnectionUse,
+}
+
+impl InFlightAttempt {
+    /// An attempt that was sent then.
+    pub fn new(replica: ReplicaId, sent: Nanos, connection: ConnectionUse) -> InFlightAttempt {
+        InFlightAttempt {
+            replica,
+            sent,
+            connection,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/state/query_table.rs
@@ -0,0 +1,81 @@
+//! The queries that have not ended.
+
+use super::{Part, Query};
+use crate::api::RequestId;
+use std::collections::BTreeMap;
+
+/// The open queries, found by their own identifier, their group or one of their parts.
+#[derive(Debug, Default)]
+pub struct QueryTable {
+    queries: BTreeMap<RequestId, Query>,
+    groups: BTreeMap<u32, RequestId>,
+    owners: BTreeMap<RequestId, RequestId>,
+}
+
+impl QueryTable {
+    /// Adds a query that has come in.
+    pub fn insert(&mut self, query: Query) {
+        self.groups.insert(query.group, query.id);
+        self.queries.insert(query.id, query);
+    }
+
+    /// Adds a part to the query of its group and returns that query's identifier.
+    pub fn insert_part(&mut self, group: u32, mut part: Part) -> Option<RequestId> {
+        let owner = *self.groups.get(&group)?;
+        let query = self.queries.get_mut(&owner)?;
+        part.step = query.step;
+        self.owners.insert(part.id, owner);
+        query.parts.push(part);
+        Some(owner)
+    }
+
+    /// The part with this identifier.
+    pub fn part_mut(&mut self, id: RequestId) -> Option<&mut Part> {
+        let query = self.queries.get_mut(self.owners.get(&id)?)?;
+        query.parts.iter_mut().find(|part| part.id == id)
+    }
+
+    /// Takes a query out, to work on it; see [`QueryTable::put_back`].
+    pub fn take(&mut self, id: RequestId) -> Option<Query> {
+        self.queries.remove(&id)
+    }
+
+    /// Puts a query back that was taken out.
+    pub fn put_back(&mut self, query: Query) {
+        self.queries.insert(query.id, query);
+    }
+
+    /// Forgets what leads to a query that was taken out.
+    pub fn forget(&mut self, query: &Query) {
+        self.groups.remove(&query.group);
+        for part in &query.parts {
+            self.owners.remove(&part.id);
+        }
+    }
+
+    /// The identifiers of all queries, in order.
+    pub fn ids(&self) -> Vec<RequestId> {
+        self.queries.keys().copied().collect()
+    }
+
+    /// Whether no query is open.
+    pub fn is_empty(&self) -> bool {
+        self.queries.is_empty()
+    }
+
+    /// The number of queries of a class, without those taken out.
+    pub fn count_of_class(&self, class: usize) -> usize {
+        let of_class = |query: &&Query| query.class == class;
+        self.queries.values().filter(of_class).count()
+    }
+
+    /// The number of parts of open queries.
+    pub fn part_count(&self) -> usize {
+        self.owners.len()
+    }
+
+    /// The number of records held.
+    pub fn record_count(&self) -> usize {
+        self.queries.len() + self.groups.len() + self.owners.len()
+    }
+}
--- a/crates/policy/src/state/replica.rs
+++ b/crates/policy/src/state/replica.rs
@@ -32,7 +32,7 @@
     /// When `latency` last changed.
     pub latency_updated: Nanos,
     /// The last sign of life.
-    pub last_heard: Nanos,
+    pub last_seen: Nanos,
     /// Smoothed time between two results while it had work of ours, ns.
     pub result_interval: Ewma,
     /// When the last result came.
@@ -59,7 +59,7 @@
     /// For how long the oldest call has been out without a sign of life.
     pub fn oldest_age(&self, now: Nanos) -> Nanos {
         let oldest = self.outstanding.oldest();
-        oldest.map_or(0, |sent| now - sent.max(self.last_heard))
+        oldest.map_or(0, |sent| now - sent.max(self.last_seen))
     }
 
     /// The number of calls that are out; see [`OutstandingCalls::count`].
@@ -79,7 +79,7 @@
 
     /// The latest sign of life or measurement.
     pub fn last_news(&self) -> Nanos {
-        self.last_heard.max(self.latency_updated)
+        self.last_seen.max(self.latency_updated)
     }
 
     /// Records that a part is sent now; parts sent before `oldest` are no longer recent.
@@ -105,7 +105,7 @@
 
     /// Records a sign of life. Returns the connections of the attempts lost since the last one.
     pub fn record_sign_of_life(&mut self, now: Nanos) -> Vec<ConnectionUse> {
-        self.last_heard = now;
+        self.last_seen = now;
         self.is_outlier = false;
         self.ejected_until = 0;
         self.consecutive_failures = 0;
@@ -231,9 +231,9 @@
     /// Applies an update of the endpoint list. A replica that has restarted is as good as new.
     pub fn apply(&mut self, kind: EndpointUpdateKind, entries: &[ReplicaEntry]) {
         if kind != EndpointUpdateKind::Delta {
-            let listed: BTreeSet<ReplicaId> = entries.iter().map(|entry| entry.replica).collect();
+            let on_list: BTreeSet<ReplicaId> = entries.iter().map(|entry| entry.replica).collect();
             for (id, replica) in &mut self.replicas {
-                if !listed.contains(id) {
+                if !on_list.contains(id) {
                     replica.state = ReplicaState::Gone;
                 }
             }
--- /dev/null
+++ b/crates/policy/tests/completion.rs
@@ -0,0 +1,276 @@
+//! Completion: one end for each query, honest answers, and queries that are given up at once.
+
+mod support;
+
+use aggregator_policy::api::*;
+use support::{
+    all_attempts_ended, class, final_actions, sent_attempts, settings, PolicyHarness, MS,
+};
+
+#[test]
+fn same_events_give_the_same_actions() {
+    let play = || {
+        let mut harness = PolicyHarness::new(settings(vec![class(2000, 0.5)]), 5);
+        let mut all = Vec::new();
+        for i in 0..20 {
+            all.extend(harness.query(i * 30, 0, &[0.4, 0.3, 0.3]).1);
+        }
+        all.extend(harness.run_timers(600, 2500));
+        all
+    };
+    assert_eq!(play(), play());
+}
+
+#[test]
+fn every_query_ends_once_and_before_the_deadline() {
+    for late_value in [0.0, 0.3] {
+        let mut kind = class(2000, 1.0);
+        kind.late_value = late_value;
+        let mut harness = PolicyHarness::new(settings(vec![kind]), 3);
+        harness.query(0, 0, &[0.5, 0.5]);
+        let actions = harness.run_timers(0, 7000);
+        assert_eq!(final_actions(&actions), ["rejected"]);
+        let (_, last) = harness.query_with_timeout(7000, 0, &[1.0], 1);
+        assert_eq!(final_actions(&last).len(), 1, "no patience at all");
+    }
+}
+
+#[test]
+fn nothing_is_sent_for_a_query_whose_client_has_disconnected() {
+    let mut harness = PolicyHarness::new(settings(vec![class(2000, 1.0)]), 3);
+    let (id, actions) = harness.query(0, 0, &[1.0]);
+    let (part, replica) = sent_attempts(&actions)[0];
+    let lost = Event::AttemptEnded(AttemptEnded {
+        part,
+        attempt: 0,
+        replica,
+        outcome: AttemptOutcome::ConnectionLost,
+        report: vec![],
+    });
+    let after = harness.handle_at(50, &[lost, Event::ClientDisconnected { id }]);
+    assert!(sent_attempts(&after).is_empty() && final_actions(&after).is_empty());
+    let (id, _) = harness.query(60, 0, &[1.0]);
+    let gone = harness.handle_at(100, &[Event::ClientDisconnected { id }]);
+    assert!(
+        gone.contains(&Action::CancelAttempt {
+            part: id + 1,
+            attempt: 0
+        }),
+        "its work is cancelled"
+    );
+}
+
+#[test]
+fn a_part_counts_once_and_no_answer_is_below_minimum_coverage() {
+    let mut harness = PolicyHarness::new(settings(vec![class(2000, 0.6)]), 3);
+    let (id, actions) = harness.query(0, 0, &[0.5, 0.5]);
+    let replica = sent_attempts(&actions)[0].1;
+    harness.end_attempt(100, id + 1, 0, replica, AttemptOutcome::Success);
+    let again = harness.end_attempt(110, id + 1, 0, replica, AttemptOutcome::Success);
+    assert!(final_actions(&again).is_empty());
+    assert_eq!(final_actions(&harness.run_timers(120, 6000)), ["rejected"]);
+}
+
+#[test]
+fn partial_answer_is_sent_just_before_the_latency_objective() {
+    let mut harness = PolicyHarness::new(settings(vec![class(2000, 0.6)]), 3);
+    let (id, actions) = harness.query(0, 0, &[0.7, 0.3]);
+    harness.end_attempt(
+        100,
+        id + 1,
+        0,
+        sent_attempts(&actions)[0].1,
+        AttemptOutcome::Success,
+    );
+    assert!(final_actions(&harness.run_timers(110, 1900)).is_empty());
+    assert_eq!(final_actions(&harness.run_timers(1910, 1995)), ["partial"]);
+}
+
+#[test]
+fn complete_answer_is_sent_at_once_and_other_attempts_are_cancelled() {
+    let mut kind = class(2000, 1.0);
+    kind.completeness_threshold = 0.5;
+    kind.minimum_coverage = 0.5;
+    let mut harness = PolicyHarness::new(settings(vec![kind]), 3);
+    let (id, actions) = harness.query(0, 0, &[0.5, 0.5]);
+    let done = harness.end_attempt(
+        100,
+        id + 1,
+        0,
+        sent_attempts(&actions)[0].1,
+        AttemptOutcome::Success,
+    );
+    assert_eq!(final_actions(&done), ["complete"]);
+    assert!(done.contains(&Action::CancelAttempt {
+        part: id + 2,
+        attempt: 0
+    }));
+}
+
+#[test]
+fn second_step_is_complete_only_if_the_first_was() {
+    for (landing, word) in [(2, "complete"), (1, "partial")] {
+        let mut kind = class(2000, 0.4);
+        kind.second_step_parts = 1;
+        let mut harness = PolicyHarness::new(settings(vec![kind]), 3);
+        let (id, actions) = harness.query(0, 0, &[0.5, 0.5]);
+        let replica = sent_attempts(&actions)[0].1;
+        for part in 1..=landing {
+            harness.end_attempt(100, id + part, 0, replica, AttemptOutcome::Success);
+        }
+        let end = harness.run_timers(110, 1000);
+        assert!(
+            landing == 2 || final_actions(&end) == ["partial"],
+            "half of the objective is left for the second step"
+        );
+        let second = harness.handle_at(
+            1010,
+            &[Event::PartReceived(PartReceived {
+                id: id + 50,
+                group: 1,
+                shard: 0,
+                weight: 1.0,
+            })],
+        );
+        let (part, replica) = sent_attempts(&second)[0];
+        assert_eq!(
+            final_actions(&harness.end_attempt(1100, part, 0, replica, AttemptOutcome::Success)),
+            [word]
+        );
+    }
+}
+
+#[test]
+fn events_about_unknown_things_do_no_harm() {
+    let mut harness = PolicyHarness::new(settings(vec![class(2000, 0.5)]), 2);
+    harness.end_attempt(0, 9, 3, ReplicaId(77), AttemptOutcome::Success);
+    harness.handle_at(
+        1,
+        &[
+            Event::ClientDisconnected { id: 5 },
+            Event::TimerFired { token: 9 },
+        ],
+    );
+    harness.handle_at(
+        2,
+        &[Event::PartReceived(PartReceived {
+            id: 3,
+            group: 99,
+            shard: 0,
+            weight: 1.0,
+        })],
+    );
+    let (_, actions) = harness.query(3, 0, &[f64::NAN, -1.0, 1.0]);
+    assert_eq!(sent_attempts(&actions).len(), 3);
+    let (_, unknown_class) = harness.query(4, 9, &[1.0]);
+    assert!(sent_attempts(&unknown_class).is_empty());
+    harness.update_endpoints(EndpointUpdateKind::Snapshot, vec![]);
+    assert_eq!(
+        final_actions(&harness.query(5, 0, &[1.0]).1),
+        ["rejected"],
+        "no holder is left"
+    );
+    assert_eq!(final_actions(&harness.run_timers(10, 6000)).len(), 1);
+}
+
+/// Some queries bring down each replica that begins a part: asked again and again, they take the
+/// whole fleet.
+#[test]
+fn a_query_that_crashes_every_replica_is_sent_once() {
+    let mut harness = PolicyHarness::new(
+        Settings {
+            max_parts_per_call: None,
+            ..settings(vec![class(2000, 1.0)])
+        },
+        12,
+    );
+    let (_, actions) = harness.query(0, 0, &[0.25; 4]);
+    let sent = sent_attempts(&actions);
+    let broken = all_attempts_ended(&sent, AttemptOutcome::ConnectionLost);
+    let last = harness.handle_at(10, &broken);
+    assert!(sent_attempts(&last).is_empty(), "no replica more");
+    assert_eq!(final_actions(&last), ["rejected"], "at once");
+}
+
+#[test]
+fn a_query_that_met_dying_replicas_by_chance_is_retried() {
+    let mut harness = PolicyHarness::new(
+        Settings {
+            max_parts_per_call: None,
+            ..settings(vec![class(2000, 1.0)])
+        },
+        12,
+    );
+    let (_, actions) = harness.query(0, 0, &[0.2; 5]);
+    let sent = sent_attempts(&actions);
+    let first = harness.handle_at(
+        10,
+        &all_attempts_ended(&sent[..4], AttemptOutcome::ConnectionLost),
+    );
+    assert!(
+        sent_attempts(&first).is_empty() && final_actions(&first).is_empty(),
+        "held while a part may still land"
+    );
+    let landed = harness.handle_at(
+        150,
+        &all_attempts_ended(&sent[4..], AttemptOutcome::Success),
+    );
+    assert_eq!(sent_attempts(&landed).len(), 4, "it does no harm");
+}
+
+/// A whole answer that one part has made impossible is given up, though others are still out.
+#[test]
+fn a_query_that_cannot_reach_its_minimum_is_rejected_at_once() {
+    let once = Settings {
+        max_attempts: Some(1),
+        ..settings(vec![class(2000, 1.0)])
+    };
+    let mut harness = PolicyHarness::new(once, 4);
+    let (id, actions) = harness.query(0, 0, &[0.5, 0.5]);
+    let after = harness.end_attempt(
+        20,
+        id + 1,
+        0,
+        sent_attempts(&actions)[0].1,
+        AttemptOutcome::Unreachable,
+    );
+    assert_eq!(final_actions(&after), ["rejected"]);
+}
+
+/// No budget before the objective, or no holder left: waiting for a repeat that can't be sent is
+/// holding the query.
+#[test]
+fn a_query_whose_retry_cannot_be_sent_is_rejected_at_once() {
+    let spent = RetryBudget {
+        minimum: 0.0,
+        ratio: 0.0,
+        window: 10_000 * MS,
+    };
+    let mut harness = PolicyHarness::new(
+        Settings {
+            retry_budget: Some(spent),
+            ..settings(vec![class(2000, 1.0)])
+        },
+        4,
+    );
+    let (id, actions) = harness.query(0, 0, &[1.0]);
+    let after = harness.end_attempt(
+        20,
+        id + 1,
+        0,
+        sent_attempts(&actions)[0].1,
+        AttemptOutcome::Unreachable,
+    );
+    assert_eq!(final_actions(&after), ["rejected"], "no budget");
+    let mut harness = PolicyHarness::new(settings(vec![class(2000, 1.0)]), 1);
+    let (id, actions) = harness.query(0, 0, &[1.0]);
+    harness.update_endpoints(EndpointUpdateKind::Snapshot, vec![]);
+    let after = harness.end_attempt(
+        20,
+        id + 1,
+        0,
+        sent_attempts(&actions)[0].1,
+        AttemptOutcome::Unreachable,
+    );
+    assert_eq!(final_actions(&after), ["rejected"], "no holder");
+}
--- a/crates/policy/tests/recorded_decisions.rs
+++ b/crates/policy/tests/recorded_decisions.rs
@@ -1,8 +1,10 @@
-//! Seeded scenarios whose decisions are compared with those recorded from an earlier version of the policy.
+//! Seeded scenarios whose decisions are compared with those recorded from an earlier version of the
+//! policy.
 //!
-//! `recorded_decisions.txt` holds a line for each scenario: its seed, and a digest of all actions after every
-//! [`BATCHES_PER_DIGEST`] batches. A change that decides differently on purpose says so and renews the file with what
-//! the failing test prints; any other difference is a fault of the change.
+//! `recorded_decisions.txt` holds a line for each scenario: its seed, and a digest of all actions
+//! after every [`BATCHES_PER_DIGEST`] batches. A change that decides differently on purpose says so
+//! and renews the file with what the failing test prints; any other difference is a fault of the
+//! change.
 
 use aggregator_policy::api::*;
 use aggregator_policy::Policy;
@@ -18,10 +20,11 @@
 const BATCHES_PER_DIGEST: usize = 100;
 const RECORDED: &str = include_str!("recorded_decisions.txt");
 
-/// How replicas behave for a while: chances in 100 of each end of an attempt, and the usual latency.
+/// How replicas behave for a while: chances in 100 of each end of an attempt, and the usual
+/// latency.
 #[derive(Clone, Copy)]
 struct Weather {
-    refused: u32,
+    rejected: u32,
     error: u32,
     broken: u32,
     unreachable: u32,
@@ -32,7 +35,7 @@
 
 fn weather(random: &mut Rng) -> Weather {
     let calm = Weather {
-        refused: 1,
+        rejected: 1,
         error: 1,
         broken: 0,
         unreachable: 0,
@@ -42,7 +45,7 @@
     };
     match random.u32(..6) {
         0 => Weather {
-            refused: 40,
+            rejected: 40,
             queries_per_batch: 3,
             ..calm
         },
@@ -63,7 +66,7 @@
         },
         4 => Weather {
             error: 30,
-            refused: 10,
+            rejected: 10,
             ..calm
         },
         _ => calm,
@@ -253,13 +256,13 @@
                 entries: vec![member.clone()],
             };
         }
-        let listed = self
+        let on_list = self
             .entries
             .iter()
             .filter(|member| member.state != ReplicaState::Gone);
         Event::EndpointsUpdated {
             kind: EndpointUpdateKind::Snapshot,
-            entries: listed.cloned().collect(),
+            entries: on_list.cloned().collect(),
         }
     }
 
@@ -407,7 +410,7 @@
         *count += 1;
         let roll = self.random.u32(..100);
         let Weather {
-            refused,
+            rejected,
             error,
             broken,
             unreachable,
@@ -417,7 +420,7 @@
         } = self.weather;
         let took = latency / 2 + self.random.u64(..latency);
         let ends = [
-            (refused, AttemptOutcome::Rejected, 2 * MS),
+            (rejected, AttemptOutcome::Rejected, 2 * MS),
             (error, AttemptOutcome::Error, took / 4),
             (broken, AttemptOutcome::ConnectionLost, took),
             (unreachable, AttemptOutcome::Unreachable, 3 * MS),
@@ -483,7 +486,8 @@
         }
     }
 
-    /// Adds an action to the digest. The text of a log line is not a decision, that there is one is.
+    /// Adds an action to the digest. The text of a log line is not a decision, that there is one
+    /// is.
     fn record(&mut self, action: &Action) {
         let none = u64::MAX;
         let words: [u64; 5] = match action {
--- /dev/null
+++ b/crates/policy/tests/replica_selection.rs
@@ -0,0 +1,79 @@
+//! Replica selection by latency, outstanding calls and zone.
+
+mod support;
+
+use aggregator_policy::api::*;
+use support::{class, ready_replica, sent_attempts, settings, PolicyHarness};
+
+#[test]
+fn parts_of_one_query_share_a_call() {
+    let mut harness = PolicyHarness::new(settings(vec![class(2000, 1.0)]), 3);
+    let (_, actions) = harness.query(0, 0, &[0.25; 4]);
+    let sent = sent_attempts(&actions);
+    assert_eq!(sent.len(), 4);
+    assert!(sent.iter().all(|(_, r)| *r == sent[0].1));
+}
+
+#[test]
+fn parts_spread_where_calls_are_not_shared() {
+    let mut alone = settings(vec![class(2000, 1.0)]);
+    alone.max_parts_per_call = None;
+    let mut harness = PolicyHarness::new(alone, 3);
+    let (_, actions) = harness.query(0, 0, &[1.0 / 3.0; 3]);
+    let used: std::collections::BTreeSet<_> = sent_attempts(&actions)
+        .into_iter()
+        .map(|(_, r)| r)
+        .collect();
+    assert_eq!(used.len(), 3);
+}
+
+#[test]
+fn least_latency_times_open_calls_plus_one_is_selected() {
+    let mut harness = PolicyHarness::new(settings(vec![class(2000, 1.0)]), 2);
+    let slow = harness.serve_query(0, 400);
+    let fast = ReplicaId(3 - slow.0);
+    let mut at = 500;
+    for _ in 0..20 {
+        let (id, actions) = harness.query(at, 0, &[1.0]);
+        let (_, replica) = sent_attempts(&actions)[0];
+        let took = if replica == fast { 100 } else { 450 };
+        harness.end_attempt(at + took, id + 1, 0, replica, AttemptOutcome::Success);
+        at += 500;
+    }
+    let (_, first) = harness.query(at + 500, 0, &[1.0]);
+    assert_eq!(sent_attempts(&first)[0].1, fast);
+}
+
+/// Each part that crosses zones costs points, whatever the load: while there is time, a short queue
+/// at the near replica is better than crossing, and a long one is not.
+#[test]
+fn a_replica_in_the_same_zone_is_preferred_while_its_queue_is_short() {
+    let priced = Settings {
+        zone: 1,
+        cross_zone_price: 0.04,
+        max_parts_per_call: None,
+        ..settings(vec![class(2000, 1.0)])
+    };
+    let mut harness = PolicyHarness::new(priced, 0);
+    harness.update_endpoints(
+        EndpointUpdateKind::Snapshot,
+        vec![
+            ready_replica(1),
+            ReplicaEntry {
+                zone: 1,
+                ..ready_replica(2)
+            },
+            ready_replica(3),
+        ],
+    );
+    let sent = sent_attempts(&harness.query(0, 0, &[0.4, 0.3, 0.3]).1);
+    let near = sent
+        .iter()
+        .map(|(_, replica)| *replica == ReplicaId(2))
+        .collect::<Vec<_>>();
+    assert_eq!(
+        near,
+        [true, true, false],
+        "one in its queue costs less than crossing, two cost more"
+    );
+}
--- /dev/null
+++ b/crates/policy/tests/retry.rs
@@ -0,0 +1,146 @@
+//! Retries: idempotency, the limit on attempts and the retry budget.
+
+mod support;
+
+use aggregator_policy::api::*;
+use support::{
+    all_attempts_ended, class, final_actions, sent_attempts, settings, PolicyHarness, MS,
+};
+
+#[test]
+fn a_non_idempotent_part_that_may_have_run_is_neither_retried_nor_rejected() {
+    let mut kind = class(2000, 1.0);
+    kind.idempotency = Idempotency::NonIdempotent;
+    let mut harness = PolicyHarness::new(settings(vec![kind]), 3);
+    let (id, actions) = harness.query(0, 0, &[1.0]);
+    let replica = sent_attempts(&actions)[0].1;
+    let again = harness.end_attempt(10, id + 1, 0, replica, AttemptOutcome::Unreachable);
+    assert_eq!(
+        sent_attempts(&again).len(),
+        1,
+        "it never ran, so it may go again"
+    );
+    let lost = harness.end_attempt(
+        20,
+        id + 1,
+        1,
+        sent_attempts(&again)[0].1,
+        AttemptOutcome::ConnectionLost,
+    );
+    assert!(sent_attempts(&lost).is_empty());
+    assert_eq!(final_actions(&lost), ["failed"]);
+}
+
+#[test]
+fn a_part_with_idempotency_key_is_retried_only_inside_its_window() {
+    for (at, resent) in [(300, 1), (900, 0)] {
+        let mut kind = class(2000, 1.0);
+        kind.idempotency = Idempotency::IdempotentWithKey;
+        kind.idempotency_window = 500 * MS;
+        let mut harness = PolicyHarness::new(
+            Settings {
+                hedging_allowed: false,
+                ..settings(vec![kind])
+            },
+            3,
+        );
+        let (id, actions) = harness.query(0, 0, &[1.0]);
+        let after = harness.end_attempt(
+            at,
+            id + 1,
+            0,
+            sent_attempts(&actions)[0].1,
+            AttemptOutcome::ConnectionLost,
+        );
+        assert_eq!(sent_attempts(&after).len(), resent);
+    }
+}
+
+#[test]
+fn the_retry_budget_holds_up_to_the_edge_of_its_window() {
+    let mut tight = settings(vec![class(2000, 1.0)]);
+    tight.retry_budget = Some(RetryBudget {
+        minimum: 1.0,
+        ratio: 0.0,
+        window: 1000 * MS,
+    });
+    let mut harness = PolicyHarness::new(tight, 3);
+    let (first, actions) = harness.query(0, 0, &[1.0]);
+    let spent = harness.end_attempt(
+        10,
+        first + 1,
+        0,
+        sent_attempts(&actions)[0].1,
+        AttemptOutcome::Error,
+    );
+    assert_eq!(sent_attempts(&spent).len(), 1);
+    harness.end_attempt(
+        15,
+        first + 1,
+        1,
+        sent_attempts(&spent)[0].1,
+        AttemptOutcome::Success,
+    );
+    let (second, actions) = harness.query(20, 0, &[1.0]);
+    harness.end_attempt(
+        30,
+        second + 1,
+        0,
+        sent_attempts(&actions)[0].1,
+        AttemptOutcome::Error,
+    );
+    let resent = |actions: &[Action]| {
+        sent_attempts(actions)
+            .iter()
+            .filter(|(part, _)| *part == second + 1)
+            .count()
+    };
+    assert_eq!(resent(&harness.run_timers(40, 1010)), 0);
+    assert_eq!(resent(&harness.run_timers(1020, 1100)), 1);
+}
+
+#[test]
+fn no_more_attempts_than_allowed() {
+    let mut harness = PolicyHarness::new(
+        Settings {
+            max_attempts: Some(2),
+            ..settings(vec![class(2000, 1.0)])
+        },
+        3,
+    );
+    let (id, mut actions) = harness.query(0, 0, &[1.0]);
+    for attempt in 0..2 {
+        let replica = sent_attempts(&actions)[0].1;
+        actions = harness.end_attempt(
+            10 + u64::from(attempt),
+            id + 1,
+            attempt,
+            replica,
+            AttemptOutcome::Error,
+        );
+    }
+    assert!(sent_attempts(&actions).is_empty());
+    assert_eq!(final_actions(&actions), ["rejected"], "given up at once");
+}
+
+/// A tight budget: attempts for queries that may do without a part must not starve those that need
+/// every one.
+#[test]
+fn half_of_the_budget_is_kept_for_classes_without_partial_answers() {
+    let mut tight = settings(vec![class(2000, 0.5), class(2000, 1.0)]);
+    tight.retry_budget = Some(RetryBudget {
+        minimum: 4.0,
+        ratio: 0.0,
+        window: 1000 * MS,
+    });
+    tight.max_parts_per_call = None;
+    let mut harness = PolicyHarness::new(tight, 20);
+    let again: Vec<usize> = [0, 1]
+        .map(|class| {
+            let (_, actions) = harness.query(100 * u64::from(class), class, &[0.1; 10]);
+            let lost = all_attempts_ended(&sent_attempts(&actions), AttemptOutcome::Error);
+            sent_attempts(&harness.handle_at(100 * u64::from(class) + 20, &lost)).len()
+        })
+        .into();
+    assert_eq!(again, [2, 2]);
+}
--- /dev/null
+++ b/crates/policy/tests/support/mod.rs
@@ -0,0 +1,211 @@
+//! A policy with hand-made events, and short forms of what the tests look for in its actions.
+
+#![allow(dead_code)] // Each test file uses its own part of it.
+
+use aggregator_policy::api::*;
+use aggregator_policy::Policy;
+
+pub const MS: u64 = 1_000_000;
+pub const START: u64 = 100_000 * MS;
+
+pub fn class(latency_objective: u64, minimum_coverage: f64) -> QueryClass {
+    QueryClass {
+        latency_objective: latency_objective * MS,
+        deadline: 3 * latency_objective * MS,
+        completeness_threshold: 1.0,
+        minimum_coverage,
+        partial_value: 0.9,
+        ..QueryClass::default()
+    }
+}
+
+pub fn settings(classes: Vec<QueryClass>) -> Settings {
+    Settings {
+        classes,
+        placement_cells: 1,
+        cells_per_shard: 1,
+        max_parts_per_call: Some(16),
+        aggregators: 2,
+        tick: 5 * MS,
+        max_attempts: Some(4),
+        cancellation_allowed: true,
+        hedging_allowed: true,
+        max_retry_after: 1000 * MS,
+        ..Settings::default()
+    }
+}
+
+/// One class that needs every part, and clients that mark their repeats.
+pub fn settings_with_marked_retries() -> Settings {
+    Settings {
+        retries_marked: true,
+        ..settings(vec![class(2000, 1.0)])
+    }
+}
+
+pub fn ready_replica(replica: u64) -> ReplicaEntry {
+    ReplicaEntry {
+        replica: ReplicaId(replica),
+        cell: 0,
+        zone: 0,
+        started: 0,
+        state: ReplicaState::Ready,
+    }
+}
+
+/// One aggregator with the actions of its last batch.
+pub struct PolicyHarness {
+    pub policy: Policy,
+    pub now: u64,
+    pub next: u64,
+}
+
+impl PolicyHarness {
+    pub fn new(settings: Settings, replicas: u64) -> PolicyHarness {
+        let mut harness = PolicyHarness {
+            policy: Policy::new(settings, 7),
+            now: START,
+            next: 1,
+        };
+        harness.update_endpoints(
+            EndpointUpdateKind::Cached,
+            (1..=replicas).map(ready_replica).collect(),
+        );
+        harness
+    }
+
+    pub fn handle_at(&mut self, ms: u64, events: &[Event]) -> Vec<Action> {
+        self.now = START + ms * MS;
+        let mut actions = Vec::new();
+        self.policy.handle(self.now, events, &mut actions);
+        actions
+    }
+
+    pub fn update_endpoints(&mut self, kind: EndpointUpdateKind, entries: Vec<ReplicaEntry>) {
+        let ms = (self.now - START) / MS;
+        self.handle_at(ms, &[Event::EndpointsUpdated { kind, entries }]);
+    }
+
+    /// A query of class 0 with parts of these weights, at shards 0, 1, ...; its id and the actions.
+    /// The parts' ids follow the query's.
+    pub fn query(&mut self, ms: u64, class: u16, weights: &[f64]) -> (u64, Vec<Action>) {
+        let client_timeout = 6000 * MS;
+        self.query_with_timeout(ms, class, weights, client_timeout)
+    }
+
+    pub fn query_with_timeout(
+        &mut self,
+        ms: u64,
+        class: u16,
+        weights: &[f64],
+        client_timeout: u64,
+    ) -> (u64, Vec<Action>) {
+        self.send_query(ms, class, weights, client_timeout, false)
+    }
+
+    pub fn send_query(
+        &mut self,
+        ms: u64,
+        class: u16,
+        weights: &[f64],
+        client_timeout: u64,
+        is_retry: bool,
+    ) -> (u64, Vec<Action>) {
+        let (id, group) = (self.next * 100, self.next as u32);
+        self.next += 1;
+        let mut events = vec![Event::QueryReceived(QueryReceived {
+            id,
+            group,
+            class,
+            tenant: 0,
+            client_timeout,
+            work: None,
+            is_retry,
+        })];
+        for (i, weight) in weights.iter().enumerate() {
+            events.push(Event::PartReceived(PartReceived {
+                id: id + 1 + i as u64,
+                group,
+                shard: i as u32,
+                weight: *weight,
+            }));
+        }
+        (id, self.handle_at(ms, &events))
+    }
+
+    pub fn end_attempt(
+        &mut self,
+        ms: u64,
+        part: u64,
+        attempt: u8,
+        replica: ReplicaId,
+        outcome: AttemptOutcome,
+    ) -> Vec<Action> {
+        self.handle_at(ms, &[attempt_ended(part, attempt, replica, outcome)])
+    }
+
+    pub fn fire_timer(&mut self, ms: u64) -> Vec<Action> {
+        self.handle_at(ms, &[Event::TimerFired { token: 0 }])
+    }
+
+    /// Ticks every 10 ms from one time to another and gathers what is done.
+    pub fn run_timers(&mut self, from: u64, to: u64) -> Vec<Action> {
+        (from / 10..=to / 10)
+            .flat_map(|t| self.fire_timer(t * 10))
+            .collect()
+    }
+
+    /// A query of one part that is answered after `took` ms.
+    pub fn serve_query(&mut self, ms: u64, took: u64) -> ReplicaId {
+        let (id, actions) = self.query(ms, 0, &[1.0]);
+        let (_, replica) = sent_attempts(&actions)[0];
+        self.end_attempt(ms + took, id + 1, 0, replica, AttemptOutcome::Success);
+        replica
+    }
+}
+
+pub fn attempt_ended(part: u64, attempt: u8, replica: ReplicaId, outcome: AttemptOutcome) -> Event {
+    Event::AttemptEnded(AttemptEnded {
+        part,
+        attempt,
+        replica,
+        outcome,
+        report: vec![f32::NAN],
+    })
+}
+
+/// The end of all these first attempts.
+pub fn all_attempts_ended(sent: &[(u64, ReplicaId)], outcome: AttemptOutcome) -> Vec<Event> {
+    sent.iter()
+        .map(|(part, replica)| attempt_ended(*part, 0, *replica, outcome))
+        .collect()
+}
+
+/// What is sent, in order, as part and replica.
+pub fn sent_attempts(actions: &[Action]) -> Vec<(u64, ReplicaId)> {
+    let send = |a: &Action| match a {
+        Action::SendAttempt { part, replica, .. } => Some((*part, *replica)),
+        _ => None,
+    };
+    actions.iter().filter_map(send).collect()
+}
+
+/// Final words on queries: "complete", "partial", "rejected" or "failed".
+pub fn final_actions(actions: &[Action]) -> Vec<&'static str> {
+    let word = |a: &Action| match a {
+        Action::Answer { complete: true, .. } => Some("complete"),
+        Action::Answer {
+            complete: false, ..
+        } => Some("partial"),
+        Action::Reject { .. } => Some("rejected"),
+        Action::Fail { .. } => Some("failed"),
+        _ => None,
+    };
+    actions.iter().filter_map(word).collect()
+}
+
+pub fn has_log_line(actions: &[Action], word: &str) -> bool {
+    actions
+        .iter()
+        .any(|a| matches!(a, Action::Log(text) if text.contains(word)))
+}
