--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,13 @@
-.PHONY: build test lint run demo prove-ledger bench-ledger prove-opensearch
+.PHONY: build check test lint run demo try prove-ledger bench-ledger prove-opensearch
 
 build:
 	cargo build --release --locked
 
+# That the programs start, and that the sample settings are valid.
+check: build
+	target/release/query-aggregator --version
+	target/release/query-aggregator check --settings deploy/query-aggregator.ini > /dev/null
+
 # The programs first: the proofs start them.
 test:
 	cargo build --locked --workspace
@@ -16,11 +21,15 @@
 demo: build
 	exec target/release/demo
 
-# One mixer with the configuration that BALANCER_CONFIG names.
+# The same for five seconds; fails if no query is answered.
+try: build
+	exec target/release/demo --seconds 5
+
+# One aggregator with the configuration that BALANCER_CONFIG names.
 run: build
 	exec target/release/query-aggregator
 
-# Three mixers, two of everything that can go wrong, and the totals set beside what the clients sent.
+# Three aggregators, two of everything that can go wrong, and the totals set beside what the clients sent.
 prove-ledger: build
 	exec target/release/prove-ledger $(ARGS)
 
@@ -28,6 +37,6 @@
 bench-ledger: build
 	exec target/release/bench-ledger $(ARGS)
 
-# The same searches through both fronts, each page against the exact one.
+# The same searches through both frontends, each page against the exact one.
 prove-opensearch: build
 	exec target/release/prove-opensearch $(ARGS)
