Split the protocols into messages, parsers and codecs, one file each

Names were house words (`Names`, `End`, `Scan::on`), limits had no unit, and errors of a body's framing and of discovery's messages crossed modules as strings.

`protocol/http` now has one file each for heads, bodies, responses, the server codec, the watch codec and the scanner for the ends of its messages; `leaf` has its messages apart from the codec, `query` request parsing apart from reply rendering. Limits are named constants with their unit, frame kinds are named, functions fit on a screen, framing errors and malformed updates are `thiserror` enums. `Names` is `NameTables`, `leaf::End` is `PartStatus` (the old name stays until the engine follows). `ServerCodec::is_dead`, which nobody called, is gone.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -4,7 +4,7 @@
 use crate::api::Settings;
 use crate::net::Addresses;
 use crate::protocol::discovery::EndpointUpdate;
-use crate::protocol::query::Names;
+use crate::protocol::query::NameTables;
 use crate::settings::{self, Site};
 use serde::Deserialize;
 use serde_json::Value;
@@ -48,7 +48,7 @@
     pub descriptors: usize,
     pub known: EndpointUpdate,
     pub addresses: Addresses,
-    pub names: Names,
+    pub names: NameTables,
 }
 
 impl Config {
@@ -58,7 +58,7 @@
         let (settings, site) = (settings::parse(&text)?, settings::site(&text)?);
         let seed =
             u64::from_str_radix(&file.seed, 16).map_err(|_| format!("bad seed '{}'", file.seed))?;
-        let names = Names {
+        let names = NameTables {
             classes: site.classes.clone(),
             tenants: site.tenants.clone(),
             deadlines: site.deadlines.clone(),
--- a/crates/core/src/net/clients.rs
+++ b/crates/core/src/net/clients.rs
@@ -2,7 +2,7 @@
 
 use super::{Shared, MOST_COMMANDS};
 use crate::engine::{ClientId, Input};
-use crate::protocol::http::{Request, RequestError, Response, ServerCodec, MOST_BODY};
+use crate::protocol::http::{Request, RequestError, Response, ServerCodec, MAX_BODY_BYTES};
 use crate::protocol::query::{self, Reply};
 use futures_util::{FutureExt, SinkExt, StreamExt};
 use std::collections::VecDeque;
@@ -35,7 +35,7 @@
 
 /// Requests that a client may send ahead of its answers, and the bytes of their bodies.
 const MOST_AHEAD: usize = 256;
-const MOST_AHEAD_BYTES: usize = MOST_BODY;
+const MOST_AHEAD_BYTES: usize = MAX_BODY_BYTES;
 
 /// Accepts until no more connections are to be taken, and then what waits to be accepted: a
 /// listener that closes resets it.
@@ -139,7 +139,7 @@
             .map_or(0, |request: &Request| request.body.len())
             .min(ahead_bytes);
         let keep = incoming.as_ref().is_ok_and(|request| request.keep_alive);
-        let asked = incoming.and_then(|request| query::read(&request, &shared.names));
+        let asked = incoming.and_then(|request| query::parse_request(&request, &shared.names));
         // Who sends what can't be used does so again as soon as it is told: not on this connection.
         let keep = keep && asked.is_ok();
         if shared
@@ -170,7 +170,7 @@
                         let next: Incoming = next?;
                         ahead_bytes += next.as_ref().map_or(0, |request| request.body.len());
                         if next.is_ok() && (ahead.len() >= MOST_AHEAD || ahead_bytes > MOST_AHEAD_BYTES) {
-                            connection.codec_mut().give_up();
+                            connection.codec_mut().discard_input();
                             let why = "too many requests ahead of their answers";
                             ahead.push_back((shared.clock.now(), Err(RequestError { status: 429, why })));
                         } else {
@@ -184,10 +184,10 @@
         if close && !closing {
             // What was read is answered; what comes from now on is not ours to take.
             closing = true;
-            connection.codec_mut().give_up();
+            connection.codec_mut().discard_input();
         }
         let last = !keep || closing && ahead.is_empty();
-        respond(connection, query::render(&reply, last)).await?;
+        respond(connection, query::render_reply(&reply, last)).await?;
         answered = true;
         if last {
             return Ok(End::Closed { answered });
@@ -199,7 +199,7 @@
 /// such as are still on their way, would reset the connection, and the reset can overtake the last
 /// answer. What is read now is thrown away: the client sees that the end has crossed it.
 async fn linger(shared: &Shared, connection: &mut Connection) {
-    connection.codec_mut().give_up();
+    connection.codec_mut().discard_input();
     let _ = connection.get_mut().shutdown().await;
     let rest = async { while let Some(Ok(_)) = connection.next().await {} };
     shared.lingering.set(shared.lingering.get() + 1);
@@ -252,7 +252,7 @@
             next = super::message(connection, &mut begun, WHOLE_REQUEST) => match next {
                 Ok(next) => return Next::read(next),
                 Err(_) if in_request(connection) => {
-                    connection.codec_mut().give_up();
+                    connection.codec_mut().discard_input();
                     let late = RequestError { status: 408, why: "the request took too long" };
                     return Ok(Next::Request(Err(late)));
                 }
--- a/crates/core/src/net/internal_client.rs
+++ b/crates/core/src/net/internal_client.rs
@@ -5,7 +5,7 @@
 use super::{Shared, MOST_COMMANDS};
 use crate::api::Nanos;
 use crate::engine::{ClientId, Input};
-use crate::protocol::query::{ClientRequest, Names, Query, Reply};
+use crate::protocol::query::{ClientRequest, NameTables, Query, Reply};
 use std::rc::Rc;
 use tokio::sync::mpsc;
 
@@ -46,7 +46,7 @@
     }
 
     /// What classes and tenants are called, and the bounds of a query.
-    pub fn names(&self) -> &Rc<Names> {
+    pub fn names(&self) -> &Rc<NameTables> {
         &self.shared.names
     }
 
--- a/crates/core/src/net/mod.rs
+++ b/crates/core/src/net/mod.rs
@@ -15,7 +15,7 @@
 pub use ledger::UsageRecorder;
 
 use crate::engine::{ClientId, ConnectionId, Effect, Engine, Input};
-use crate::protocol::query::{Names, Reply};
+use crate::protocol::query::{NameTables, Reply};
 use futures_util::StreamExt;
 use ledger::Ledger;
 use pool::Pool;
@@ -70,7 +70,7 @@
     /// needed.
     lingering: Rc<Cell<usize>>,
     room_needed: Rc<Notify>,
-    names: Rc<Names>,
+    names: Rc<NameTables>,
     last_client: Rc<Cell<ClientId>>,
     /// Set once no more connections are to be taken.
     stopped: Rc<latest::Sender<bool>>,
@@ -151,7 +151,7 @@
 pub async fn serve(
     mut state: Engine,
     clock: Clock,
-    names: Names,
+    names: NameTables,
     listener: TcpListener,
     addresses: Addresses,
     mut told: mpsc::Receiver<OperatorSignal>,
--- a/crates/core/src/net/watch.rs
+++ b/crates/core/src/net/watch.rs
@@ -83,8 +83,8 @@
         let Some(message) = message else {
             return Err(ErrorKind::UnexpectedEof.into());
         };
-        let listing =
-            discovery::message(&message?).map_err(|e| io::Error::new(ErrorKind::InvalidData, e))?;
+        let listing = discovery::parse_message(&message?)
+            .map_err(|e| io::Error::new(ErrorKind::InvalidData, e))?;
         if let Some(listing) = listing {
             let next = listing.index;
             let _ = shared.inputs.send(Input::EndpointsUpdated(listing)).await;
--- a/crates/core/src/protocol/discovery.rs
+++ b/crates/core/src/protocol/discovery.rs
@@ -1,45 +1,59 @@
-//! The list of leaf servers as discovery writes it: a whole list, or the lines that have changed.
+//! The endpoint list as discovery sends it: a snapshot, or a delta to the previous list.
 
 use serde::Deserialize;
 
-/// One leaf server as listed.
+/// One leaf server on the list.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct Endpoint {
+    /// Its unique name.
     pub name: String,
+    /// Its address, as `host:port`.
     pub address: String,
+    /// The zone that it runs in; empty if unknown.
     #[serde(default)]
     pub zone: String,
+    /// The group of shards that it holds.
     pub group: u16,
+    /// Whether it takes queries.
     pub status: Status,
     /// Its last start, in Unix milliseconds; 0 means long ago.
     #[serde(default)]
     pub since_ms: u64,
 }
 
+/// The status of a leaf server on the list.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
 #[serde(rename_all = "lowercase")]
 pub enum Status {
+    /// It takes queries.
     Up,
+    /// It finishes what it has and takes nothing new.
     Draining,
+    /// It is gone.
     Removed,
 }
 
-/// A message of discovery: with `snapshot` the complete list, else the changes since the one
-/// before.
+/// One message of a watch on the list.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq)]
 pub struct EndpointUpdate {
+    /// The version of the list after this update.
     pub index: u64,
+    /// `endpoints` is the complete list, and not the changes since the previous version.
     pub snapshot: bool,
+    /// The leaf servers that are listed or have changed.
     pub endpoints: Vec<Endpoint>,
 }
 
-/// Reads one message of a watch; none for the empty line that only shows that the watch lives.
-pub fn message(bytes: &[u8]) -> Result<Option<EndpointUpdate>, String> {
+/// A message of a watch that is not an endpoint update.
+#[derive(Debug, thiserror::Error)]
+#[error(transparent)]
+pub struct MalformedUpdate(#[from] serde_json::Error);
+
+/// Parses one message of a watch; none for an empty message, which is the agent's heartbeat.
+pub fn parse_message(bytes: &[u8]) -> Result<Option<EndpointUpdate>, MalformedUpdate> {
     let bytes = bytes.trim_ascii();
     if bytes.is_empty() {
         return Ok(None);
     }
-    serde_json::from_slice(bytes)
-        .map(Some)
-        .map_err(|e| e.to_string())
+    Ok(Some(serde_json::from_slice(bytes)?))
 }
--- /dev/null
+++ b/crates/core/src/protocol/http/server.rs
@@ -0,0 +1,86 @@
+//! The server's side of a connection: requests in, responses out.
+
+use super::body::BodyError;
+use super::head::RequestHead;
+use super::{Request, RequestError, Response, MAX_BODY_BYTES};
+use bytes::BytesMut;
+use std::io;
+use tokio_util::codec::{Decoder, Encoder};
+
+/// The server's side of one connection. After an invalid request it discards all that follows, as
+/// the start of the next request is unknown.
+#[derive(Default)]
+pub struct ServerCodec {
+    head: Option<RequestHead>,
+    body: BytesMut,
+    discards_input: bool,
+}
+
+impl ServerCodec {
+    /// Whether the head of a request has been read and its body is not complete.
+    pub fn in_request(&self) -> bool {
+        self.head.is_some()
+    }
+
+    /// Stops reading requests: what is left of the current one and all that follows is discarded.
+    pub fn discard_input(&mut self) {
+        self.discards_input = true;
+    }
+
+    fn read_request(&mut self, src: &mut BytesMut) -> Result<Option<Request>, RequestError> {
+        if self.head.is_none() {
+            self.head = RequestHead::parse(src)?;
+        }
+        let Some(head) = &mut self.head else {
+            return Ok(None);
+        };
+        let complete = head
+            .body_reader
+            .read(src, &mut self.body, MAX_BODY_BYTES)
+            .map_err(|error| match error {
+                BodyError::MalformedChunk => RequestError::bad_request("bad chunk"),
+                BodyError::TooLarge => RequestError::BODY_TOO_LARGE,
+            })?;
+        if !complete {
+            return Ok(None);
+        }
+        let body = std::mem::take(&mut self.body).freeze();
+        Ok(self.head.take().map(|head| Request {
+            body,
+            ..head.request
+        }))
+    }
+}
+
+impl Decoder for ServerCodec {
+    type Item = Result<Request, RequestError>;
+    type Error = io::Error;
+
+    fn decode(&mut self, src: &mut BytesMut) -> io::Result<Option<Self::Item>> {
+        if self.discards_input {
+            src.clear();
+            return Ok(None);
+        }
+        let item = self.read_request(src).transpose();
+        self.discards_input = matches!(item, Some(Err(_)));
+        Ok(item)
+    }
+
+    /// A client may close with half a request sent; it has disconnected, which is no error here.
+    fn decode_eof(&mut self, src: &mut BytesMut) -> io::Result<Option<Self::Item>> {
+        let item = self.decode(src)?;
+        if item.is_none() {
+            src.clear();
+        }
+        Ok(item)
+    }
+}
+
+impl Encoder<Response> for ServerCodec {
+    type Error = io::Error;
+
+    fn encode(&mut self, response: Response, dst: &mut BytesMut) -> io::Result<()> {
+        response.encode(dst);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/core/src/protocol/leaf/codec.rs
@@ -0,0 +1,172 @@
+//! Encodes and decodes the frames of [`LeafRequest`] and [`LeafResponse`].
+
+use super::{CallPart, LeafRequest, LeafResponse, PartStatus};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use std::io::{self, ErrorKind};
+use tokio_util::codec::{Decoder, Encoder};
+
+/// Bytes of the length that begins each frame; it counts the kind and the payload.
+const LENGTH_BYTES: usize = 4;
+/// The longest part result: its status line, and a value that still fits a body to a client.
+const MAX_PART_RESULT_BYTES: usize = 64 * 1024 + 512;
+/// The longest frame of any other kind; these carry a few words.
+const MAX_STATUS_BYTES: usize = 1024;
+
+const CALL: u8 = b'Q';
+const CANCEL: u8 = b'X';
+const HEALTH_CHECK: u8 = b'P';
+const LOAD_REPORT: u8 = b'L';
+const PART_RESULT: u8 = b'A';
+const PROTOCOL_ERROR: u8 = b'E';
+
+/// The aggregator's side of a connection to a leaf server. After a malformed frame it discards
+/// all that follows, as the start of the next frame is unknown.
+#[derive(Default)]
+pub struct LeafCodec {
+    is_broken: bool,
+}
+
+impl LeafCodec {
+    /// Gives up on the frame whose beginning is in `received` and whose rest does not arrive.
+    pub fn cut_short(&mut self, received: &[u8]) -> LeafResponse {
+        self.is_broken = true;
+        malformed(received.get(LENGTH_BYTES..).unwrap_or_default())
+    }
+}
+
+impl Encoder<LeafRequest> for LeafCodec {
+    type Error = io::Error;
+
+    fn encode(&mut self, frame: LeafRequest, dst: &mut BytesMut) -> io::Result<()> {
+        let start = dst.len();
+        // The length is filled in once the payload has been written.
+        dst.put_u32(0);
+        match frame {
+            LeafRequest::Call(parts) => {
+                dst.put_u8(CALL);
+                parts.iter().for_each(|part| encode_part(part, dst));
+            }
+            LeafRequest::Cancel(id) => {
+                dst.put_u8(CANCEL);
+                dst.put_slice(id.as_bytes());
+            }
+            LeafRequest::HealthCheck => dst.put_u8(HEALTH_CHECK),
+            LeafRequest::LoadReport => dst.put_u8(LOAD_REPORT),
+        }
+        let payload = start + LENGTH_BYTES;
+        let length = u32::try_from(dst.len() - payload).map_err(|_| ErrorKind::InvalidInput)?;
+        dst[start..payload].copy_from_slice(&length.to_be_bytes());
+        Ok(())
+    }
+}
+
+fn encode_part(part: &CallPart, dst: &mut BytesMut) {
+    let CallPart {
+        id,
+        shard,
+        wait_ms,
+        text,
+    } = part;
+    dst.put_slice(format!("{id} {shard} d={wait_ms} {}\n", text.len()).as_bytes());
+    dst.put_slice(text);
+}
+
+impl Decoder for LeafCodec {
+    type Item = LeafResponse;
+    type Error = io::Error;
+
+    fn decode(&mut self, src: &mut BytesMut) -> io::Result<Option<LeafResponse>> {
+        if self.is_broken {
+            src.clear();
+            return Ok(None);
+        }
+        let Some(header) = src.first_chunk::<LENGTH_BYTES>() else {
+            return Ok(None);
+        };
+        let length = u32::from_be_bytes(*header) as usize;
+        // Checked before the rest has arrived: a length that no frame has would be waited for in
+        // vain.
+        if !is_valid_length(src.get(LENGTH_BYTES).copied(), length) {
+            self.is_broken = true;
+            return Ok(Some(malformed(&src.split()[LENGTH_BYTES..])));
+        }
+        if src.len() < LENGTH_BYTES + length {
+            return Ok(None);
+        }
+        src.advance(LENGTH_BYTES);
+        let body = Bytes::copy_from_slice(&src[..length]);
+        src.advance(length);
+        let frame = decode_body(&body);
+        self.is_broken = matches!(frame, LeafResponse::Malformed(_));
+        Ok(Some(frame))
+    }
+}
+
+/// Whether a frame of this kind can have this length; the kind may not have arrived yet.
+fn is_valid_length(kind: Option<u8>, length: usize) -> bool {
+    match kind {
+        None => (1..=MAX_PART_RESULT_BYTES).contains(&length),
+        Some(PART_RESULT) => (2..=MAX_PART_RESULT_BYTES).contains(&length),
+        Some(HEALTH_CHECK | LOAD_REPORT | PROTOCOL_ERROR) => {
+            (1..=MAX_STATUS_BYTES).contains(&length)
+        }
+        Some(_) => false,
+    }
+}
+
+/// Decodes a complete frame without its length; its kind has been checked.
+fn decode_body(body: &Bytes) -> LeafResponse {
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).trim().to_string();
+    match body[0] {
+        PART_RESULT => decode_part_result(body.slice(1..)).unwrap_or_else(|| malformed(body)),
+        PROTOCOL_ERROR => LeafResponse::ProtocolError(text(&body[1..])),
+        _ => {
+            let report = text(&body[1..]);
+            LeafResponse::HealthCheckResult {
+                ok: report != "err",
+                report,
+            }
+        }
+    }
+}
+
+/// Decodes a part's result, `id status score report`, a line feed and the value; none if any of it
+/// is malformed. A load report that can't be read only counts as none.
+fn decode_part_result(payload: Bytes) -> Option<LeafResponse> {
+    let line_end = payload.iter().position(|byte| *byte == b'\n')?;
+    let line = std::str::from_utf8(&payload[..line_end]).ok()?;
+    let mut fields = line.splitn(4, ' ');
+    let id = fields.next()?;
+    let status = fields.next()?;
+    let score = fields.next()?;
+    let report = fields.next()?;
+    let value = payload.slice(line_end + 1..);
+    if score != "-" && score.parse::<f64>().is_err() {
+        return None;
+    }
+    let end = match status {
+        // A client gets the value inside JSON: a value that is not UTF-8 would not reach it
+        // unchanged.
+        "ok" if !value.is_empty() && std::str::from_utf8(&value).is_ok() => PartStatus::Ok,
+        "err" => PartStatus::Err,
+        "busy" => PartStatus::Busy,
+        _ => return None,
+    };
+    Some(LeafResponse::PartResult {
+        id: id.to_string(),
+        end,
+        report: report.to_string(),
+        value,
+    })
+}
+
+/// Describes a frame that can't be decoded, from its kind on. Its id counts only if the blank that
+/// ends it has arrived.
+fn malformed(body: &[u8]) -> LeafResponse {
+    let payload = body.strip_prefix(&[PART_RESULT]).unwrap_or_default();
+    let id = payload
+        .iter()
+        .position(|byte| *byte == b' ')
+        .and_then(|id_end| std::str::from_utf8(&payload[..id_end]).ok());
+    LeafResponse::Malformed(id.map(str::to_string))
+}
--- a/crates/core/src/protocol/mod.rs
+++ b/crates/core/src/protocol/mod.rs
@@ -1,5 +1,5 @@
-//! Messages and their codecs; no sockets and no state beyond the message being read. Everything
-//! that comes from outside is checked here: what passes is safe to act on.
+//! Messages and their codecs; no sockets, and no state beyond the message that is being decoded.
+//! All input from outside is validated here, so the engine can act on every message it gets.
 
 pub mod discovery;
 pub mod http;
--- /dev/null
+++ b/crates/core/src/protocol/query/mod.rs
@@ -0,0 +1,106 @@
+//! Queries as clients send them over HTTP, and the replies. Only this module knows the native
+//! dialect: a frontend for another protocol makes the same [`Query`] from its own requests and
+//! renders the same [`Reply`].
+
+mod reply;
+mod request;
+
+pub use reply::render_reply;
+pub use request::parse_request;
+
+use super::http::RequestError;
+use crate::api::Nanos;
+use bytes::Bytes;
+use serde::Serialize;
+
+/// The names by which requests refer to classes and tenants, and the bounds of a query.
+#[derive(Clone, Debug, Default)]
+pub struct NameTables {
+    /// The names of the query classes, by number.
+    pub classes: Vec<String>,
+    /// The names of the tenants, by number; empty if requests name none.
+    pub tenants: Vec<String>,
+    /// For each class, the client timeout where the request states none.
+    pub deadlines: Vec<Nanos>,
+    /// For each class, the minimum share of the weight that an answer must cover.
+    pub minimum_coverages: Vec<f64>,
+    /// The number of shards.
+    pub shards: u32,
+}
+
+/// One shard's part of a query.
+#[derive(Clone, Debug, PartialEq)]
+pub struct QueryPart {
+    /// The shard to search.
+    pub shard: u32,
+    /// The part's share of the answer; the weights of a query add up to 1.
+    pub weight: f64,
+    /// The expected work, if the client states it.
+    pub work: Option<Nanos>,
+}
+
+/// One query, whatever protocol it came by.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Query {
+    /// The client's id for it; the ids of its parts begin with it.
+    pub name: String,
+    /// The query class, by number.
+    pub class: u16,
+    /// The tenant, by number.
+    pub tenant: u32,
+    /// How long the client waits, from the arrival of the query.
+    pub timeout: Nanos,
+    /// The client marked it as a retry.
+    pub is_retry: bool,
+    /// The client's idempotency key, the same on each of its attempts.
+    pub idempotency_key: Option<String>,
+    /// The parts, each shard at most once.
+    pub parts: Vec<QueryPart>,
+    /// The text that each leaf server gets.
+    pub text: Bytes,
+}
+
+/// What a client asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ClientRequest {
+    /// The answer to a query.
+    Query(Query),
+    /// Whether this aggregator is ready to take queries.
+    Ready,
+    /// The counters.
+    Stats,
+}
+
+/// One part's result within an answer.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Hit {
+    /// The shard it is from.
+    pub shard: u32,
+    /// The value that the leaf server returned.
+    pub doc: String,
+}
+
+/// The reply to a client's request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// The query was answered.
+    Answer {
+        /// The answer reaches the completeness threshold of its class.
+        complete: bool,
+        /// The results of the parts.
+        hits: Vec<Hit>,
+    },
+    /// The query was rejected before any part of it was forwarded.
+    Rejected {
+        /// When the client may retry.
+        retry_after: Option<Nanos>,
+    },
+    /// The query was not answered in time.
+    Failed,
+    /// Whether this aggregator is ready.
+    Ready(bool),
+    /// The counters, as JSON.
+    Stats(Vec<u8>),
+    /// The request was invalid.
+    InvalidRequest(RequestError),
+}
--- a/crates/core/tests/protocol.rs
+++ b/crates/core/tests/protocol.rs
@@ -2,8 +2,8 @@
 
 use aggregator_core::config::Config;
 use aggregator_core::protocol::http::{Request, RequestError, Response, ServerCodec, WatchCodec};
-use aggregator_core::protocol::leaf::{CallPart, End, LeafCodec, LeafRequest, LeafResponse};
-use aggregator_core::protocol::query::{self, ClientRequest, Names, Reply};
+use aggregator_core::protocol::leaf::{CallPart, LeafCodec, LeafRequest, LeafResponse, PartStatus};
+use aggregator_core::protocol::query::{self, ClientRequest, NameTables, Reply};
 use aggregator_core::protocol::{discovery, http};
 use bytes::{Bytes, BytesMut};
 use proptest::prelude::*;
@@ -16,9 +16,9 @@
 
 const CHUNKED: &str = "POST /checkout HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-fn names() -> Names {
+fn names() -> NameTables {
     let classes = vec!["checkout".to_string()];
-    Names {
+    NameTables {
         classes,
         tenants: vec!["acme".into()],
         deadlines: vec![5_000_000_000],
@@ -62,7 +62,7 @@
 
 fn asked(text: &str) -> Result<ClientRequest, u16> {
     one(text)
-        .and_then(|request| query::read(&request, &names()))
+        .and_then(|request| query::parse_request(&request, &names()))
         .map_err(|rejection| rejection.status)
 }
 
@@ -101,7 +101,7 @@
         let mut buffer = BytesMut::from(&frame[..]);
         let mut codec = LeafCodec::default();
         while let Ok(Some(_)) = codec.decode(&mut buffer) {}
-        let _ = discovery::message(&noise);
+        let _ = discovery::parse_message(&noise);
     }
 }
 
@@ -192,7 +192,7 @@
     assert_eq!(
         status(&format!(
             "GET / HTTP/1.1\r\nA: {}",
-            "x".repeat(http::MOST_HEAD)
+            "x".repeat(http::MAX_HEAD_BYTES)
         )),
         431
     );
@@ -217,7 +217,7 @@
 
 #[test]
 fn replies_say_when_to_come_back_and_whether_they_are_whole() {
-    let refused = written(query::render(
+    let refused = written(query::render_reply(
         &Reply::Rejected {
             retry_after: Some(500_000_001),
         },
@@ -231,7 +231,7 @@
         shard: 3,
         doc: "5be2\"".into(),
     }];
-    let answer = written(query::render(
+    let answer = written(query::render_reply(
         &Reply::Answer {
             complete: false,
             hits,
@@ -241,7 +241,7 @@
     assert!(answer.contains("Connection: close\r\n"));
     assert!(answer
         .ends_with("\r\n\r\n{\"complete\":false,\"hits\":[{\"shard\":3,\"doc\":\"5be2\\\"\"}]}"));
-    let allowed = written(query::render(
+    let allowed = written(query::render_reply(
         &Reply::InvalidRequest(RequestError {
             status: 405,
             why: "POST",
@@ -284,7 +284,7 @@
             found[0],
             LeafResponse::PartResult {
                 id,
-                end: End::Ok,
+                end: PartStatus::Ok,
                 report,
                 value
             }
@@ -298,7 +298,10 @@
         );
         assert!(matches!(
             &found[2],
-            LeafResponse::PartResult { end: End::Busy, .. }
+            LeafResponse::PartResult {
+                end: PartStatus::Busy,
+                ..
+            }
         ));
     }
 }
@@ -340,7 +343,7 @@
     .concat();
     let found = read(&noise);
     assert!(
-        matches!(&found[0], LeafResponse::PartResult { end: End::Ok, report, .. } if report == "nan")
+        matches!(&found[0], LeafResponse::PartResult { end: PartStatus::Ok, report, .. } if report == "nan")
     );
     assert_eq!(found[1..], spoilt(None), "nothing is read after it");
     let mut codec = LeafCodec::default();
@@ -364,7 +367,7 @@
         let lines = feed(&mut WatchCodec::default(), text, &sizes);
         let lines: Vec<_> = lines
             .iter()
-            .map(|line| discovery::message(line).unwrap())
+            .map(|line| discovery::parse_message(line).unwrap())
             .collect();
         assert_eq!(lines.len(), 3);
         assert_eq!(
@@ -403,7 +406,7 @@
             let messages = feed(&mut WatchCodec::default(), text.as_bytes(), &sizes);
             let lists = messages
                 .iter()
-                .filter_map(|message| discovery::message(message).unwrap());
+                .filter_map(|message| discovery::parse_message(message).unwrap());
             let lists: Vec<_> = lists
                 .map(|list| (list.index, list.endpoints.len()))
                 .collect();
@@ -416,7 +419,7 @@
         &[3],
     );
     assert!(
-        discovery::message(&noise[0]).is_err(),
+        discovery::parse_message(&noise[0]).is_err(),
         "what is no list is not taken for a sign of life"
     );
 }
--- a/crates/core/tests/sockets.rs
+++ b/crates/core/tests/sockets.rs
@@ -3,7 +3,7 @@
 
 use aggregator_core::engine::Engine;
 use aggregator_core::net::{self, Addresses, Clock};
-use aggregator_core::protocol::query::Names;
+use aggregator_core::protocol::query::NameTables;
 use aggregator_core::settings;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -95,11 +95,11 @@
             settings::site(support::engine_harness::SETTINGS).unwrap(),
             settings::parse(support::engine_harness::SETTINGS).unwrap(),
         );
-        let names = Names {
+        let names = NameTables {
             classes: site.classes.clone(),
             deadlines: site.deadlines.clone(),
             shards: site.shards,
-            ..Names::default()
+            ..NameTables::default()
         };
         let clock = Clock::start();
         let state = Engine::new(
--- a/crates/core/tests/support/socket_harness.rs
+++ b/crates/core/tests/support/socket_harness.rs
@@ -3,7 +3,7 @@
 
 use aggregator_core::engine::Engine;
 use aggregator_core::net::{self, Addresses, Clock, OperatorSignal};
-use aggregator_core::protocol::query::Names;
+use aggregator_core::protocol::query::NameTables;
 use aggregator_core::settings;
 use std::future::Future;
 use std::io;
@@ -64,11 +64,11 @@
             settings::site(text).unwrap(),
             settings::parse(text).unwrap(),
         );
-        let names = Names {
+        let names = NameTables {
             classes: site.classes.clone(),
             deadlines: site.deadlines.clone(),
             shards: site.shards,
-            ..Names::default()
+            ..NameTables::default()
         };
         let clock = Clock::start();
         let known = serde_json::from_value(list(2, &[line(leaf.1, "up")])).unwrap();
