--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,5 +1,5 @@
-//! The mixer around the decisions: its configuration and settings, the protocols that it speaks,
-//! the reducer that holds all its state, and the sockets.
+//! A query aggregator around its policy: the configuration, the protocols that it speaks, the
+//! engine that holds all its state, and the sockets.
 
 pub mod config;
 pub mod engine;
--- a/crates/core/tests/protocol.rs
+++ b/crates/core/tests/protocol.rs
@@ -448,7 +448,7 @@
     );
     let mut broken = settings.clone();
     broken["tick_ns"] = 0.into();
-    assert!(config(&broken).unwrap_err().contains("tick_ns"));
+    assert!(config(&broken).unwrap_err().to_string().contains("tick_ns"));
     broken["extra"]["second_step"][0] = 3.into();
     assert!(config(&broken).is_err());
 }
