Give each kind of connection its own module, and the event loop its own

There is now a module for each kind of connection (client, leaf server, endpoint watch, gossip, internal client), the listener, the buffer pool, the pending replies, the pipelined requests, the event loop and the driver that executes effects. The two tests inside `ledger.rs` moved to `tests/pending_replies.rs` under their names, with the same assertions; for that `net::pending_replies` is public.

The order of selects, of inputs and of effects, all limits and all timings are unchanged, and no task, channel or allocation is added.

--- a/crates/core/src/config/platform.rs
+++ b/crates/core/src/config/platform.rs
@@ -79,9 +79,9 @@
             known: file.known,
             addresses: Addresses {
                 discovery: file.discovery,
-                peer_listen: file.peer_listen.filter(|_| site.gossip_allowed),
+                gossip_listen: file.peer_listen.filter(|_| site.gossip_allowed),
                 peers: file.peers,
-                peers_all: file.peers_all,
+                gossip_broadcast: file.peers_all,
             },
             names: NameTables::from(&site),
             site,
@@ -101,7 +101,7 @@
         if self.descriptors != next.descriptors {
             changed.push("limits");
         }
-        if self.addresses.peer_listen != next.addresses.peer_listen {
+        if self.addresses.gossip_listen != next.addresses.gossip_listen {
             changed.push("peer_listen");
         }
         if self.site != next.site || self.settings != next.settings {
--- /dev/null
+++ b/crates/core/src/net/buffer_pool.rs
@@ -0,0 +1,54 @@
+//! Reusable buffers of one size: each connection takes two while it is open.
+
+use bytes::BytesMut;
+use std::cell::RefCell;
+use std::rc::Rc;
+use tokio::io::{AsyncRead, AsyncWrite};
+use tokio_util::codec::{Encoder, Framed, FramedParts};
+
+/// The size of a buffer: holds the head of a request and nearly every frame and response.
+pub(super) const BUFFER_BYTES: usize = 16 * 1024;
+/// The most unused buffers that are retained, which is 4 MiB.
+const MAX_FREE_BUFFERS: usize = 256;
+
+/// The unused buffers.
+#[derive(Clone, Debug, Default)]
+pub(super) struct BufferPool(Rc<RefCell<Vec<BytesMut>>>);
+
+impl BufferPool {
+    fn take(&self) -> BytesMut {
+        self.0
+            .borrow_mut()
+            .pop()
+            .unwrap_or_else(|| BytesMut::with_capacity(BUFFER_BYTES))
+    }
+
+    /// Retains a buffer, unless it has grown for a large message: all would end up large.
+    fn put_back(&self, mut buffer: BytesMut) {
+        buffer.clear();
+        let mut free = self.0.borrow_mut();
+        let has_capacity = free.len() < MAX_FREE_BUFFERS;
+        if has_capacity && buffer.try_reclaim(BUFFER_BYTES) && buffer.capacity() == BUFFER_BYTES {
+            free.push(buffer);
+        }
+    }
+
+    /// Frames a connection on which messages of type `M` are written.
+    pub(super) fn frame<M, T: AsyncRead + AsyncWrite, C: Encoder<M>>(
+        &self,
+        io: T,
+        codec: C,
+    ) -> Framed<T, C> {
+        let mut parts = FramedParts::new::<M>(io, codec);
+        parts.read_buf = self.take();
+        parts.write_buf = self.take();
+        Framed::from_parts(parts)
+    }
+
+    /// Takes the buffers of a connection back and closes it.
+    pub(super) fn recover<T: AsyncRead + AsyncWrite, C>(&self, framed: Framed<T, C>) {
+        let parts = framed.into_parts();
+        self.put_back(parts.read_buf);
+        self.put_back(parts.write_buf);
+    }
+}
--- a/crates/core/src/net/clock.rs
+++ b/crates/core/src/net/clock.rs
@@ -1,32 +1,36 @@
-//! The one clock: Unix time as read at the start, plus what has passed since.
+//! The clock of a process: Unix time as read at the start, plus what has passed since.
 
 use crate::api::Nanos;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 
-/// Never steps back or jumps, and still compares with the start times that discovery states.
+/// A monotonic clock that still compares with the start times that discovery states.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    began: Instant,
-    unix: Nanos,
+    started: Instant,
+    /// Unix time at the start.
+    started_unix: Nanos,
 }
 
 impl Clock {
+    /// Reads the Unix time and starts the clock.
     pub fn start() -> Clock {
-        let unix = SystemTime::now()
+        let unix_time = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
         Clock {
-            began: Instant::now(),
-            unix: unix.as_nanos() as Nanos,
+            started: Instant::now(),
+            started_unix: unix_time.as_nanos() as Nanos,
         }
     }
 
+    /// The time now, in Unix nanoseconds.
     pub fn now(&self) -> Nanos {
-        self.unix + self.began.elapsed().as_nanos() as Nanos
+        self.started_unix + self.started.elapsed().as_nanos() as Nanos
     }
 
+    /// The runtime's instant for a time; for a time before the start, the start.
     pub fn instant(&self, at: Nanos) -> Instant {
-        self.began + Duration::from_nanos(at.saturating_sub(self.unix))
+        self.started + Duration::from_nanos(at.saturating_sub(self.started_unix))
     }
 }
--- /dev/null
+++ b/crates/core/src/net/driver.rs
@@ -0,0 +1,224 @@
+//! Executes the engine's effects on the sockets.
+
+use super::client_connection::ClientCommand;
+use super::endpoint_watch::EndpointWatch;
+use super::gossip::GossipSocket;
+use super::leaf_connection::{self, LeafConnectionHandle};
+use super::pending_replies::{OutgoingReply, PendingReplies};
+use super::shared::Shared;
+use super::Addresses;
+use crate::engine::counters::Counters;
+use crate::engine::{ClientId, ConnectionId, Effect, Input};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use tokio::task::AbortHandle;
+use tokio::time::{timeout, Duration, Instant};
+
+/// How long the last responses may take to be sent, and their clients to close: less than what is
+/// left after the longest deadline before the process may be killed.
+const FINAL_FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Everything that effects act on.
+pub(super) struct Driver {
+    shared: Shared,
+    connections: HashMap<ConnectionId, LeafConnectionHandle>,
+    gossip: Option<GossipSocket>,
+    discovery: SocketAddr,
+    watch: Option<AbortHandle>,
+    /// Present if usage is recorded.
+    pending_replies: Option<PendingReplies>,
+    exited: bool,
+}
+
+impl Driver {
+    pub(super) fn new(
+        shared: Shared,
+        gossip: Option<GossipSocket>,
+        discovery: SocketAddr,
+        pending_replies: Option<PendingReplies>,
+    ) -> Driver {
+        Driver {
+            shared,
+            connections: HashMap::new(),
+            gossip,
+            discovery,
+            watch: None,
+            pending_replies,
+            exited: false,
+        }
+    }
+
+    /// Whether the engine has asked for the exit.
+    pub(super) fn has_exited(&self) -> bool {
+        self.exited
+    }
+
+    /// Uses new addresses: for gossip at once, for the endpoint list with the next watch.
+    pub(super) fn reload(&mut self, addresses: Option<Addresses>) -> Input {
+        if let Some(addresses) = &addresses {
+            if let Some(gossip) = &mut self.gossip {
+                gossip.update_addresses(&self.shared, addresses);
+            }
+            self.discovery = addresses.discovery;
+        }
+        Input::ConfigurationReloaded {
+            usable: addresses.is_some(),
+        }
+    }
+
+    /// Executes one effect.
+    pub(super) fn execute(&mut self, effect: Effect) {
+        match effect {
+            Effect::SendReply {
+                client,
+                reply,
+                close,
+            } => self.send_or_hold(OutgoingReply {
+                client,
+                reply,
+                close,
+            }),
+            Effect::CloseClient { client } => self.close_client(client),
+            Effect::RecordUsage(usage) => {
+                if let Some(pending_replies) = &mut self.pending_replies {
+                    pending_replies.record(usage);
+                }
+            }
+            Effect::RecordWatermark(watermark) => {
+                if let Some(pending_replies) = &mut self.pending_replies {
+                    pending_replies.record_watermark(watermark);
+                }
+            }
+            Effect::OpenConnection {
+                connection,
+                address,
+            } => self.open_connection(connection, address),
+            Effect::WriteFrame { connection, frame } => {
+                if let Some(handle) = self.connections.get(&connection) {
+                    handle.write(frame);
+                }
+            }
+            Effect::CloseConnection { connection } => drop(self.connections.remove(&connection)),
+            Effect::SendGossip { to, bytes } => {
+                if let Some(gossip) = &self.gossip {
+                    gossip.send(to, &bytes);
+                }
+            }
+            Effect::StartWatch {
+                watch,
+                from,
+                answer_within,
+            } => self.start_watch(watch, from, Duration::from_nanos(answer_within)),
+            Effect::StopListening => {
+                self.shared.listening_stopped.send_replace(true);
+            }
+            Effect::Exit(counters) => self.exit(&counters),
+        }
+    }
+
+    fn open_connection(&mut self, connection: ConnectionId, address: SocketAddr) {
+        self.connections.retain(|_, handle| !handle.is_closed());
+        let handle = leaf_connection::open(self.shared.clone(), connection, address);
+        self.connections.insert(connection, handle);
+    }
+
+    fn start_watch(&mut self, number: u64, index: u64, response_timeout: Duration) {
+        let watch = EndpointWatch {
+            number,
+            address: self.discovery,
+            index,
+            response_timeout,
+        };
+        let task = tokio::task::spawn_local(watch.run(self.shared.clone()));
+        if let Some(previous) = self.watch.replace(task.abort_handle()) {
+            previous.abort();
+        }
+    }
+
+    fn exit(&mut self, counters: &Counters) {
+        let counters = serde_json::to_string(counters).unwrap_or_default();
+        tracing::info!(counters, "served all that was taken");
+        self.exited = true;
+    }
+
+    fn send_or_hold(&mut self, outgoing: OutgoingReply) {
+        let ready = match &mut self.pending_replies {
+            Some(pending_replies) => pending_replies.hold(outgoing),
+            None => Some(outgoing),
+        };
+        if let Some(outgoing) = ready {
+            self.send_reply(outgoing);
+        }
+    }
+
+    fn send_reply(&self, outgoing: OutgoingReply) {
+        let OutgoingReply {
+            client,
+            reply,
+            close,
+        } = outgoing;
+        let reply = Box::new(reply);
+        self.send_command(client, ClientCommand::Reply { reply, close });
+    }
+
+    fn close_client(&mut self, client: ClientId) {
+        if let Some(pending_replies) = &mut self.pending_replies {
+            pending_replies.close_client(client);
+        }
+        self.send_command(client, ClientCommand::Close);
+    }
+
+    fn send_command(&self, client: ClientId, command: ClientCommand) {
+        if let Some(commands) = self.shared.clients.borrow().get(&client) {
+            // The queue is full only if the task is blocked on a client that does not read; that
+            // client loses its response.
+            if commands.try_send(command).is_err() {
+                tracing::debug!(client, "a client's connection has ended or is blocked");
+            }
+        }
+    }
+
+    /// When the next reply stops waiting for its usage record.
+    pub(super) fn next_reply_deadline(&self) -> Option<Instant> {
+        self.pending_replies
+            .as_ref()
+            .and_then(PendingReplies::next_deadline)
+    }
+
+    /// Returns once usage records were written that replies wait for.
+    pub(super) async fn wait_for_usage_log(&mut self) {
+        match &mut self.pending_replies {
+            Some(pending_replies) => pending_replies.wait_for_written().await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Sends the replies whose records are written, or that have waited long enough.
+    pub(super) fn send_ready_replies(&mut self) {
+        while let Some(outgoing) = self
+            .pending_replies
+            .as_mut()
+            .and_then(PendingReplies::pop_ready)
+        {
+            self.send_reply(outgoing);
+        }
+    }
+
+    /// Closes the usage log, sends the replies that are left, and waits for the clients to close.
+    pub(super) async fn shut_down(&mut self) {
+        let last_replies = self
+            .pending_replies
+            .as_mut()
+            .map(PendingReplies::close)
+            .unwrap_or_default();
+        for outgoing in last_replies {
+            self.send_reply(outgoing);
+        }
+        let all_clients_closed = async {
+            while !self.shared.clients.borrow().is_empty() {
+                self.shared.client_ended.notified().await;
+            }
+        };
+        let _ = timeout(FINAL_FLUSH_TIMEOUT, all_clients_closed).await;
+    }
+}
--- /dev/null
+++ b/crates/core/src/net/event_loop.rs
@@ -0,0 +1,128 @@
+//! The loop that feeds the engine: operator signals, inputs from the sockets, and timers.
+
+use super::driver::Driver;
+use super::gossip::GossipSocket;
+use super::pending_replies::PendingReplies;
+use super::shared::Shared;
+use super::{listener, Addresses, Clock, Extensions, InternalClient, OperatorSignal};
+use crate::api::Nanos;
+use crate::engine::{Engine, Input};
+use crate::protocol::query::NameTables;
+use std::io;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::{sleep_until, Instant};
+
+/// Inputs that may be queued; beyond that the sockets are not read until the engine has caught up.
+const MAX_QUEUED_INPUTS: usize = 1024;
+/// The most inputs of one batch, so that timers stay on time under a flood.
+const MAX_BATCH_INPUTS: usize = 256;
+
+/// Serves the clients of `listener` until the engine asks for the exit. Must run inside a
+/// `LocalSet`.
+pub async fn serve(
+    engine: Engine,
+    clock: Clock,
+    names: NameTables,
+    listener: TcpListener,
+    addresses: Addresses,
+    signals: mpsc::Receiver<OperatorSignal>,
+    extensions: Extensions,
+) -> io::Result<()> {
+    let (inputs, queued_inputs) = mpsc::channel(MAX_QUEUED_INPUTS);
+    let shared = Shared::new(clock, names, inputs);
+    let gossip = match addresses.gossip_listen {
+        Some(listen) => Some(GossipSocket::bind(&shared, listen, &addresses).await?),
+        None => None,
+    };
+    tokio::task::spawn_local(listener::accept_connections(
+        shared.clone(),
+        listener,
+        engine.most_clients(),
+    ));
+    for start_frontend in extensions.fronts {
+        start_frontend(InternalClient::new(shared.clone()));
+    }
+    let pending_replies = extensions.recorder.map(PendingReplies::new);
+    let mut event_loop = EventLoop {
+        driver: Driver::new(shared, gossip, addresses.discovery, pending_replies),
+        queued_inputs,
+        signals,
+        clock,
+        engine,
+    };
+    event_loop.run().await;
+    event_loop.driver.shut_down().await;
+    Ok(())
+}
+
+struct EventLoop {
+    driver: Driver,
+    queued_inputs: mpsc::Receiver<Input>,
+    signals: mpsc::Receiver<OperatorSignal>,
+    clock: Clock,
+    engine: Engine,
+}
+
+impl EventLoop {
+    async fn run(&mut self) {
+        self.apply(self.clock.now(), Input::BatchEnded);
+        while !self.driver.has_exited() {
+            let due = self.next_due();
+            tokio::select! {
+                biased;
+                Some(signal) = self.signals.recv() => self.handle_signal(signal),
+                () = self.driver.wait_for_usage_log() => self.driver.send_ready_replies(),
+                Some(input) = self.queued_inputs.recv() => {
+                    // What the other sockets have ready joins the same batch.
+                    tokio::task::yield_now().await;
+                    self.process_batch(input);
+                }
+                () = sleep_until(due.unwrap_or_else(|| self.clock.instant(0))), if due.is_some() => {
+                    self.run_due_timers();
+                }
+            }
+        }
+    }
+
+    /// When the next timer is due. One timer serves the engine and the pending replies, as setting
+    /// another for each batch costs more than the work that it starts.
+    fn next_due(&self) -> Option<Instant> {
+        let engine_due = self.engine.next_due().map(|at| self.clock.instant(at));
+        let reply_due = self.driver.next_reply_deadline();
+        engine_due.into_iter().chain(reply_due).min()
+    }
+
+    fn handle_signal(&mut self, signal: OperatorSignal) {
+        let input = match signal {
+            OperatorSignal::Shutdown => Input::ShutdownRequested,
+            OperatorSignal::Reload(addresses) => self.driver.reload(addresses),
+        };
+        self.apply(self.clock.now(), input);
+        self.run_due_timers();
+    }
+
+    /// Applies this input and those that are queued behind it, as one batch.
+    fn process_batch(&mut self, first: Input) {
+        let now = self.clock.now();
+        self.apply(now, first);
+        for _ in 1..MAX_BATCH_INPUTS {
+            let Ok(input) = self.queued_inputs.try_recv() else {
+                break;
+            };
+            self.apply(now, input);
+        }
+        self.apply(now, Input::BatchEnded);
+    }
+
+    fn run_due_timers(&mut self) {
+        self.apply(self.clock.now(), Input::BatchEnded);
+        self.driver.send_ready_replies();
+    }
+
+    fn apply(&mut self, now: Nanos, input: Input) {
+        for effect in self.engine.apply(now, input) {
+            self.driver.execute(effect);
+        }
+    }
+}
--- a/crates/core/src/net/internal_client.rs
+++ b/crates/core/src/net/internal_client.rs
@@ -1,40 +1,46 @@
-//! A way in for fronts of other protocols: what they ask goes through the same reducer as what
-//! native clients do.
+//! How the frontends for other protocols query the engine: as clients of the same kind as those of
+//! the native protocol.
 
-use super::clients::Command;
-use super::{Shared, MOST_COMMANDS};
+use super::client_connection::ClientCommand;
+use super::shared::Shared;
+use super::MAX_QUEUED_COMMANDS;
 use crate::api::Nanos;
 use crate::engine::{ClientId, Input};
 use crate::protocol::query::{ClientRequest, NameTables, Query, Reply};
 use std::rc::Rc;
 use tokio::sync::mpsc;
 
-/// Asks queries of the reducer, each as a client of its own. Only for tasks of the mixer's own
+/// Sends queries to the engine, each as a client of its own. Only for tasks of the aggregator's
 /// `LocalSet`.
 #[derive(Clone)]
 pub struct InternalClient {
     shared: Shared,
 }
 
-/// A client for as long as its one query is open; dropped before the reply, it has left.
-struct Visit {
+/// A client that is connected while its one query is open. Dropped before the reply, it has
+/// disconnected, and the engine cancels the query.
+struct ConnectedClient {
     shared: Shared,
     client: ClientId,
 }
 
-impl Drop for Visit {
+impl ConnectedClient {
+    async fn send(&self, input: Input) {
+        let _ = self.shared.inputs.send(input).await;
+    }
+}
+
+impl Drop for ConnectedClient {
     fn drop(&mut self) {
         self.shared.clients.borrow_mut().remove(&self.client);
         self.shared.client_ended.notify_one();
-        let (inputs, closed) = (
-            self.shared.inputs.clone(),
-            Input::ClientDisconnected {
-                client: self.client,
-            },
-        );
-        if let Err(mpsc::error::TrySendError::Full(closed)) = inputs.try_send(closed) {
+        let inputs = self.shared.inputs.clone();
+        let disconnected = Input::ClientDisconnected {
+            client: self.client,
+        };
+        if let Err(mpsc::error::TrySendError::Full(disconnected)) = inputs.try_send(disconnected) {
             tokio::task::spawn_local(async move {
-                let _ = inputs.send(closed).await;
+                let _ = inputs.send(disconnected).await;
             });
         }
     }
@@ -45,53 +51,48 @@
         InternalClient { shared }
     }
 
-    /// What classes and tenants are called, and the bounds of a query.
+    /// The names of classes and tenants, and the bounds of a query.
     pub fn names(&self) -> &Rc<NameTables> {
         &self.shared.names
     }
 
-    /// Unix nanoseconds, by the mixer's one clock.
+    /// The time now by the aggregator's clock, in Unix nanoseconds.
     pub fn now(&self) -> Nanos {
         self.shared.clock.now()
     }
 
-    /// Asks a query that `arrived` then and waits for its one reply. Whoever drops this has left.
+    /// Sends a query that arrived at this time and waits for its reply. Dropping the future cancels
+    /// the query.
     pub async fn ask(&self, arrived: Nanos, query: Query) -> Reply {
-        let client = self.shared.client();
-        let (commands, mut replies) = mpsc::channel(MOST_COMMANDS);
+        let client = self.shared.next_client_id();
+        let (commands, mut queued_commands) = mpsc::channel(MAX_QUEUED_COMMANDS);
         self.shared.clients.borrow_mut().insert(client, commands);
-        let visit = Visit {
+        let connected = ConnectedClient {
             shared: self.shared.clone(),
             client,
         };
-        let _ = visit
-            .shared
-            .inputs
-            .send(Input::ClientConnected { client })
-            .await;
-        let asked = Ok(ClientRequest::Query(query));
-        let _ = visit
-            .shared
-            .inputs
+        connected.send(Input::ClientConnected { client }).await;
+        let request = Ok(ClientRequest::Query(query));
+        connected
             .send(Input::RequestReceived {
                 client,
                 arrived,
-                request: asked,
+                request,
             })
             .await;
         loop {
-            match replies.recv().await {
-                Some(Command::Reply(reply, _)) => return *reply,
-                // Crossed by the query, which is taken.
-                Some(Command::Close) => {}
+            match queued_commands.recv().await {
+                Some(ClientCommand::Reply { reply, .. }) => return *reply,
+                // The query has crossed this command and is served.
+                Some(ClientCommand::Close) => {}
                 None => return Reply::Failed,
             }
         }
     }
 
-    /// Returns once the mixer takes no more connections: it is about to end.
+    /// Returns once the aggregator accepts no more connections: it is about to exit.
     pub async fn stopped(&self) {
-        let mut stopped = self.shared.stopped.subscribe();
+        let mut stopped = self.shared.listening_stopped.subscribe();
         let _ = stopped.wait_for(|stopped| *stopped).await;
     }
 }
--- /dev/null
+++ b/crates/core/src/net/pending_replies.rs
@@ -0,0 +1,141 @@
+//! Replies that wait for their usage record: what a client is told is in the usage log first,
+//! unless the log stalls.
+
+use super::UsageRecorder;
+use crate::engine::usage::{UsageRecord, UsageWatermark};
+use crate::engine::ClientId;
+use crate::protocol::query::Reply;
+use std::collections::VecDeque;
+use tokio::sync::watch;
+use tokio::time::{Duration, Instant};
+
+/// A reply on its way to its client.
+#[derive(Debug)]
+pub struct OutgoingReply {
+    /// The client.
+    pub client: ClientId,
+    /// The reply.
+    pub reply: Reply,
+    /// The client's connection closes after it.
+    pub close: bool,
+}
+
+struct PendingReply {
+    /// The sequence of its record.
+    sequence: u64,
+    /// When it is sent even if its record is not written.
+    deadline: Instant,
+    outgoing: OutgoingReply,
+}
+
+/// The usage recorder, and the replies that wait for it in the order of their records.
+pub struct PendingReplies {
+    recorder: Box<dyn UsageRecorder>,
+    /// The sequence up to which records are written.
+    written: watch::Receiver<u64>,
+    max_delay: Duration,
+    pending: VecDeque<PendingReply>,
+    /// The sequence of the latest record, whose reply comes next.
+    latest_record: Option<u64>,
+    /// How far the log was when a reply was last sent without its record. Until the log advances,
+    /// no reply waits.
+    stalled_at: Option<u64>,
+}
+
+impl PendingReplies {
+    /// No replies yet, for this recorder.
+    pub fn new(recorder: Box<dyn UsageRecorder>) -> PendingReplies {
+        let written = recorder.written();
+        let max_delay = recorder.stall();
+        PendingReplies {
+            recorder,
+            written,
+            max_delay,
+            pending: VecDeque::new(),
+            latest_record: None,
+            stalled_at: None,
+        }
+    }
+
+    /// Queues a record; the reply that follows waits for it.
+    pub fn record(&mut self, usage: UsageRecord) {
+        let sequence = usage.sequence;
+        self.latest_record = self.recorder.record(usage).then_some(sequence);
+    }
+
+    /// Queues a watermark.
+    pub fn record_watermark(&mut self, watermark: UsageWatermark) {
+        self.recorder.mark(watermark);
+    }
+
+    /// Keeps a reply until its record is written; returns it if there is nothing to wait for.
+    pub fn hold(&mut self, outgoing: OutgoingReply) -> Option<OutgoingReply> {
+        let written = *self.written.borrow();
+        match self.latest_record.take() {
+            Some(sequence) if written < sequence && self.stalled_at == Some(written) => {
+                self.recorder.left_without();
+                Some(outgoing)
+            }
+            Some(sequence) if written < sequence => {
+                self.pending.push_back(PendingReply {
+                    sequence,
+                    deadline: Instant::now() + self.max_delay,
+                    outgoing,
+                });
+                None
+            }
+            _ => Some(outgoing),
+        }
+    }
+
+    /// Lets a client's connection close with its reply, if that is still pending.
+    pub fn close_client(&mut self, client: ClientId) {
+        for pending in &mut self.pending {
+            if pending.outgoing.client == client {
+                pending.outgoing.close = true;
+            }
+        }
+    }
+
+    /// When the first pending reply is sent at the latest.
+    pub fn next_deadline(&self) -> Option<Instant> {
+        self.pending.front().map(|pending| pending.deadline)
+    }
+
+    /// Returns once records were written that replies wait for; never while none is pending.
+    pub async fn wait_for_written(&mut self) {
+        if self.pending.is_empty() {
+            return std::future::pending().await;
+        }
+        if self.written.changed().await.is_err() {
+            // The writer is gone: there is nothing to wait for.
+            let now = Instant::now();
+            for pending in &mut self.pending {
+                pending.deadline = now;
+            }
+        }
+    }
+
+    /// Takes the next reply that may be sent: its record is written, or it has waited long enough.
+    pub fn pop_ready(&mut self) -> Option<OutgoingReply> {
+        let front = self.pending.front()?;
+        let is_written = *self.written.borrow() >= front.sequence;
+        if !is_written && Instant::now() < front.deadline {
+            return None;
+        }
+        if !is_written {
+            self.stalled_at = Some(*self.written.borrow());
+            self.recorder.left_without();
+        }
+        self.pending.pop_front().map(|pending| pending.outgoing)
+    }
+
+    /// Writes what is queued, then returns every pending reply.
+    pub fn close(&mut self) -> Vec<OutgoingReply> {
+        self.recorder.close();
+        self.pending
+            .drain(..)
+            .map(|pending| pending.outgoing)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/net/pipelined_requests.rs
@@ -0,0 +1,68 @@
+//! Requests that a client has sent ahead of the replies to the ones before.
+
+use crate::api::Nanos;
+use crate::protocol::http::{Request, RequestError, MAX_BODY_BYTES};
+use std::collections::VecDeque;
+
+/// The most requests that are read ahead on one connection.
+const MAX_REQUESTS: usize = 256;
+/// The most bytes of their bodies.
+const MAX_BUFFERED_BODY_BYTES: usize = MAX_BODY_BYTES;
+
+const TOO_MANY_REQUESTS: RequestError = RequestError {
+    status: 429,
+    why: "too many requests ahead of their answers",
+};
+
+/// A request as it was decoded, or what is wrong with it.
+pub(super) type DecodedRequest = Result<Request, RequestError>;
+
+/// A request with the time at which its last byte arrived.
+pub(super) struct ReceivedRequest {
+    pub(super) arrived: Nanos,
+    pub(super) request: DecodedRequest,
+}
+
+/// The pipelined requests of one connection, in order.
+#[derive(Default)]
+pub(super) struct PipelinedRequests {
+    requests: VecDeque<ReceivedRequest>,
+    body_bytes: usize,
+}
+
+impl PipelinedRequests {
+    /// Appends a request. If that exceeds a limit it is replaced by an error, and false is
+    /// returned: nothing more may be read.
+    pub(super) fn push(&mut self, arrived: Nanos, request: DecodedRequest) -> bool {
+        self.body_bytes += body_length(&request);
+        let is_full =
+            self.requests.len() >= MAX_REQUESTS || self.body_bytes > MAX_BUFFERED_BODY_BYTES;
+        let is_rejected = request.is_ok() && is_full;
+        let request = if is_rejected {
+            Err(TOO_MANY_REQUESTS)
+        } else {
+            request
+        };
+        self.requests
+            .push_back(ReceivedRequest { arrived, request });
+        !is_rejected
+    }
+
+    /// Takes the next request.
+    pub(super) fn pop(&mut self) -> Option<ReceivedRequest> {
+        let received = self.requests.pop_front()?;
+        // A rejected request was counted with its body.
+        let body_bytes = body_length(&received.request).min(self.body_bytes);
+        self.body_bytes -= body_bytes;
+        Some(received)
+    }
+
+    /// Whether no request is waiting.
+    pub(super) fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+}
+
+fn body_length(request: &DecodedRequest) -> usize {
+    request.as_ref().map_or(0, |request| request.body.len())
+}
--- /dev/null
+++ b/crates/core/src/net/shared.rs
@@ -0,0 +1,55 @@
+//! What the tasks of all connections share.
+
+use super::buffer_pool::BufferPool;
+use super::client_connection::ClientCommand;
+use super::Clock;
+use crate::engine::{ClientId, Input};
+use crate::protocol::query::NameTables;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use tokio::sync::{mpsc, watch, Notify};
+
+/// What the task of each connection holds. All clones refer to the same state.
+#[derive(Clone)]
+pub(super) struct Shared {
+    pub(super) clock: Clock,
+    pub(super) buffers: BufferPool,
+    /// The engine's input queue.
+    pub(super) inputs: mpsc::Sender<Input>,
+    /// The open client connections, and the internal clients.
+    pub(super) clients: Rc<RefCell<HashMap<ClientId, mpsc::Sender<ClientCommand>>>>,
+    /// Notified whenever a client's connection has ended: there may be capacity for another.
+    pub(super) client_ended: Rc<Notify>,
+    /// The number of connections that only wait for their client to close.
+    pub(super) lingering: Rc<Cell<usize>>,
+    /// Notified when a lingering connection has to make place for a new one.
+    pub(super) capacity_needed: Rc<Notify>,
+    pub(super) names: Rc<NameTables>,
+    last_client: Rc<Cell<ClientId>>,
+    /// Set once no more connections are accepted.
+    pub(super) listening_stopped: Rc<watch::Sender<bool>>,
+}
+
+impl Shared {
+    pub(super) fn new(clock: Clock, names: NameTables, inputs: mpsc::Sender<Input>) -> Shared {
+        Shared {
+            clock,
+            buffers: BufferPool::default(),
+            inputs,
+            clients: Rc::default(),
+            client_ended: Rc::default(),
+            lingering: Rc::default(),
+            capacity_needed: Rc::default(),
+            names: Rc::new(names),
+            last_client: Rc::default(),
+            listening_stopped: Rc::new(watch::channel(false).0),
+        }
+    }
+
+    /// An id for a new client; ids are never reused.
+    pub(super) fn next_client_id(&self) -> ClientId {
+        self.last_client.set(self.last_client.get() + 1);
+        self.last_client.get()
+    }
+}
--- /dev/null
+++ b/crates/core/src/net/usage_recorder.rs
@@ -0,0 +1,22 @@
+//! The interface to a usage log.
+
+use crate::engine::usage::{UsageRecord, UsageWatermark};
+use tokio::sync::watch;
+use tokio::time::Duration;
+
+/// Takes the usage records of queries. None of its methods may block: they are called by the event
+/// loop.
+pub trait UsageRecorder {
+    /// Queues a record; false if there was no capacity and the record is lost.
+    fn record(&mut self, usage: UsageRecord) -> bool;
+    /// Queues a watermark, which says how far the log is complete.
+    fn mark(&mut self, mark: UsageWatermark);
+    /// The sequence up to which records have been handed to the operating system.
+    fn written(&self) -> watch::Receiver<u64>;
+    /// The longest that a reply waits for its record.
+    fn stall(&self) -> Duration;
+    /// Counts a reply that was sent before its record was written.
+    fn left_without(&mut self);
+    /// Writes what is queued, for a bounded time.
+    fn close(&mut self);
+}
--- /dev/null
+++ b/crates/core/tests/pending_replies.rs
@@ -0,0 +1,114 @@
+//! Replies that wait for their usage record, with a usage log that advances when the test says so.
+
+use aggregator_core::engine::usage::{Outcome, UsageRecord, UsageWatermark};
+use aggregator_core::engine::ClientId;
+use aggregator_core::net::pending_replies::{OutgoingReply, PendingReplies};
+use aggregator_core::net::UsageRecorder;
+use aggregator_core::protocol::query::Reply;
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::sync::watch;
+use tokio::time::{Duration, Instant};
+
+/// A usage log whose writer advances only when the test says so.
+struct ManualRecorder {
+    has_capacity: bool,
+    written: watch::Sender<u64>,
+    unrecorded_replies: Rc<Cell<u32>>,
+}
+
+impl UsageRecorder for ManualRecorder {
+    fn record(&mut self, _: UsageRecord) -> bool {
+        self.has_capacity
+    }
+    fn mark(&mut self, _: UsageWatermark) {}
+    fn written(&self) -> watch::Receiver<u64> {
+        self.written.subscribe()
+    }
+    fn stall(&self) -> Duration {
+        Duration::from_millis(5)
+    }
+    fn left_without(&mut self) {
+        self.unrecorded_replies
+            .set(self.unrecorded_replies.get() + 1);
+    }
+    fn close(&mut self) {}
+}
+
+fn usage(sequence: u64) -> UsageRecord {
+    UsageRecord {
+        sequence,
+        tenant: 0,
+        class: 0,
+        arrived: 0,
+        outcome: Outcome::Whole,
+        parts: 1,
+        attempts: 1,
+        crossed: 0,
+        is_retry: false,
+        key: 2,
+        keyed: false,
+    }
+}
+
+fn outgoing(client: ClientId, reply: Reply) -> OutgoingReply {
+    OutgoingReply {
+        client,
+        reply,
+        close: false,
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn replies_wait_for_their_records_in_order_but_no_longer_than_a_stall() {
+    let unrecorded_replies = Rc::<Cell<u32>>::default();
+    let (written, _keep) = watch::channel(0);
+    let mut replies = PendingReplies::new(Box::new(ManualRecorder {
+        has_capacity: true,
+        written: written.clone(),
+        unrecorded_replies: unrecorded_replies.clone(),
+    }));
+    for sequence in 1..=3 {
+        replies.record(usage(sequence));
+        assert!(replies.hold(outgoing(sequence, Reply::Failed)).is_none());
+    }
+    // A reply that is not to a query has nothing to wait for.
+    assert!(replies.hold(outgoing(9, Reply::Ready(true))).is_some());
+    assert!(replies.pop_ready().is_none());
+    replies.close_client(2);
+    written.send_replace(2);
+    replies.wait_for_written().await;
+    let next = |replies: &mut PendingReplies| {
+        let ready = replies.pop_ready();
+        ready.map(|outgoing| (outgoing.client, outgoing.close))
+    };
+    assert_eq!(next(&mut replies), Some((1, false)));
+    assert_eq!(next(&mut replies), Some((2, true)));
+    assert!(replies.pop_ready().is_none());
+    let began = Instant::now();
+    tokio::time::sleep_until(replies.next_deadline().unwrap()).await;
+    assert_eq!(replies.pop_ready().map(|outgoing| outgoing.client), Some(3));
+    assert_eq!(
+        (began.elapsed(), unrecorded_replies.get()),
+        (Duration::from_millis(5), 1)
+    );
+    // The log has stalled: nothing waits until it advances.
+    replies.record(usage(4));
+    assert!(replies.hold(outgoing(4, Reply::Failed)).is_some());
+    assert_eq!(unrecorded_replies.get(), 2);
+    written.send_replace(4);
+    replies.record(usage(5));
+    assert!(replies.hold(outgoing(5, Reply::Failed)).is_none());
+}
+
+#[tokio::test]
+async fn a_reply_whose_record_is_lost_goes_at_once() {
+    let (written, _keep) = watch::channel(0);
+    let mut replies = PendingReplies::new(Box::new(ManualRecorder {
+        has_capacity: false,
+        written,
+        unrecorded_replies: Rc::default(),
+    }));
+    replies.record(usage(1));
+    assert!(replies.hold(outgoing(1, Reply::Failed)).is_some());
+}
--- a/crates/core/tests/sockets.rs
+++ b/crates/core/tests/sockets.rs
@@ -113,9 +113,9 @@
         let (peers, discovery) = (Vec::new(), discovery_at.1);
         let addresses = Addresses {
             discovery,
-            peer_listen: None,
+            gossip_listen: None,
             peers,
-            peers_all: None,
+            gossip_broadcast: None,
         };
         let (_told, terminate) = mpsc::channel(1);
         let mixer = net::serve(
--- a/crates/core/tests/support/socket_harness.rs
+++ b/crates/core/tests/support/socket_harness.rs
@@ -34,9 +34,9 @@
 pub fn addresses(discovery: SocketAddr) -> Addresses {
     Addresses {
         discovery,
-        peer_listen: None,
+        gossip_listen: None,
         peers: Vec::new(),
-        peers_all: None,
+        gossip_broadcast: None,
     }
 }
 
