Call the socket and protocol tests and their harness by the field's terms

`SocketHarness` runs a scenario with `run_scenario`; watches, leaf connections, calls and responses are structs with named fields. `moments.rs` is `crossing_events.rs` (its retries in `retries.rs`), `watch.rs` is `endpoint_watch.rs`; the tests of leaf frames and of the configuration left `protocol.rs` for `leaf_codec.rs` and `configuration.rs`.

old test name | new test name --- | --- queries_are_served_over_one_kept_connection_and_split_at_any_byte | queries_are_served_over_one_persistent_connection_and_split_at_any_byte a_body_that_is_too_large_is_refused_and_not_reset | a_body_that_is_too_large_gets_a_response_and_no_reset a_bad_request_is_named_and_the_next_client_served | an_invalid_request_gets_its_status_and_the_next_client_is_served who_says_nothing_or_never_ends_a_request_is_told_or_closed_in_time | a_silent_client_is_closed_and_a_slow_request_is_rejected_in_time half_requests_do_not_hold_the_places_of_good_clients | incomplete_requests_do_not_block_the_capacity_for_other_clients half_an_answer_is_not_waited_for | a_truncated_part_result_is_not_waited_for a_list_that_comes_indented_is_taken | an_indented_snapshot_is_applied a_watch_that_falls_silent_is_opened_anew_and_has_told_within_the_time | a_silent_watch_is_replaced_and_the_next_update_arrives_in_time however_often_a_watch_was_refused_the_next_one_comes_soon | the_backoff_between_watches_stays_short_however_often_they_fail a_watch_that_lives_is_kept | a_watch_with_heartbeats_is_not_replaced a_reload_moves_the_watch_and_the_old_ones_end_is_no_news | a_reload_moves_the_watch_and_the_end_of_the_old_one_is_ignored half_a_list_that_ends_in_a_reset_is_not_taken | a_truncated_snapshot_that_ends_in_a_reset_is_not_applied a_client_that_leaves_behind_pipelined_requests_is_gone_at_once | a_client_that_disconnects_behind_pipelined_requests_is_noticed_at_once a_client_that_sends_more_than_is_read_ahead_is_seen_to_leave | a_client_that_sends_more_than_is_read_ahead_is_seen_to_disconnect the_time_of_a_request_runs_while_it_waits_behind_another | the_timeout_of_a_request_runs_while_it_waits_behind_another the_last_answer_is_not_lost_to_bytes_that_were_not_read | the_last_response_is_not_lost_to_unread_bytes a_request_that_crosses_the_shutdown_of_its_connection_is_neither_sent_on_nor_reset | a_request_that_crosses_the_shutdown_of_its_connection_is_neither_forwarded_nor_reset what_was_read_before_the_shutdown_is_answered_and_what_came_with_it | requests_read_before_the_shutdown_are_answered_with_those_that_came_with_it the_end_comes_in_time_while_a_leaf_server_hangs_and_all_that_was_taken_is_answered | the_shutdown_ends_in_time_while_a_leaf_server_hangs_and_accepted_queries_are_answered a_connection_that_waits_to_be_accepted_when_listening_stops_is_answered | (unchanged) a_new_connection_that_says_nothing_is_closed_and_costs_nobody_his_answer | a_silent_new_connection_is_closed_without_an_error a_part_that_may_not_be_repeated_and_may_have_run_is_not_sent_again | a_non_idempotent_part_that_may_have_run_is_not_retried a_part_that_may_be_repeated_is_sent_again_and_told_what_is_left | an_idempotent_part_is_retried_with_the_time_that_is_left idle_clients_that_fill_the_places_while_discovery_is_down_shut_out_neither_the_watch_nor_a_new_client | idle_clients_at_full_capacity_block_neither_a_late_watch_nor_a_new_client a_request_split_anywhere_is_the_same_request | (unchanged) no_bytes_from_outside_break_a_codec | no_input_breaks_a_codec a_query_is_read_as_sent | a_query_is_parsed_as_sent bad_requests_are_told_apart | invalid_requests_get_distinct_statuses a_connection_is_kept_unless_a_side_says_otherwise | a_connection_is_kept_alive_unless_the_client_says_otherwise replies_say_when_to_come_back_and_whether_they_are_whole | replies_carry_retry_after_and_completeness frames_are_as_the_protocol_states | frames_are_encoded_and_decoded_as_specified an_answer_counts_only_if_all_of_it_is_right | a_part_result_counts_only_if_it_is_well_formed a_watch_is_read_line_by_line_over_chunk_bounds | a_watch_is_read_line_by_line_across_chunk_boundaries a_list_is_read_however_it_is_laid_out | a_snapshot_is_read_however_it_is_formatted settings_as_json_mean_the_same_as_on_the_wire | json_settings_mean_the_same_as_key_value_settings

--- /dev/null
+++ b/crates/core/tests/configuration.rs
@@ -0,0 +1,32 @@
+//! The platform's configuration file and its settings.
+
+use aggregator_core::config::Config;
+
+#[test]
+fn json_settings_mean_the_same_as_key_value_settings() {
+    let settings = serde_json::json!({
+        "classes": [{"name": "a b", "aim_ns": 2, "give_up_ns": 6, "semantics": "read_like"}],
+        "extra": {"places": 1, "reach": 1, "ranges": 2, "class_need": [1.0], "least_share": [0.6],
+            "partial_earns": [0.9], "second_step": [0]},
+        "replicas_of_me": 1, "tick_ns": 5, "localities": ["n", "s"],
+    });
+    let config = |settings: &serde_json::Value| {
+        let file = serde_json::json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
+            "seed": "8c1f30d27a5be964", "settings": settings});
+        Config::read(&file.to_string())
+    };
+    let read = config(&settings).unwrap();
+    assert_eq!(
+        (read.site.zones.len(), read.site.classes[0].as_str()),
+        (2, "a_b")
+    );
+    assert_eq!(
+        (read.settings.classes[0].minimum_coverage, read.seed),
+        (0.6, 0x8c1f_30d2_7a5b_e964)
+    );
+    let mut broken = settings.clone();
+    broken["tick_ns"] = 0.into();
+    assert!(config(&broken).unwrap_err().to_string().contains("tick_ns"));
+    broken["extra"]["second_step"][0] = 3.into();
+    assert!(config(&broken).is_err());
+}
--- /dev/null
+++ b/crates/core/tests/crossing_events.rs
@@ -0,0 +1,362 @@
+//! Events that cross on loopback sockets: a client that disconnects, a connection that is shut down
+//! while bytes are on their way, a shutdown between two requests. The test acts as every other
+//! process, so each crossing is forced.
+
+mod support;
+
+use aggregator_core::net::OperatorSignal;
+use std::io;
+use support::engine_harness::SETTINGS;
+use support::socket_harness::{
+    connect_client, query_request, read_response, run_scenario, HttpResponse, LeafServerConnection,
+    ReceivedCall, SocketHarness, WatchConnection, HANG_TIMEOUT,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout, Duration, Instant};
+
+/// The end of a connection as its client sees it: everything was read, and nothing was reset.
+async fn expect_clean_close(stream: &mut TcpStream) {
+    let end = timeout(HANG_TIMEOUT, stream.read(&mut [0]))
+        .await
+        .expect("an end");
+    assert_eq!(end.map_err(|e| e.kind()), Ok(0));
+    assert!(stream.take_error().unwrap().is_none(), "reset");
+}
+
+/// All frames to a leaf server from now on, until none has arrived for a while.
+async fn remaining_frames(leaf: &mut LeafServerConnection) -> Vec<String> {
+    let mut frames = Vec::new();
+    while let Ok(Some(frame)) = timeout(Duration::from_secs(20), leaf.next_frame()).await {
+        frames.push(frame);
+    }
+    frames
+}
+
+#[test]
+fn a_client_that_disconnects_behind_pipelined_requests_is_noticed_at_once() {
+    run_scenario(SETTINGS, 100, |harness| async move {
+        let mut client = connect_client(harness.aggregator).await;
+        let both = query_request("a1", "") + &query_request("a2", "") + &query_request("a3", "");
+        client.write_all(both.as_bytes()).await.unwrap();
+        let mut leaf = LeafServerConnection::accept(&harness.leaf).await;
+        assert_eq!(leaf.next_call().await.id, "a1.3");
+        let disconnected = Instant::now();
+        drop(client);
+        assert_eq!(
+            timeout(HANG_TIMEOUT, leaf.next_frame()).await.unwrap(),
+            Some("Xa1.3".into())
+        );
+        assert!(
+            disconnected.elapsed() < Duration::from_millis(100),
+            "{:?}",
+            disconnected.elapsed()
+        );
+        assert_eq!(
+            remaining_frames(&mut leaf).await,
+            [""; 0],
+            "no client waits for the others"
+        );
+    });
+}
+
+#[test]
+fn a_client_that_sends_more_than_is_read_ahead_is_seen_to_disconnect() {
+    run_scenario(SETTINGS, 100, |harness| async move {
+        let mut client = connect_client(harness.aggregator).await;
+        let many: String = (0..2000)
+            .map(|n| query_request(&format!("a{n}"), ""))
+            .collect();
+        client.write_all(many.as_bytes()).await.unwrap();
+        let mut leaf = LeafServerConnection::accept(&harness.leaf).await;
+        assert_eq!(leaf.next_call().await.id, "a0.3");
+        let disconnected = Instant::now();
+        drop(client);
+        assert_eq!(
+            timeout(HANG_TIMEOUT, leaf.next_frame()).await.unwrap(),
+            Some("Xa0.3".into())
+        );
+        assert!(
+            disconnected.elapsed() < Duration::from_millis(100),
+            "{:?}",
+            disconnected.elapsed()
+        );
+        assert_eq!(
+            remaining_frames(&mut leaf).await,
+            [""; 0],
+            "no client waits for the others"
+        );
+    });
+}
+
+#[test]
+fn the_timeout_of_a_request_runs_while_it_waits_behind_another() {
+    run_scenario(SETTINGS, 100, |harness| async move {
+        let mut client = connect_client(harness.aggregator).await;
+        let both = query_request("b1", "") + &query_request("b2", "X-Timeout: 1500m\r\n");
+        client.write_all(both.as_bytes()).await.unwrap();
+        let mut leaf = LeafServerConnection::accept(&harness.leaf).await;
+        let first = leaf.next_call().await.id;
+        sleep(Duration::from_millis(300)).await;
+        leaf.send_result(&first).await;
+        assert!(read_response(&mut client).await.body.contains("b1.3"));
+        let ReceivedCall {
+            id: second,
+            wait_ms,
+        } = leaf.next_call().await;
+        assert_eq!(second, "b2.3");
+        assert!(wait_ms <= 1200, "{wait_ms} ms stated, 1200 left");
+        leaf.send_result(&second).await;
+        assert!(read_response(&mut client).await.body.contains("b2.3"));
+    });
+}
+
+#[test]
+fn the_last_response_is_not_lost_to_unread_bytes() {
+    run_scenario(SETTINGS, 100, |harness| async move {
+        let mut client = connect_client(harness.aggregator).await;
+        client
+            .write_all(query_request("c1", "Connection: close\r\n").as_bytes())
+            .await
+            .unwrap();
+        let mut leaf = LeafServerConnection::accept(&harness.leaf).await;
+        let id = leaf.next_call().await.id;
+        let pipelined: String = (0..2000)
+            .map(|n| query_request(&format!("c-{n}"), ""))
+            .collect();
+        client.write_all(pipelined.as_bytes()).await.unwrap();
+        leaf.send_result(&id).await;
+        let HttpResponse { head, body } = read_response(&mut client).await;
+        assert!(
+            head.contains("Connection: close") && body.contains("c1.3"),
+            "{head}{body}"
+        );
+        // More arrives while the aggregator is about to close.
+        client.write_all(pipelined.as_bytes()).await.unwrap();
+        expect_clean_close(&mut client).await;
+        assert_eq!(
+            remaining_frames(&mut leaf).await,
+            [""; 0],
+            "what follows a last request is not served"
+        );
+    });
+}
+
+/// A client that was served once and is idle; the connection to the leaf server stays open.
+async fn served_client(harness: &SocketHarness, name: &str) -> (TcpStream, LeafServerConnection) {
+    let mut client = connect_client(harness.aggregator).await;
+    client
+        .write_all(query_request(name, "").as_bytes())
+        .await
+        .unwrap();
+    let mut leaf = LeafServerConnection::accept(&harness.leaf).await;
+    let id = leaf.next_call().await.id;
+    leaf.send_result(&id).await;
+    assert!(read_response(&mut client)
+        .await
+        .head
+        .starts_with("HTTP/1.1 200"));
+    (client, leaf)
+}
+
+#[test]
+fn a_request_that_crosses_the_shutdown_of_its_connection_is_neither_forwarded_nor_reset() {
+    run_scenario(SETTINGS, 100, |harness| async move {
+        let (mut client, mut leaf) = served_client(&harness, "d1").await;
+        harness
+            .signals
+            .send(OperatorSignal::Shutdown)
+            .await
+            .unwrap();
+        expect_clean_close(&mut client).await;
+        client
+            .write_all(query_request("d2", "").as_bytes())
+            .await
+            .unwrap();
+        sleep(Duration::from_millis(100)).await;
+        expect_clean_close(&mut client).await;
+        drop(client);
+        let ended = timeout(HANG_TIMEOUT, harness.served)
+            .await
+            .expect("the aggregator ends")
+            .unwrap();
+        assert!(ended.is_ok());
+        assert_eq!(
+            remaining_frames(&mut leaf).await,
+            [""; 0],
+            "nothing is forwarded after the shutdown"
+        );
+    });
+}
+
+#[test]
+fn requests_read_before_the_shutdown_are_answered_with_those_that_came_with_it() {
+    run_scenario(SETTINGS, 100, |harness| async move {
+        let mut client = connect_client(harness.aggregator).await;
+        let both = query_request("e1", "") + &query_request("e2", "");
+        client.write_all(both.as_bytes()).await.unwrap();
+        let mut leaf = LeafServerConnection::accept(&harness.leaf).await;
+        let first = leaf.next_call().await.id;
+        harness
+            .signals
+            .send(OperatorSignal::Shutdown)
+            .await
+            .unwrap();
+        sleep(Duration::from_millis(1000)).await;
+        assert!(
+            TcpStream::connect(harness.aggregator).await.is_err(),
+            "no new connections"
+        );
+        leaf.send_result(&first).await;
+        assert!(read_response(&mut client).await.body.contains("e1.3"));
+        let second = leaf.next_call().await.id;
+        // Read after the shutdown has begun.
+        client
+            .write_all(query_request("e3", "").as_bytes())
+            .await
+            .unwrap();
+        leaf.send_result(&second).await;
+        let HttpResponse { head, body } = read_response(&mut client).await;
+        assert!(
+            head.contains("Connection: close") && body.contains("e2.3"),
+            "{head}{body}"
+        );
+        expect_clean_close(&mut client).await;
+        drop(client);
+        assert!(timeout(HANG_TIMEOUT, harness.served)
+            .await
+            .expect("the aggregator ends")
+            .unwrap()
+            .is_ok());
+        assert_eq!(remaining_frames(&mut leaf).await, [""; 0]);
+    });
+}
+
+#[test]
+fn the_shutdown_ends_in_time_while_a_leaf_server_hangs_and_accepted_queries_are_answered() {
+    run_scenario(SETTINGS, 100, |harness| async move {
+        let (mut idle, _leaf) = served_client(&harness, "f0").await;
+        let mut client = connect_client(harness.aggregator).await;
+        client
+            .write_all(query_request("f1", "").as_bytes())
+            .await
+            .unwrap();
+        sleep(Duration::from_millis(10)).await;
+        let signalled = Instant::now();
+        harness
+            .signals
+            .send(OperatorSignal::Shutdown)
+            .await
+            .unwrap();
+        // Neither client ever closes its side.
+        let HttpResponse { head, .. } = read_response(&mut client).await;
+        assert!(head.starts_with("HTTP/1.1 50"), "{head}");
+        assert!(timeout(HANG_TIMEOUT, harness.served)
+            .await
+            .expect("the aggregator ends")
+            .unwrap()
+            .is_ok());
+        // The longest deadline is 6 s, and a kill may follow 0.7 s later.
+        assert!(
+            signalled.elapsed() < Duration::from_millis(6_700),
+            "{:?}",
+            signalled.elapsed()
+        );
+        expect_clean_close(&mut client).await;
+        expect_clean_close(&mut idle).await;
+    });
+}
+
+#[test]
+fn a_connection_that_waits_to_be_accepted_when_listening_stops_is_answered() {
+    let settings = SETTINGS
+        .replace("open_cap=60", "open_cap=600")
+        .replace("streams_per_conn=4", "streams_per_conn=99");
+    // Capacity for 18 clients and 16 more that are being closed.
+    run_scenario(&settings, 40, |harness| async move {
+        let mut clients = Vec::new();
+        for n in 0..40 {
+            let mut client = connect_client(harness.aggregator).await;
+            client
+                .write_all(query_request(&format!("g{n}"), "").as_bytes())
+                .await
+                .unwrap();
+            clients.push(client);
+        }
+        let mut leaf = LeafServerConnection::accept(&harness.leaf).await;
+        let first = leaf.next_call().await.id;
+        assert_eq!(first, "g0.3");
+        harness
+            .signals
+            .send(OperatorSignal::Shutdown)
+            .await
+            .unwrap();
+        let leaf = tokio::task::spawn_local(async move {
+            sleep(Duration::from_millis(1000)).await;
+            leaf.send_result(&first).await;
+            leaf.serve().await
+        });
+        for client in &mut clients {
+            // The last response may be a rejection, as the queries before it have waited long. A
+            // reset is no response.
+            let HttpResponse { head, .. } = read_response(client).await;
+            assert!(
+                head.starts_with("HTTP/1.1 200") || head.starts_with("HTTP/1.1 503"),
+                "{head}"
+            );
+        }
+        drop(clients);
+        assert!(timeout(HANG_TIMEOUT, harness.served)
+            .await
+            .expect("the aggregator ends")
+            .unwrap()
+            .is_ok());
+        leaf.await.unwrap();
+    });
+}
+
+#[test]
+fn a_silent_new_connection_is_closed_without_an_error() {
+    run_scenario(SETTINGS, 100, |harness| async move {
+        let mut silent = connect_client(harness.aggregator).await;
+        let end = timeout(Duration::from_millis(2_500), silent.read(&mut [0]))
+            .await
+            .expect("closed");
+        assert_eq!(end.map_err(|e: io::Error| e.kind()), Ok(0));
+    });
+}
+
+#[test]
+fn idle_clients_at_full_capacity_block_neither_a_late_watch_nor_a_new_client() {
+    // Capacity for 45 clients.
+    run_scenario(SETTINGS, 100, |harness| async move {
+        drop(harness.discovery.accept().await.unwrap());
+        let (first, leaf) = served_client(&harness, "j-first").await;
+        let leaf = tokio::task::spawn_local(leaf.serve());
+        let mut idle = vec![first];
+        for n in 0..60 {
+            let mut client = connect_client(harness.aggregator).await;
+            client
+                .write_all(query_request(&format!("j{n}"), "").as_bytes())
+                .await
+                .unwrap();
+            assert!(read_response(&mut client)
+                .await
+                .head
+                .starts_with("HTTP/1.1 200"));
+            idle.push(client);
+            idle.push(connect_client(harness.aggregator).await);
+        }
+        let mut watch = WatchConnection::accept(&harness.discovery).await;
+        watch.send_head().await;
+        watch.send_chunk("\n").await;
+        let mut client = connect_client(harness.aggregator).await;
+        client
+            .write_all(query_request("j-last", "").as_bytes())
+            .await
+            .unwrap();
+        assert!(read_response(&mut client).await.body.contains("j-last.3"));
+        drop((idle, watch));
+        leaf.abort();
+    });
+}
--- /dev/null
+++ b/crates/core/tests/endpoint_watch.rs
@@ -0,0 +1,192 @@
+//! The watch on the endpoint list on loopback sockets: silent, ended, moved, and in any layout.
+
+mod support;
+
+use aggregator_core::net::OperatorSignal;
+use support::engine_harness::SETTINGS;
+use support::socket_harness::{
+    addresses, connect_client, endpoint, query_request, read_response, run_scenario, snapshot,
+    LeafServerConnection, WatchConnection, HANG_TIMEOUT,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::time::{sleep, timeout, Duration, Instant};
+
+/// Where discovery can be reached, a change is known this long after it at the latest.
+const UPDATE_DEADLINE: Duration = Duration::from_secs(6);
+
+/// Whether a query is rejected for want of leaf servers, which shows that an empty list was applied.
+async fn is_rejected(aggregator: std::net::SocketAddr) -> bool {
+    let mut client = connect_client(aggregator).await;
+    client
+        .write_all(query_request("gone", "X-Timeout: 400m\r\n").as_bytes())
+        .await
+        .unwrap();
+    read_response(&mut client)
+        .await
+        .head
+        .starts_with("HTTP/1.1 503")
+}
+
+#[test]
+fn an_indented_snapshot_is_applied() {
+    run_scenario(SETTINGS, 100, |harness| async move {
+        let mut watch = WatchConnection::accept(&harness.discovery).await;
+        assert!(watch.request.contains("from=2 "), "{}", watch.request);
+        watch.send_head().await;
+        let indented = serde_json::to_string_pretty(&snapshot(9, &[])).unwrap();
+        for piece in (indented + "\n").as_bytes().chunks(7) {
+            watch.send_chunk(std::str::from_utf8(piece).unwrap()).await;
+            tokio::task::yield_now().await;
+        }
+        drop(watch);
+        let again = WatchConnection::accept(&harness.discovery).await;
+        assert!(again.request.contains("from=9 "), "{}", again.request);
+        assert!(is_rejected(harness.aggregator).await, "the list is empty");
+    });
+}
+
+#[test]
+fn a_silent_watch_is_replaced_and_the_next_update_arrives_in_time() {
+    run_scenario(SETTINGS, 100, |harness| async move {
+        let mut silent = WatchConnection::accept(&harness.discovery).await;
+        silent.send_head().await;
+        silent.send_chunk("\n").await;
+        let since = Instant::now();
+        // The next watch meets an agent that is silent as well.
+        let unanswered = WatchConnection::accept(&harness.discovery).await;
+        let mut third = WatchConnection::accept(&harness.discovery).await;
+        third.send_head().await;
+        third.send_chunk(&format!("{}\n", snapshot(9, &[]))).await;
+        assert!(since.elapsed() < UPDATE_DEADLINE, "{:?}", since.elapsed());
+        assert!(is_rejected(harness.aggregator).await);
+        drop((silent, unanswered, third));
+    });
+}
+
+/// An update counts as known once it is pushed, and a drain has to be obeyed 2 s later: however
+/// long discovery was down, the next watch may not start later than that.
+#[test]
+fn the_backoff_between_watches_stays_short_however_often_they_fail() {
+    run_scenario(SETTINGS, 100, |harness| async move {
+        let mut before = Instant::now();
+        for _ in 0..30 {
+            let (stream, _) = timeout(HANG_TIMEOUT, harness.discovery.accept())
+                .await
+                .expect("a watch")
+                .unwrap();
+            drop(stream);
+            assert!(
+                before.elapsed() < Duration::from_secs(1),
+                "{:?}",
+                before.elapsed()
+            );
+            before = Instant::now();
+        }
+        for _ in 0..10 {
+            let silent = WatchConnection::accept(&harness.discovery).await;
+            assert!(
+                before.elapsed() < Duration::from_secs(2),
+                "{:?}",
+                before.elapsed()
+            );
+            before = Instant::now();
+            drop(silent);
+        }
+    });
+}
+
+#[test]
+fn a_watch_with_heartbeats_is_not_replaced() {
+    run_scenario(SETTINGS, 100, |harness| async move {
+        let mut watch = WatchConnection::accept(&harness.discovery).await;
+        watch.send_head().await;
+        for _ in 0..10 {
+            sleep(Duration::from_secs(2)).await;
+            watch.send_chunk("\n").await;
+        }
+        let another = timeout(Duration::from_millis(100), harness.discovery.accept()).await;
+        assert!(another.is_err(), "no second watch");
+    });
+}
+
+#[test]
+fn a_reload_moves_the_watch_and_the_end_of_the_old_one_is_ignored() {
+    run_scenario(SETTINGS, 100, |harness| async move {
+        let old = WatchConnection::accept(&harness.discovery).await;
+        let next = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let at = addresses(next.local_addr().unwrap());
+        // The old watch ends just as discovery moves.
+        drop(old);
+        harness
+            .signals
+            .send(OperatorSignal::Reload(Some(at)))
+            .await
+            .unwrap();
+        let mut moved = WatchConnection::accept(&next).await;
+        moved.send_head().await;
+        moved.send_chunk("\n").await;
+        let leaf = harness.leaf.local_addr().unwrap();
+        for second in 0..4 {
+            sleep(Duration::from_secs(1)).await;
+            moved
+                .send_chunk(&format!(
+                    "{}\n",
+                    snapshot(20 + second, &[endpoint(leaf, "draining")])
+                ))
+                .await;
+        }
+        assert!(
+            timeout(Duration::from_millis(100), next.accept())
+                .await
+                .is_err(),
+            "the watch is not replaced"
+        );
+        assert_eq!(
+            moved.stream.try_read(&mut [0]).map_err(|e| e.kind()),
+            Err(std::io::ErrorKind::WouldBlock)
+        );
+        assert!(
+            is_rejected(harness.aggregator).await,
+            "a draining leaf server gets nothing new"
+        );
+        let gone = timeout(Duration::from_millis(100), harness.discovery.accept()).await;
+        assert!(gone.is_err(), "no watch at the old address: {gone:?}");
+        let _ = moved.stream.read(&mut []).await;
+    });
+}
+
+#[test]
+fn a_truncated_snapshot_that_ends_in_a_reset_is_not_applied() {
+    run_scenario(SETTINGS, 100, |harness| async move {
+        let mut watch = WatchConnection::accept(&harness.discovery).await;
+        // Neither a length nor chunks: only the end of the connection ends the body.
+        watch
+            .stream
+            .write_all(b"HTTP/1.1 200 OK\r\n\r\n")
+            .await
+            .unwrap();
+        let complete = snapshot(9, &[]).to_string();
+        watch
+            .stream
+            .write_all(&complete.as_bytes()[..complete.len() - 1])
+            .await
+            .unwrap();
+        sleep(Duration::from_millis(10)).await;
+        watch.stream.set_zero_linger().unwrap();
+        drop(watch);
+        let again = WatchConnection::accept(&harness.discovery).await;
+        assert!(again.request.contains("from=2 "), "{}", again.request);
+        let mut client = connect_client(harness.aggregator).await;
+        client
+            .write_all(query_request("still", "").as_bytes())
+            .await
+            .unwrap();
+        let mut leaf = LeafServerConnection::accept(&harness.leaf).await;
+        assert_eq!(
+            leaf.next_call().await.id,
+            "still.3",
+            "the leaf server on the previous list is still used"
+        );
+    });
+}
--- /dev/null
+++ b/crates/core/tests/support/codec_harness.rs
@@ -0,0 +1,27 @@
+//! Decodes bytes as they would arrive at a socket.
+
+use bytes::BytesMut;
+use tokio_util::codec::Decoder;
+
+/// Decodes bytes that arrive in pieces of these sizes, over and over.
+pub fn decode_in_pieces<D: Decoder<Error = std::io::Error>>(
+    codec: &mut D,
+    bytes: &[u8],
+    sizes: &[usize],
+) -> Vec<D::Item> {
+    let mut found = Vec::new();
+    let mut buffer = BytesMut::new();
+    let mut rest = bytes;
+    for size in sizes.iter().cycle() {
+        let (piece, later) = rest.split_at((*size).clamp(1, rest.len().max(1)).min(rest.len()));
+        buffer.extend_from_slice(piece);
+        while let Some(item) = codec.decode(&mut buffer).expect("no i/o error") {
+            found.push(item);
+        }
+        rest = later;
+        if rest.is_empty() {
+            break;
+        }
+    }
+    found
+}
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -1,6 +1,8 @@
-//! Harnesses of the tests: an engine without sockets, and a whole aggregator on real sockets.
+//! Harnesses of the tests: codecs, an engine without sockets, and a complete aggregator on loopback
+//! sockets.
 
 #![allow(dead_code)] // Each test file uses its own part of it.
 
+pub mod codec_harness;
 pub mod engine_harness;
 pub mod socket_harness;
--- a/crates/core/tests/support/socket_harness.rs
+++ b/crates/core/tests/support/socket_harness.rs
@@ -1,10 +1,10 @@
-//! A whole mixer on real sockets of the loopback; the test plays everyone else, one step after the
-//! other, so that what crosses does so because the test makes it.
+//! A complete aggregator on loopback sockets. The test acts as every other process, one step after
+//! the other, so that events cross only where the test makes them.
 
+use aggregator_core::config::{parse_aggregator_settings, parse_policy_settings};
 use aggregator_core::engine::Engine;
 use aggregator_core::net::{self, Addresses, Clock, OperatorSignal};
 use aggregator_core::protocol::query::NameTables;
-use aggregator_core::settings;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -14,14 +14,21 @@
 use tokio::task::JoinHandle;
 use tokio::time::{timeout, Duration};
 
-/// On a clock that goes on to the next timer when nobody has anything to do: for what never comes.
-pub const NEVER: Duration = Duration::from_secs(120);
+/// How long to wait for what never comes. The clock advances to the next timer when nobody has
+/// anything to do, so this costs no real time.
+pub const HANG_TIMEOUT: Duration = Duration::from_secs(120);
 
-pub struct Stage {
-    pub mixer: SocketAddr,
-    pub tell: mpsc::Sender<OperatorSignal>,
+/// A running aggregator, and the sockets of the processes that it speaks to.
+pub struct SocketHarness {
+    /// Where the aggregator accepts clients.
+    pub aggregator: SocketAddr,
+    /// Signals to the aggregator.
+    pub signals: mpsc::Sender<OperatorSignal>,
+    /// Accepts the aggregator's watches.
     pub discovery: TcpListener,
+    /// Accepts the aggregator's connections to the leaf server.
     pub leaf: TcpListener,
+    /// Ends with the aggregator.
     pub served: JoinHandle<io::Result<()>>,
 }
 
@@ -31,6 +38,7 @@
     (listener, address)
 }
 
+/// The addresses of an aggregator without gossip.
 pub fn addresses(discovery: SocketAddr) -> Addresses {
     Addresses {
         discovery,
@@ -40,48 +48,63 @@
     }
 }
 
-/// One leaf server that holds every shard, as a line of the list.
-pub fn line(leaf: SocketAddr, status: &str) -> serde_json::Value {
+/// One leaf server that holds every shard, as an item of the endpoint list.
+pub fn endpoint(leaf: SocketAddr, status: &str) -> serde_json::Value {
     serde_json::json!({"name": "s-1", "address": leaf, "group": 0, "status": status})
 }
 
-pub fn list(index: u64, lines: &[serde_json::Value]) -> serde_json::Value {
-    serde_json::json!({"index": index, "snapshot": true, "endpoints": lines})
+/// A snapshot of the endpoint list.
+pub fn snapshot(index: u64, endpoints: &[serde_json::Value]) -> serde_json::Value {
+    serde_json::json!({"index": index, "snapshot": true, "endpoints": endpoints})
 }
 
-/// Plays `script` with a mixer that was started with one leaf server on its list. The clock stands
-/// still while anyone has something to do, and else goes on to the next timer.
-pub fn play<F: Future<Output = ()>>(
-    text: &str,
+/// Runs `scenario` with an aggregator that was started with one leaf server on its list. The clock
+/// stands still while anyone has something to do, and else advances to the next timer.
+pub fn run_scenario<F: Future<Output = ()>>(
+    settings: &str,
     descriptors: usize,
-    script: impl FnOnce(Stage) -> F,
+    scenario: impl FnOnce(SocketHarness) -> F,
 ) {
     let mut runtime = tokio::runtime::Builder::new_current_thread();
     let runtime = runtime.enable_all().start_paused(true).build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        let (discovery, leaf, mixer) = (listener().await, listener().await, listener().await);
-        let (site, decisions) = (
-            settings::site(text).unwrap(),
-            settings::parse(text).unwrap(),
-        );
+        let (discovery, discovery_address) = listener().await;
+        let (leaf, leaf_address) = listener().await;
+        let (clients, aggregator) = listener().await;
+        let aggregator_settings = parse_aggregator_settings(settings).unwrap();
+        let policy_settings = parse_policy_settings(settings).unwrap();
         let names = NameTables {
-            classes: site.classes.clone(),
-            deadlines: site.deadlines.clone(),
-            shards: site.shards,
+            classes: aggregator_settings.classes.clone(),
+            deadlines: aggregator_settings.deadlines.clone(),
+            shards: aggregator_settings.shards,
             ..NameTables::default()
         };
         let clock = Clock::start();
-        let known = serde_json::from_value(list(2, &[line(leaf.1, "up")])).unwrap();
-        let state = Engine::new(clock.now(), site, decisions, 7, &known, descriptors);
-        let (tell, told) = mpsc::channel(1);
-        let to = addresses(discovery.1);
-        let served = net::serve(state, clock, names, mixer.0, to, told, Default::default());
-        let served = tokio::task::spawn_local(served);
-        script(Stage {
-            mixer: mixer.1,
-            tell,
-            discovery: discovery.0,
-            leaf: leaf.0,
+        let initial_list =
+            serde_json::from_value(snapshot(2, &[endpoint(leaf_address, "up")])).unwrap();
+        let engine = Engine::new(
+            clock.now(),
+            aggregator_settings,
+            policy_settings,
+            7,
+            &initial_list,
+            descriptors,
+        );
+        let (signals, received_signals) = mpsc::channel(1);
+        let served = tokio::task::spawn_local(net::serve(
+            engine,
+            clock,
+            names,
+            clients,
+            addresses(discovery_address),
+            received_signals,
+            Default::default(),
+        ));
+        scenario(SocketHarness {
+            aggregator,
+            signals,
+            discovery,
+            leaf,
             served,
         })
         .await;
@@ -89,30 +112,33 @@
 }
 
 /// A watch as discovery sees it.
-pub struct Watch {
+pub struct WatchConnection {
     pub stream: TcpStream,
+    /// The head of the request.
     pub request: String,
 }
 
-impl Watch {
-    /// The next one that the mixer opens; what it asks for is read.
-    pub async fn next(discovery: &TcpListener) -> Watch {
-        let (mut stream, _) = timeout(NEVER, discovery.accept())
+impl WatchConnection {
+    /// Accepts the next watch and reads its request.
+    pub async fn accept(discovery: &TcpListener) -> WatchConnection {
+        let (mut stream, _) = timeout(HANG_TIMEOUT, discovery.accept())
             .await
             .expect("a watch")
             .unwrap();
-        let request = head(&mut stream).await;
-        Watch { stream, request }
+        let request = read_head(&mut stream).await;
+        WatchConnection { stream, request }
     }
 
-    pub async fn begin(&mut self) {
+    /// Sends the head of the response.
+    pub async fn send_head(&mut self) {
         self.stream
             .write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             .await
             .unwrap();
     }
 
-    pub async fn write(&mut self, text: &str) {
+    /// Sends one chunk of the response's body.
+    pub async fn send_chunk(&mut self, text: &str) {
         self.stream
             .write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())
             .await
@@ -120,57 +146,68 @@
     }
 }
 
-/// A connection of the mixer as a leaf server sees it.
-pub struct Leaf {
+/// The first part of a call as a leaf server receives it.
+pub struct ReceivedCall {
+    /// The part's id.
+    pub id: String,
+    /// How long the aggregator says that it waits, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// A connection of the aggregator as a leaf server sees it.
+pub struct LeafServerConnection {
     pub stream: TcpStream,
 }
 
-impl Leaf {
-    pub async fn next(leaf: &TcpListener) -> Leaf {
-        let (stream, _) = timeout(NEVER, leaf.accept())
+impl LeafServerConnection {
+    /// Accepts the next connection.
+    pub async fn accept(leaf: &TcpListener) -> LeafServerConnection {
+        let (stream, _) = timeout(HANG_TIMEOUT, leaf.accept())
             .await
             .expect("a connection")
             .unwrap();
         stream.set_nodelay(true).unwrap();
-        Leaf { stream }
+        LeafServerConnection { stream }
     }
 
     /// The next frame; none at the end of the connection.
-    pub async fn frame(&mut self) -> Option<String> {
+    pub async fn next_frame(&mut self) -> Option<String> {
         let length = self.stream.read_u32().await.ok()?;
         let mut frame = vec![0; length as usize];
         self.stream.read_exact(&mut frame).await.ok()?;
         Some(String::from_utf8(frame).unwrap())
     }
 
-    /// The part's id and the milliseconds that the mixer waits, of the next call.
-    pub async fn call(&mut self) -> (String, u64) {
+    /// The next call; other frames before it are skipped.
+    pub async fn next_call(&mut self) -> ReceivedCall {
         loop {
-            let frame = timeout(NEVER, self.frame())
+            let frame = timeout(HANG_TIMEOUT, self.next_frame())
                 .await
                 .expect("a call")
                 .expect("a call");
             if let Some(call) = frame.strip_prefix('Q') {
-                let mut words = call.split(' ');
-                let id = words.next().unwrap().to_string();
-                return (id, words.nth(1).unwrap()[2..].parse().unwrap());
+                let mut fields = call.split(' ');
+                let id = fields.next().unwrap().to_string();
+                let wait_ms = fields.nth(1).unwrap()[2..].parse().unwrap();
+                return ReceivedCall { id, wait_ms };
             }
         }
     }
 
-    pub async fn answer(&mut self, id: &str) {
-        let answer = format!("A{id} ok 1 -\n{id}");
-        let frame = [&(answer.len() as u32).to_be_bytes()[..], answer.as_bytes()].concat();
+    /// Sends a part's result, with its id as the value.
+    pub async fn send_result(&mut self, id: &str) {
+        let result = format!("A{id} ok 1 -\n{id}");
+        let frame = [&(result.len() as u32).to_be_bytes()[..], result.as_bytes()].concat();
         self.stream.write_all(&frame).await.unwrap();
     }
 
-    /// Answers all calls until the connection ends, and says how many there were.
+    /// Answers all calls until the connection ends, and returns their number.
     pub async fn serve(mut self) -> usize {
         let mut served = 0;
-        while let Some(frame) = self.frame().await {
+        while let Some(frame) = self.next_frame().await {
             if let Some(call) = frame.strip_prefix('Q') {
                 let id = call.split(' ').next().unwrap().to_string();
-                self.answer(&id).await;
+                self.send_result(&id).await;
                 served += 1;
             }
         }
@@ -178,17 +215,18 @@
     }
 }
 
-pub async fn client(mixer: SocketAddr) -> TcpStream {
-    let stream = TcpStream::connect(mixer).await.unwrap();
+/// Connects a client.
+pub async fn connect_client(aggregator: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(aggregator).await.unwrap();
     stream.set_nodelay(true).unwrap();
     stream
 }
 
-async fn head(stream: &mut TcpStream) -> String {
+async fn read_head(stream: &mut TcpStream) -> String {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(
-            timeout(NEVER, stream.read_u8())
+            timeout(HANG_TIMEOUT, stream.read_u8())
                 .await
                 .expect("bytes")
                 .expect("a head"),
@@ -197,9 +235,17 @@
     String::from_utf8(head).unwrap()
 }
 
-/// One answer of the mixer: its head and its body.
-pub async fn answer(stream: &mut TcpStream) -> (String, String) {
-    let head = head(stream).await;
+/// A response of the aggregator to a client.
+#[derive(Debug)]
+pub struct HttpResponse {
+    /// The status line and the header fields.
+    pub head: String,
+    pub body: String,
+}
+
+/// Reads one response.
+pub async fn read_response(stream: &mut TcpStream) -> HttpResponse {
+    let head = read_head(stream).await;
     let length = head
         .split("Content-Length: ")
         .nth(1)
@@ -209,12 +255,13 @@
         .unwrap();
     let mut body = vec![0; length.parse().unwrap()];
     stream.read_exact(&mut body).await.unwrap();
-    (head, String::from_utf8(body).unwrap())
+    let body = String::from_utf8(body).unwrap();
+    HttpResponse { head, body }
 }
 
-/// A request for one part, of the class that needs it.
-pub fn query(name: &str, extra: &str) -> String {
+/// A query with one part, of the class that needs every part.
+pub fn query_request(name: &str, headers: &str) -> String {
     let body = "{\"shards\":[{\"shard\":3,\"weight\":1.0}],\"q\":\"c41e\"}";
     let length = body.len();
-    format!("POST /lookup HTTP/1.1\r\nX-Request-ID: {name}\r\n{extra}Content-Length: {length}\r\n\r\n{body}")
+    format!("POST /lookup HTTP/1.1\r\nX-Request-ID: {name}\r\n{headers}Content-Length: {length}\r\n\r\n{body}")
 }
