Follow the core's renames in the engine and the programs

The aliases are gone: `settings` (now in `config`), `leaf::End` (now `PartStatus`, its variant `Err` now `Error`, the field `end` now `status`). `Config::read` is `Config::parse`, with `aggregator_settings`, `policy_settings`, `max_descriptors` and `initial_endpoints`; `UsageRecorder` has `record_watermark`, `max_reply_delay` and `note_unrecorded_reply`; `InternalClient::ask` is `send_query`, and `Extensions::fronts` is `frontends`.

--- a/crates/aggregator/src/check.rs
+++ b/crates/aggregator/src/check.rs
@@ -33,43 +33,43 @@
         row("peers", &addresses.peers.len().to_string(), &from, true);
         row(
             "limits.sockets",
-            &config.descriptors.to_string(),
+            &config.max_descriptors.to_string(),
             &from,
             false,
         );
         row(
             "known",
-            &format!("{} endpoints", config.known.endpoints.len()),
+            &format!("{} endpoints", config.initial_endpoints.endpoints.len()),
             &from,
             false,
         );
         row(
             "settings.classes",
-            &config.site.classes.join(" "),
+            &config.aggregator_settings.classes.join(" "),
             &from,
             false,
         );
         row(
             "settings.orgs",
-            &config.site.tenants.join(" "),
+            &config.aggregator_settings.tenants.join(" "),
             &from,
             false,
         );
         row(
             "settings.localities",
-            &config.site.zones.join(" "),
+            &config.aggregator_settings.zones.join(" "),
             &from,
             false,
         );
         row(
             "settings.extra.ranges",
-            &config.site.shards.to_string(),
+            &config.aggregator_settings.shards.to_string(),
             &from,
             false,
         );
         row(
             "settings.limits.open_cap",
-            &config.site.max_open.to_string(),
+            &config.aggregator_settings.max_open.to_string(),
             &from,
             false,
         );
--- a/crates/aggregator/src/program.rs
+++ b/crates/aggregator/src/program.rs
@@ -47,7 +47,7 @@
     let text = std::fs::read_to_string(path).map_err(|e| {
         Failure::configuration(format!("cannot read the configuration {shown}: {e}"))
     })?;
-    Config::read(&text).map_err(|e| Failure::configuration(format!("{shown}: {e}")))
+    Config::parse(&text).map_err(|e| Failure::configuration(format!("{shown}: {e}")))
 }
 
 /// What a running mixer was started with.
@@ -109,11 +109,11 @@
     let Config {
         name,
         listen,
-        site,
-        settings,
+        aggregator_settings: site,
+        policy_settings: settings,
         seed,
-        descriptors,
-        known,
+        max_descriptors: descriptors,
+        initial_endpoints: known,
         addresses,
         names,
     } = running.config.clone();
@@ -179,7 +179,7 @@
         told,
         net::Extensions {
             recorder,
-            fronts: fronts.start,
+            frontends: fronts.start,
         },
     )
     .await;
--- a/crates/aggregator/src/recorder.rs
+++ b/crates/aggregator/src/recorder.rs
@@ -42,7 +42,7 @@
     }
 
     /// A mark that is lost is made good by the next one.
-    fn mark(&mut self, mark: UsageWatermark) {
+    fn record_watermark(&mut self, mark: UsageWatermark) {
         self.0
             .offer(writer::mark(mark.sequence, mark.complete / MS, mark.end));
     }
@@ -51,11 +51,11 @@
         self.0.watch()
     }
 
-    fn stall(&self) -> Duration {
+    fn max_reply_delay(&self) -> Duration {
         self.0.stall_bound()
     }
 
-    fn left_without(&mut self) {
+    fn note_unrecorded_reply(&mut self) {
         self.0.note_late();
     }
 
--- a/crates/core/src/config/platform.rs
+++ b/crates/core/src/config/platform.rs
@@ -44,15 +44,15 @@
     /// The address that clients connect to.
     pub listen: SocketAddr,
     /// The settings beyond the policy's.
-    pub site: AggregatorSettings,
+    pub aggregator_settings: AggregatorSettings,
     /// The policy's settings.
-    pub settings: Settings,
+    pub policy_settings: Settings,
     /// The seed of the policy's random numbers.
     pub seed: u64,
     /// The most file descriptors that may be open.
-    pub descriptors: usize,
+    pub max_descriptors: usize,
     /// The endpoint list to start with.
-    pub known: EndpointUpdate,
+    pub initial_endpoints: EndpointUpdate,
     /// Whom the aggregator speaks to.
     pub addresses: Addresses,
     /// The names that requests refer to.
@@ -61,11 +61,11 @@
 
 impl Config {
     /// Parses and checks the text of a configuration file.
-    pub fn read(text: &str) -> Result<Config, ConfigError> {
+    pub fn parse(text: &str) -> Result<Config, ConfigError> {
         let file: ConfigFile = serde_json::from_str(text)?;
         let settings_text = flatten_settings(&file.settings)?;
-        let settings = parse_policy_settings(&settings_text)?;
-        let site = parse_aggregator_settings(&settings_text)?;
+        let policy_settings = parse_policy_settings(&settings_text)?;
+        let aggregator_settings = parse_aggregator_settings(&settings_text)?;
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::InvalidSeed {
             seed: file.seed.clone(),
         })?;
@@ -73,19 +73,21 @@
             name: file.name,
             listen: file.listen,
             seed,
-            descriptors: file.limits.map_or(MAX_DESCRIPTORS, |limits| {
+            max_descriptors: file.limits.map_or(MAX_DESCRIPTORS, |limits| {
                 limits.sockets.min(MAX_DESCRIPTORS)
             }),
-            known: file.known,
+            initial_endpoints: file.known,
             addresses: Addresses {
                 discovery: file.discovery,
-                gossip_listen: file.peer_listen.filter(|_| site.gossip_allowed),
+                gossip_listen: file
+                    .peer_listen
+                    .filter(|_| aggregator_settings.gossip_allowed),
                 peers: file.peers,
                 gossip_broadcast: file.peers_all,
             },
-            names: NameTables::from(&site),
-            site,
-            settings,
+            names: NameTables::from(&aggregator_settings),
+            aggregator_settings,
+            policy_settings,
         })
     }
 
@@ -98,13 +100,15 @@
         if self.listen != next.listen {
             changed.push("listen");
         }
-        if self.descriptors != next.descriptors {
+        if self.max_descriptors != next.max_descriptors {
             changed.push("limits");
         }
         if self.addresses.gossip_listen != next.addresses.gossip_listen {
             changed.push("peer_listen");
         }
-        if self.site != next.site || self.settings != next.settings {
+        if self.aggregator_settings != next.aggregator_settings
+            || self.policy_settings != next.policy_settings
+        {
             changed.push("settings");
         }
         changed
--- a/crates/core/src/engine/state/connections.rs
+++ b/crates/core/src/engine/state/connections.rs
@@ -5,7 +5,7 @@
 use crate::engine::leaf_connection::{Answered, LeafConnection};
 use crate::engine::messages::{ConnectionId, Effect};
 use crate::protocol::discovery::EndpointUpdate;
-use crate::protocol::leaf::{End, LeafResponse};
+use crate::protocol::leaf::{LeafResponse, PartStatus};
 
 impl Engine {
     pub(super) fn take_list(&mut self, now: Nanos, listing: &EndpointUpdate) {
@@ -67,7 +67,7 @@
         match frame {
             LeafResponse::PartResult {
                 id,
-                end,
+                status,
                 report,
                 value,
             } => {
@@ -76,10 +76,10 @@
                     Answered::Over => return,
                     Answered::Unknown => return self.spoilt(now, connection, None),
                 };
-                let outcome = match end {
-                    End::Ok => AttemptOutcome::Success,
-                    End::Err => AttemptOutcome::Error,
-                    End::Busy => AttemptOutcome::Rejected,
+                let outcome = match status {
+                    PartStatus::Ok => AttemptOutcome::Success,
+                    PartStatus::Error => AttemptOutcome::Error,
+                    PartStatus::Busy => AttemptOutcome::Rejected,
                 };
                 if let Some(part) = self
                     .parts
--- a/crates/core/src/engine/state/mod.rs
+++ b/crates/core/src/engine/state/mod.rs
@@ -12,8 +12,8 @@
 use super::replicas::Replicas;
 use super::usage::JoinKey;
 use crate::api::*;
+use crate::config::AggregatorSettings;
 use crate::protocol::discovery::EndpointUpdate;
-use crate::settings::Site;
 use crate::Policy;
 use bytes::Bytes;
 use std::collections::{BTreeMap, BTreeSet};
@@ -121,7 +121,7 @@
 
 /// All that the mixer knows and is doing.
 pub struct Engine {
-    site: Site,
+    site: AggregatorSettings,
     module: Policy,
     events: Vec<Event>,
     effects: Vec<Effect>,
@@ -162,7 +162,7 @@
     /// may hold.
     pub fn new(
         now: Nanos,
-        site: Site,
+        site: AggregatorSettings,
         settings: Settings,
         seed: u64,
         known: &EndpointUpdate,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,5 @@
 pub mod engine;
 pub mod net;
 pub mod protocol;
-pub mod settings;
 
 pub use aggregator_policy::{api, Policy};
--- a/crates/core/src/net/event_loop.rs
+++ b/crates/core/src/net/event_loop.rs
@@ -40,7 +40,7 @@
         listener,
         engine.most_clients(),
     ));
-    for start_frontend in extensions.fronts {
+    for start_frontend in extensions.frontends {
         start_frontend(InternalClient::new(shared.clone()));
     }
     let pending_replies = extensions.recorder.map(PendingReplies::new);
--- a/crates/core/src/net/internal_client.rs
+++ b/crates/core/src/net/internal_client.rs
@@ -63,7 +63,7 @@
 
     /// Sends a query that arrived at this time and waits for its reply. Dropping the future cancels
     /// the query.
-    pub async fn ask(&self, arrived: Nanos, query: Query) -> Reply {
+    pub async fn send_query(&self, arrived: Nanos, query: Query) -> Reply {
         let client = self.shared.next_client_id();
         let (commands, mut queued_commands) = mpsc::channel(MAX_QUEUED_COMMANDS);
         self.shared.clients.borrow_mut().insert(client, commands);
--- a/crates/core/src/net/mod.rs
+++ b/crates/core/src/net/mod.rs
@@ -60,5 +60,5 @@
     /// Records the usage of each query.
     pub recorder: Option<Box<dyn UsageRecorder>>,
     /// The frontends for other protocols.
-    pub fronts: Vec<StartFrontend>,
+    pub frontends: Vec<StartFrontend>,
 }
--- a/crates/core/src/net/pending_replies.rs
+++ b/crates/core/src/net/pending_replies.rs
@@ -46,7 +46,7 @@
     /// No replies yet, for this recorder.
     pub fn new(recorder: Box<dyn UsageRecorder>) -> PendingReplies {
         let written = recorder.written();
-        let max_delay = recorder.stall();
+        let max_delay = recorder.max_reply_delay();
         PendingReplies {
             recorder,
             written,
@@ -65,7 +65,7 @@
 
     /// Queues a watermark.
     pub fn record_watermark(&mut self, watermark: UsageWatermark) {
-        self.recorder.mark(watermark);
+        self.recorder.record_watermark(watermark);
     }
 
     /// Keeps a reply until its record is written; returns it if there is nothing to wait for.
@@ -73,7 +73,7 @@
         let written = *self.written.borrow();
         match self.latest_record.take() {
             Some(sequence) if written < sequence && self.stalled_at == Some(written) => {
-                self.recorder.left_without();
+                self.recorder.note_unrecorded_reply();
                 Some(outgoing)
             }
             Some(sequence) if written < sequence => {
@@ -125,7 +125,7 @@
         }
         if !is_written {
             self.stalled_at = Some(*self.written.borrow());
-            self.recorder.left_without();
+            self.recorder.note_unrecorded_reply();
         }
         self.pending.pop_front().map(|pending| pending.outgoing)
     }
--- a/crates/core/src/net/usage_recorder.rs
+++ b/crates/core/src/net/usage_recorder.rs
@@ -10,13 +10,13 @@
     /// Queues a record; false if there was no capacity and the record is lost.
     fn record(&mut self, usage: UsageRecord) -> bool;
     /// Queues a watermark, which says how far the log is complete.
-    fn mark(&mut self, mark: UsageWatermark);
+    fn record_watermark(&mut self, watermark: UsageWatermark);
     /// The sequence up to which records have been handed to the operating system.
     fn written(&self) -> watch::Receiver<u64>;
     /// The longest that a reply waits for its record.
-    fn stall(&self) -> Duration;
+    fn max_reply_delay(&self) -> Duration;
     /// Counts a reply that was sent before its record was written.
-    fn left_without(&mut self);
+    fn note_unrecorded_reply(&mut self);
     /// Writes what is queued, for a bounded time.
     fn close(&mut self);
 }
--- a/crates/core/src/protocol/leaf/codec.rs
+++ b/crates/core/src/protocol/leaf/codec.rs
@@ -137,24 +137,24 @@
     let line = std::str::from_utf8(&payload[..line_end]).ok()?;
     let mut fields = line.splitn(4, ' ');
     let id = fields.next()?;
-    let status = fields.next()?;
+    let status_field = fields.next()?;
     let score = fields.next()?;
     let report = fields.next()?;
     let value = payload.slice(line_end + 1..);
     if score != "-" && score.parse::<f64>().is_err() {
         return None;
     }
-    let end = match status {
+    let status = match status_field {
         // A client gets the value inside JSON: a value that is not UTF-8 would not reach it
         // unchanged.
         "ok" if !value.is_empty() && std::str::from_utf8(&value).is_ok() => PartStatus::Ok,
-        "err" => PartStatus::Err,
+        "err" => PartStatus::Error,
         "busy" => PartStatus::Busy,
         _ => return None,
     };
     Some(LeafResponse::PartResult {
         id: id.to_string(),
-        end,
+        status,
         report: report.to_string(),
         value,
     })
--- a/crates/core/src/protocol/leaf/messages.rs
+++ b/crates/core/src/protocol/leaf/messages.rs
@@ -35,7 +35,7 @@
     /// `ok`: the part has a value.
     Ok,
     /// `err`: the part failed.
-    Err,
+    Error,
     /// `busy`: the leaf server rejected the part.
     Busy,
 }
@@ -48,7 +48,7 @@
         /// The part's id, as given in the call.
         id: String,
         /// How the part ended.
-        end: PartStatus,
+        status: PartStatus,
         /// The load report that came along; one that is not readable counts as none.
         report: String,
         /// The result, empty unless the status is [`PartStatus::Ok`].
--- a/crates/core/src/protocol/leaf/mod.rs
+++ b/crates/core/src/protocol/leaf/mod.rs
@@ -6,5 +6,3 @@
 
 pub use codec::LeafCodec;
 pub use messages::{CallPart, LeafRequest, LeafResponse, PartStatus};
-/// The former name, until the engine uses the new one.
-pub use PartStatus as End;
--- a/crates/core/tests/configuration.rs
+++ b/crates/core/tests/configuration.rs
@@ -13,15 +13,18 @@
     let config = |settings: &serde_json::Value| {
         let file = serde_json::json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
             "seed": "8c1f30d27a5be964", "settings": settings});
-        Config::read(&file.to_string())
+        Config::parse(&file.to_string())
     };
     let read = config(&settings).unwrap();
     assert_eq!(
-        (read.site.zones.len(), read.site.classes[0].as_str()),
+        (
+            read.aggregator_settings.zones.len(),
+            read.aggregator_settings.classes[0].as_str()
+        ),
         (2, "a_b")
     );
     assert_eq!(
-        (read.settings.classes[0].minimum_coverage, read.seed),
+        (read.policy_settings.classes[0].minimum_coverage, read.seed),
         (0.6, 0x8c1f_30d2_7a5b_e964)
     );
     let mut broken = settings.clone();
--- a/crates/core/tests/connection.rs
+++ b/crates/core/tests/connection.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use aggregator_core::engine::leaf_connection::{Answered, AttemptId, Job, LeafConnection};
-use aggregator_core::protocol::leaf::{End, LeafRequest};
+use aggregator_core::protocol::leaf::{LeafRequest, PartStatus};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::collections::{BTreeMap, VecDeque};
@@ -164,7 +164,7 @@
     fn every_query_ends_once_and_every_attempt_ends_once(
         steps in prop::collection::vec((0u8..12, any::<u64>(), 1u64..400), 1..80),
     ) {
-        let (ends, standings) = ([End::Ok, End::Ok, End::Err, End::Busy], ["up", "draining", "removed"]);
+        let (ends, standings) = ([PartStatus::Ok, PartStatus::Ok, PartStatus::Error, PartStatus::Busy], ["up", "draining", "removed"]);
         let mut bed = Bed::new(4);
         for (kind, dice, ms) in steps {
             let connections: Vec<u64> = bed.connections.keys().copied().collect();
--- a/crates/core/tests/leaf_codec.rs
+++ b/crates/core/tests/leaf_codec.rs
@@ -40,7 +40,7 @@
             found[0],
             LeafResponse::PartResult {
                 id,
-                end: PartStatus::Ok,
+                status: PartStatus::Ok,
                 report,
                 value
             }
@@ -55,7 +55,7 @@
         assert!(matches!(
             &found[2],
             LeafResponse::PartResult {
-                end: PartStatus::Busy,
+                status: PartStatus::Busy,
                 ..
             }
         ));
@@ -99,7 +99,7 @@
     .concat();
     let found = read(&noise);
     assert!(
-        matches!(&found[0], LeafResponse::PartResult { end: PartStatus::Ok, report, .. } if report == "nan")
+        matches!(&found[0], LeafResponse::PartResult { status: PartStatus::Ok, report, .. } if report == "nan")
     );
     assert_eq!(found[1..], malformed(None), "nothing is read after it");
     let mut codec = LeafCodec::default();
--- a/crates/core/tests/pending_replies.rs
+++ b/crates/core/tests/pending_replies.rs
@@ -21,14 +21,14 @@
     fn record(&mut self, _: UsageRecord) -> bool {
         self.has_capacity
     }
-    fn mark(&mut self, _: UsageWatermark) {}
+    fn record_watermark(&mut self, _: UsageWatermark) {}
     fn written(&self) -> watch::Receiver<u64> {
         self.written.subscribe()
     }
-    fn stall(&self) -> Duration {
+    fn max_reply_delay(&self) -> Duration {
         Duration::from_millis(5)
     }
-    fn left_without(&mut self) {
+    fn note_unrecorded_reply(&mut self) {
         self.unrecorded_replies
             .set(self.unrecorded_replies.get() + 1);
     }
--- a/crates/core/tests/reducer.rs
+++ b/crates/core/tests/reducer.rs
@@ -5,7 +5,7 @@
 
 use aggregator_core::engine::{Effect, Input};
 use aggregator_core::protocol::http::RequestError;
-use aggregator_core::protocol::leaf::{End, LeafRequest, LeafResponse};
+use aggregator_core::protocol::leaf::{LeafRequest, LeafResponse, PartStatus};
 use aggregator_core::protocol::query::{ClientRequest, Query, QueryPart, Reply};
 use support::engine_harness::{Bed, MS, SETTINGS, START};
 
@@ -180,7 +180,7 @@
         .frames
         .iter()
         .any(|(_, frame)| *frame == LeafRequest::Cancel("q1.0".into())));
-    bed.answer_to(connection, "q1.0", End::Ok);
+    bed.answer_to(connection, "q1.0", PartStatus::Ok);
     assert_eq!(bed.state.counters().attempts_ended.success, 0);
     assert!(bed.replies[&first].is_empty(), "nobody is there to be told");
 }
@@ -350,7 +350,7 @@
         let first = *bed.connections.keys().next().unwrap();
         bed.open(first);
         bed.pass(10);
-        bed.answer(first, End::Err);
+        bed.answer(first, PartStatus::Error);
         bed.pass(20);
         assert_eq!(
             bed.connections.len(),
@@ -406,7 +406,7 @@
     });
     bed.open_all();
     let connection = *bed.out.keys().next().unwrap();
-    bed.answer(connection, End::Ok);
+    bed.answer(connection, PartStatus::Ok);
     let client = bed.ask(1, &[0.2; 5]);
     assert_eq!(bed.reply(client), None, "59 are open, 60 may be");
     let client = bed.ask(1, &[0.2; 5]);
@@ -581,10 +581,10 @@
     bed.ask(1, &[0.5, 0.5]);
     bed.open_all();
     let connection = *bed.connections.keys().next().unwrap();
-    bed.answer_to(connection, "q1.1", End::Ok);
-    bed.answer_to(connection, "q1.1", End::Ok);
+    bed.answer_to(connection, "q1.1", PartStatus::Ok);
+    bed.answer_to(connection, "q1.1", PartStatus::Ok);
     assert_eq!(bed.state.counters().connections.malformed, 0);
-    bed.answer_to(connection, "q9.0", End::Ok);
+    bed.answer_to(connection, "q9.0", PartStatus::Ok);
     assert_eq!(bed.state.counters().connections.malformed, 1);
     assert_eq!(
         bed.state.counters().attempts_ended.error,
--- a/crates/core/tests/support/engine_harness.rs
+++ b/crates/core/tests/support/engine_harness.rs
@@ -1,12 +1,12 @@
 //! A reducer with hand-made inputs in place of sockets. It carries the effects out as sockets
 //! would, and checks at each step what must hold at every one.
 
+use aggregator_core::config::{parse_aggregator_settings, parse_policy_settings};
 use aggregator_core::engine::usage::{UsageRecord, UsageWatermark};
 use aggregator_core::engine::{ClientId, ConnectionId, Effect, Engine, Input};
 use aggregator_core::protocol::discovery::EndpointUpdate;
-use aggregator_core::protocol::leaf::{End, LeafRequest, LeafResponse};
+use aggregator_core::protocol::leaf::{LeafRequest, LeafResponse, PartStatus};
 use aggregator_core::protocol::query::{ClientRequest, Query, QueryPart, Reply};
-use aggregator_core::settings;
 use bytes::Bytes;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -76,8 +76,8 @@
 
     pub fn seeded(text: &str, replicas: u64, seed: u64) -> Bed {
         let (site, decisions) = (
-            settings::site(text).unwrap(),
-            settings::parse(text).unwrap(),
+            parse_aggregator_settings(text).unwrap(),
+            parse_policy_settings(text).unwrap(),
         );
         let lines: Vec<_> = (1..=replicas).map(|r| (r, "up", 0)).collect();
         let mut bed = Bed {
@@ -263,19 +263,19 @@
     }
 
     /// The oldest part out at a connection ends.
-    pub fn answer(&mut self, connection: ConnectionId, end: End) {
+    pub fn answer(&mut self, connection: ConnectionId, status: PartStatus) {
         let out = self.out.entry(connection).or_default();
         if !out.is_empty() {
             let id = out.remove(0);
-            self.answer_to(connection, &id, end);
+            self.answer_to(connection, &id, status);
         }
     }
 
-    pub fn answer_to(&mut self, connection: ConnectionId, id: &str, end: End) {
+    pub fn answer_to(&mut self, connection: ConnectionId, id: &str, status: PartStatus) {
         let value = Bytes::from(format!("doc {id}"));
         let frame = LeafResponse::PartResult {
             id: id.to_string(),
-            end,
+            status,
             report: "-".into(),
             value,
         };
@@ -290,7 +290,7 @@
             .find(|(_, out)| !out.is_empty())
             .map(|(connection, _)| *connection)
         {
-            self.answer(connection, End::Ok);
+            self.answer(connection, PartStatus::Ok);
         }
     }
 
--- a/crates/core/tests/usage.rs
+++ b/crates/core/tests/usage.rs
@@ -5,7 +5,7 @@
 
 use aggregator_core::engine::usage::{is_client_key, key_of_client, key_of_query, Outcome};
 use aggregator_core::engine::Input;
-use aggregator_core::protocol::leaf::End;
+use aggregator_core::protocol::leaf::PartStatus;
 use aggregator_core::protocol::query::{ClientRequest, Query, QueryPart};
 use support::engine_harness::{Bed, MS, START};
 
@@ -95,7 +95,7 @@
     bed.ask(0, &[0.7, 0.2, 0.1]);
     bed.open_all();
     let connection = *bed.connections.keys().next().unwrap();
-    bed.answer(connection, End::Ok);
+    bed.answer(connection, PartStatus::Ok);
     bed.pass(5000);
     assert_eq!(bed.records.len(), 1);
     assert_eq!(
--- a/crates/opensearch-gateway/src/front.rs
+++ b/crates/opensearch-gateway/src/front.rs
@@ -513,7 +513,7 @@
             .collect(),
         text: Bytes::from(text),
     };
-    let hits = match context.door.ask(arrived, query).await {
+    let hits = match context.door.send_query(arrived, query).await {
         Reply::Answer { hits, .. } => hits,
         Reply::Rejected { retry_after } => {
             return Err(shape::refused(retry_after.map(Duration::from_nanos)))
--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -3,7 +3,7 @@
 
 mod wire;
 
-use aggregator_core::settings;
+use aggregator_core::config::parse_policy_settings;
 use aggregator_policy::Policy;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, BufReader, BufWriter, Read, Write};
@@ -50,7 +50,9 @@
     for (who, input) in wire::inputs(batch, rosters)? {
         match input {
             Input::Start { seed, settings } => {
-                instances.insert(who, Policy::new(settings::parse(&settings)?, seed));
+                let settings =
+                    parse_policy_settings(&settings).map_err(|error| error.to_string())?;
+                instances.insert(who, Policy::new(settings, seed));
                 pending.insert(who, Vec::new());
             }
             Input::Stop => {
