--- a/crates/policy/tests/hedging.rs
+++ b/crates/policy/tests/hedging.rs
@@ -126,3 +126,15 @@
         copies(true)
     );
 }
+
+#[test]
+fn no_second_attempt_is_out_beside_the_first_where_hedging_is_not_allowed() {
+    let no_hedging = Settings {
+        hedging_allowed: false,
+        ..settings(vec![class(2000, 1.0)])
+    };
+    let mut harness = PolicyHarness::new(no_hedging, 3);
+    let (_, first) = harness.query(0, 0, &[1.0]);
+    assert_eq!(sent_attempts(&first).len(), 1);
+    assert!(sent_attempts(&harness.run_timers(10, 6000)).is_empty());
+}
--- a/crates/policy/tests/replica_selection.rs
+++ b/crates/policy/tests/replica_selection.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use aggregator_policy::api::*;
-use support::{class, ready_replica, sent_attempts, settings, PolicyHarness};
+use support::{all_attempts_ended, class, ready_replica, sent_attempts, settings, PolicyHarness};
 
 #[test]
 fn parts_of_one_query_share_a_call() {
@@ -77,3 +77,35 @@
         "one in its queue costs less than crossing, two cost more"
     );
 }
+
+/// Each shard is held by the replicas in its cell and the ones after it, around the end of the ring.
+#[test]
+fn a_part_goes_only_to_replicas_whose_cells_hold_its_shard() {
+    let ring = Settings {
+        placement_cells: 5,
+        cells_per_shard: 2,
+        max_parts_per_call: None,
+        ..settings(vec![class(2000, 1.0)])
+    };
+    let mut harness = PolicyHarness::new(ring, 0);
+    let in_cell = |cell: u16| ReplicaEntry {
+        cell,
+        ..ready_replica(u64::from(cell))
+    };
+    let entries = (0..5).map(in_cell).collect();
+    harness.update_endpoints(EndpointUpdateKind::Snapshot, entries);
+    for round in 0..20 {
+        let (id, actions) = harness.query(round * 100, 0, &[0.1; 10]);
+        let sent = sent_attempts(&actions);
+        assert_eq!(sent.len(), 10);
+        harness.handle_at(
+            round * 100 + 20,
+            &all_attempts_ended(&sent, AttemptOutcome::Success),
+        );
+        for (part, replica) in sent {
+            let shard = part - id - 1;
+            let holders = [shard % 5, (shard + 1) % 5];
+            assert!(holders.contains(&replica.0), "shard {shard} at {replica:?}");
+        }
+    }
+}
--- a/crates/policy/tests/slow_start.rs
+++ b/crates/policy/tests/slow_start.rs
@@ -230,3 +230,22 @@
         "{cold} parts for one that bears about twenty"
     );
 }
+
+/// A query that waits since no replica may take its part is over when its client disconnects.
+#[test]
+fn what_waits_for_an_allowance_is_not_sent_after_its_client_has_disconnected() {
+    let mut harness = PolicyHarness::new(slow_start_settings(), 0);
+    harness.update_endpoints(
+        EndpointUpdateKind::Snapshot,
+        vec![ReplicaEntry {
+            started: START - MS,
+            ..ready_replica(1)
+        }],
+    );
+    assert_eq!(sent_attempts(&harness.query(0, 0, &[1.0]).1).len(), 1);
+    let (waiting, sent) = harness.query(10, 0, &[1.0]);
+    assert!(sent_attempts(&sent).is_empty(), "the allowance is used up");
+    harness.handle_at(100, &[Event::ClientDisconnected { id: waiting }]);
+    let later = sent_attempts(&harness.run_timers(110, 6000));
+    assert!(later.iter().all(|(part, _)| *part != waiting + 1));
+}
