Give each subcommand of the aggregator a file, and its errors types

One file of 900 lines parsed, did and printed all of `ledger ...`; failures were strings with an exit code, and `logs` and `settings` needed each other.

- `commands.rs` is `cli/`, one file a subcommand, with the arguments, the work and the printing apart; `Rows` is `Report`, `Line` is `Cli`, `Opened` is `LedgerContext`.
- `program.rs` is `configuration.rs` (reading the JSON file) and `process/` (start, reload, signals).
- `logs.rs` is `logging.rs` and takes `LogSettings` from `settings/log.rs`; the circle is gone.
- `fronts.rs` is `frontends.rs`, `recorder.rs` is `usage_recorder.rs`.
- `Failure` is one `thiserror` enum a module, each of an `ErrorClass` that gives the exit code.

--- /dev/null
+++ b/crates/aggregator/src/cli/check.rs
@@ -0,0 +1,109 @@
+//! `query-aggregator check`: validates both files and prints the values in force, each with its
+//! origin.
+
+use super::{output, CommandError};
+use crate::configuration;
+use crate::files::Files;
+use crate::settings::{self, SettingsError, SCHEMA};
+use aggregator_core::config::Config;
+use ini_config::{Origin, Settings};
+use opensearch_gateway::index::Front;
+use std::path::Path;
+use usage_ledger::settings::{Ledger, UsageLog};
+
+const COLUMNS: [&str; 4] = ["SETTING", "VALUE", "FROM", "CHANGES"];
+
+/// One value in force.
+struct ValueInForce {
+    name: String,
+    value: String,
+    origin: String,
+    /// Whether a running process applies a change on SIGHUP.
+    reloadable: bool,
+}
+
+/// Validates the files that are named and prints what they come to.
+pub fn run(files: &Files) -> Result<(), CommandError> {
+    let settings = settings::read(files.settings.as_deref())?;
+    validate(&settings)?;
+    let mut values = match &files.config {
+        Some(path) => configuration_values(path, &configuration::read(path)?),
+        None => vec![missing_configuration()],
+    };
+    values.extend(settings_values(files.settings.as_deref(), &settings));
+    print(&values)
+}
+
+/// Checks what only the users of a section can check.
+fn validate(settings: &Settings) -> Result<(), SettingsError> {
+    UsageLog::read(settings, &SCHEMA)?;
+    Ledger::read(settings, &SCHEMA)?;
+    Front::read(settings, &SCHEMA)?;
+    Ok(())
+}
+
+fn configuration_values(path: &Path, config: &Config) -> Vec<ValueInForce> {
+    let (site, addresses) = (&config.site, &config.addresses);
+    let origin = path.display().to_string();
+    let value = |name: &str, value: String, reloadable: bool| ValueInForce {
+        name: name.into(),
+        value,
+        origin: origin.clone(),
+        reloadable,
+    };
+    let fixed = |name: &str, text: String| value(name, text, false);
+    let reloadable = |name: &str, text: String| value(name, text, true);
+    let known = format!("{} endpoints", config.known.endpoints.len());
+    vec![
+        fixed("name", config.name.clone()),
+        fixed("listen", config.listen.to_string()),
+        reloadable("discovery", addresses.discovery.to_string()),
+        reloadable("peers", addresses.peers.len().to_string()),
+        fixed("limits.sockets", config.descriptors.to_string()),
+        fixed("known", known),
+        fixed("settings.classes", site.classes.join(" ")),
+        fixed("settings.orgs", site.tenants.join(" ")),
+        fixed("settings.localities", site.zones.join(" ")),
+        fixed("settings.extra.ranges", site.shards.to_string()),
+        fixed("settings.limits.open_cap", site.max_open.to_string()),
+    ]
+}
+
+fn missing_configuration() -> ValueInForce {
+    ValueInForce {
+        name: "(configuration)".into(),
+        value: "(none)".into(),
+        origin: "neither --config nor BALANCER_CONFIG".into(),
+        reloadable: false,
+    }
+}
+
+fn settings_values(path: Option<&Path>, settings: &Settings) -> Vec<ValueInForce> {
+    let file = path
+        .map(|path| path.display().to_string())
+        .unwrap_or_default();
+    let shown = settings.shown(&SCHEMA).into_iter();
+    shown
+        .map(|shown| ValueInForce {
+            name: format!("[{}] {}", shown.section, shown.key),
+            value: shown.value,
+            origin: match shown.origin {
+                Origin::Line(line) => format!("{file}:{line}"),
+                Origin::Default => "default".into(),
+            },
+            reloadable: shown.live,
+        })
+        .collect()
+}
+
+fn print(values: &[ValueInForce]) -> Result<(), CommandError> {
+    let mut table = output::plain_table(COLUMNS);
+    for value in values {
+        let change = match value.reloadable {
+            true => "on SIGHUP",
+            false => "at a start",
+        };
+        table.add_row([&value.name, &value.value, &value.origin, change]);
+    }
+    Ok(output::print(format!("{table}\n").as_bytes())?)
+}
--- /dev/null
+++ b/crates/aggregator/src/cli/ledger/context.rs
@@ -0,0 +1,80 @@
+//! The settings of the ledger and the store that they name.
+
+use super::LedgerError;
+use crate::files::Files;
+use crate::settings::{self, SettingsError, SCHEMA};
+use ini_config::Settings;
+use std::path::PathBuf;
+use usage_ledger::period::Period;
+use usage_ledger::settings::Ledger as LedgerSettings;
+use usage_ledger::settle::Bounds;
+use usage_ledger::store::Store;
+
+/// The settings of the ledger and the store that they name.
+pub struct LedgerContext {
+    /// The settings in force.
+    pub settings: LedgerSettings,
+    /// The store's file.
+    pub store_path: PathBuf,
+}
+
+/// Reads the ledger's sections of the settings.
+pub fn read_ledger_settings(settings: &Settings) -> Result<LedgerSettings, SettingsError> {
+    Ok(LedgerSettings::read(settings, &SCHEMA)?)
+}
+
+impl LedgerContext {
+    /// Reads the settings; they have to name a store.
+    pub fn open(files: &Files) -> Result<LedgerContext, LedgerError> {
+        let settings = settings::read(files.settings.as_deref())?;
+        LedgerContext::new(read_ledger_settings(&settings)?)
+    }
+
+    /// Takes settings that are read already; they have to name a store.
+    pub fn new(settings: LedgerSettings) -> Result<LedgerContext, LedgerError> {
+        let store_path = settings.store.clone().ok_or(LedgerError::StoreNotNamed)?;
+        Ok(LedgerContext {
+            settings,
+            store_path,
+        })
+    }
+
+    /// Opens the store; one that does not exist is an error, since a reader must not create it.
+    pub fn existing_store(&self) -> Result<Store, LedgerError> {
+        if !self.store_path.exists() {
+            return Err(LedgerError::StoreMissing(self.store_path.clone()));
+        }
+        Store::open(&self.store_path).map_err(|source| LedgerError::StoreUnusable {
+            path: self.store_path.clone(),
+            source,
+        })
+    }
+
+    /// The tolerances within which tries are joined to uses.
+    pub fn bounds(&self) -> Bounds {
+        Bounds {
+            horizon: self.settings.horizon,
+            skew: self.settings.skew,
+        }
+    }
+
+    /// The closed or open period that begins at a time as `ledger periods` shows it.
+    pub fn period_starting_at(&self, store: &Store, time: &str) -> Result<Period, LedgerError> {
+        let timestamp: jiff::Timestamp = time
+            .parse()
+            .map_err(|_| LedgerError::InvalidTime(time.into()))?;
+        let start_ms = timestamp.as_millisecond();
+        let stored = store.periods()?.into_iter().map(|(period, _)| period);
+        let period = stored
+            .into_iter()
+            .find(|period| period.start == start_ms)
+            .unwrap_or_else(|| self.settings.calendar.at(start_ms));
+        if period.start != start_ms {
+            return Err(LedgerError::NotAPeriodStart {
+                time: time.into(),
+                start: period.name(),
+            });
+        }
+        Ok(period)
+    }
+}
--- /dev/null
+++ b/crates/aggregator/src/cli/ledger/dump.rs
@@ -0,0 +1,173 @@
+//! `ledger dump`: the records in the store, or those of one aggregator's usage log.
+
+use super::{LedgerContext, LedgerError};
+use crate::cli::output::{FormatArguments, OutputFormat, Report};
+use crate::files::Files;
+use serde_json::{json, Value};
+use std::collections::HashMap;
+use std::path::{Path, PathBuf};
+use usage_ledger::join::{Outcome, Try};
+use usage_ledger::log::{Follower, Position};
+use usage_ledger::period::stamp;
+use usage_ledger::wire::{entry::What, Damage, Header, Record};
+
+const COLUMNS: [&str; 14] = [
+    "arrived",
+    "mixer",
+    "incarnation",
+    "sequence",
+    "tenant",
+    "class",
+    "outcome",
+    "share",
+    "parts",
+    "attempts",
+    "crossed",
+    "repeat",
+    "keyed",
+    "key",
+];
+
+/// Entries of a log that are read at a time.
+const BATCH_ENTRIES: usize = 4096;
+
+/// The arguments of `ledger dump`.
+#[derive(clap::Args)]
+pub struct DumpArguments {
+    #[arg(long, value_name = "FOLDER")]
+    log: Option<PathBuf>,
+    #[command(flatten)]
+    format: FormatArguments,
+}
+
+/// Prints all records of the source that is named, in its order.
+pub fn run(files: &Files, arguments: &DumpArguments) -> Result<(), LedgerError> {
+    let format = arguments.format.format;
+    match &arguments.log {
+        Some(directory) => dump_log(directory, format),
+        None => dump_store(&LedgerContext::open(files)?, format),
+    }
+}
+
+/// One record, wherever it is stored. Names are unknown where the source does not have them.
+struct RecordRow<'a> {
+    arrived_ms: i64,
+    mixer: Option<&'a str>,
+    incarnation: u64,
+    sequence: u64,
+    tenant: Option<&'a str>,
+    class: Option<&'a str>,
+    outcome: String,
+    /// Of a partial answer, in millionths; zero otherwise.
+    share: u32,
+    parts: u32,
+    attempts: u32,
+    crossed: u32,
+    is_retry: bool,
+    keyed: bool,
+    key: u64,
+}
+
+impl RecordRow<'_> {
+    /// The values in the order of [`COLUMNS`].
+    fn values(&self) -> Vec<Value> {
+        vec![
+            json!(stamp(self.arrived_ms)),
+            json!(self.mixer),
+            json!(self.incarnation),
+            json!(self.sequence),
+            json!(self.tenant),
+            json!(self.class),
+            json!(self.outcome),
+            json!(self.share),
+            json!(self.parts),
+            json!(self.attempts),
+            json!(self.crossed),
+            json!(self.is_retry),
+            json!(self.keyed),
+            json!(format!("{:016x}", self.key)),
+        ]
+    }
+}
+
+fn dump_store(context: &LedgerContext, format: OutputFormat) -> Result<(), LedgerError> {
+    let store = context.existing_store()?;
+    let names = store.names()?;
+    let mut report = Report::new(&COLUMNS);
+    for record in store.tries(i64::MIN, i64::MAX)? {
+        report.push(stored_row(&names, &record).values());
+    }
+    Ok(report.print(format)?)
+}
+
+fn stored_row<'a>(names: &'a HashMap<u32, String>, record: &Try) -> RecordRow<'a> {
+    let name = |id: u32| names.get(&id).map(String::as_str);
+    let (outcome, share) = match record.outcome {
+        Outcome::Whole => ("whole", 0),
+        Outcome::Partial(share) => ("partial", share),
+        Outcome::Refused => ("refused", 0),
+        Outcome::Failed => ("failed", 0),
+        Outcome::Left => ("left", 0),
+    };
+    RecordRow {
+        arrived_ms: record.at,
+        mixer: name(record.member),
+        incarnation: record.incarnation,
+        sequence: record.sequence,
+        tenant: name(record.tenant),
+        class: name(record.class),
+        outcome: outcome.into(),
+        share,
+        parts: record.parts,
+        attempts: record.attempts,
+        crossed: record.crossed,
+        is_retry: record.repeat,
+        keyed: record.keyed,
+        key: record.key,
+    }
+}
+
+fn dump_log(directory: &Path, format: OutputFormat) -> Result<(), LedgerError> {
+    let unreadable = |source| LedgerError::Unreadable {
+        path: directory.into(),
+        source,
+    };
+    let mut follower = Follower::new(directory, Position::default());
+    let mut report = Report::new(&COLUMNS);
+    while let Some(batch) = follower.next(BATCH_ENTRIES).map_err(unreadable)? {
+        batch.damage.iter().for_each(warn_of_damage);
+        let header = batch.header.unwrap_or_default();
+        for entry in batch.entries {
+            if let Some(What::Record(record)) = entry.what {
+                report.push(logged_row(&header, &record).values());
+            }
+        }
+    }
+    Ok(report.print(format)?)
+}
+
+fn warn_of_damage(damage: &Damage) {
+    let (segment, from, to) = (&damage.segment, damage.from, damage.to);
+    eprintln!("query-aggregator: {segment}: damaged from offset {from} to {to}");
+}
+
+fn logged_row<'a>(header: &'a Header, record: &Record) -> RecordRow<'a> {
+    let tenant = header.tenants.get(record.tenant as usize);
+    let class = header.classes.get(record.class as usize);
+    RecordRow {
+        arrived_ms: record.arrived_ms as i64,
+        mixer: Some(&header.mixer),
+        incarnation: header.incarnation,
+        sequence: record.sequence,
+        tenant: tenant.map(String::as_str),
+        class: class.map(|class| class.name.as_str()),
+        outcome: record.outcome().as_str_name().to_lowercase(),
+        share: record.share,
+        parts: record.parts,
+        attempts: record.attempts,
+        crossed: record.crossed,
+        is_retry: record.repeat,
+        keyed: record.keyed,
+        key: record.key,
+    }
+}
--- /dev/null
+++ b/crates/aggregator/src/cli/ledger/export.rs
@@ -0,0 +1,100 @@
+//! `ledger export`: sends the documents in the outbox, and lists all documents.
+
+use super::{progress, LedgerContext, LedgerError};
+use crate::cli::output::{FormatArguments, Report};
+use serde_json::json;
+use std::time::{Duration, Instant};
+use usage_ledger::export;
+use usage_ledger::settings::ExportTo;
+use usage_ledger::settlement;
+use usage_ledger::store::{Outgoing, Store};
+
+const COLUMNS: [&str; 5] = ["document", "in_folder", "posted", "attempts", "error"];
+
+/// The longest backoff between two attempts, so that `--within` is kept to.
+const MAX_BACKOFF: Duration = Duration::from_secs(5);
+
+/// The arguments of `ledger export`.
+#[derive(clap::Args)]
+pub struct ExportArguments {
+    /// List only
+    #[arg(long)]
+    list: bool,
+    /// How long to try
+    #[arg(long, default_value = "60s", value_name = "TIME")]
+    within: String,
+    #[command(flatten)]
+    format: FormatArguments,
+}
+
+/// Sends what waits in the outbox unless only a list is asked for, then prints all documents.
+pub fn run(context: &LedgerContext, arguments: &ExportArguments) -> Result<(), LedgerError> {
+    let store = context.existing_store()?;
+    if !arguments.list {
+        let within =
+            ini_config::time(&arguments.within).map_err(|reason| LedgerError::InvalidWithin {
+                text: arguments.within.clone(),
+                reason: reason.to_string(),
+            })?;
+        send_outbox(&store, &context.settings.export, within)?;
+    }
+    Ok(document_report(&store)?.print(arguments.format.format)?)
+}
+
+fn send_outbox(store: &Store, target: &ExportTo, within: Duration) -> Result<(), LedgerError> {
+    let (to_folder, to_url) = (target.folder.is_some(), target.url.is_some());
+    if !to_folder && !to_url {
+        return Err(LedgerError::NoExportTarget);
+    }
+    let deadline = Instant::now() + within;
+    let pending = store.outbox(to_folder, to_url)?;
+    let bar = progress::bar(pending.len() as u64, "documents");
+    for document in pending {
+        send_until_acknowledged(store, target, document, deadline)?;
+        bar.inc(1);
+    }
+    bar.finish_and_clear();
+    Ok(())
+}
+
+/// Retries with exponential backoff until the document is acknowledged or the deadline has passed.
+fn send_until_acknowledged(
+    store: &Store,
+    target: &ExportTo,
+    mut document: Outgoing,
+    deadline: Instant,
+) -> Result<(), LedgerError> {
+    loop {
+        let (in_folder, posted, error) = export::send(target, &document);
+        let now_ms = settlement::now();
+        store.sent(&document.id, in_folder, posted, error.as_deref(), now_ms)?;
+        document.in_folder |= in_folder;
+        document.posted |= posted;
+        document.attempts += 1;
+        let Some(reason) = error else {
+            return Ok(());
+        };
+        if Instant::now() >= deadline {
+            return Err(LedgerError::NotAcknowledged {
+                document: document.id,
+                reason,
+            });
+        }
+        let backoff = export::wait(target.again, document.attempts);
+        std::thread::sleep(backoff.min(MAX_BACKOFF));
+    }
+}
+
+fn document_report(store: &Store) -> Result<Report, LedgerError> {
+    let mut report = Report::new(&COLUMNS);
+    for document in store.outbox(false, false)? {
+        report.push(vec![
+            json!(document.id),
+            json!(document.in_folder),
+            json!(document.posted),
+            json!(document.attempts),
+            json!(document.error),
+        ]);
+    }
+    Ok(report)
+}
--- /dev/null
+++ b/crates/aggregator/src/cli/ledger/progress.rs
@@ -0,0 +1,13 @@
+//! Progress of commands that take long.
+
+use indicatif::{ProgressBar, ProgressDrawTarget};
+use std::io::IsTerminal;
+
+/// A bar on standard error, hidden unless that is a terminal.
+pub fn bar(length: u64, message: &'static str) -> ProgressBar {
+    let bar = ProgressBar::new(length).with_message(message);
+    if !std::io::stderr().is_terminal() {
+        bar.set_draw_target(ProgressDrawTarget::hidden());
+    }
+    bar
+}
--- /dev/null
+++ b/crates/aggregator/src/cli/ledger/reconcile.rs
@@ -0,0 +1,179 @@
+//! `ledger reconcile`: compares the ledger with clients' records and with aggregators' counters.
+
+use super::{LedgerContext, LedgerError};
+use crate::cli::output::{self, FormatArguments, OutputFormat, Report};
+use serde_json::{json, Value};
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::{Path, PathBuf};
+use usage_ledger::reconcile::{self, ClientUse, Reconciled};
+use usage_ledger::store::{Standing, Store};
+
+const TOTAL_COLUMNS: [&str; 8] = [
+    "period",
+    "tenant",
+    "class",
+    "ledger",
+    "client",
+    "ledger_answered",
+    "client_answered",
+    "equal",
+];
+
+const DIFFERENCE_COLUMNS: [&str; 7] = ["what", "tenant", "class", "at", "key", "ledger", "client"];
+
+/// The field of `/-/stats` with the number of records by kind.
+const RECORDED_FIELD: &str = "recorded_of";
+
+/// The arguments of `ledger reconcile`.
+#[derive(clap::Args)]
+pub struct ReconcileArguments {
+    /// CSV with the columns at_ms, tenant, class, outcome, tries, key
+    #[arg(long, value_name = "FILE")]
+    clients: Option<PathBuf>,
+    /// NAME=FILE: the answer of a mixer's /-/stats
+    #[arg(long, value_name = "NAME=FILE")]
+    counters: Vec<String>,
+    #[command(flatten)]
+    format: FormatArguments,
+}
+
+/// Prints the comparison; any difference is an error.
+pub fn run(context: &LedgerContext, arguments: &ReconcileArguments) -> Result<(), LedgerError> {
+    let store = context.existing_store()?;
+    if arguments.clients.is_none() && arguments.counters.is_empty() {
+        return Err(LedgerError::NothingToReconcile);
+    }
+    let mut differences = 0;
+    if let Some(path) = &arguments.clients {
+        let reconciled = compare_with_clients(context, &store, path)?;
+        print_client_comparison(&reconciled, arguments.format.format)?;
+        differences += reconciled.unequal() + reconciled.differences.len();
+    }
+    let standings = store.standings()?;
+    for argument in &arguments.counters {
+        for difference in compare_with_counters(&store, &standings, argument)? {
+            output::print(difference.to_line().as_bytes())?;
+            differences += 1;
+        }
+    }
+    match differences {
+        0 => Ok(()),
+        count => Err(LedgerError::Differences(count)),
+    }
+}
+
+fn compare_with_clients(
+    context: &LedgerContext,
+    store: &Store,
+    path: &Path,
+) -> Result<Reconciled, LedgerError> {
+    let uses = read_client_uses(path).map_err(|source| LedgerError::InvalidCsv {
+        path: path.into(),
+        source,
+    })?;
+    let all_times = (i64::MIN, i64::MAX);
+    let calendar = &context.settings.calendar;
+    let reconciled = reconcile::with_clients(store, calendar, context.bounds(), all_times, &uses)?;
+    Ok(reconciled)
+}
+
+fn read_client_uses(path: &Path) -> Result<Vec<ClientUse>, csv::Error> {
+    csv::Reader::from_path(path)?.into_deserialize().collect()
+}
+
+fn print_client_comparison(
+    reconciled: &Reconciled,
+    format: OutputFormat,
+) -> Result<(), LedgerError> {
+    let mut totals = Report::new(&TOTAL_COLUMNS);
+    for ((period, tenant, class), pair) in &reconciled.totals {
+        let equal = pair.ledger == pair.client && pair.ledger_answered == pair.client_answered;
+        totals.push(vec![
+            json!(period),
+            json!(tenant),
+            json!(class),
+            json!(pair.ledger),
+            json!(pair.client),
+            json!(pair.ledger_answered),
+            json!(pair.client_answered),
+            json!(equal),
+        ]);
+    }
+    totals.print(format)?;
+    if reconciled.differences.is_empty() {
+        return Ok(());
+    }
+    let mut differences = Report::new(&DIFFERENCE_COLUMNS);
+    for difference in &reconciled.differences {
+        differences.push(vec![
+            json!(difference.what),
+            json!(difference.tenant),
+            json!(difference.class),
+            json!(difference.at),
+            json!(difference.key),
+            json!(difference.ledger),
+            json!(difference.client),
+        ]);
+    }
+    Ok(differences.print(format)?)
+}
+
+/// A counter of an aggregator that the ledger does not confirm.
+struct CounterDifference {
+    member: String,
+    counter: String,
+    counted: u64,
+    in_ledger: u64,
+}
+
+impl CounterDifference {
+    fn to_line(&self) -> String {
+        format!(
+            "mixer {}, {}: it has recorded {} in this run, the ledger holds {}\n",
+            self.member, self.counter, self.counted, self.in_ledger
+        )
+    }
+}
+
+/// Compares the counters of one aggregator, `NAME=FILE`, with its latest run in the ledger.
+fn compare_with_counters(
+    store: &Store,
+    standings: &[Standing],
+    argument: &str,
+) -> Result<Vec<CounterDifference>, LedgerError> {
+    let (member, file) = argument
+        .split_once('=')
+        .ok_or_else(|| LedgerError::InvalidCounters(argument.into()))?;
+    let stats = read_json(Path::new(file))?;
+    let standing = standings.iter().find(|standing| standing.member == member);
+    let incarnation = standing.map_or(0, |standing| standing.position.incarnation);
+    let in_ledger = store.recorded(member, incarnation)?;
+    let counted: BTreeMap<String, u64> =
+        serde_json::from_value(stats[RECORDED_FIELD].clone()).unwrap_or_default();
+    let counters: BTreeSet<&String> = in_ledger.keys().chain(counted.keys()).collect();
+    let differing = counters
+        .into_iter()
+        .filter(|counter| in_ledger.get(*counter) != counted.get(*counter));
+    let value = |counts: &BTreeMap<String, u64>, counter: &String| {
+        counts.get(counter).copied().unwrap_or_default()
+    };
+    Ok(differing
+        .map(|counter| CounterDifference {
+            member: member.into(),
+            counter: counter.clone(),
+            counted: value(&counted, counter),
+            in_ledger: value(&in_ledger, counter),
+        })
+        .collect())
+}
+
+fn read_json(path: &Path) -> Result<Value, LedgerError> {
+    let text = std::fs::read_to_string(path).map_err(|source| LedgerError::Unreadable {
+        path: path.into(),
+        source,
+    })?;
+    serde_json::from_str(&text).map_err(|source| LedgerError::InvalidJson {
+        path: path.into(),
+        source,
+    })
+}
--- /dev/null
+++ b/crates/aggregator/src/cli/ledger/serve.rs
@@ -0,0 +1,93 @@
+//! `ledger serve`: the settlement process.
+
+use super::context::{read_ledger_settings, LedgerContext};
+use super::LedgerError;
+use crate::files::Files;
+use crate::logging::Logging;
+use crate::process::ReloadError;
+use crate::settings::{self, LogSettings, SCHEMA};
+use ini_config::Settings;
+use std::io;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc;
+use usage_ledger::settings::Ledger as LedgerSettings;
+use usage_ledger::settlement::{self, Told};
+
+const WORKER_THREADS: usize = 2;
+
+/// Collects, settles and exports until a signal requests the shutdown.
+pub fn run(files: &Files) -> Result<(), LedgerError> {
+    let settings = settings::read(files.settings.as_deref())?;
+    let context = LedgerContext::new(read_ledger_settings(&settings)?)?;
+    let logging = Logging::start(LogSettings::read(&settings)?)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(WORKER_THREADS)
+        .enable_all()
+        .build()
+        .map_err(LedgerError::Runtime)?;
+    let reloader = Reloader {
+        files: files.clone(),
+        settings,
+        logging,
+    };
+    runtime.block_on(serve(context, reloader))
+}
+
+async fn serve(context: LedgerContext, reloader: Reloader) -> Result<(), LedgerError> {
+    let (sender, receiver) = mpsc::channel(1);
+    spawn_shutdown_handlers(&sender).map_err(LedgerError::Runtime)?;
+    spawn_reload_handler(&sender, reloader).map_err(LedgerError::Runtime)?;
+    let members = context.settings.members.len();
+    tracing::info!(store = %context.store_path.display(), members, "settlement starts");
+    settlement::serve(context.store_path, context.settings, receiver).await?;
+    Ok(())
+}
+
+fn spawn_shutdown_handlers(sender: &mpsc::Sender<Told>) -> io::Result<()> {
+    for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
+        let mut signals = signal(kind)?;
+        let sender = sender.clone();
+        tokio::spawn(async move {
+            if signals.recv().await.is_some() {
+                // The receiver is gone once the settlement has ended.
+                let _ = sender.send(Told::End).await;
+            }
+        });
+    }
+    Ok(())
+}
+
+fn spawn_reload_handler(sender: &mpsc::Sender<Told>, reloader: Reloader) -> io::Result<()> {
+    let mut hangups = signal(SignalKind::hangup())?;
+    let sender = sender.clone();
+    tokio::spawn(async move {
+        while hangups.recv().await.is_some() {
+            match reloader.reload() {
+                Ok(settings) => {
+                    let _ = sender.send(Told::Settings(Box::new(settings))).await;
+                }
+                Err(error) => tracing::error!("the settings stay as they were: {error}"),
+            }
+        }
+    });
+    Ok(())
+}
+
+/// What the process was started with, for comparison with the settings as they are now.
+struct Reloader {
+    files: Files,
+    settings: Settings,
+    logging: Logging,
+}
+
+impl Reloader {
+    /// Validates the settings as a whole, then applies the log levels and returns the rest.
+    fn reload(&self) -> Result<LedgerSettings, ReloadError> {
+        let settings = settings::read(self.files.settings.as_deref())?;
+        let ledger_settings = read_ledger_settings(&settings)?;
+        self.logging.reload(LogSettings::read(&settings)?)?;
+        let restart = self.settings.needs_restart(&settings, &SCHEMA).join(", ");
+        tracing::info!(restart, "settings read again");
+        Ok(ledger_settings)
+    }
+}
--- /dev/null
+++ b/crates/aggregator/src/cli/ledger/status.rs
@@ -0,0 +1,75 @@
+//! `ledger status`: how far each member's records are in the ledger, and what waits to be sent.
+
+use super::{LedgerContext, LedgerError};
+use crate::cli::output::{self, OutputFormat, Report};
+use serde_json::{json, Value};
+use std::collections::BTreeSet;
+use usage_ledger::period::stamp;
+use usage_ledger::store::{Standing, Store};
+
+const COLUMNS: [&str; 9] = [
+    "member",
+    "configured",
+    "incarnation",
+    "sequence",
+    "complete",
+    "records",
+    "lost",
+    "died",
+    "damaged",
+];
+
+/// Prints one row for each member that is configured or has records; in a table also a summary.
+pub fn run(context: &LedgerContext, format: OutputFormat) -> Result<(), LedgerError> {
+    let store = context.existing_store()?;
+    member_report(context, &store)?.print(format)?;
+    if format == OutputFormat::Table {
+        output::print(summary(context, &store)?.as_bytes())?;
+    }
+    Ok(())
+}
+
+fn member_report(context: &LedgerContext, store: &Store) -> Result<Report, LedgerError> {
+    let standings = store.standings()?;
+    let configured = &context.settings.members;
+    let recorded = standings.iter().map(|standing| &standing.member);
+    let names: BTreeSet<&String> = configured.keys().chain(recorded).collect();
+    let mut report = Report::new(&COLUMNS);
+    for name in names {
+        let standing = standings.iter().find(|standing| standing.member == *name);
+        report.push(row(name, configured.contains_key(name), standing));
+    }
+    Ok(report)
+}
+
+fn row(name: &str, configured: bool, standing: Option<&Standing>) -> Vec<Value> {
+    let mut row = vec![json!(name), json!(configured)];
+    match standing {
+        Some(standing) => row.extend([
+            json!(standing.position.incarnation),
+            json!(standing.position.sequence),
+            json!(stamp(standing.complete)),
+            json!(standing.records),
+            json!(standing.lost),
+            json!(standing.died),
+            json!(standing.damaged),
+        ]),
+        None => row.resize(COLUMNS.len(), Value::Null),
+    }
+    row
+}
+
+fn summary(context: &LedgerContext, store: &Store) -> Result<String, LedgerError> {
+    let next_period = store.next_period(&context.settings.calendar)?;
+    let next_period = next_period.map_or("none".into(), |period| period.name());
+    let to_folder = context.settings.export.folder.is_some();
+    let to_url = context.settings.export.url.is_some();
+    let pending = if to_folder || to_url {
+        store.outbox(to_folder, to_url)?.len()
+    } else {
+        0
+    };
+    Ok(format!(
+        "\nnext period to close: {next_period}\ndocuments to send: {pending}\n"
+    ))
+}
--- /dev/null
+++ b/crates/aggregator/src/cli/ledger/verify.rs
@@ -0,0 +1,113 @@
+//! `ledger verify`: checks usage logs byte by byte, and the store against its own records.
+
+use super::context::{read_ledger_settings, LedgerContext};
+use super::{progress, LedgerError};
+use crate::cli::output;
+use crate::files::Files;
+use crate::settings;
+use std::io;
+use std::path::{Path, PathBuf};
+use usage_ledger::log::{self, Segment};
+
+/// The arguments of `ledger verify`.
+#[derive(clap::Args)]
+pub struct VerifyArguments {
+    /// Folder of a mixer's usage log
+    #[arg(long, value_name = "FOLDER")]
+    log: Vec<PathBuf>,
+}
+
+/// What was checked and what is wrong with it.
+#[derive(Default)]
+struct Verification {
+    segments: u64,
+    entries: u64,
+    /// Statements, documents and periods of the store.
+    ledger_items: u64,
+    faults: Vec<String>,
+}
+
+/// Checks the logs and, if one is named or no log is, the store; any fault is an error.
+pub fn run(files: &Files, arguments: &VerifyArguments) -> Result<(), LedgerError> {
+    let mut verification = Verification::default();
+    for directory in &arguments.log {
+        verification
+            .check_log(directory)
+            .map_err(|source| LedgerError::Unreadable {
+                path: directory.clone(),
+                source,
+            })?;
+    }
+    let settings = settings::read(files.settings.as_deref())?;
+    let ledger_settings = read_ledger_settings(&settings)?;
+    if ledger_settings.store.is_some() || arguments.log.is_empty() {
+        verification.check_store(&LedgerContext::new(ledger_settings)?)?;
+    }
+    verification.print()
+}
+
+impl Verification {
+    fn check_log(&mut self, directory: &Path) -> io::Result<()> {
+        let segments = log::segments(directory)?;
+        let bar = progress::bar(segments.len() as u64, "segments");
+        for (index, segment) in segments.iter().enumerate() {
+            let bytes = std::fs::read(&segment.path)?;
+            let is_last = index + 1 == segments.len();
+            self.check_segment(segment, &bytes, is_last);
+            bar.inc(1);
+        }
+        bar.finish_and_clear();
+        Ok(())
+    }
+
+    fn check_segment(&mut self, segment: &Segment, bytes: &[u8], is_last: bool) {
+        let name = segment.name();
+        let entries_start = match log::header(bytes) {
+            Some((_, start)) => start,
+            None => {
+                self.faults
+                    .push(format!("{name}: its header can't be read, at offset 0"));
+                log::MAGIC.len()
+            }
+        };
+        let read = log::read(bytes, entries_start, usize::MAX);
+        for item in &read.items {
+            match item {
+                log::Item::Entry(_) => self.entries += 1,
+                log::Item::Damage(from, to) => self
+                    .faults
+                    .push(format!("{name}: damaged from offset {from} to {to}")),
+            }
+        }
+        // The last segment may be in the middle of a write.
+        if read.end < bytes.len() && !is_last {
+            let offset = read.end;
+            self.faults.push(format!(
+                "{name}: half a record at its end, from offset {offset}"
+            ));
+        }
+        self.segments += 1;
+    }
+
+    fn check_store(&mut self, context: &LedgerContext) -> Result<(), LedgerError> {
+        let (checked, faults) = context.existing_store()?.verify(context.bounds())?;
+        self.ledger_items = checked;
+        self.faults.extend(faults);
+        Ok(())
+    }
+
+    fn print(&self) -> Result<(), LedgerError> {
+        for fault in &self.faults {
+            output::print(format!("{fault}\n").as_bytes())?;
+        }
+        let summary = format!(
+            "{} segments, {} entries, {} statements, documents and periods checked\n",
+            self.segments, self.entries, self.ledger_items
+        );
+        output::print(summary.as_bytes())?;
+        match self.faults.len() {
+            0 => Ok(()),
+            count => Err(LedgerError::Faults(count)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/aggregator/src/logging.rs
@@ -0,0 +1,51 @@
+//! Structured logs on standard error: text or JSON, by level and by target.
+//!
+//! Fields have one name everywhere: `client`, `link`, `id` (a query), `replica`, `class` and
+//! `tenant` by number, `address`, `segment`, `member`, `period`, `error`; a duration ends in its
+//! unit (`_ms`).
+
+use crate::settings::{LogFormat, LogSettings};
+use tracing_subscriber::filter::Targets;
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::reload::{self, Handle};
+use tracing_subscriber::util::{SubscriberInitExt, TryInitError};
+use tracing_subscriber::{Layer, Registry};
+
+/// Why logging could not be started or changed.
+#[derive(Debug, thiserror::Error)]
+pub enum LoggingError {
+    /// The process logs already.
+    #[error(transparent)]
+    Start(#[from] TryInitError),
+    /// The filter can't be replaced.
+    #[error(transparent)]
+    Reload(#[from] reload::Error),
+}
+
+/// The logging of this process, whose levels can be changed while it runs.
+pub struct Logging {
+    filter: Handle<Targets, Registry>,
+}
+
+impl Logging {
+    /// Starts logging; once in a process.
+    pub fn start(settings: LogSettings) -> Result<Logging, LoggingError> {
+        let (filter, handle) = reload::Layer::new(settings.filter);
+        let text_layer = tracing_subscriber::fmt::layer()
+            .with_ansi(false)
+            .with_writer(std::io::stderr);
+        let layer = match settings.format {
+            LogFormat::Json => text_layer.json().flatten_event(true).boxed(),
+            LogFormat::Text => text_layer.boxed(),
+        };
+        tracing_subscriber::registry()
+            .with(layer.with_filter(filter))
+            .try_init()?;
+        Ok(Logging { filter: handle })
+    }
+
+    /// Applies changed levels. The format stays as it was at the start.
+    pub fn reload(&self, settings: LogSettings) -> Result<(), LoggingError> {
+        Ok(self.filter.reload(settings.filter)?)
+    }
+}
--- /dev/null
+++ b/crates/aggregator/src/settings/log.rs
@@ -0,0 +1,100 @@
+//! The section `[log]`.
+
+use super::SettingsError;
+use crate::legacy_names;
+use ini_config::{Key, Kind, Schema, Section, Settings};
+use tracing_subscriber::filter::Targets;
+
+/// The section as the settings file has it.
+pub const SECTION: Section = Section {
+    name: "log",
+    named: false,
+    keys: &[
+        Key {
+            name: "level",
+            kind: Kind::Choice(&["error", "warn", "info", "debug", "trace"]),
+            default: Some("info"),
+            live: true,
+            doc: "The least level that is logged. QUERY_AGGREGATOR_LOG in the environment goes before it.",
+        },
+        Key {
+            name: "targets",
+            kind: Kind::Text,
+            default: Some(""),
+            live: true,
+            doc: "Levels of single targets, as in aggregator_core::engine=debug,usage_ledger=warn.",
+        },
+        Key {
+            name: "format",
+            kind: Kind::Choice(&["text", "json"]),
+            default: Some("text"),
+            live: false,
+            doc: "One line of text, or one JSON object, for each event.",
+        },
+    ],
+};
+
+/// The section alone: enough to look up its defaults.
+const SCHEMA: Schema = Schema(&[SECTION]);
+
+/// The level that is logged where neither the settings nor the environment name one.
+const DEFAULT_LEVEL: &str = "info";
+
+/// How an event is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogFormat {
+    /// One line of text.
+    Text,
+    /// One JSON object.
+    Json,
+}
+
+/// What is logged and how.
+#[derive(Clone, Debug)]
+pub struct LogSettings {
+    /// The level of each target.
+    pub filter: Targets,
+    /// The format of events.
+    pub format: LogFormat,
+}
+
+impl LogSettings {
+    /// Reads the section. A level in the environment takes precedence over the file's.
+    pub fn read(settings: &Settings) -> Result<LogSettings, SettingsError> {
+        let format = settings.of(&SCHEMA, SECTION.name, "").text("format");
+        Ok(LogSettings {
+            filter: read_filter(settings)?,
+            format: match format {
+                Some("json") => LogFormat::Json,
+                _ => LogFormat::Text,
+            },
+        })
+    }
+}
+
+fn read_filter(settings: &Settings) -> Result<Targets, SettingsError> {
+    let values = settings.of(&SCHEMA, SECTION.name, "");
+    let environment_level = environment_level();
+    let level = environment_level
+        .as_deref()
+        .or(values.text("level"))
+        .unwrap_or(DEFAULT_LEVEL);
+    // An empty directive would apply to all targets, so an unset key must not add a comma.
+    let directives = match values.text("targets") {
+        Some(targets) => format!("{level},{targets}"),
+        None => level.to_string(),
+    };
+    legacy_names::current_log_targets(&directives)
+        .parse()
+        .map_err(|error| {
+            let reason = format!("'{directives}' does not do: {error}");
+            settings
+                .problem(SECTION.name, "", "targets", &reason)
+                .into()
+        })
+}
+
+fn environment_level() -> Option<String> {
+    let value = legacy_names::environment_variable(legacy_names::LOG_VARIABLE)?;
+    value.into_string().ok().filter(|level| !level.is_empty())
+}
--- /dev/null
+++ b/crates/aggregator/src/settings/mod.rs
@@ -0,0 +1,55 @@
+//! The operators' settings: one INI file for logging, the usage log, the ledger and the frontends.
+
+mod log;
+
+pub use log::{LogFormat, LogSettings};
+
+use ini_config::{Problems, Schema, Settings};
+use opensearch_gateway::index;
+use std::io;
+use std::path::{Path, PathBuf};
+use usage_ledger::settings as ledger;
+
+/// All sections that the file may have.
+pub const SCHEMA: Schema = Schema(&[
+    log::SECTION,
+    ledger::USAGE,
+    ledger::SETTLEMENT,
+    ledger::PERIODS,
+    ledger::MEMBER,
+    ledger::PRICE,
+    ledger::TENANT,
+    ledger::EXPORT,
+    index::FRONT,
+    index::INDEX,
+    index::NETWORK,
+]);
+
+/// Why there are no valid settings.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[error("cannot read the settings {}: {source}", path.display())]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// Why it can't be read.
+        source: io::Error,
+    },
+    /// The file does not follow the schema, or its values contradict each other.
+    #[error(transparent)]
+    Invalid(#[from] Problems),
+}
+
+/// Reads the settings from a file, or returns the defaults where no file is named.
+pub fn read(path: Option<&Path>) -> Result<Settings, SettingsError> {
+    let Some(path) = path else {
+        return Ok(Settings::defaults());
+    };
+    let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Unreadable {
+        path: path.into(),
+        source,
+    })?;
+    let file_name = path.display().to_string();
+    Ok(Settings::read(&SCHEMA, &file_name, &text)?)
+}
--- /dev/null
+++ b/crates/aggregator/src/usage_recorder.rs
@@ -0,0 +1,71 @@
+//! Writes the engine's usage records to the usage log.
+
+use aggregator_core::engine::usage::{Outcome, UsageRecord, UsageWatermark};
+use aggregator_core::net::UsageRecorder;
+use std::time::Duration;
+use tokio::sync::watch;
+use usage_ledger::wire::entry::What;
+use usage_ledger::wire::{Outcome as WireOutcome, Record};
+use usage_ledger::writer::{self, Writer};
+
+const NANOS_PER_MS: u64 = 1_000_000;
+
+/// The engine's view of a usage log's writer.
+pub struct UsageLogRecorder(pub Writer);
+
+impl UsageRecorder for UsageLogRecorder {
+    fn record(&mut self, usage: UsageRecord) -> bool {
+        let accepted = self.0.offer(What::Record(wire_record(usage)));
+        if !accepted {
+            self.0.note_lost();
+        }
+        accepted
+    }
+
+    /// Loss of a watermark needs no handling: the next one covers it.
+    fn mark(&mut self, mark: UsageWatermark) {
+        let complete_ms = mark.complete / NANOS_PER_MS;
+        self.0
+            .offer(writer::mark(mark.sequence, complete_ms, mark.end));
+    }
+
+    fn written(&self) -> watch::Receiver<u64> {
+        self.0.watch()
+    }
+
+    fn stall(&self) -> Duration {
+        self.0.stall_bound()
+    }
+
+    fn left_without(&mut self) {
+        self.0.note_late();
+    }
+
+    fn close(&mut self) {
+        self.0.finish();
+    }
+}
+
+fn wire_record(usage: UsageRecord) -> Record {
+    let (outcome, share) = match usage.outcome {
+        Outcome::Whole => (WireOutcome::Whole, 0),
+        Outcome::Partial(share) => (WireOutcome::Partial, share),
+        Outcome::Refused => (WireOutcome::Refused, 0),
+        Outcome::Failed => (WireOutcome::Failed, 0),
+        Outcome::Left => (WireOutcome::Left, 0),
+    };
+    Record {
+        sequence: usage.sequence,
+        tenant: usage.tenant,
+        class: u32::from(usage.class),
+        arrived_ms: usage.arrived / NANOS_PER_MS,
+        outcome: outcome.into(),
+        share,
+        parts: usage.parts,
+        attempts: usage.attempts,
+        crossed: usage.crossed,
+        repeat: usage.is_retry,
+        key: usage.key,
+        keyed: usage.keyed,
+    }
+}
