--- /dev/null
+++ b/crates/aggregator/tests/support/aggregator_process.rs
@@ -0,0 +1,82 @@
+//! A running aggregator: its configuration file, its signals and its log.
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, BufReader, Lines};
+use tokio::net::unix::pipe;
+
+/// Ends a test whose program hangs: nothing in the tests waits for time to pass.
+pub const HANG_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A running aggregator; killed when it is dropped.
+pub struct AggregatorProcess {
+    child: Child,
+    config_path: PathBuf,
+    log: Lines<BufReader<pipe::Receiver>>,
+}
+
+impl AggregatorProcess {
+    /// Starts the program with this configuration; `name` tells the files of several tests apart.
+    pub fn start(name: &str, config: &str) -> AggregatorProcess {
+        let file_name = format!("query-aggregator-{}-{name}.json", std::process::id());
+        let config_path = std::env::temp_dir().join(file_name);
+        fs::write(&config_path, config).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_query-aggregator"))
+            .env("BALANCER_CONFIG", &config_path)
+            .env("QUERY_AGGREGATOR_LOG", "info")
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        let stderr = child.stderr.take().unwrap();
+        let log = pipe::Receiver::from_owned_fd(stderr.into()).unwrap();
+        AggregatorProcess {
+            child,
+            config_path,
+            log: BufReader::new(log).lines(),
+        }
+    }
+
+    /// Replaces the configuration file; the program does not read it before it gets a signal.
+    pub fn write_config(&self, config: &str) {
+        fs::write(&self.config_path, config).unwrap();
+    }
+
+    /// Sends a signal, then reads the log up to a line that contains `expected_log`.
+    pub async fn signal(&mut self, signal: &str, expected_log: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill")
+            .args([signal, &pid])
+            .status()
+            .unwrap()
+            .success());
+        self.wait_for_log(expected_log).await;
+    }
+
+    async fn wait_for_log(&mut self, expected: &str) {
+        loop {
+            let line = tokio::time::timeout(HANG_TIMEOUT, self.log.next_line())
+                .await
+                .unwrap_or_else(|_| panic!("'{expected}' is never logged"))
+                .unwrap()
+                .unwrap_or_else(|| panic!("the program ended before it logged '{expected}'"));
+            if line.contains(expected) {
+                return;
+            }
+        }
+    }
+
+    /// Waits for the program to end; whether it was successful.
+    pub fn wait_for_exit(&mut self) -> bool {
+        self.child.wait().unwrap().success()
+    }
+}
+
+impl Drop for AggregatorProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.config_path);
+    }
+}
