Split the simulator adapter's wire into batches, records and replies, with typed errors

One file held the layout of both directions as bare numbers, and errors were strings.

- `wire/` has a file for batches, endpoint lists, records, replies and errors.
Codes, offsets, lengths and flags are named constants; a reply's record is filled field by field.
- `instances.rs` runs the policies; `main.rs` only moves batches and replies.
- `BatchError` has the numbers of batch and record, `RecordError` the cause, `AdapterError` the rest.

--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -1,90 +1,43 @@
-//! Runs the decision module on the simulator's wire: batches come in on standard input, replies go
-//! out on standard output. It only translates; every decision is in `src/choice.rs`.
+//! Runs the aggregator's policy for the simulator.
+//!
+//! The simulator drives any number of policy instances at once. It sends batches of events on
+//! standard input; for each batch the adapter writes one reply with the instances' actions to
+//! standard output. [`wire`] translates between bytes and the policy's types, [`instances`] hands
+//! the events to the instances. Nothing is decided here: every decision is in `aggregator-policy`.
 
+mod error;
+mod instances;
 mod wire;
 
-use aggregator_core::settings;
-use aggregator_policy::Policy;
-use std::collections::{BTreeMap, BTreeSet};
+use error::AdapterError;
+use instances::PolicyInstances;
 use std::io::{self, BufReader, BufWriter, Read, Write};
-use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::ExitCode;
-use wire::{Batch, Input, Reply, Roster};
+use wire::Batch;
 
 fn main() -> ExitCode {
+    // A panic of a policy goes into the reply, and standard error is for one line at the end.
     std::panic::set_hook(Box::new(|_| {}));
-    match run(
-        &mut BufReader::new(io::stdin().lock()),
-        &mut BufWriter::new(io::stdout().lock()),
-    ) {
+    let mut input = BufReader::new(io::stdin().lock());
+    let mut output = BufWriter::new(io::stdout().lock());
+    match run(&mut input, &mut output) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            eprintln!("simulator-adapter: {message}");
+        Err(error) => {
+            eprintln!("simulator-adapter: {error}");
             ExitCode::FAILURE
         }
     }
 }
 
-fn run(input: &mut impl Read, output: &mut impl Write) -> Result<(), String> {
-    let mut instances: BTreeMap<u16, Policy> = BTreeMap::new();
-    let mut rosters: BTreeMap<u32, Roster> = BTreeMap::new();
+/// Answers batches until the end of the input.
+fn run(input: &mut impl Read, output: &mut impl Write) -> Result<(), AdapterError> {
+    let mut instances = PolicyInstances::default();
     while let Some(batch) = Batch::read(input)? {
-        let reply = play(&batch, &mut instances, &mut rosters)?;
+        let reply = instances.handle_batch(&batch)?;
         output
-            .write_all(&reply.bytes(batch.number))
+            .write_all(&reply.to_bytes(batch.number))
             .and_then(|()| output.flush())
-            .map_err(|e| e.to_string())?;
+            .map_err(AdapterError::Write)?;
     }
     Ok(())
 }
-
-/// Hands each instance its events of one batch, in order, and gathers the actions.
-fn play(
-    batch: &Batch,
-    instances: &mut BTreeMap<u16, Policy>,
-    rosters: &mut BTreeMap<u32, Roster>,
-) -> Result<Reply, String> {
-    let mut pending = BTreeMap::new();
-    let mut order = Vec::new();
-    let mut seen = BTreeSet::new();
-    for (who, input) in wire::inputs(batch, rosters)? {
-        match input {
-            Input::Start { seed, settings } => {
-                instances.insert(who, Policy::new(settings::parse(&settings)?, seed));
-                pending.insert(who, Vec::new());
-            }
-            Input::Stop => {
-                instances.remove(&who);
-                pending.remove(&who);
-            }
-            Input::Event(event) => pending.entry(who).or_insert_with(Vec::new).push(event),
-        }
-        if seen.insert(who) {
-            order.push(who);
-        }
-    }
-    let mut reply = Reply::default();
-    for who in order {
-        let (Some(instance), Some(events)) = (instances.get_mut(&who), pending.get(&who)) else {
-            continue;
-        };
-        let mut actions = Vec::new();
-        let done = catch_unwind(AssertUnwindSafe(|| {
-            instance.handle(batch.clock, events, &mut actions)
-        }));
-        match done {
-            Ok(()) => actions
-                .iter()
-                .for_each(|action| wire::write_action(&mut reply, who, action)),
-            Err(cause) => {
-                let text = cause.downcast_ref::<String>().cloned();
-                let text = text.or_else(|| cause.downcast_ref::<&str>().map(|s| s.to_string()));
-                reply.crash(
-                    who,
-                    &text.unwrap_or_else(|| "the decision module broke".into()),
-                );
-            }
-        }
-    }
-    Ok(reply)
-}
--- /dev/null
+++ b/crates/simulator-adapter/src/wire/batch.rs
@@ -0,0 +1,105 @@
+//! Reads batches: a header of five fields, the records, and the tail.
+
+use super::error::{BatchError, RecordError};
+use super::fields::Fields;
+use aggregator_policy::api::Nanos;
+use std::io::{ErrorKind, Read};
+
+/// Bytes of a batch's header, and the offsets of its fields.
+const HEADER_LENGTH: usize = 20;
+const NUMBER: usize = 0;
+const BODY_LENGTH: usize = 4;
+const CLOCK: usize = 8;
+const RECORD_COUNT: usize = 16;
+
+/// Bytes of one record.
+const RECORD_LENGTH: usize = 56;
+
+/// One batch from the simulator.
+pub struct Batch {
+    /// The number that its reply has to repeat.
+    pub number: u32,
+    /// The time of all its events.
+    pub clock: Nanos,
+    records: Vec<u8>,
+    tail: Vec<u8>,
+}
+
+impl Batch {
+    /// Reads the next batch; none at the end of the input.
+    pub fn read(input: &mut impl Read) -> Result<Option<Batch>, BatchError> {
+        let Some(header) = read_header(input)? else {
+            return Ok(None);
+        };
+        let header = Fields::new(&header);
+        let batch = header.u32(NUMBER);
+        let length = header.u32(BODY_LENGTH) as usize;
+        let records = header.u32(RECORD_COUNT) as usize;
+        let records_length = records
+            .checked_mul(RECORD_LENGTH)
+            .filter(|records_length| *records_length <= length)
+            .ok_or(BatchError::RecordsDoNotFit {
+                batch,
+                records,
+                length,
+            })?;
+        let mut records = read_body(input, batch, length)?;
+        let tail = records.split_off(records_length);
+        Ok(Some(Batch {
+            number: batch,
+            clock: header.u64(CLOCK),
+            records,
+            tail,
+        }))
+    }
+
+    /// The records in their order.
+    pub fn records(&self) -> impl Iterator<Item = Fields<'_>> {
+        self.records.chunks_exact(RECORD_LENGTH).map(Fields::new)
+    }
+
+    /// Bytes of the tail that a record refers to.
+    pub fn tail_bytes(&self, offset: u32, length: usize) -> Result<&[u8], RecordError> {
+        let start = offset as usize;
+        let end = start.checked_add(length);
+        end.and_then(|end| self.tail.get(start..end))
+            .ok_or(RecordError::PastTail {
+                offset,
+                length,
+                tail_length: self.tail.len(),
+            })
+    }
+}
+
+/// Reads a header; none if the input has ended before it.
+fn read_header(input: &mut impl Read) -> Result<Option<[u8; HEADER_LENGTH]>, BatchError> {
+    let mut header = [0; HEADER_LENGTH];
+    let mut bytes_read = 0;
+    while bytes_read < HEADER_LENGTH {
+        match input.read(&mut header[bytes_read..]) {
+            Ok(0) if bytes_read == 0 => return Ok(None),
+            Ok(0) => return Err(BatchError::HeaderCutShort { bytes_read }),
+            Ok(count) => bytes_read += count,
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(error) => return Err(BatchError::ReadHeader(error)),
+        }
+    }
+    Ok(Some(header))
+}
+
+/// Reads a body. The buffer grows with what is read, so that a wrong length reserves no memory.
+fn read_body(input: &mut impl Read, batch: u32, length: usize) -> Result<Vec<u8>, BatchError> {
+    let mut body = Vec::new();
+    input
+        .take(length as u64)
+        .read_to_end(&mut body)
+        .map_err(|source| BatchError::ReadBody { batch, source })?;
+    if body.len() < length {
+        return Err(BatchError::BodyCutShort {
+            batch,
+            bytes_read: body.len(),
+            length,
+        });
+    }
+    Ok(body)
+}
--- /dev/null
+++ b/crates/simulator-adapter/src/wire/fields.rs
@@ -0,0 +1,53 @@
+//! Fields at fixed offsets.
+
+use aggregator_policy::api::ReplicaId;
+
+/// Bytes whose layout is known. Offsets are constants of the layout, and the caller has checked
+/// that the bytes are as long as the layout says.
+#[derive(Clone, Copy)]
+pub struct Fields<'a>(&'a [u8]);
+
+impl<'a> Fields<'a> {
+    /// The fields in these bytes.
+    pub fn new(bytes: &'a [u8]) -> Fields<'a> {
+        Fields(bytes)
+    }
+
+    fn bytes<const N: usize>(self, offset: usize) -> [u8; N] {
+        let mut bytes = [0; N];
+        bytes.copy_from_slice(&self.0[offset..offset + N]);
+        bytes
+    }
+
+    /// A byte.
+    pub fn u8(self, offset: usize) -> u8 {
+        self.0[offset]
+    }
+
+    /// A number of 2 bytes.
+    pub fn u16(self, offset: usize) -> u16 {
+        u16::from_le_bytes(self.bytes(offset))
+    }
+
+    /// A number of 4 bytes.
+    pub fn u32(self, offset: usize) -> u32 {
+        u32::from_le_bytes(self.bytes(offset))
+    }
+
+    /// A number of 8 bytes.
+    pub fn u64(self, offset: usize) -> u64 {
+        u64::from_le_bytes(self.bytes(offset))
+    }
+
+    /// A floating-point number of 4 bytes.
+    pub fn f32(self, offset: usize) -> f32 {
+        f32::from_le_bytes(self.bytes(offset))
+    }
+
+    /// A replica: 4 bytes of address and a port of 2 bytes, taken as one number.
+    pub fn replica(self, offset: usize) -> ReplicaId {
+        let address = u64::from(self.u32(offset));
+        let port = u64::from(self.u16(offset + 4));
+        ReplicaId(address | port << 32)
+    }
+}
--- /dev/null
+++ b/crates/simulator-adapter/src/wire/record.rs
@@ -0,0 +1,284 @@
+//! Decodes the records of a batch.
+
+use super::batch::Batch;
+use super::endpoint_list::{EndpointLists, ENTRY_LENGTH};
+use super::error::{BatchError, RecordError};
+use super::fields::Fields;
+use aggregator_policy::api::{AttemptOutcome, EndpointUpdateKind, Event, LoadReport, Nanos};
+
+/// The number of a policy instance.
+pub type InstanceId = u16;
+
+/// What a record says to one instance.
+#[derive(Debug, PartialEq)]
+pub struct InstanceInput {
+    /// The instance.
+    pub instance: InstanceId,
+    /// The input.
+    pub input: Input,
+}
+
+/// One input of an instance.
+#[derive(Debug, PartialEq)]
+pub enum Input {
+    /// Start the instance, in place of one that runs.
+    Start {
+        /// The seed of its random numbers.
+        seed: u64,
+        /// Its settings, a `key=value` pair a line.
+        settings: String,
+    },
+    /// Stop the instance at once.
+    Stop,
+    /// An event for the policy.
+    Event(Event),
+}
+
+/// The kinds of records, by their codes.
+mod kind {
+    pub const START: u8 = 1;
+    pub const RESPONSE_STARTED: u8 = 2;
+    pub const ENDPOINT_LIST: u8 = 3;
+    pub const STOP: u8 = 4;
+    pub const TIMER_FIRED: u8 = 5;
+    pub const ATTEMPT_ENDED: u8 = 6;
+    pub const REQUEST_RECEIVED: u8 = 7;
+    pub const ENDPOINTS_UPDATED: u8 = 8;
+    pub const GOSSIP_RECEIVED: u8 = 9;
+    pub const CLIENT_DISCONNECTED: u8 = 10;
+    pub const HEALTH_CHECK_ENDED: u8 = 11;
+}
+
+/// The outcomes of attempts and health checks, by their codes.
+mod outcome {
+    pub const SUCCESS: u16 = 0;
+    pub const NOT_SENT: u16 = 249;
+    pub const CANCELLED: u16 = 250;
+    pub const CONNECTION_LOST: u16 = 251;
+    pub const UNREACHABLE: u16 = 252;
+    pub const TIMED_OUT: u16 = 253;
+    pub const REJECTED: u16 = 254;
+    pub const ERROR: u16 = 255;
+}
+
+/// The offset of the code in every record, and of the instance in all but endpoint lists.
+const KIND: usize = 0;
+const INSTANCE: usize = 1;
+
+/// Decodes the records of a batch in their order. Endpoint lists are stored and looked up on the
+/// way, since a number can be used for another list within one batch.
+pub fn decode_inputs(
+    batch: &Batch,
+    lists: &mut EndpointLists,
+) -> Result<Vec<InstanceInput>, BatchError> {
+    let mut inputs = Vec::new();
+    for (index, record) in batch.records().enumerate() {
+        let invalid = |source| BatchError::Record {
+            batch: batch.number,
+            record: index,
+            source,
+        };
+        if record.u8(KIND) == kind::ENDPOINT_LIST {
+            store_endpoint_list(record, batch, lists).map_err(invalid)?;
+        } else {
+            let input = decode_input(record, batch, lists).map_err(invalid)?;
+            let instance = record.u16(INSTANCE);
+            inputs.push(InstanceInput { instance, input });
+        }
+    }
+    Ok(inputs)
+}
+
+fn store_endpoint_list(
+    record: Fields,
+    batch: &Batch,
+    lists: &mut EndpointLists,
+) -> Result<(), RecordError> {
+    const NUMBER: usize = 1;
+    const ENTRIES_OFFSET: usize = 5;
+    const ENTRY_COUNT: usize = 9;
+    let length = (record.u32(ENTRY_COUNT) as usize).saturating_mul(ENTRY_LENGTH);
+    let bytes = batch.tail_bytes(record.u32(ENTRIES_OFFSET), length)?;
+    lists.insert(record.u32(NUMBER), bytes)
+}
+
+fn decode_input(
+    record: Fields,
+    batch: &Batch,
+    lists: &EndpointLists,
+) -> Result<Input, RecordError> {
+    let event = match record.u8(KIND) {
+        kind::START => return decode_start(record, batch),
+        kind::STOP => return Ok(Input::Stop),
+        kind::RESPONSE_STARTED => decode_response_started(record),
+        kind::TIMER_FIRED => decode_timer_fired(record),
+        kind::ATTEMPT_ENDED => decode_attempt_ended(record)?,
+        kind::REQUEST_RECEIVED => decode_request_received(record),
+        kind::ENDPOINTS_UPDATED => decode_endpoints_updated(record, lists)?,
+        kind::GOSSIP_RECEIVED => decode_gossip_received(record, batch)?,
+        kind::CLIENT_DISCONNECTED => decode_client_disconnected(record),
+        kind::HEALTH_CHECK_ENDED => decode_health_check_ended(record)?,
+        unknown => return Err(RecordError::UnknownKind(unknown)),
+    };
+    Ok(Input::Event(event))
+}
+
+fn decode_start(record: Fields, batch: &Batch) -> Result<Input, RecordError> {
+    const SEED: usize = 3;
+    const SETTINGS_OFFSET: usize = 11;
+    const SETTINGS_LENGTH: usize = 15;
+    let length = record.u32(SETTINGS_LENGTH) as usize;
+    let bytes = batch.tail_bytes(record.u32(SETTINGS_OFFSET), length)?;
+    let settings = String::from_utf8(bytes.to_vec()).map_err(|_| RecordError::SettingsNotUtf8)?;
+    Ok(Input::Start {
+        seed: record.u64(SEED),
+        settings,
+    })
+}
+
+fn decode_response_started(record: Fields) -> Event {
+    const PART: usize = 3;
+    const REPLICA: usize = 11;
+    const ATTEMPT: usize = 17;
+    Event::ResponseStarted {
+        part: record.u64(PART),
+        attempt: record.u8(ATTEMPT),
+        replica: record.replica(REPLICA),
+    }
+}
+
+fn decode_timer_fired(record: Fields) -> Event {
+    const TOKEN: usize = 3;
+    Event::TimerFired {
+        token: record.u64(TOKEN),
+    }
+}
+
+fn decode_attempt_ended(record: Fields) -> Result<Event, RecordError> {
+    const PART: usize = 3;
+    const ATTEMPT: usize = 11;
+    const REPLICA: usize = 12;
+    const OUTCOME: usize = 18;
+    const REPORT: usize = 29;
+    Ok(Event::AttemptEnded {
+        part: record.u64(PART),
+        attempt: record.u8(ATTEMPT),
+        replica: record.replica(REPLICA),
+        outcome: decode_outcome(record.u16(OUTCOME))?,
+        report: decode_load_report(record, REPORT),
+    })
+}
+
+/// A query or one of its parts. A part names its shard; a query has a negative one.
+fn decode_request_received(record: Fields) -> Event {
+    const ID: usize = 3;
+    const SHARD: usize = 11;
+    const CLIENT_TIMEOUT: usize = 15;
+    const WORK: usize = 23;
+    const CLASS: usize = 31;
+    const GROUP: usize = 33;
+    const TENANT: usize = 37;
+    const FLAGS: usize = 49;
+    const WEIGHT: usize = 50;
+    const FLAG_HAS_WORK: u8 = 1;
+    const FLAG_IS_RETRY: u8 = 2;
+
+    let id = record.u64(ID);
+    let group = record.f32(GROUP) as u32;
+    let shard = record.f32(SHARD);
+    if shard >= 0.0 {
+        return Event::PartReceived {
+            id,
+            group,
+            shard: shard as u32,
+            weight: f64::from(record.f32(WEIGHT)),
+        };
+    }
+    let flags = record.u8(FLAGS);
+    let work: Nanos = record.u64(WORK);
+    Event::QueryReceived {
+        id,
+        group,
+        class: record.u16(CLASS),
+        tenant: record.u32(TENANT),
+        client_timeout: record.u64(CLIENT_TIMEOUT),
+        work: (flags & FLAG_HAS_WORK != 0).then_some(work),
+        is_retry: flags & FLAG_IS_RETRY != 0,
+    }
+}
+
+fn decode_endpoints_updated(record: Fields, lists: &EndpointLists) -> Result<Event, RecordError> {
+    const LIST: usize = 3;
+    const UPDATE_KIND: usize = 15;
+    const KIND_DELTA: u8 = 0;
+    const KIND_SNAPSHOT: u8 = 1;
+    const KIND_CACHED: u8 = 2;
+    const KIND_UNAVAILABLE: u8 = 3;
+    let kind = match record.u8(UPDATE_KIND) {
+        KIND_DELTA => EndpointUpdateKind::Delta,
+        KIND_SNAPSHOT => EndpointUpdateKind::Snapshot,
+        KIND_CACHED => EndpointUpdateKind::Cached,
+        KIND_UNAVAILABLE => EndpointUpdateKind::Unavailable,
+        unknown => return Err(RecordError::UnknownUpdateKind(unknown)),
+    };
+    let entries = match kind {
+        EndpointUpdateKind::Unavailable => Vec::new(),
+        _ => lists.entries(record.u32(LIST))?,
+    };
+    Ok(Event::EndpointsUpdated { kind, entries })
+}
+
+fn decode_gossip_received(record: Fields, batch: &Batch) -> Result<Event, RecordError> {
+    const FROM: usize = 3;
+    const MESSAGE_OFFSET: usize = 7;
+    const MESSAGE_LENGTH: usize = 11;
+    let length = record.u32(MESSAGE_LENGTH) as usize;
+    let bytes = batch.tail_bytes(record.u32(MESSAGE_OFFSET), length)?;
+    Ok(Event::GossipReceived {
+        from: record.u32(FROM),
+        bytes: bytes.to_vec(),
+    })
+}
+
+fn decode_client_disconnected(record: Fields) -> Event {
+    const ID: usize = 3;
+    Event::ClientDisconnected { id: record.u64(ID) }
+}
+
+fn decode_health_check_ended(record: Fields) -> Result<Event, RecordError> {
+    const OUTCOME: usize = 3;
+    const LATENCY: usize = 5;
+    const REPLICA: usize = 13;
+    const REPORT: usize = 19;
+    Ok(Event::HealthCheckEnded {
+        replica: record.replica(REPLICA),
+        outcome: decode_outcome(record.u16(OUTCOME))?,
+        latency: record.u64(LATENCY),
+        report: decode_load_report(record, REPORT),
+    })
+}
+
+fn decode_outcome(code: u16) -> Result<AttemptOutcome, RecordError> {
+    match code {
+        outcome::SUCCESS => Ok(AttemptOutcome::Success),
+        outcome::NOT_SENT => Ok(AttemptOutcome::NotSent),
+        outcome::CANCELLED => Ok(AttemptOutcome::Cancelled),
+        outcome::CONNECTION_LOST => Ok(AttemptOutcome::ConnectionLost),
+        outcome::UNREACHABLE => Ok(AttemptOutcome::Unreachable),
+        outcome::TIMED_OUT => Ok(AttemptOutcome::TimedOut),
+        outcome::REJECTED => Ok(AttemptOutcome::Rejected),
+        outcome::ERROR => Ok(AttemptOutcome::Error),
+        unknown => Err(RecordError::UnknownOutcome(unknown)),
+    }
+}
+
+/// A load report: the number of its values in one byte, then the values.
+fn decode_load_report(record: Fields, offset: usize) -> LoadReport {
+    const MAX_VALUES: usize = 4;
+    const VALUES: usize = 1;
+    const VALUE_LENGTH: usize = 4;
+    let count = usize::from(record.u8(offset)).min(MAX_VALUES);
+    (0..count)
+        .map(|index| record.f32(offset + VALUES + index * VALUE_LENGTH))
+        .collect()
+}
--- /dev/null
+++ b/crates/simulator-adapter/src/wire/reply.rs
@@ -0,0 +1,162 @@
+//! Encodes replies: a header of three fields, the records, and the tail.
+
+use super::record::InstanceId;
+use aggregator_policy::api::{Action, ReplicaId};
+
+const HEADER_LENGTH: usize = 12;
+/// Bytes of one record of a reply; unused ones are zero.
+const RECORD_LENGTH: usize = 32;
+const REPLICA_LENGTH: usize = 6;
+
+/// The receiver of a gossip message that goes to all.
+const ALL_AGGREGATORS: u32 = u32::MAX;
+/// The retry-after of a rejection that has none.
+const NO_RETRY_AFTER: u64 = 0;
+
+/// The kinds of records, by their codes.
+mod kind {
+    pub const SEND_ATTEMPT: u8 = 1;
+    pub const REJECT: u8 = 2;
+    pub const FAIL: u8 = 3;
+    pub const CANCEL_ATTEMPT: u8 = 4;
+    pub const SET_TIMER: u8 = 5;
+    pub const CHECK_HEALTH: u8 = 6;
+    pub const CLOSE_IDLE_CONNECTIONS: u8 = 7;
+    pub const SEND_GOSSIP: u8 = 8;
+    pub const LOG: u8 = 9;
+    pub const CRASH: u8 = 10;
+    pub const WATCH_ENDPOINTS: u8 = 11;
+    pub const FETCH_ENDPOINTS: u8 = 12;
+    pub const ANSWER: u8 = 13;
+}
+
+/// The reply to one batch, while it is built.
+#[derive(Default)]
+pub struct Reply {
+    records: Vec<u8>,
+    record_count: u32,
+    tail: Vec<u8>,
+}
+
+impl Reply {
+    /// The reply to the batch with this number, as it is sent.
+    pub fn to_bytes(&self, batch_number: u32) -> Vec<u8> {
+        let body_length = self.records.len() + self.tail.len();
+        let mut bytes = Vec::with_capacity(HEADER_LENGTH + body_length);
+        bytes.extend(batch_number.to_le_bytes());
+        bytes.extend(self.record_count.to_le_bytes());
+        bytes.extend((body_length as u32).to_le_bytes());
+        bytes.extend(&self.records);
+        bytes.extend(&self.tail);
+        bytes
+    }
+
+    /// Appends an action of an instance.
+    pub fn push_action(&mut self, instance: InstanceId, action: &Action) {
+        let record = |kind: u8| Record::new(kind, instance);
+        let record = match action {
+            Action::SendAttempt {
+                part,
+                replica,
+                until,
+                ..
+            } => record(kind::SEND_ATTEMPT)
+                .u64(*part)
+                .replica(*replica)
+                .u64(*until),
+            Action::Reject { query, retry_after } => record(kind::REJECT)
+                .u64(*query)
+                .u64(retry_after.unwrap_or(NO_RETRY_AFTER)),
+            Action::Fail { query } => record(kind::FAIL).u64(*query),
+            Action::CancelAttempt { part, attempt } => {
+                record(kind::CANCEL_ATTEMPT).u64(*part).u8(*attempt)
+            }
+            Action::SetTimer { token, after } => record(kind::SET_TIMER).u64(*token).u64(*after),
+            Action::CheckHealth { replica } => record(kind::CHECK_HEALTH).replica(*replica),
+            Action::CloseIdleConnections { replica } => {
+                record(kind::CLOSE_IDLE_CONNECTIONS).replica(*replica)
+            }
+            Action::SendGossip { to, bytes } => record(kind::SEND_GOSSIP)
+                .u32(to.unwrap_or(ALL_AGGREGATORS))
+                .tail_range(self.append_to_tail(bytes)),
+            Action::Log(text) => record(kind::LOG).tail_range(self.append_to_tail(text.as_bytes())),
+            Action::WatchEndpoints { enabled } => {
+                record(kind::WATCH_ENDPOINTS).u8(u8::from(*enabled))
+            }
+            Action::FetchEndpoints => record(kind::FETCH_ENDPOINTS),
+            Action::Answer { query, complete } => {
+                record(kind::ANSWER).u64(*query).u8(u8::from(*complete))
+            }
+        };
+        self.push(record);
+    }
+
+    /// Appends the message of an instance that has panicked.
+    pub fn push_crash(&mut self, instance: InstanceId, message: &str) {
+        let message = self.append_to_tail(message.as_bytes());
+        self.push(Record::new(kind::CRASH, instance).tail_range(message));
+    }
+
+    fn push(&mut self, record: Record) {
+        self.records.extend(record.bytes);
+        self.record_count += 1;
+    }
+
+    fn append_to_tail(&mut self, bytes: &[u8]) -> TailRange {
+        let offset = self.tail.len() as u32;
+        self.tail.extend(bytes);
+        TailRange {
+            offset,
+            length: bytes.len() as u32,
+        }
+    }
+}
+
+/// Bytes in the tail of a reply.
+struct TailRange {
+    offset: u32,
+    length: u32,
+}
+
+/// One record, filled field by field.
+struct Record {
+    bytes: [u8; RECORD_LENGTH],
+    length: usize,
+}
+
+impl Record {
+    fn new(kind: u8, instance: InstanceId) -> Record {
+        let record = Record {
+            bytes: [0; RECORD_LENGTH],
+            length: 0,
+        };
+        record.u8(kind).field(&instance.to_le_bytes())
+    }
+
+    fn field(mut self, bytes: &[u8]) -> Record {
+        let end = self.length + bytes.len();
+        self.bytes[self.length..end].copy_from_slice(bytes);
+        self.length = end;
+        self
+    }
+
+    fn u8(self, value: u8) -> Record {
+        self.field(&[value])
+    }
+
+    fn u32(self, value: u32) -> Record {
+        self.field(&value.to_le_bytes())
+    }
+
+    fn u64(self, value: u64) -> Record {
+        self.field(&value.to_le_bytes())
+    }
+
+    fn replica(self, replica: ReplicaId) -> Record {
+        self.field(&replica.0.to_le_bytes()[..REPLICA_LENGTH])
+    }
+
+    fn tail_range(self, range: TailRange) -> Record {
+        self.u32(range.offset).u32(range.length)
+    }
+}
