--- /dev/null
+++ b/crates/simulator-adapter/tests/support/batch.rs
@@ -0,0 +1,138 @@
+//! Builds batches byte by byte, apart from the code under test.
+
+const RECORD_LENGTH: usize = 56;
+const CLOCK: u64 = 8_411_201_424;
+const CLIENT_TIMEOUT_NS: u64 = 3_000_000_000;
+/// The request's group, which joins a query and its parts.
+const GROUP: f32 = 4.0;
+/// The shard of a request that is a query and not a part.
+const NO_SHARD: f32 = -1.0;
+
+/// Settings that the policy accepts.
+pub const SETTINGS: &str = "classes.count=1\nclasses.0.aim_ns=2000000000\nclasses.0.give_up_ns=6000000000\n\
+classes.0.semantics=read_like\nextra.places=1\nextra.reach=1\nextra.ranges=2\nextra.class_need=1.0\n\
+extra.least_share=1.0\nextra.partial_earns=0.9\nextra.second_step=0\nreplicas_of_me=1\ntick_ns=5000000\n\
+limits.retry_after=true\nlimits.max_retry_after_ns=7\nnever.heard.of=this\n";
+
+/// A batch while it is built.
+pub struct Batch {
+    number: u32,
+    records: Vec<u8>,
+    record_count: u32,
+    tail: Vec<u8>,
+}
+
+impl Batch {
+    /// A batch without records.
+    pub fn new(number: u32) -> Batch {
+        Batch {
+            number,
+            records: Vec::new(),
+            record_count: 0,
+            tail: Vec::new(),
+        }
+    }
+
+    /// Appends a record with these fields; the rest of it is zero.
+    pub fn record(mut self, fields: &[&[u8]]) -> Batch {
+        let mut record = fields.concat();
+        record.resize(RECORD_LENGTH, 0);
+        self.records.extend(record);
+        self.record_count += 1;
+        self
+    }
+
+    /// Starts an instance.
+    pub fn start(mut self, instance: u16, settings: &str) -> Batch {
+        let offset = self.tail.len() as u32;
+        self.tail.extend(settings.as_bytes());
+        self.record(&[
+            &[1],
+            &instance.to_le_bytes(),
+            &[9; 8],
+            &offset.to_le_bytes(),
+            &(settings.len() as u32).to_le_bytes(),
+        ])
+    }
+
+    /// Stops an instance.
+    pub fn stop(self, instance: u16) -> Batch {
+        self.record(&[&[4], &instance.to_le_bytes()])
+    }
+
+    /// Sends an endpoint list with one replica, which is ready.
+    pub fn endpoint_list(mut self, number: u32, address: &[u8; 6]) -> Batch {
+        let offset = self.tail.len() as u32;
+        let entry = [
+            &[0, 0],
+            &address[..],
+            &[0, 0],
+            &1f32.to_le_bytes(),
+            &[0; 8],
+            &[0, 0],
+            &[1],
+        ];
+        self.tail.extend(entry.concat());
+        self.record(&[
+            &[3],
+            &number.to_le_bytes(),
+            &offset.to_le_bytes(),
+            &1u32.to_le_bytes(),
+        ])
+    }
+
+    /// Tells an instance that an endpoint list is in force.
+    pub fn endpoints_updated(self, instance: u16, list: u32) -> Batch {
+        self.record(&[
+            &[8],
+            &instance.to_le_bytes(),
+            &list.to_le_bytes(),
+            &[0; 8],
+            &[2],
+        ])
+    }
+
+    /// Fires the timer with token 0.
+    pub fn timer_fired(self, instance: u16) -> Batch {
+        self.record(&[&[5], &instance.to_le_bytes()])
+    }
+
+    /// Sends an instance a query.
+    pub fn query(self, instance: u16, id: u64) -> Batch {
+        self.request(instance, id, NO_SHARD)
+    }
+
+    /// Sends an instance a part of its query.
+    pub fn part(self, instance: u16, id: u64, shard: f32) -> Batch {
+        self.request(instance, id, shard)
+    }
+
+    fn request(self, instance: u16, id: u64, shard: f32) -> Batch {
+        self.record(&[
+            &[7],
+            &instance.to_le_bytes(),
+            &id.to_le_bytes(),
+            &shard.to_le_bytes(),
+            &CLIENT_TIMEOUT_NS.to_le_bytes(),
+            &[0; 8],
+            &[0; 2],
+            &GROUP.to_le_bytes(),
+            &[0; 12],
+            &[0],
+            &1f32.to_le_bytes(),
+        ])
+    }
+
+    /// The batch as it is sent.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let body_length = (self.records.len() + self.tail.len()) as u32;
+        let mut bytes = Vec::new();
+        bytes.extend(self.number.to_le_bytes());
+        bytes.extend(body_length.to_le_bytes());
+        bytes.extend(CLOCK.to_le_bytes());
+        bytes.extend(self.record_count.to_le_bytes());
+        bytes.extend(&self.records);
+        bytes.extend(&self.tail);
+        bytes
+    }
+}
