--- a/crates/aggregator/src/process/mod.rs
+++ b/crates/aggregator/src/process/mod.rs
@@ -78,7 +78,7 @@
         .map_err(|source| ServeError::Listen { address, source })?;
     let extensions = Extensions {
         recorder: recorder
-            .map(|writer| Box::new(UsageLogRecorder(writer)) as Box<dyn UsageRecorder>),
+            .map(|writer| Box::new(UsageLogRecorder { writer }) as Box<dyn UsageRecorder>),
         fronts: frontends.start,
     };
     net::serve(
--- a/crates/aggregator/src/usage_recorder.rs
+++ b/crates/aggregator/src/usage_recorder.rs
@@ -11,13 +11,16 @@
 const NANOS_PER_MS: u64 = 1_000_000;
 
 /// The engine's view of a usage log's writer.
-pub struct UsageLogRecorder(pub Writer);
+pub struct UsageLogRecorder {
+    /// Writes records from a thread of its own.
+    pub writer: Writer,
+}
 
 impl UsageRecorder for UsageLogRecorder {
     fn record(&mut self, usage: UsageRecord) -> bool {
-        let accepted = self.0.offer(What::Record(wire_record(usage)));
+        let accepted = self.writer.offer(What::Record(wire_record(usage)));
         if !accepted {
-            self.0.note_lost();
+            self.writer.note_lost();
         }
         accepted
     }
@@ -25,24 +28,24 @@
     /// Loss of a watermark needs no handling: the next one covers it.
     fn mark(&mut self, mark: UsageWatermark) {
         let complete_ms = mark.complete / NANOS_PER_MS;
-        self.0
+        self.writer
             .offer(writer::mark(mark.sequence, complete_ms, mark.end));
     }
 
     fn written(&self) -> watch::Receiver<u64> {
-        self.0.watch()
+        self.writer.watch()
     }
 
     fn stall(&self) -> Duration {
-        self.0.stall_bound()
+        self.writer.stall_bound()
     }
 
     fn left_without(&mut self) {
-        self.0.note_late();
+        self.writer.note_late();
     }
 
     fn close(&mut self) {
-        self.0.finish();
+        self.writer.finish();
     }
 }
 
