Split ini-config by job and give its problems and invalid values types

Cause: one file of 400 lines held schema, parsing, problems and lookup; a problem's text was put together where it was found, and checks of values failed with a String. Change: schema, parser, line index, settings, values and suggestions are modules of their own. ProblemKind and InvalidValue have one variant a cause, with section, key and value. Values are addressed by ValueKey in place of a tuple. Public items are documented. New tests: a file as operators wrote it for earlier versions, the exact text of each problem, origins, restarts, units.

--- /dev/null
+++ b/crates/ini-config/src/parser.rs
@@ -0,0 +1,164 @@
+//! Checks a file's sections and keys against a schema.
+
+use crate::line_index::LineIndex;
+use crate::settings::{SourceValue, ValueKey};
+use crate::{Problem, ProblemKind, Problems, Schema, Section, Settings, Suggestion};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Parses `text`, the content of `file`, and collects all problems before it fails.
+pub(crate) fn parse(schema: &Schema, file: &str, text: &str) -> Result<Settings, Problems> {
+    let ini = ini::Ini::load_from_str(text).map_err(|error| {
+        Problems(vec![Problem {
+            file: file.into(),
+            line: Some(error.line),
+            kind: ProblemKind::Syntax(error.msg.to_string()),
+        }])
+    })?;
+    let mut parser = Parser {
+        schema,
+        file,
+        lines: LineIndex::new(text),
+        seen_headers: BTreeSet::new(),
+        settings: Settings::empty(file),
+        problems: Vec::new(),
+    };
+    for (header, properties) in ini.iter() {
+        parser.parse_section(header.unwrap_or_default().trim(), properties);
+    }
+    parser.finish()
+}
+
+struct Parser<'a> {
+    schema: &'a Schema,
+    file: &'a str,
+    lines: LineIndex,
+    seen_headers: BTreeSet<String>,
+    settings: Settings,
+    problems: Vec<Problem>,
+}
+
+/// A section of the file that the schema knows.
+struct KnownSection<'a> {
+    header: &'a str,
+    name: &'a str,
+    schema: &'static Section,
+}
+
+impl Parser<'_> {
+    fn report(&mut self, line: Option<usize>, kind: ProblemKind) {
+        self.problems.push(Problem {
+            file: self.file.into(),
+            line,
+            kind,
+        });
+    }
+
+    fn parse_section(&mut self, header: &str, properties: &ini::Properties) {
+        if header.is_empty() {
+            self.report_keys_outside_sections(properties);
+            return;
+        }
+        if !self.seen_headers.insert(header.to_string()) {
+            let kind = ProblemKind::DuplicateSection {
+                header: header.into(),
+            };
+            self.report(self.lines.section(header, 1), kind);
+            return;
+        }
+        let line = self.lines.section(header, 0);
+        let section = match self.known_section(header) {
+            Ok(section) => section,
+            Err(kind) => return self.report(line, kind),
+        };
+        if section.schema.named {
+            let names = self.settings.names.entry(section.schema.name).or_default();
+            names.insert(section.name.to_string(), line.unwrap_or_default());
+        }
+        let mut occurrences: BTreeMap<&str, usize> = BTreeMap::new();
+        for (key, text) in properties.iter() {
+            let occurrence = occurrences.entry(key).or_default();
+            self.parse_property(&section, key, text, *occurrence);
+            *occurrence += 1;
+        }
+    }
+
+    fn report_keys_outside_sections(&mut self, properties: &ini::Properties) {
+        for (key, _) in properties.iter() {
+            let kind = ProblemKind::KeyOutsideSection { key: key.into() };
+            self.report(self.lines.key("", key, 0), kind);
+        }
+    }
+
+    fn known_section<'h>(&self, header: &'h str) -> Result<KnownSection<'h>, ProblemKind> {
+        let (kind, name) = header
+            .split_once(char::is_whitespace)
+            .unwrap_or((header, ""));
+        let name = name.trim().trim_matches('"');
+        let Some(schema) = self.schema.section(kind) else {
+            let valid = self.schema.0.iter().map(|section| section.name);
+            return Err(ProblemKind::UnknownSection {
+                section: kind.into(),
+                suggestion: Suggestion::for_name(kind, valid),
+            });
+        };
+        if schema.named == name.is_empty() {
+            return Err(ProblemKind::SectionForm {
+                header: header.into(),
+                section: kind.into(),
+                named: schema.named,
+            });
+        }
+        Ok(KnownSection {
+            header,
+            name,
+            schema,
+        })
+    }
+
+    fn parse_property(
+        &mut self,
+        section: &KnownSection<'_>,
+        key: &str,
+        text: &str,
+        occurrence: usize,
+    ) {
+        let line = self.lines.key(section.header, key, occurrence);
+        let header = section.header.to_string();
+        if occurrence > 0 {
+            let key = key.into();
+            return self.report(line, ProblemKind::DuplicateKey { header, key });
+        }
+        let Some(known) = section.schema.key(key) else {
+            let valid = section.schema.keys.iter().map(|key| key.name);
+            let kind = ProblemKind::UnknownKey {
+                header,
+                key: key.into(),
+                suggestion: Suggestion::for_name(key, valid),
+            };
+            return self.report(line, kind);
+        };
+        if let Err(source) = known.kind.check(text) {
+            let kind = ProblemKind::InvalidValue {
+                header,
+                key: key.into(),
+                value: text.into(),
+                source,
+            };
+            return self.report(line, kind);
+        }
+        let value_key = ValueKey::new(section.schema.name, section.name, known.name);
+        let value = SourceValue {
+            text: text.trim().to_string(),
+            line: line.unwrap_or_default(),
+        };
+        self.settings.values.insert(value_key, value);
+    }
+
+    fn finish(mut self) -> Result<Settings, Problems> {
+        if self.problems.is_empty() {
+            return Ok(self.settings);
+        }
+        self.problems.sort_by_key(|problem| problem.line);
+        Err(Problems(self.problems))
+    }
+}
--- /dev/null
+++ b/crates/ini-config/src/schema.rs
@@ -0,0 +1,45 @@
+//! What a settings file may hold.
+
+use crate::Kind;
+
+/// One key of a section.
+#[derive(Clone, Copy, Debug)]
+pub struct Key {
+    /// Its name, as it stands before the `=`.
+    pub name: &'static str,
+    /// What its value has to be.
+    pub kind: Kind,
+    /// The value where the file has none; `None` if the key is then unset.
+    pub default: Option<&'static str>,
+    /// Whether a running program applies a change on SIGHUP.
+    pub live: bool,
+    /// One sentence for the operator.
+    pub doc: &'static str,
+}
+
+/// One section; a named one may appear several times, as `[kind NAME]`.
+#[derive(Clone, Copy, Debug)]
+pub struct Section {
+    /// Its name, as it stands in brackets.
+    pub name: &'static str,
+    /// Whether the header has to carry a name of its own.
+    pub named: bool,
+    /// The keys that may stand in it.
+    pub keys: &'static [Key],
+}
+
+impl Section {
+    pub(crate) fn key(&self, name: &str) -> Option<&'static Key> {
+        self.keys.iter().find(|key| key.name == name)
+    }
+}
+
+/// All sections that a file may hold.
+#[derive(Clone, Copy, Debug)]
+pub struct Schema(pub &'static [Section]);
+
+impl Schema {
+    pub(crate) fn section(&self, name: &str) -> Option<&'static Section> {
+        self.0.iter().find(|section| section.name == name)
+    }
+}
--- /dev/null
+++ b/crates/ini-config/tests/settings.rs
@@ -0,0 +1,196 @@
+//! Settings files against a schema: values, defaults, origins and the exact texts of problems.
+
+use ini_config::{
+    bytes, time, Key, Kind, Origin, Problem, ProblemKind, Schema, Section, Settings, Suggestion,
+};
+use std::time::Duration;
+
+const fn key(name: &'static str, kind: Kind, default: Option<&'static str>, live: bool) -> Key {
+    Key {
+        name,
+        kind,
+        default,
+        live,
+        doc: "",
+    }
+}
+
+const SCHEMA: Schema = Schema(&[
+    Section {
+        name: "log",
+        named: false,
+        keys: &[
+            key("directory", Kind::Text, None, false),
+            key("flush", Kind::Time, Some("250ms"), true),
+            key("segment", Kind::Bytes, Some("8MiB"), false),
+            key("queue", Kind::Count(1, 100), Some("10"), false),
+            key(
+                "format",
+                Kind::Choice(&["json", "text"]),
+                Some("text"),
+                false,
+            ),
+            key("colour", Kind::Flag, Some("no"), false),
+            key("every", Kind::TimeOr(&["daily", "monthly"]), None, false),
+        ],
+    },
+    Section {
+        name: "member",
+        named: true,
+        keys: &[key("address", Kind::Address, None, true)],
+    },
+]);
+
+fn problems(text: &str) -> Vec<String> {
+    let problems = Settings::read(&SCHEMA, "file.ini", text).unwrap_err();
+    problems.0.iter().map(Problem::to_string).collect()
+}
+
+/// A file as operators wrote it for earlier versions: both kinds of comments and separators, quoted
+/// names, spaces anywhere.
+#[test]
+fn a_file_of_an_earlier_version_is_read() {
+    let text = "; comment\n\
+        # another = comment\n\
+        [log]\n\
+        directory = /var/lib/log\n\
+        flush: 2s\n\
+        \x20 segment=4KiB\n\
+        every = daily\n\
+        colour = yes\n\
+        \n\
+        [member \"n0\"]\n\
+        address = 127.0.0.1:7000\n\
+        [member n1]\n\
+        address = [::1]:7001\n";
+    let settings = Settings::read(&SCHEMA, "file.ini", text).unwrap();
+    let log = settings.of(&SCHEMA, "log", "");
+    assert_eq!(log.text("directory"), Some("/var/lib/log"));
+    assert_eq!(log.time("flush"), Some(Duration::from_secs(2)));
+    assert_eq!(log.bytes("segment"), Some(4096));
+    assert_eq!(log.count("queue"), Some(10));
+    assert_eq!(log.text("every"), Some("daily"));
+    assert!(log.flag("colour"));
+    assert_eq!(settings.names("member"), ["n0", "n1"]);
+    let address = |name| settings.of(&SCHEMA, "member", name).address("address");
+    assert_eq!(address("n0"), Some("127.0.0.1:7000".parse().unwrap()));
+    assert_eq!(address("n1"), Some("[::1]:7001".parse().unwrap()));
+    assert_eq!(address("n2"), None);
+}
+
+#[test]
+fn every_problem_of_a_file_is_reported_with_its_line() {
+    let text = "stray = 1\n\
+        [log]\n\
+        flush = 2\n\
+        segmnt = 1MiB\n\
+        queue = 101\n\
+        queue = 5\n\
+        format = jsn\n\
+        colour = on\n\
+        every = weekly\n\
+        [logs]\n\
+        [member]\n\
+        [log here]\n\
+        [member n0]\n\
+        address = localhost:1\n\
+        qq = 1\n\
+        [member n0]\n";
+    assert_eq!(
+        problems(text),
+        [
+            "file.ini:1: 'stray' stands in no section",
+            "file.ini:3: [log] flush = 2: has to be a whole number and a unit \
+             (us, ms, s, m, h, d), as in 250ms",
+            "file.ini:4: [log] has no key 'segmnt'; the nearest is 'segment'",
+            "file.ini:5: [log] queue = 101: has to be a whole number from 1 to 100",
+            "file.ini:6: [log] queue is set twice",
+            "file.ini:7: [log] format = jsn: the nearest is 'json'",
+            "file.ini:8: [log] colour = on: has to be 'yes' or 'no'",
+            "file.ini:9: [log] every = weekly: has to be a whole number and a unit \
+             (us, ms, s, m, h, d), as in 250ms, or daily, monthly",
+            "file.ini:10: there is no section [logs]; the nearest is 'log'",
+            "file.ini:11: [member] has to be of the form [member NAME]",
+            "file.ini:12: [log here] has to be of the form [log]",
+            "file.ini:14: [member n0] address = localhost:1: has to be ADDRESS:PORT, in numbers",
+            "file.ini:15: [member n0] has no key 'qq'; there are address",
+            "file.ini:16: [member n0] stands twice",
+        ]
+    );
+}
+
+#[test]
+fn a_text_that_is_no_ini_file_is_one_problem() {
+    let found = problems("[log\n");
+    assert_eq!(found.len(), 1);
+    assert!(found[0].starts_with("file.ini:"), "{found:?}");
+    assert!(found[0].contains(": cannot be read: "), "{found:?}");
+}
+
+#[test]
+fn a_problem_names_the_unknown_name_and_the_suggestion() {
+    let problems = Settings::read(&SCHEMA, "file.ini", "[zzz]\n").unwrap_err();
+    assert_eq!(
+        problems.0[0].kind,
+        ProblemKind::UnknownSection {
+            section: "zzz".into(),
+            suggestion: Suggestion::AnyOf(vec!["log".into(), "member".into()]),
+        }
+    );
+    assert_eq!(
+        problems.to_string(),
+        "file.ini:1: there is no section [zzz]; there are log, member"
+    );
+}
+
+#[test]
+fn a_rejected_value_carries_its_line_or_that_of_its_section() {
+    let text = "[log]\nqueue = 5\n[member n0]\n";
+    let settings = Settings::read(&SCHEMA, "file.ini", text).unwrap();
+    let reject = |section, name, key| settings.problem(section, name, key, "is wrong").to_string();
+    assert_eq!(
+        reject("log", "", "queue"),
+        "file.ini:2: [log] queue: is wrong"
+    );
+    assert_eq!(
+        reject("member", "n0", "address"),
+        "file.ini:3: [member n0] address: is wrong"
+    );
+    assert_eq!(
+        reject("log", "", "flush"),
+        "file.ini: [log] flush: is wrong"
+    );
+}
+
+#[test]
+fn values_in_force_are_shown_with_their_origin_and_changes_that_need_a_restart() {
+    let before = Settings::read(&SCHEMA, "a", "[log]\nflush = 1s\nqueue = 5\n").unwrap();
+    let shown = before.shown(&SCHEMA);
+    let origin = |key| shown.iter().find(|shown| shown.key == key).unwrap().origin;
+    assert_eq!(origin("queue"), Origin::Line(3));
+    assert_eq!(origin("segment"), Origin::Default);
+    assert_eq!(shown[0].value, "(not set)");
+    let after = Settings::read(&SCHEMA, "b", "[log]\nflush = 2s\nqueue = 6\n").unwrap();
+    assert_eq!(before.needs_restart(&after, &SCHEMA), ["[log] queue"]);
+    assert_eq!(
+        Settings::defaults()
+            .needs_restart(&Settings::defaults(), &SCHEMA)
+            .len(),
+        0
+    );
+}
+
+#[test]
+fn quantities_have_units_and_bounds() {
+    assert_eq!(time("3m"), Ok(Duration::from_secs(180)));
+    assert_eq!(time(" 10 us "), Ok(Duration::from_micros(10)));
+    assert_eq!(bytes("2GiB"), Ok(2 << 30));
+    assert_eq!(
+        bytes("18446744073709551615KiB").unwrap_err().to_string(),
+        "is too large"
+    );
+    assert_eq!(
+        bytes("8").unwrap_err().to_string(),
+        "has to be a whole number and a unit (B, KiB, MiB, GiB), as in 8MiB"
+    );
+}
