Test that old segments, stores and settings are read and that formats keep their bytes

Cause: nothing pinned the segment format, the SQLite schema, the settings' defaults and messages, or the JSON of statements and documents; a refactoring could have changed them unseen. Change: tests/compatibility.rs reads a version 1 segment written out in bytes, a store made from the SQL of version 1, and settings with every key; it compares what is written now with them.

--- /dev/null
+++ b/crates/usage-ledger/tests/compatibility.rs
@@ -0,0 +1,562 @@
+//! What earlier versions have written is read, and what is written has not changed: segments of the
+//! usage log, the SQLite file, the settings, and the JSON of statements and documents.
+
+use ini_config::{Schema, Settings};
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::Path;
+use std::time::Duration;
+use usage_ledger::join::Outcome;
+use usage_ledger::log::{self, Follower, Position};
+use usage_ledger::period::{Calendar, Every, Period};
+use usage_ledger::settings::{self, Ledger, Price, UsageLog};
+use usage_ledger::settle::Bounds;
+use usage_ledger::store::{CorrectionLine, Store, Terms};
+use usage_ledger::wire::entry::What;
+use usage_ledger::wire::{self, Batch, Class, Entry, Header, Mark, Record};
+use usage_ledger::writer::{self, Names, Plain};
+
+/// A segment of version 1: the magic number, the frame of its header, of a record and of a mark.
+/// A frame is a CRC-32, a length (both little-endian) and a protobuf message.
+const SEGMENT: &str = "\
+    4354484c55534501\
+    a1de9a32 14000000\
+    0801 12026e30 1807 2001 2a050a01631064 320174\
+    86ad2400 20000000\
+    0a1e 0801 20e807 2801 30a0c21e 3805 4006 4802 5001 59efcdab8967452301 6001\
+    af735540 09000000\
+    1207 0801 10d00f 1801";
+
+fn segment_bytes() -> Vec<u8> {
+    hex::decode(SEGMENT.replace(' ', "")).unwrap()
+}
+
+fn segment_record() -> Record {
+    Record {
+        sequence: 1,
+        tenant: 0,
+        class: 0,
+        arrived_ms: 1000,
+        outcome: wire::Outcome::Partial.into(),
+        share: 500_000,
+        parts: 5,
+        attempts: 6,
+        crossed: 2,
+        repeat: true,
+        key: 0x0123_4567_89ab_cdef,
+        keyed: true,
+    }
+}
+
+fn segment_mark() -> What {
+    What::Mark(Mark {
+        sequence: 1,
+        complete_ms: 2000,
+        end: true,
+    })
+}
+
+#[test]
+fn a_segment_of_version_1_is_read() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder
+        .path()
+        .join("00000000000000000007-00000000000000000001.log");
+    fs::write(path, segment_bytes()).unwrap();
+    let mut follower = Follower::new(folder.path(), Position::default());
+    let batch = follower.next(10).unwrap().unwrap();
+    let header = Header {
+        version: 1,
+        mixer: "n0".into(),
+        incarnation: 7,
+        first_sequence: 1,
+        classes: vec![Class {
+            name: "c".into(),
+            give_up_ms: 100,
+        }],
+        tenants: vec!["t".into()],
+    };
+    assert_eq!(batch.header, Some(header));
+    let entries: Vec<What> = batch
+        .entries
+        .into_iter()
+        .map(|entry| entry.what.unwrap())
+        .collect();
+    assert_eq!(entries, [What::Record(segment_record()), segment_mark()]);
+    assert!(batch.damage.is_empty());
+    assert_eq!(follower.next(10).unwrap(), None);
+}
+
+#[test]
+fn a_segment_is_written_as_version_1_defines_it() {
+    let folder = tempfile::tempdir().unwrap();
+    let settings = UsageLog {
+        directory: folder.path().into(),
+        segment_bytes: 1 << 20,
+        keep_bytes: 1 << 30,
+        queue: 64,
+        stall: Duration::from_millis(5),
+        mark: Duration::from_millis(100),
+        listen: None,
+    };
+    let names = Names {
+        mixer: "n0".into(),
+        classes: vec!["c".into()],
+        give_up: vec![100_000_000],
+        tenants: vec!["t".into()],
+    };
+    let mut writer = writer::start_on(Plain, &settings, names, 7_000_000).unwrap();
+    assert!(writer.offer(What::Record(segment_record())));
+    assert!(writer.offer(writer::mark(1, 2000, true)));
+    writer.finish();
+    let segments = log::segments(folder.path()).unwrap();
+    assert_eq!(segments.len(), 1);
+    assert_eq!(
+        segments[0].name(),
+        "00000000000000000007-00000000000000000001.log"
+    );
+    let written = fs::read(&segments[0].path).unwrap();
+    assert_eq!(hex::encode(written), hex::encode(segment_bytes()));
+}
+
+/// The schema of version 1.
+const SCHEMA_1: &str = "
+CREATE TABLE name (id INTEGER PRIMARY KEY, kind TEXT NOT NULL, text TEXT NOT NULL, UNIQUE (kind, text));
+CREATE TABLE record (
+  at INTEGER NOT NULL, member INTEGER NOT NULL, incarnation INTEGER NOT NULL, sequence INTEGER NOT NULL,
+  tenant INTEGER NOT NULL, class INTEGER NOT NULL, outcome INTEGER NOT NULL, share INTEGER NOT NULL,
+  parts INTEGER NOT NULL, attempts INTEGER NOT NULL, crossed INTEGER NOT NULL, flags INTEGER NOT NULL,
+  key INTEGER NOT NULL, give_up INTEGER NOT NULL,
+  PRIMARY KEY (at, member, incarnation, sequence)) WITHOUT ROWID;
+CREATE TABLE position (
+  member INTEGER NOT NULL, incarnation INTEGER NOT NULL, sequence INTEGER NOT NULL, complete INTEGER NOT NULL,
+  marked INTEGER NOT NULL, ended INTEGER NOT NULL, lost INTEGER NOT NULL,
+  PRIMARY KEY (member, incarnation)) WITHOUT ROWID;
+CREATE TABLE damage (
+  member INTEGER NOT NULL, segment TEXT NOT NULL, first INTEGER NOT NULL, last INTEGER NOT NULL,
+  PRIMARY KEY (member, segment, first)) WITHOUT ROWID;
+CREATE TABLE period (start INTEGER PRIMARY KEY, end INTEGER NOT NULL, prices TEXT NOT NULL, dirty INTEGER NOT NULL);
+CREATE TABLE carried (
+  period INTEGER NOT NULL, at INTEGER NOT NULL, member INTEGER NOT NULL, incarnation INTEGER NOT NULL,
+  sequence INTEGER NOT NULL, PRIMARY KEY (period, at, member, incarnation, sequence)) WITHOUT ROWID;
+CREATE TABLE hint (
+  period INTEGER NOT NULL, at INTEGER NOT NULL, member INTEGER NOT NULL, incarnation INTEGER NOT NULL,
+  sequence INTEGER NOT NULL, PRIMARY KEY (period, at, member, incarnation, sequence)) WITHOUT ROWID;
+CREATE TABLE ambiguous (
+  period INTEGER NOT NULL, at INTEGER NOT NULL, member INTEGER NOT NULL, incarnation INTEGER NOT NULL,
+  sequence INTEGER NOT NULL, PRIMARY KEY (period, at, member, incarnation, sequence)) WITHOUT ROWID;
+CREATE TABLE statement (
+  period INTEGER PRIMARY KEY, closed INTEGER NOT NULL, body TEXT NOT NULL, hash TEXT NOT NULL);
+CREATE TABLE line (
+  statement INTEGER NOT NULL, period INTEGER NOT NULL, tenant INTEGER NOT NULL, class INTEGER NOT NULL,
+  uses INTEGER NOT NULL, whole INTEGER NOT NULL, partial INTEGER NOT NULL, share INTEGER NOT NULL,
+  refused INTEGER NOT NULL, failed INTEGER NOT NULL, gone INTEGER NOT NULL, tries INTEGER NOT NULL,
+  parts INTEGER NOT NULL, attempts INTEGER NOT NULL, crossed INTEGER NOT NULL, ambiguous INTEGER NOT NULL,
+  amount INTEGER NOT NULL, PRIMARY KEY (statement, period, tenant, class)) WITHOUT ROWID;
+CREATE TABLE correction (
+  id TEXT PRIMARY KEY, made INTEGER NOT NULL, tenant TEXT NOT NULL, period INTEGER NOT NULL,
+  amount INTEGER NOT NULL, reason TEXT NOT NULL, author TEXT NOT NULL, statement INTEGER);
+CREATE TABLE outbox (
+  id TEXT PRIMARY KEY, made INTEGER NOT NULL, body TEXT NOT NULL, hash TEXT NOT NULL, folder INTEGER, posted INTEGER,
+  attempts INTEGER NOT NULL, error TEXT);
+";
+
+const PERIOD: Period = Period {
+    start: 1_000_000,
+    end: 1_001_000,
+};
+
+const BOUNDS: Bounds = Bounds {
+    horizon: 150,
+    skew: 20,
+};
+
+fn close(store: &mut Store) -> String {
+    let prices = BTreeMap::from([(
+        "c".to_string(),
+        Price {
+            whole: 10,
+            partial: 7,
+        },
+    )]);
+    let terms = Terms {
+        bounds: BOUNDS,
+        prices: &prices,
+        allowances: &BTreeMap::from([("t".to_string(), 1)]),
+        members: vec!["n0".into(), "n1".into()],
+        missing: &["n1".to_string()],
+        now: 1_100_000,
+    };
+    store.close(PERIOD, &terms).unwrap();
+    store.statements().unwrap().pop().unwrap().2
+}
+
+fn records() -> Batch {
+    let record = |record| Entry {
+        what: Some(What::Record(record)),
+    };
+    Batch {
+        header: Some(Header {
+            version: 1,
+            mixer: "n0".into(),
+            incarnation: 3,
+            first_sequence: 1,
+            classes: vec![Class {
+                name: "c".into(),
+                give_up_ms: 100,
+            }],
+            tenants: vec!["t".into()],
+        }),
+        entries: vec![
+            record(Record {
+                sequence: 1,
+                arrived_ms: 1_000_010,
+                outcome: wire::Outcome::Refused.into(),
+                key: 4,
+                parts: 3,
+                ..Record::default()
+            }),
+            record(Record {
+                sequence: 2,
+                arrived_ms: 1_000_040,
+                outcome: wire::Outcome::Partial.into(),
+                share: 900_000,
+                key: 4,
+                repeat: true,
+                parts: 3,
+                attempts: 4,
+                crossed: 1,
+                ..Record::default()
+            }),
+            record(Record {
+                sequence: 4,
+                class: 1,
+                arrived_ms: 1_000_900,
+                outcome: wire::Outcome::Whole.into(),
+                key: 0x8000_0000_0000_0001,
+                keyed: true,
+                parts: 3,
+                attempts: 3,
+                ..Record::default()
+            }),
+        ],
+        damage: vec![wire::Damage {
+            segment: "s".into(),
+            from: 10,
+            to: 20,
+        }],
+    }
+}
+
+/// The rows that the first version made of [`records`].
+const RECORDS_1: &str = "
+INSERT INTO name VALUES (1, 'member', 'n0'), (2, 'tenant', 't'), (3, 'tenant', 'all'), (4, 'class', 'c'),
+  (5, 'class', 'unknown');
+INSERT INTO record VALUES
+  (1000010, 1, 3, 1, 2, 4, 2, 0, 3, 0, 0, 0, 4, 100),
+  (1000040, 1, 3, 2, 2, 4, 1, 900000, 3, 4, 1, 1, 4, 100),
+  (1000900, 1, 3, 4, 2, 5, 0, 0, 3, 3, 0, 2, -9223372036854775807, 0);
+INSERT INTO position VALUES (1, 3, 4, -9223372036854775808, 0, 0, 1);
+INSERT INTO damage VALUES (1, 's', 10, 20);
+";
+
+/// The JSON below stands in lines only to be read.
+fn one_line(text: &str) -> String {
+    text.replace('\n', "")
+}
+
+/// The statement on [`records`], byte for byte.
+const STATEMENT: &str = r#"{"period":"1970-01-01T00:16:40.000Z","end":"1970-01-01T00:16:41.000Z",
+"closed":"1970-01-01T00:18:20.000Z","members":[{"member":"n0",
+"complete":"-9223372036854775808","missing":false,"lost":1,"died":0,"damaged":1},{
+"member":"n1","complete":null,"missing":true,"lost":0,"died":0,"damaged":0}],"lines":[{
+"tenant":"t","class":"c","period":"1970-01-01T00:16:40.000Z","adjusts":false,"uses":1,
+"whole":0,"partial":1,"share":900000,"refused":0,"failed":0,"left":0,"tries":2,"parts":6,
+"attempts":4,"crossed":1,"ambiguous":0,"amount":6},{"tenant":"t","class":"unknown",
+"period":"1970-01-01T00:16:40.000Z","adjusts":false,"uses":1,"whole":1,"partial":0,
+"share":0,"refused":0,"failed":0,"left":0,"tries":1,"parts":3,"attempts":3,"crossed":0,
+"ambiguous":0,"amount":0,"unpriced":true}],"corrections":[],"tenants":[{"tenant":"t",
+"answered":2,"allowance":1,"over":1,"amount":6}],"total":6,"rounding":"once a line,
+ half a micro-unit up","previous":""}"#;
+
+/// The document for tenant `t` on [`STATEMENT`], byte for byte.
+const DOCUMENT: &str = r#"{"id":"statement-1970-01-01T001640.000Z-t","kind":"statement","tenant":"t",
+"period":"1970-01-01T00:16:40.000Z","amount":6,"lines":[{"tenant":"t","class":"c",
+"period":"1970-01-01T00:16:40.000Z","adjusts":false,"uses":1,"whole":0,"partial":1,
+"share":900000,"refused":0,"failed":0,"left":0,"tries":2,"parts":6,"attempts":4,"crossed":1,
+"ambiguous":0,"amount":6},{"tenant":"t","class":"unknown",
+"period":"1970-01-01T00:16:40.000Z","adjusts":false,"uses":1,"whole":1,"partial":0,
+"share":0,"refused":0,"failed":0,"left":0,"tries":1,"parts":3,"attempts":3,"crossed":0,
+"ambiguous":0,"amount":0,"unpriced":true}],"totals":{"tenant":"t","answered":2,
+"allowance":1,"over":1,"amount":6},"missing":["n1"]}"#;
+
+/// The document for a correction of [`STATEMENT`], byte for byte.
+const CREDIT: &str = r#"{"id":"credit-k%201","kind":"credit","tenant":"t","period":"1970-01-01T00:16:40.000Z",
+"amount":-3,"corrections":[{"id":"k 1","tenant":"t","amount":-3,"reason":"reason",
+"author":"author"}],"corrects":["statement-1970-01-01T001640.000Z-t",
+"72e2538e22dc2b088c7dde0c249ee1c4c446bb42a9c7b1ca87bd1dec30ae08ea"]}"#;
+
+fn new_store(folder: &Path) -> Store {
+    Store::open(&folder.join("ledger.sqlite")).unwrap()
+}
+
+#[test]
+fn a_store_of_version_1_is_read_and_settled() {
+    let folder = tempfile::tempdir().unwrap();
+    let database = rusqlite::Connection::open(folder.path().join("ledger.sqlite")).unwrap();
+    database.execute_batch(SCHEMA_1).unwrap();
+    database.execute_batch(RECORDS_1).unwrap();
+    database.pragma_update(None, "user_version", 1).unwrap();
+    drop(database);
+    let mut store = new_store(folder.path());
+    let position = Position {
+        incarnation: 3,
+        sequence: 4,
+    };
+    assert_eq!(store.position("n0").unwrap(), position);
+    let outcomes: Vec<Outcome> = store
+        .tries(i64::MIN, i64::MAX)
+        .unwrap()
+        .iter()
+        .map(|record| record.outcome)
+        .collect();
+    assert_eq!(
+        outcomes,
+        [Outcome::Refused, Outcome::Partial(900_000), Outcome::Whole]
+    );
+    assert_eq!(close(&mut store), one_line(STATEMENT));
+    assert_eq!(store.verify(BOUNDS).unwrap(), (3, vec![]));
+    // What the present version makes of the same batch is the same: it knows all of it.
+    let calendar = Calendar(Every::Ms(1000));
+    let ingested = store.ingest("n0", &records(), &calendar, BOUNDS).unwrap();
+    assert_eq!((ingested.new, ingested.known), (0, 3));
+}
+
+#[test]
+fn a_new_store_has_the_schema_of_version_1() {
+    let schema = |database: &rusqlite::Connection| -> Vec<String> {
+        let mut rows = database
+            .prepare("SELECT sql FROM sqlite_master WHERE sql IS NOT NULL ORDER BY name")
+            .unwrap();
+        let rows = rows.query_map([], |row| row.get(0)).unwrap();
+        rows.collect::<Result<_, _>>().unwrap()
+    };
+    let folder = tempfile::tempdir().unwrap();
+    drop(new_store(folder.path()));
+    let made = rusqlite::Connection::open(folder.path().join("ledger.sqlite")).unwrap();
+    let expected = rusqlite::Connection::open_in_memory().unwrap();
+    expected.execute_batch(SCHEMA_1).unwrap();
+    assert_eq!(schema(&made), schema(&expected));
+    let version = made.pragma_query_value(None, "user_version", |row| row.get::<_, u32>(0));
+    assert_eq!(version.unwrap(), 1);
+}
+
+#[test]
+fn statements_and_documents_keep_their_bytes() {
+    let folder = tempfile::tempdir().unwrap();
+    let mut store = new_store(folder.path());
+    let calendar = Calendar(Every::Ms(1000));
+    let ingested = store.ingest("n0", &records(), &calendar, BOUNDS).unwrap();
+    assert_eq!((ingested.new, ingested.late), (3, 0));
+    assert_eq!(close(&mut store), one_line(STATEMENT));
+    let correction = CorrectionLine {
+        id: "k 1".into(),
+        tenant: "t".into(),
+        amount: -3,
+        reason: "reason".into(),
+        author: "author".into(),
+    };
+    store.correct(&correction, PERIOD, 1_200_000).unwrap();
+    let bodies: Vec<String> = store
+        .outbox(false, false)
+        .unwrap()
+        .into_iter()
+        .map(|document| document.body)
+        .collect();
+    assert_eq!(bodies, [one_line(DOCUMENT), one_line(CREDIT)]);
+}
+
+const SETTINGS: Schema = Schema(&[
+    settings::USAGE,
+    settings::SETTLEMENT,
+    settings::PERIODS,
+    settings::MEMBER,
+    settings::PRICE,
+    settings::TENANT,
+    settings::EXPORT,
+]);
+
+fn read(text: &str) -> Settings {
+    Settings::read(&SETTINGS, "old.ini", text).unwrap()
+}
+
+#[test]
+fn a_settings_file_of_an_earlier_version_is_read() {
+    let text = "\
+[usage]
+directory = /var/lib/mixer/usage
+segment = 4MiB
+keep = 64MiB
+queue = 100
+stall = 2ms
+mark = 250ms
+listen = 127.0.0.1:7500
+[settlement]
+store = /var/lib/ledger.sqlite
+again = 300ms
+silent = 7s
+[periods]
+every = 1h
+zone = Asia/Colombo
+horizon = 20s
+skew = 1s
+grace = 10m
+[member n0]
+address = 127.0.0.1:7500
+from = 2026-12-01T00:00:00Z
+until = 2026-12-02T00:00:00Z
+[member n1]
+address = 127.0.0.1:7501
+[price c]
+whole = 10
+partial = 7
+[price d]
+whole = 5
+[tenant t]
+allowance = 1000
+[export]
+folder = /var/lib/documents
+url = http://127.0.0.1:9000/documents
+timeout = 3s
+again = 100ms
+";
+    let read = read(text);
+    let usage = UsageLog::read(&read, &SETTINGS).unwrap().unwrap();
+    let expected = UsageLog {
+        directory: "/var/lib/mixer/usage".into(),
+        segment_bytes: 4 << 20,
+        keep_bytes: 64 << 20,
+        queue: 100,
+        stall: Duration::from_millis(2),
+        mark: Duration::from_millis(250),
+        listen: Some("127.0.0.1:7500".parse().unwrap()),
+    };
+    assert_eq!(usage, expected);
+    let ledger = Ledger::read(&read, &SETTINGS).unwrap();
+    assert_eq!(ledger.store, Some("/var/lib/ledger.sqlite".into()));
+    assert_eq!(
+        (ledger.again, ledger.silent),
+        (Duration::from_millis(300), Duration::from_secs(7))
+    );
+    assert_eq!(
+        (ledger.horizon, ledger.skew, ledger.grace),
+        (20_000, 1_000, 600_000)
+    );
+    assert_eq!(ledger.calendar.at(3_600_000).end, 7_200_000);
+    let member = &ledger.members["n0"];
+    assert_eq!(
+        (member.from, member.until),
+        (1_796_083_200_000, 1_796_169_600_000)
+    );
+    let member = &ledger.members["n1"];
+    assert_eq!((member.from, member.until), (i64::MIN, i64::MAX));
+    assert_eq!(member.address, "127.0.0.1:7501".parse().unwrap());
+    let price = |whole, partial| Price { whole, partial };
+    assert_eq!(ledger.prices["c"], price(10, 7));
+    assert_eq!(ledger.prices["d"], price(5, 5));
+    assert_eq!(ledger.allowances["t"], 1000);
+    let export = &ledger.export;
+    assert_eq!(export.folder, Some("/var/lib/documents".into()));
+    assert_eq!(
+        export.url.as_deref(),
+        Some("http://127.0.0.1:9000/documents")
+    );
+    assert_eq!(
+        (export.timeout, export.again),
+        (Duration::from_secs(3), Duration::from_millis(100))
+    );
+}
+
+#[test]
+fn settings_without_a_file_have_their_defaults() {
+    let none = Settings::defaults();
+    assert_eq!(UsageLog::read(&none, &SETTINGS).unwrap(), None);
+    let ledger = Ledger::read(&none, &SETTINGS).unwrap();
+    assert_eq!(ledger.store, None);
+    assert_eq!(
+        (ledger.again, ledger.silent),
+        (Duration::from_millis(200), Duration::from_secs(5))
+    );
+    assert_eq!(
+        (ledger.horizon, ledger.skew, ledger.grace),
+        (30_000, 2_000, 3_600_000)
+    );
+    assert_eq!(ledger.calendar.at(0).end, 31 * 86_400_000);
+    assert_eq!(
+        (ledger.export.timeout, ledger.export.again),
+        (Duration::from_secs(5), Duration::from_millis(500))
+    );
+    let usage = UsageLog::read(&read("[usage]\ndirectory = d\n"), &SETTINGS);
+    let usage = usage.unwrap().unwrap();
+    assert_eq!(
+        (usage.segment_bytes, usage.keep_bytes, usage.queue),
+        (8 << 20, 1 << 30, 8192)
+    );
+    assert_eq!(
+        (usage.stall, usage.mark, usage.listen),
+        (Duration::from_millis(5), Duration::from_millis(500), None)
+    );
+}
+
+#[test]
+fn contradictory_settings_are_reported_with_their_line() {
+    let cases = [
+        (
+            "[usage]\nlisten = 127.0.0.1:1\n",
+            "old.ini:2: [usage] listen: there is no log to collect without 'directory'",
+        ),
+        (
+            "[usage]\ndirectory = d\nsegment = 1KiB\n",
+            "old.ini:3: [usage] segment: has to be 4KiB at least",
+        ),
+        (
+            "[usage]\ndirectory = d\nkeep = 8MiB\n",
+            "old.ini:3: [usage] keep: has to be twice 'segment' at least, or no segment could ever be closed",
+        ),
+        (
+            "[usage]\ndirectory = d\nmark = 1ms\n",
+            "old.ini:3: [usage] mark: has to be 10ms at least",
+        ),
+        (
+            "[periods]\nzone = Moon\n",
+            "old.ini:2: [periods] zone: there is no time zone 'Moon'; use a name as in Asia/Colombo",
+        ),
+        (
+            "[periods]\nevery = 10ms\n",
+            "old.ini:2: [periods] every: has to be 1s at least",
+        ),
+        (
+            "[member n0]\n",
+            "old.ini:1: [member n0] address: is missing",
+        ),
+        (
+            "[member n0]\naddress = 127.0.0.1:1\nfrom = today\n",
+            "old.ini:3: [member n0] from: has to be a time as in 2026-12-01T00:00:00Z",
+        ),
+        (
+            "[member n0]\naddress = 127.0.0.1:1\nfrom = 2026-12-01T00:00:00Z\nuntil = 2026-12-01T00:00:00Z\n",
+            "old.ini:4: [member n0] until: does not come after 'from'",
+        ),
+        ("[price c]\n", "old.ini:1: [price c] whole: is missing"),
+        (
+            "[export]\nurl = https://h/\n",
+            "old.ini:2: [export] url: has to begin with http://",
+        ),
+    ];
+    for (text, expected) in cases {
+        let settings = read(text);
+        let usage = UsageLog::read(&settings, &SETTINGS).map(drop);
+        let problems = usage.and_then(|()| Ledger::read(&settings, &SETTINGS).map(drop));
+        assert_eq!(problems.unwrap_err().to_string(), expected);
+    }
+}
