Split the usage log and its writer into modules with typed errors

Cause: collect called writer to remove segments and writer called collect to listen; the writer mixed the queue's end, the thread and the opening of the log; errors were io::Errors with texts. Change: log is format, segment and follower; remove_settled (was writer::forget) belongs to it, so that the circle is gone. writer has its thread in a module of its own, StartError, and AppendError; collect has ListenError. Tuples became OpenSegment, Chunk and EncodedBatch. The tests of period and rate moved to test files with the same assertions. Public items are documented.

old test name | new test name period::tests::periods_follow_each_other_... | the same, in tests/period.rs rate::tests::a_line_is_rounded_once_half_up_... | the same, in tests/rate.rs rate::tests::use_over_the_allowance_stands_apart | the same, in tests/rate.rs

--- a/crates/usage-ledger/src/collect.rs
+++ b/crates/usage-ledger/src/collect.rs
@@ -1,9 +1,8 @@
-//! Collection over gRPC: each mixer offers its log, and the settlement follows it.
+//! Collection over gRPC: each aggregator offers its usage log, and the settlement follows it.
 
-use crate::log::{Follower, Position};
+use crate::log::{self, Follower, Position};
 use crate::wire::usage_log_server::{UsageLog, UsageLogServer};
 use crate::wire::{AcknowledgeReply, AcknowledgeRequest, Batch, FollowRequest};
-use crate::writer;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -14,14 +13,39 @@
 use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
 use tonic::{Request, Response, Status};
 
-/// Most entries of one message.
-const MOST_ENTRIES: usize = 4096;
-/// Messages that may wait for a slow collector; then its log is read no further.
-const MOST_WAITING: usize = 4;
-/// Between two looks at a log that has nothing new.
-const LOOK: Duration = Duration::from_millis(20);
-/// An empty message after so long without news shows that the mixer lives.
-const ALIVE: u32 = 50;
+/// The most entries of one message.
+const MAX_BATCH_ENTRIES: usize = 4096;
+/// Messages that may wait for a slow collector; until it takes them, its log is read no further.
+const MAX_QUEUED_MESSAGES: usize = 4;
+/// Interval at which a log that has nothing new is polled.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Polls without anything new after which an empty message shows that the aggregator is alive.
+const HEARTBEAT_POLLS: u32 = 50;
+
+/// Why a log could not be offered for collection.
+#[derive(Debug, thiserror::Error)]
+pub enum ListenError {
+    /// The address can't be listened on.
+    #[error("cannot listen on {address}: {source}")]
+    Bind {
+        /// The address of the settings.
+        address: SocketAddr,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The listener, its runtime or its thread can't be set up.
+    #[error("{0}")]
+    Setup(#[from] io::Error),
+}
+
+/// Why the service ended.
+#[derive(Debug, thiserror::Error)]
+enum ServeError {
+    #[error("{0}")]
+    Listener(#[from] io::Error),
+    #[error("{0}")]
+    Transport(#[from] tonic::transport::Error),
+}
 
 struct Service {
     directory: PathBuf,
@@ -35,48 +59,15 @@
         &self,
         request: Request<FollowRequest>,
     ) -> Result<Response<Self::FollowStream>, Status> {
-        let FollowRequest {
-            incarnation,
-            sequence,
-        } = request.into_inner();
-        let mut follower = Follower::new(
-            &self.directory,
-            Position {
-                incarnation,
-                sequence,
-            },
-        );
-        let (send, receive) = mpsc::channel(MOST_WAITING);
-        tokio::spawn(async move {
-            let mut idle = 0;
-            loop {
-                let read = tokio::task::spawn_blocking(move || {
-                    let next = follower.next(MOST_ENTRIES);
-                    (follower, next)
-                });
-                let Ok((back, next)) = read.await else { return };
-                follower = back;
-                let message = match next {
-                    Ok(Some(batch)) => Ok(batch),
-                    Ok(None) if idle < ALIVE => {
-                        idle += 1;
-                        tokio::time::sleep(LOOK).await;
-                        if send.is_closed() {
-                            return;
-                        }
-                        continue;
-                    }
-                    Ok(None) => Ok(Batch::default()),
-                    Err(e) => Err(Status::unavailable(format!("the log can't be read: {e}"))),
-                };
-                idle = 0;
-                let over = message.is_err();
-                if send.send(message).await.is_err() || over {
-                    return;
-                }
-            }
-        });
-        Ok(Response::new(ReceiverStream::new(receive)))
+        let request = request.into_inner();
+        let after = Position {
+            incarnation: request.incarnation,
+            sequence: request.sequence,
+        };
+        let follower = Follower::new(&self.directory, after);
+        let (sender, receiver) = mpsc::channel(MAX_QUEUED_MESSAGES);
+        tokio::spawn(send_batches(follower, sender));
+        Ok(Response::new(ReceiverStream::new(receiver)))
     }
 
     async fn acknowledge(
@@ -87,21 +78,58 @@
             incarnation,
             sequence,
         } = request.into_inner();
-        let directory = self.directory.clone();
-        let upto = Position {
+        let settled = Position {
             incarnation,
             sequence,
         };
-        let done = tokio::task::spawn_blocking(move || writer::forget(&directory, upto)).await;
-        match done {
-            Ok(Ok(gone)) => {
-                tracing::debug!(gone, incarnation, sequence, "settled segments forgotten");
+        let directory = self.directory.clone();
+        let removal = move || log::remove_settled(&directory, settled);
+        match tokio::task::spawn_blocking(removal).await {
+            Ok(Ok(removed)) => {
+                tracing::debug!(removed, incarnation, sequence, "settled segments removed");
                 Ok(Response::new(AcknowledgeReply {}))
             }
-            Ok(Err(e)) => Err(Status::unavailable(format!(
-                "segments can't be removed: {e}"
-            ))),
-            Err(e) => Err(Status::internal(e.to_string())),
+            Ok(Err(error)) => {
+                let message = format!("segments can't be removed: {error}");
+                Err(Status::unavailable(message))
+            }
+            Err(error) => Err(Status::internal(error.to_string())),
+        }
+    }
+}
+
+/// Sends batches until the collector is gone or the log can't be read.
+async fn send_batches(mut follower: Follower, sender: mpsc::Sender<Result<Batch, Status>>) {
+    let mut idle_polls = 0;
+    loop {
+        let read = tokio::task::spawn_blocking(move || {
+            let next = follower.next(MAX_BATCH_ENTRIES);
+            (follower, next)
+        });
+        let Ok((returned, next)) = read.await else {
+            return;
+        };
+        follower = returned;
+        let message = match next {
+            Ok(Some(batch)) => Ok(batch),
+            Ok(None) if idle_polls < HEARTBEAT_POLLS => {
+                idle_polls += 1;
+                tokio::time::sleep(POLL_INTERVAL).await;
+                if sender.is_closed() {
+                    return;
+                }
+                continue;
+            }
+            Ok(None) => Ok(Batch::default()),
+            Err(error) => {
+                let message = format!("the log can't be read: {error}");
+                Err(Status::unavailable(message))
+            }
+        };
+        idle_polls = 0;
+        let failed = message.is_err();
+        if sender.send(message).await.is_err() || failed {
+            return;
         }
     }
 }
@@ -110,9 +138,9 @@
 ///
 /// # Errors
 /// The address can't be listened on.
-pub fn listen(address: SocketAddr, directory: PathBuf) -> io::Result<()> {
+pub fn listen(address: SocketAddr, directory: PathBuf) -> Result<(), ListenError> {
     let listener = std::net::TcpListener::bind(address)
-        .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {address}: {e}")))?;
+        .map_err(|source| ListenError::Bind { address, source })?;
     listener.set_nonblocking(true)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -120,18 +148,19 @@
     thread::Builder::new()
         .name("usage collection".into())
         .spawn(move || {
-            let served: Result<(), String> = runtime.block_on(async move {
-                let listener = TcpListener::from_std(listener).map_err(|e| e.to_string())?;
-                let service = UsageLogServer::new(Service { directory });
-                let server = tonic::transport::Server::builder().add_service(service);
-                server
-                    .serve_with_incoming(TcpListenerStream::new(listener))
-                    .await
-                    .map_err(|e| e.to_string())
-            });
-            if let Err(e) = served {
-                tracing::error!(error = e, "usage collection ended");
+            if let Err(error) = runtime.block_on(serve(listener, directory)) {
+                tracing::error!(error = error.to_string(), "usage collection ended");
             }
         })?;
     Ok(())
 }
+
+async fn serve(listener: std::net::TcpListener, directory: PathBuf) -> Result<(), ServeError> {
+    let listener = TcpListener::from_std(listener)?;
+    let service = UsageLogServer::new(Service { directory });
+    tonic::transport::Server::builder()
+        .add_service(service)
+        .serve_with_incoming(TcpListenerStream::new(listener))
+        .await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/usage-ledger/src/log/follower.rs
@@ -0,0 +1,230 @@
+//! Reading a log that is still being written, from any position on.
+
+use super::format::{header, read, Item, MAGIC, MAX_HEADER_BYTES};
+use super::segment::{segments, Segment};
+use crate::wire::{entry::What, Batch, Damage, Entry, Header};
+use std::fs::File;
+use std::io::{self, Read as _, Seek, SeekFrom};
+use std::path::{Path, PathBuf};
+
+/// How far a log has been read: up to this record of this run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Position {
+    /// The run of the aggregator.
+    pub incarnation: u64,
+    /// The last record of the run that was read.
+    pub sequence: u64,
+}
+
+/// Bytes that are read at a time, unless a longer stretch is damaged.
+const CHUNK_BYTES: u64 = 256 * 1024;
+/// Room for the magic number and a frame's head before a segment's header, in bytes.
+const HEADER_MARGIN_BYTES: u64 = 64;
+
+/// The header of a segment, and the offset of its first entry.
+fn read_header(segment: &Segment) -> io::Result<Option<(Header, usize)>> {
+    let mut bytes = Vec::new();
+    File::open(&segment.path)?
+        .take(MAX_HEADER_BYTES as u64 + HEADER_MARGIN_BYTES)
+        .read_to_end(&mut bytes)?;
+    Ok(header(&bytes))
+}
+
+/// A segment that is being read.
+#[derive(Debug)]
+struct OpenSegment {
+    segment: Segment,
+    header: Option<Header>,
+    /// Where to go on reading.
+    offset: u64,
+}
+
+/// What one read of an open segment found.
+struct Chunk {
+    entries: Vec<Entry>,
+    damage: Vec<Damage>,
+    /// Offset up to which the segment has been read.
+    end: u64,
+    /// Bytes after `end` that are no frame, or not yet a complete one.
+    unread: u64,
+}
+
+/// What one step through the log came to.
+enum Step {
+    Batch(Batch),
+    /// Nothing to deliver yet, but there is more to read.
+    Advanced,
+    /// Everything that was written has been read.
+    CaughtUp,
+}
+
+/// Reads a log from a position on, batch by batch.
+#[derive(Debug)]
+pub struct Follower {
+    directory: PathBuf,
+    after: Position,
+    open: Option<OpenSegment>,
+}
+
+impl Follower {
+    /// A follower that delivers what comes after a position in the log in `directory`.
+    pub fn new(directory: &Path, after: Position) -> Follower {
+        Follower {
+            directory: directory.into(),
+            after,
+            open: None,
+        }
+    }
+
+    /// The next batch, of at most `max_entries` entries of one run; `None` if nothing new has been
+    /// written.
+    ///
+    /// # Errors
+    /// The log can't be read.
+    pub fn next(&mut self, max_entries: usize) -> io::Result<Option<Batch>> {
+        loop {
+            let Some(open) = self.open.take() else {
+                let Some(first) = self.first_segment()? else {
+                    return Ok(None);
+                };
+                self.open = Some(self.open_segment(first)?);
+                continue;
+            };
+            match self.step(open, max_entries)? {
+                Step::Batch(batch) => return Ok(Some(batch)),
+                Step::Advanced => {}
+                Step::CaughtUp => return Ok(None),
+            }
+        }
+    }
+
+    fn step(&mut self, mut open: OpenSegment, max_entries: usize) -> io::Result<Step> {
+        // Looked up before reading: if there is a later segment by now, this one has grown for the
+        // last time.
+        let later = self.segment_after(&open.segment)?;
+        let chunk = self.read_chunk(&open, max_entries)?;
+        let advanced = chunk.end > open.offset;
+        open.offset = chunk.end;
+        if !chunk.entries.is_empty() || !chunk.damage.is_empty() {
+            let header = open.header.clone();
+            self.open = Some(open);
+            return Ok(Step::Batch(Batch {
+                header,
+                entries: chunk.entries,
+                damage: chunk.damage,
+            }));
+        }
+        if advanced {
+            // All that was read stands before the position.
+            self.open = Some(open);
+            return Ok(Step::Advanced);
+        }
+        let Some(later) = later else {
+            self.open = Some(open);
+            return Ok(Step::CaughtUp);
+        };
+        self.open = Some(self.open_segment(later)?);
+        if chunk.unread == 0 {
+            return Ok(Step::Advanced);
+        }
+        // A tail that is no frame, and nothing will follow it.
+        let damage = Damage {
+            segment: open.segment.name(),
+            from: chunk.end,
+            to: chunk.end + chunk.unread,
+        };
+        Ok(Step::Batch(Batch {
+            header: open.header,
+            entries: Vec::new(),
+            damage: vec![damage],
+        }))
+    }
+
+    /// The segment that holds the position: the last that does not begin after it.
+    fn first_segment(&self) -> io::Result<Option<Segment>> {
+        let segments = segments(&self.directory)?;
+        let from = (self.after.incarnation, self.after.sequence + 1);
+        let holder = segments
+            .iter()
+            .rposition(|segment| (segment.incarnation, segment.first_sequence) <= from);
+        Ok(segments.into_iter().nth(holder.unwrap_or_default()))
+    }
+
+    fn segment_after(&self, segment: &Segment) -> io::Result<Option<Segment>> {
+        let segments = segments(&self.directory)?;
+        Ok(segments.into_iter().find(|other| other > segment))
+    }
+
+    fn open_segment(&self, segment: Segment) -> io::Result<OpenSegment> {
+        let (header, offset) = match read_header(&segment)? {
+            Some((header, offset)) => (Some(header), offset),
+            None => (self.header_of_run(segment.incarnation)?, MAGIC.len()),
+        };
+        Ok(OpenSegment {
+            segment,
+            header,
+            offset: offset as u64,
+        })
+    }
+
+    /// Names hold for a whole run: if a header can't be read, any other segment of it will do.
+    fn header_of_run(&self, incarnation: u64) -> io::Result<Option<Header>> {
+        let segments = segments(&self.directory)?;
+        let header = segments
+            .iter()
+            .filter(|segment| segment.incarnation == incarnation)
+            .find_map(|segment| read_header(segment).ok().flatten());
+        Ok(header.map(|(header, _)| header))
+    }
+
+    fn read_chunk(&self, open: &OpenSegment, max_entries: usize) -> io::Result<Chunk> {
+        let mut file = File::open(&open.segment.path)?;
+        file.seek(SeekFrom::Start(open.offset))?;
+        let mut bytes = Vec::new();
+        let mut wanted = CHUNK_BYTES;
+        // A damaged stretch may be longer than a chunk: then more is needed to get past it.
+        let found = loop {
+            let missing = wanted - bytes.len() as u64;
+            let got = file.by_ref().take(missing).read_to_end(&mut bytes)? as u64;
+            let found = read(&bytes, 0, max_entries);
+            if !found.items.is_empty() || got < missing {
+                break found;
+            }
+            wanted *= 2;
+        };
+        let mut chunk = Chunk {
+            entries: Vec::new(),
+            damage: Vec::new(),
+            end: open.offset + found.end as u64,
+            unread: bytes.len() as u64 - found.end as u64,
+        };
+        for item in found.items {
+            match item {
+                Item::Entry(entry) if self.is_delivered(&open.segment, &entry) => {}
+                Item::Entry(entry) => chunk.entries.push(entry),
+                Item::Damage(from, to) => chunk.damage.push(Damage {
+                    segment: open.segment.name(),
+                    from: open.offset + from,
+                    to: open.offset + to,
+                }),
+            }
+        }
+        Ok(chunk)
+    }
+
+    /// Whether an entry stands before the position.
+    fn is_delivered(&self, segment: &Segment, entry: &Entry) -> bool {
+        let sequence = match &entry.what {
+            Some(What::Record(record)) => record.sequence,
+            // A mark comes after the record that it names.
+            Some(What::Mark(mark)) => mark.sequence + 1,
+            None => 0,
+        };
+        let incarnation = segment.incarnation;
+        let position = Position {
+            incarnation,
+            sequence,
+        };
+        position <= self.after
+    }
+}
--- /dev/null
+++ b/crates/usage-ledger/src/log/format.rs
@@ -0,0 +1,113 @@
+//! The bytes of a segment.
+//!
+//! A segment is [`MAGIC`], then frames. A frame is the CRC-32 of what follows it (4 bytes,
+//! little-endian), the length of its body (4 bytes, little-endian) and the body, a protobuf
+//! message: the first is a [`Header`], the others are [`Entry`]s. A segment is only ever appended
+//! to.
+
+use crate::wire::{Entry, Header};
+use prost::Message;
+
+/// The first bytes of each segment: the format's name and version.
+pub const MAGIC: &[u8; 8] = b"CTHLUSE\x01";
+/// The version that a header states.
+pub const VERSION: u32 = 1;
+/// Length of a checksum and of a body's length, in bytes.
+const WORD_BYTES: usize = 4;
+/// Length of what precedes a frame's body, in bytes.
+pub(super) const FRAME_HEAD_BYTES: usize = 2 * WORD_BYTES;
+/// The longest body of an entry, in bytes.
+const MAX_ENTRY_BYTES: usize = 1024;
+/// The longest body of a header, in bytes.
+pub(super) const MAX_HEADER_BYTES: usize = 4 << 20;
+
+/// Appends a frame.
+pub fn put_frame(out: &mut Vec<u8>, body: &impl Message) {
+    let start = out.len();
+    let length_at = start + WORD_BYTES;
+    out.extend_from_slice(&[0; FRAME_HEAD_BYTES]);
+    // A vector takes any length, so this can't fail.
+    let _ = body.encode(out);
+    let length = (out.len() - start - FRAME_HEAD_BYTES) as u32;
+    out[length_at..length_at + WORD_BYTES].copy_from_slice(&length.to_le_bytes());
+    let checksum = crc32fast::hash(&out[length_at..]);
+    out[start..length_at].copy_from_slice(&checksum.to_le_bytes());
+}
+
+/// A frame with a valid checksum.
+struct Frame<'a> {
+    body: &'a [u8],
+    /// Offset of the next frame.
+    end: usize,
+}
+
+/// The frame at `at`; `None` if it is not valid or goes on past the end of `bytes`.
+fn frame(bytes: &[u8], at: usize, max_body: usize) -> Option<Frame<'_>> {
+    let head = bytes.get(at..at + FRAME_HEAD_BYTES)?;
+    let (checksum, length) = head.split_at(WORD_BYTES);
+    let checksum = u32::from_le_bytes(checksum.try_into().ok()?);
+    let length = u32::from_le_bytes(length.try_into().ok()?) as usize;
+    if length == 0 || length > max_body {
+        return None;
+    }
+    let end = at + FRAME_HEAD_BYTES + length;
+    let covered = bytes.get(at + WORD_BYTES..end)?;
+    let body = &covered[WORD_BYTES..];
+    (crc32fast::hash(covered) == checksum).then_some(Frame { body, end })
+}
+
+/// One finding in a segment.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Item {
+    /// An entry that could be read.
+    Entry(Entry),
+    /// Bytes from one offset up to another that are no frames, though frames follow.
+    Damage(u64, u64),
+}
+
+/// What [`read`] found in a segment's bytes.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Read {
+    /// Entries and damage, in the order of the segment.
+    pub items: Vec<Item>,
+    /// Offset up to which the bytes were read; what follows is no frame, or not yet a complete one.
+    pub end: usize,
+}
+
+/// The header of a segment, and the offset of its first entry; `None` if it can't be read.
+pub fn header(bytes: &[u8]) -> Option<(Header, usize)> {
+    let rest = bytes.strip_prefix(MAGIC)?;
+    let frame = frame(rest, 0, MAX_HEADER_BYTES)?;
+    Some((Header::decode(frame.body).ok()?, MAGIC.len() + frame.end))
+}
+
+/// Reads at most `max_items` items from offset `at` on, skipping what can't be read up to the next
+/// frame that can.
+pub fn read(bytes: &[u8], at: usize, max_items: usize) -> Read {
+    let mut read = Read {
+        items: Vec::new(),
+        end: at,
+    };
+    while read.end < bytes.len() && read.items.len() < max_items {
+        if let Some((entry, end)) = entry(bytes, read.end) {
+            read.items.push(Item::Entry(entry));
+            read.end = end;
+            continue;
+        }
+        // Where a length is damaged the next frame may begin anywhere.
+        let mut candidates = read.end + 1..bytes.len();
+        let Some(next) = candidates.find(|at| entry(bytes, *at).is_some()) else {
+            break;
+        };
+        read.items.push(Item::Damage(read.end as u64, next as u64));
+        read.end = next;
+    }
+    read
+}
+
+/// The entry at `at`, and the offset of the next frame.
+fn entry(bytes: &[u8], at: usize) -> Option<(Entry, usize)> {
+    let frame = frame(bytes, at, MAX_ENTRY_BYTES)?;
+    let entry = Entry::decode(frame.body).ok()?;
+    entry.what.is_some().then_some((entry, frame.end))
+}
--- /dev/null
+++ b/crates/usage-ledger/src/log/segment.rs
@@ -0,0 +1,113 @@
+//! The files of a log.
+
+use super::format::{header, read, FRAME_HEAD_BYTES, MAGIC};
+use super::Position;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+
+/// One segment's file, ordered by its first record.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Segment {
+    /// The run of the aggregator that wrote it.
+    pub incarnation: u64,
+    /// No record in it has a smaller sequence number.
+    pub first_sequence: u64,
+    /// Where it is.
+    pub path: PathBuf,
+}
+
+impl Segment {
+    /// The segment of these numbers in `directory`, whether or not the file exists.
+    pub fn new(directory: &Path, incarnation: u64, first_sequence: u64) -> Segment {
+        let path = directory.join(format!("{incarnation:020}-{first_sequence:020}.log"));
+        Segment {
+            incarnation,
+            first_sequence,
+            path,
+        }
+    }
+
+    fn from_path(path: PathBuf) -> Option<Segment> {
+        let name = path.file_name()?.to_str()?;
+        let (incarnation, first_sequence) = name.strip_suffix(".log")?.split_once('-')?;
+        Some(Segment {
+            incarnation: incarnation.parse().ok()?,
+            first_sequence: first_sequence.parse().ok()?,
+            path,
+        })
+    }
+
+    /// The file's name.
+    pub fn name(&self) -> String {
+        let name = self.path.file_name().unwrap_or_default();
+        name.to_string_lossy().into_owned()
+    }
+
+    /// Whether all records up to `settled` include all of this segment, given the one after it.
+    fn is_settled(&self, next: &Segment, settled: Position) -> bool {
+        if next.incarnation != self.incarnation {
+            return settled.incarnation > self.incarnation;
+        }
+        let last = Position {
+            incarnation: self.incarnation,
+            sequence: next.first_sequence.saturating_sub(1),
+        };
+        settled >= last
+    }
+}
+
+/// The segments of a log, oldest first. Other files in the directory are ignored.
+///
+/// # Errors
+/// The directory can't be read.
+pub fn segments(directory: &Path) -> io::Result<Vec<Segment>> {
+    let mut segments = Vec::new();
+    for file in fs::read_dir(directory)? {
+        segments.extend(Segment::from_path(file?.path()));
+    }
+    segments.sort_unstable();
+    Ok(segments)
+}
+
+/// Cuts a partial write off the end of a segment. Returns the number of bytes cut.
+///
+/// # Errors
+/// The file can't be read or cut.
+pub fn cut_torn_tail(segment: &Segment) -> io::Result<u64> {
+    let bytes = fs::read(&segment.path)?;
+    let Some((_, entries_at)) = header(&bytes) else {
+        // A damaged header keeps its records; one that was never complete has none.
+        let has_entries = bytes.len() > MAGIC.len() + FRAME_HEAD_BYTES
+            && !read(&bytes, MAGIC.len(), 1).items.is_empty();
+        if has_entries {
+            return Ok(0);
+        }
+        fs::remove_file(&segment.path)?;
+        return Ok(bytes.len() as u64);
+    };
+    let end = read(&bytes, entries_at, usize::MAX).end;
+    let torn = (bytes.len() - end) as u64;
+    if torn > 0 {
+        let file = fs::OpenOptions::new().write(true).open(&segment.path)?;
+        file.set_len(end as u64)?;
+    }
+    Ok(torn)
+}
+
+/// Removes the segments that hold nothing after `settled`, except the last one. Returns how many
+/// were removed.
+///
+/// # Errors
+/// The directory can't be read, or a segment can't be removed.
+pub fn remove_settled(directory: &Path, settled: Position) -> io::Result<usize> {
+    let segments = segments(directory)?;
+    let mut removed = 0;
+    for (segment, next) in segments.iter().zip(segments.iter().skip(1)) {
+        if segment.is_settled(next, settled) {
+            fs::remove_file(&segment.path)?;
+            removed += 1;
+        }
+    }
+    Ok(removed)
+}
--- /dev/null
+++ b/crates/usage-ledger/src/writer/error.rs
@@ -0,0 +1,44 @@
+//! Why a usage log could not be opened, or not be written for a while.
+
+use crate::collect::ListenError;
+use std::io;
+use std::path::PathBuf;
+
+/// Why a writer could not be started.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// The directory can't be used.
+    #[error("{}: {source}", .directory.display())]
+    Directory {
+        /// The log's directory.
+        directory: PathBuf,
+        /// What failed there.
+        source: io::Error,
+    },
+    /// Another process has locked the log.
+    #[error("{}: another mixer writes this log", .directory.display())]
+    Locked {
+        /// The log's directory.
+        directory: PathBuf,
+    },
+    /// The writer's thread can't be started.
+    #[error("{0}")]
+    Thread(#[source] io::Error),
+    /// The log can't be offered for collection.
+    #[error(transparent)]
+    Listen(#[from] ListenError),
+}
+
+/// Why records could not be written.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum AppendError {
+    /// The last attempt failed a moment ago; the disk is not asked again yet.
+    #[error("it could not be a moment ago")]
+    Backoff,
+    /// One more segment would exceed the limit of the settings.
+    #[error("it holds as much as it may; nothing of it has been settled")]
+    CapacityExceeded,
+    /// The disk failed.
+    #[error("{0}")]
+    Io(#[from] io::Error),
+}
--- /dev/null
+++ b/crates/usage-ledger/src/writer/mod.rs
@@ -0,0 +1,282 @@
+//! The writer of an aggregator's usage log.
+//!
+//! Records go through a bounded queue to a thread of their own, so that no disk can delay an
+//! answer: a record that finds the queue full is dropped and counted. The thread writes whole
+//! batches, starts a new segment where the last one is full, and publishes the sequence number up
+//! to which nothing is left to wait for.
+
+mod error;
+mod thread;
+
+pub use error::StartError;
+
+use self::thread::WriterThread;
+use crate::log::{cut_torn_tail, segments, Segment, VERSION};
+use crate::settings::UsageLog;
+use crate::wire::{entry::What, Class, Entry, Header, Mark, Outcome, Record};
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{sync_channel, SyncSender};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+
+/// How long [`Writer::finish`] waits for the thread.
+const FINISH_TIMEOUT: Duration = Duration::from_secs(2);
+/// Interval at which [`Writer::finish`] looks whether the thread has ended.
+const FINISH_POLL_INTERVAL: Duration = Duration::from_millis(1);
+/// Nanoseconds in a millisecond.
+const NANOSECONDS_PER_MS: u64 = 1_000_000;
+
+/// What the numbers in records stand for, for one run of an aggregator.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// The aggregator's own name.
+    pub mixer: String,
+    /// Classes by number.
+    pub classes: Vec<String>,
+    /// For each class, the longest that a client waits over all its requests, in nanoseconds.
+    pub give_up: Vec<u64>,
+    /// Tenants by number.
+    pub tenants: Vec<String>,
+}
+
+impl Names {
+    fn into_header(self, incarnation: u64) -> Header {
+        let client_timeouts = self.give_up.iter().chain(std::iter::repeat(&0));
+        let classes = self.classes.iter().zip(client_timeouts);
+        Header {
+            version: VERSION,
+            incarnation,
+            first_sequence: 1,
+            classes: classes
+                .map(|(name, timeout_ns)| Class {
+                    name: name.clone(),
+                    give_up_ms: timeout_ns / NANOSECONDS_PER_MS,
+                })
+                .collect(),
+            mixer: self.mixer,
+            tenants: self.tenants,
+        }
+    }
+}
+
+/// Counters of records.
+#[derive(Debug, Default)]
+pub struct Counts {
+    /// Written to the log.
+    pub written: AtomicU64,
+    /// Never written: the queue was full, or the disk could not be written.
+    pub lost: AtomicU64,
+    /// Answers that left before their record was written.
+    pub late: AtomicU64,
+}
+
+/// How bytes reach a segment; tests replace it by one that fails.
+pub trait Disk: Send + 'static {
+    /// Appends `bytes` to a segment.
+    ///
+    /// # Errors
+    /// Not all of `bytes` could be written; the caller cuts off what was.
+    fn append(&mut self, file: &mut File, bytes: &[u8]) -> io::Result<()>;
+}
+
+/// Writes to the file system.
+pub struct FileSystem;
+
+impl Disk for FileSystem {
+    fn append(&mut self, file: &mut File, bytes: &[u8]) -> io::Result<()> {
+        file.write_all(bytes)
+    }
+}
+
+/// The aggregator's end of the queue.
+pub struct Writer {
+    queue: Option<SyncSender<Entry>>,
+    written: watch::Receiver<u64>,
+    counts: Arc<Counts>,
+    stall: Duration,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// Opens the log for one more run, starts its writer and, where the settings ask for it, offers the
+/// log for collection. A partial write that the run before has left is cut off.
+///
+/// `now` is the time in Unix nanoseconds.
+///
+/// # Errors
+/// The directory can't be used, another aggregator uses it, or the address can't be listened on.
+pub fn start(settings: &UsageLog, names: Names, now: u64) -> Result<Writer, StartError> {
+    let writer = start_on(FileSystem, settings, names, now)?;
+    if let Some(address) = settings.listen {
+        crate::collect::listen(address, settings.directory.clone())?;
+    }
+    Ok(writer)
+}
+
+/// As [`start`], on any disk and without a listener.
+///
+/// # Errors
+/// As [`start`].
+pub fn start_on(
+    disk: impl Disk,
+    settings: &UsageLog,
+    names: Names,
+    now: u64,
+) -> Result<Writer, StartError> {
+    let directory = &settings.directory;
+    let at_directory = |source: io::Error| StartError::Directory {
+        directory: directory.clone(),
+        source,
+    };
+    fs::create_dir_all(directory).map_err(at_directory)?;
+    let lock = lock(directory)?;
+    let existing = segments(directory).map_err(at_directory)?;
+    if let Some(last) = existing.last() {
+        repair(last).map_err(at_directory)?;
+    }
+    let incarnation = next_incarnation(now, existing.last());
+    let (queue, entries) = sync_channel(settings.queue);
+    let (publish_written, written) = watch::channel(0);
+    let counts = Arc::<Counts>::default();
+    let header = names.into_header(incarnation);
+    let thread = WriterThread::new(disk, lock, settings, header, publish_written, &counts);
+    let thread = std::thread::Builder::new()
+        .name("usage log".into())
+        .spawn(move || thread.run(&entries))
+        .map_err(StartError::Thread)?;
+    tracing::info!(directory = %directory.display(), incarnation, "usage log opened");
+    Ok(Writer {
+        queue: Some(queue),
+        written,
+        counts,
+        stall: settings.stall,
+        thread: Some(thread),
+    })
+}
+
+/// Takes the lock that allows one writer to each log.
+fn lock(directory: &Path) -> Result<File, StartError> {
+    let lock = OpenOptions::new()
+        .create(true)
+        .truncate(false)
+        .write(true)
+        .open(directory.join("lock"))
+        .map_err(|source| StartError::Directory {
+            directory: directory.into(),
+            source,
+        })?;
+    match lock.try_lock() {
+        Ok(()) => Ok(lock),
+        Err(_) => Err(StartError::Locked {
+            directory: directory.into(),
+        }),
+    }
+}
+
+fn repair(last: &Segment) -> io::Result<()> {
+    let torn = cut_torn_tail(last)?;
+    if torn > 0 {
+        tracing::warn!(
+            segment = last.name(),
+            bytes = torn,
+            "a partial record at the end of the log was cut off"
+        );
+    }
+    Ok(())
+}
+
+/// Later than that of any run before, also where the clock has stepped back.
+fn next_incarnation(now_ns: u64, last: Option<&Segment>) -> u64 {
+    let last = last.map_or(0, |segment| segment.incarnation);
+    (now_ns / NANOSECONDS_PER_MS).max(last + 1)
+}
+
+impl Writer {
+    /// Queues an entry without waiting; false if the queue is full.
+    pub fn offer(&mut self, what: What) -> bool {
+        let entry = Entry { what: Some(what) };
+        self.queue
+            .as_ref()
+            .is_some_and(|queue| queue.try_send(entry).is_ok())
+    }
+
+    /// The counters of this run.
+    pub fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
+    /// The sequence number up to which nothing is left to wait for.
+    pub fn watch(&self) -> watch::Receiver<u64> {
+        self.written.clone()
+    }
+
+    /// How long an answer may wait for its record.
+    pub fn stall_bound(&self) -> Duration {
+        self.stall
+    }
+
+    /// Counts a record that could not be queued.
+    pub fn note_lost(&self) {
+        let lost = self.counts.lost.fetch_add(1, Ordering::Relaxed) + 1;
+        if lost.is_power_of_two() {
+            tracing::error!(lost, "usage records lost: the log takes none");
+        }
+    }
+
+    /// Counts an answer that left before its record was written.
+    pub fn note_late(&self) {
+        let late = self.counts.late.fetch_add(1, Ordering::Relaxed) + 1;
+        if late.is_power_of_two() {
+            tracing::warn!(
+                late,
+                "answers that left before their usage record: the log has stalled"
+            );
+        }
+    }
+
+    /// Ends the writer once all queued entries are written, or after a bounded time.
+    pub fn finish(&mut self) {
+        self.queue = None;
+        let Some(thread) = self.thread.take() else {
+            return;
+        };
+        let deadline = Instant::now() + FINISH_TIMEOUT;
+        while !thread.is_finished() && Instant::now() < deadline {
+            std::thread::sleep(FINISH_POLL_INTERVAL);
+        }
+        if thread.is_finished() {
+            let _ = thread.join();
+        } else {
+            tracing::error!("the usage log did not take its last records in time");
+        }
+        let written = self.counts.written.load(Ordering::Relaxed);
+        let lost = self.counts.lost.load(Ordering::Relaxed);
+        let late = self.counts.late.load(Ordering::Relaxed);
+        tracing::info!(written, lost, late, "usage log closed");
+    }
+}
+
+/// A record as it goes into the log. `share` is that of a partial answer, in millionths.
+pub fn record(sequence: u64, arrived_ms: u64, outcome: Outcome, share: u32) -> Record {
+    Record {
+        sequence,
+        arrived_ms,
+        outcome: outcome.into(),
+        share,
+        ..Record::default()
+    }
+}
+
+/// A mark as it goes into the log: all records of queries that arrived before `complete_ms` stand
+/// before it, and the last of them is `sequence`. `end` says that the run ends here.
+pub fn mark(sequence: u64, complete_ms: u64, end: bool) -> What {
+    What::Mark(Mark {
+        sequence,
+        complete_ms,
+        end,
+    })
+}
--- /dev/null
+++ b/crates/usage-ledger/src/writer/thread.rs
@@ -0,0 +1,179 @@
+//! The thread that writes a usage log.
+
+use super::error::AppendError;
+use super::{Counts, Disk};
+use crate::log::{put_frame, segments, Segment, MAGIC};
+use crate::settings::UsageLog;
+use crate::wire::{entry::What, Entry, Header};
+use std::fs::{self, File, OpenOptions};
+use std::path::PathBuf;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+
+/// The most entries of one write.
+const MAX_BATCH_ENTRIES: usize = 1024;
+/// Pause after a failed write: in between, records are lost at once and nothing waits.
+const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+/// How long the thread waits for an entry before it looks again.
+const RECEIVE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The segment that is being written.
+struct OpenSegment {
+    file: File,
+    /// Length of its complete frames, in bytes.
+    length: u64,
+}
+
+/// A batch of entries as bytes.
+struct EncodedBatch {
+    bytes: Vec<u8>,
+    /// Sequence number of its first record.
+    first_sequence: u64,
+    /// Sequence number of its last record.
+    last_sequence: u64,
+    records: u64,
+}
+
+/// State of the thread.
+pub(super) struct WriterThread<D> {
+    disk: D,
+    /// Held for as long as the log is written.
+    _lock: File,
+    directory: PathBuf,
+    segment_bytes: u64,
+    keep_bytes: u64,
+    header: Header,
+    open: Option<OpenSegment>,
+    publish_written: watch::Sender<u64>,
+    counts: Arc<Counts>,
+    /// When the last write failed; `None` once one has succeeded again.
+    failed_at: Option<Instant>,
+}
+
+impl<D: Disk> WriterThread<D> {
+    pub(super) fn new(
+        disk: D,
+        lock: File,
+        settings: &UsageLog,
+        header: Header,
+        publish_written: watch::Sender<u64>,
+        counts: &Arc<Counts>,
+    ) -> WriterThread<D> {
+        WriterThread {
+            disk,
+            _lock: lock,
+            directory: settings.directory.clone(),
+            segment_bytes: settings.segment_bytes,
+            keep_bytes: settings.keep_bytes,
+            header,
+            open: None,
+            publish_written,
+            counts: counts.clone(),
+            failed_at: None,
+        }
+    }
+
+    /// Writes entries until the queue is closed.
+    pub(super) fn run(mut self, entries: &Receiver<Entry>) {
+        let mut last_sequence = 0;
+        loop {
+            let first = match entries.recv_timeout(RECEIVE_TIMEOUT) {
+                Ok(entry) => entry,
+                Err(RecvTimeoutError::Timeout) => continue,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let queued = entries.try_iter().take(MAX_BATCH_ENTRIES - 1);
+            let batch = encode(std::iter::once(first).chain(queued), last_sequence);
+            last_sequence = batch.last_sequence;
+            self.write(&batch);
+            self.publish_written.send_replace(last_sequence);
+        }
+    }
+
+    fn write(&mut self, batch: &EncodedBatch) {
+        let counter = match self.append(batch) {
+            Ok(()) => &self.counts.written,
+            Err(error) => {
+                if self.failed_at.replace(Instant::now()).is_none() {
+                    tracing::error!(%error, "the usage log can't be written: records are lost until it can");
+                }
+                &self.counts.lost
+            }
+        };
+        counter.fetch_add(batch.records, Ordering::Relaxed);
+    }
+
+    /// Writes a batch, into a new segment where the last one is full.
+    fn append(&mut self, batch: &EncodedBatch) -> Result<(), AppendError> {
+        let failed_recently = |at: Instant| at.elapsed() < RETRY_INTERVAL;
+        if self.failed_at.is_some_and(failed_recently) {
+            return Err(AppendError::Backoff);
+        }
+        let open = self.open.take();
+        let mut segment = match open.filter(|open| open.length < self.segment_bytes) {
+            Some(open) => open,
+            None => self.create_segment(batch.first_sequence)?,
+        };
+        if let Err(error) = self.disk.append(&mut segment.file, &batch.bytes) {
+            // Half a frame in the middle would read as damage: back to the last complete one, or
+            // leave the segment as it is and go on in another.
+            if segment.file.set_len(segment.length).is_ok() {
+                self.open = Some(segment);
+            }
+            return Err(error.into());
+        }
+        if self.failed_at.take().is_some() {
+            tracing::info!("the usage log can be written again");
+        }
+        segment.length += batch.bytes.len() as u64;
+        self.open = Some(segment);
+        Ok(())
+    }
+
+    fn create_segment(&mut self, first_sequence: u64) -> Result<OpenSegment, AppendError> {
+        let mut held = 0;
+        for segment in segments(&self.directory)? {
+            held += fs::metadata(&segment.path).map_or(0, |file| file.len());
+        }
+        if held + self.segment_bytes > self.keep_bytes {
+            return Err(AppendError::CapacityExceeded);
+        }
+        self.header.first_sequence = first_sequence;
+        let mut bytes = MAGIC.to_vec();
+        put_frame(&mut bytes, &self.header);
+        let segment = Segment::new(&self.directory, self.header.incarnation, first_sequence);
+        let mut file = OpenOptions::new()
+            .append(true)
+            .create(true)
+            .open(&segment.path)?;
+        file.set_len(0)?;
+        if let Err(error) = self.disk.append(&mut file, &bytes) {
+            let _ = fs::remove_file(&segment.path);
+            return Err(error.into());
+        }
+        Ok(OpenSegment {
+            file,
+            length: bytes.len() as u64,
+        })
+    }
+}
+
+fn encode(entries: impl Iterator<Item = Entry>, last_sequence: u64) -> EncodedBatch {
+    let mut batch = EncodedBatch {
+        bytes: Vec::new(),
+        first_sequence: last_sequence + 1,
+        last_sequence,
+        records: 0,
+    };
+    for entry in entries {
+        put_frame(&mut batch.bytes, &entry);
+        if let Some(What::Record(record)) = &entry.what {
+            batch.last_sequence = record.sequence;
+            batch.records += 1;
+        }
+    }
+    batch
+}
--- a/crates/usage-ledger/tests/compatibility.rs
+++ b/crates/usage-ledger/tests/compatibility.rs
@@ -14,7 +14,7 @@
 use usage_ledger::store::{CorrectionLine, Store, Terms};
 use usage_ledger::wire::entry::What;
 use usage_ledger::wire::{self, Batch, Class, Entry, Header, Mark, Record};
-use usage_ledger::writer::{self, Names, Plain};
+use usage_ledger::writer::{self, FileSystem, Names};
 
 /// A segment of version 1: the magic number, the frame of its header, of a record and of a mark.
 /// A frame is a CRC-32, a length (both little-endian) and a protobuf message.
@@ -105,7 +105,7 @@
         give_up: vec![100_000_000],
         tenants: vec!["t".into()],
     };
-    let mut writer = writer::start_on(Plain, &settings, names, 7_000_000).unwrap();
+    let mut writer = writer::start_on(FileSystem, &settings, names, 7_000_000).unwrap();
     assert!(writer.offer(What::Record(segment_record())));
     assert!(writer.offer(writer::mark(1, 2000, true)));
     writer.finish();
--- a/crates/usage-ledger/tests/log.rs
+++ b/crates/usage-ledger/tests/log.rs
@@ -11,7 +11,7 @@
 use usage_ledger::log::{self, Follower, Item, Position};
 use usage_ledger::settings::UsageLog;
 use usage_ledger::wire::{entry::What, Outcome, Record};
-use usage_ledger::writer::{self, Disk, Names, Plain, Writer};
+use usage_ledger::writer::{self, Disk, FileSystem, Names, Writer};
 
 fn settings(directory: &Path, segment_bytes: u64) -> UsageLog {
     UsageLog {
@@ -56,7 +56,7 @@
 
 fn log_of(directory: &Path, segment_bytes: u64, records: u64) {
     let mut writer = writer::start_on(
-        Plain,
+        FileSystem,
         &settings(directory, segment_bytes),
         names(),
         5_000_000,
@@ -103,7 +103,7 @@
         fs::write(&segment.path, &whole[..length]).unwrap();
         let kept = ends.iter().filter(|end| **end <= length).count() as u64;
         let mut again =
-            writer::start_on(Plain, &settings(folder.path(), 1 << 20), names(), 0).unwrap();
+            writer::start_on(FileSystem, &settings(folder.path(), 1 << 20), names(), 0).unwrap();
         write(&mut again, 1..=2);
         again.finish();
         let (records, damage) = found(folder.path(), Position::default(), 100);
@@ -146,7 +146,8 @@
         .chain((1..=8).map(|n| log::read(&whole, start, n).end))
         .collect();
     // A later segment: what is wrong at the end of this one is no write under way.
-    let mut again = writer::start_on(Plain, &settings(folder.path(), 1 << 20), names(), 0).unwrap();
+    let mut again =
+        writer::start_on(FileSystem, &settings(folder.path(), 1 << 20), names(), 0).unwrap();
     write(&mut again, 1..=1);
     again.finish();
     for at in start..whole.len() {
@@ -222,10 +223,10 @@
         incarnation: all[120].0,
         sequence: all[120].1,
     };
-    let gone = writer::forget(folder.path(), upto).unwrap();
+    let gone = log::remove_settled(folder.path(), upto).unwrap();
     assert!(gone > 0 && log::segments(folder.path()).unwrap().len() == before - gone);
     assert_eq!(found(folder.path(), upto, 50).0, all[121..]);
-    writer::forget(
+    log::remove_settled(
         folder.path(),
         Position {
             incarnation: u64::MAX,
@@ -322,8 +323,8 @@
         keep_bytes: 12 * 1024,
         ..settings(folder.path(), 4096)
     };
-    let mut writer = writer::start_on(Plain, &bounded, names(), 0).unwrap();
-    let second = writer::start_on(Plain, &bounded, names(), 0);
+    let mut writer = writer::start_on(FileSystem, &bounded, names(), 0).unwrap();
+    let second = writer::start_on(FileSystem, &bounded, names(), 0);
     assert!(second.err().unwrap().to_string().contains("another mixer"));
     write(&mut writer, 1..=1000);
     let lost = writer.counts().lost.load(Ordering::SeqCst);
@@ -337,7 +338,7 @@
         "{lost} lost, {held} bytes"
     );
     // Once what it holds is settled, there is room again.
-    writer::forget(
+    log::remove_settled(
         folder.path(),
         Position {
             incarnation: u64::MAX,
--- /dev/null
+++ b/crates/usage-ledger/tests/period.rs
@@ -0,0 +1,63 @@
+//! Billing periods under calendars whose days differ in length.
+
+use jiff::tz::TimeZone;
+use jiff::Timestamp;
+use usage_ledger::period::{Calendar, Every, Period};
+
+fn ms(text: &str) -> i64 {
+    text.parse::<Timestamp>().unwrap().as_millisecond()
+}
+
+#[test]
+fn periods_follow_each_other_without_gap_also_where_an_hour_is_repeated_or_skipped() {
+    let zone = |name| TimeZone::get(name).unwrap();
+    let calendars = [
+        (
+            Calendar(Every::Day(zone("Europe/Berlin"))),
+            "2026-10-20T12:00:00Z",
+            25,
+            23,
+        ),
+        (
+            Calendar(Every::Day(zone("Asia/Colombo"))),
+            "2026-10-20T12:00:00Z",
+            24,
+            24,
+        ),
+        (
+            Calendar(Every::Month(zone("Europe/Berlin"))),
+            "2026-01-10T12:00:00Z",
+            31 * 24 + 1,
+            28 * 24,
+        ),
+    ];
+    for (calendar, from, longest, shortest) in calendars {
+        let mut period = calendar.at(ms(from));
+        let mut hours = Vec::new();
+        for _ in 0..200 {
+            assert_eq!(calendar.at(period.start), period);
+            assert_eq!(calendar.at(period.end - 1), period);
+            hours.push((period.end - period.start) / 3_600_000);
+            let next = calendar.after(period);
+            assert_eq!(next.start, period.end);
+            period = next;
+        }
+        assert_eq!(
+            (hours.iter().max(), hours.iter().min()),
+            (Some(&longest), Some(&shortest))
+        );
+    }
+    // Both hours between two and three belong to the one day.
+    let berlin = Calendar(Every::Day(zone("Europe/Berlin")));
+    assert_eq!(
+        berlin.at(ms("2026-10-25T00:30:00Z")),
+        berlin.at(ms("2026-10-25T01:30:00Z"))
+    );
+    assert_eq!(
+        Calendar(Every::Ms(5000)).at(12_345),
+        Period {
+            start: 10_000,
+            end: 15_000
+        }
+    );
+}
--- /dev/null
+++ b/crates/usage-ledger/tests/rate.rs
@@ -0,0 +1,51 @@
+//! What counted use costs.
+
+use usage_ledger::rate::{amount, over, Counts};
+use usage_ledger::settings::Price;
+
+#[test]
+fn a_line_is_rounded_once_half_up_and_differences_add_up() {
+    let price = Price {
+        whole: 3,
+        partial: 1,
+    };
+    let line = |whole, share| Counts {
+        whole,
+        share,
+        partial: i64::from(share > 0),
+        ..Counts::default()
+    };
+    let cases = [
+        ((2, 0), 6),
+        ((0, 499_999), 0),
+        ((0, 500_000), 1),
+        ((1, 1_499_999), 4),
+        ((1, 1_500_000), 5),
+    ];
+    for ((whole, share), due) in cases {
+        assert_eq!(amount(&line(whole, share), price), due, "{whole} {share}");
+    }
+    let (before, after) = (line(1, 400_000), line(2, 900_000));
+    assert_eq!((after - before).share, 500_000);
+    let mut sum = before;
+    sum += after - before;
+    assert_eq!(sum, after);
+    let most = Price {
+        whole: u64::MAX,
+        partial: u64::MAX,
+    };
+    assert_eq!(amount(&line(i64::MAX, i64::MAX), most), i64::MAX);
+}
+
+#[test]
+fn use_over_the_allowance_stands_apart() {
+    assert_eq!(
+        (
+            over(5, None),
+            over(5, Some(3)),
+            over(3, Some(3)),
+            over(0, Some(0))
+        ),
+        (0, 2, 0, 0)
+    );
+}
