--- /dev/null
+++ b/crates/usage-ledger/src/document.rs
@@ -0,0 +1,155 @@
+//! Documents: what one tenant is sent, each with an id of its own that never changes.
+//!
+//! Documents are exported as JSON; the names and the order of the fields are part of that format.
+
+use crate::period::Period;
+use crate::statement::{CorrectionLine, Statement, StatementLine, TenantTotal};
+use serde::{Deserialize, Serialize};
+
+/// What one tenant is sent.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Document {
+    /// Its identity, for good.
+    pub id: String,
+    /// `statement`, `credit` or `debit`.
+    pub kind: String,
+    /// The tenant's name.
+    pub tenant: String,
+    /// The period of the statement, or of the statement that is corrected.
+    pub period: String,
+    /// Micro-units; a credit's is below zero.
+    pub amount: i64,
+    /// The statement's lines for the tenant.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub lines: Vec<StatementLine>,
+    /// The corrections for the tenant.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub corrections: Vec<CorrectionLine>,
+    /// The statement's totals for the tenant.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub totals: Option<TenantTotal>,
+    /// The members whose records were missing, by name.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub missing: Vec<String>,
+    /// The statement that a credit or debit corrects.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub corrects: Option<CorrectedStatement>,
+}
+
+/// The statement that a credit or debit corrects; in JSON a pair.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(String, String)", into = "(String, String)")]
+pub struct CorrectedStatement {
+    /// Id of the statement's document for the tenant.
+    pub document_id: String,
+    /// The statement's hash.
+    pub hash: String,
+}
+
+impl From<(String, String)> for CorrectedStatement {
+    fn from((document_id, hash): (String, String)) -> CorrectedStatement {
+        CorrectedStatement { document_id, hash }
+    }
+}
+
+impl From<CorrectedStatement> for (String, String) {
+    fn from(corrected: CorrectedStatement) -> (String, String) {
+        (corrected.document_id, corrected.hash)
+    }
+}
+
+/// A document in the outbox.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OutgoingDocument {
+    /// The document's id.
+    pub id: String,
+    /// The document as JSON.
+    pub body: String,
+    /// It is in the export folder.
+    pub in_folder: bool,
+    /// The receiver has acknowledged it.
+    pub posted: bool,
+    /// How often it was sent.
+    pub attempts: u32,
+    /// Why the last attempt failed; `None` if it did not.
+    pub error: Option<String>,
+}
+
+impl Document {
+    /// One for each tenant that a statement mentions.
+    pub fn of_statement(statement: &Statement) -> Vec<Document> {
+        let documents = statement.tenants.iter();
+        documents
+            .map(|totals| Document::of_tenant(statement, totals))
+            .collect()
+    }
+
+    fn of_tenant(statement: &Statement, totals: &TenantTotal) -> Document {
+        let tenant = &totals.tenant;
+        let lines = statement.lines.iter();
+        let corrections = statement.corrections.iter();
+        let missing = statement.members.iter().filter(|member| member.missing);
+        Document {
+            id: statement_id(&statement.period, tenant),
+            kind: "statement".into(),
+            tenant: tenant.clone(),
+            period: statement.period.clone(),
+            amount: totals.amount,
+            lines: lines
+                .filter(|line| line.tenant == *tenant)
+                .cloned()
+                .collect(),
+            corrections: corrections
+                .filter(|correction| correction.tenant == *tenant)
+                .cloned()
+                .collect(),
+            totals: Some(totals.clone()),
+            missing: missing.map(|member| member.member.clone()).collect(),
+            corrects: None,
+        }
+    }
+
+    /// The credit or debit for a correction of a closed period, whose statement has this hash.
+    pub fn of_correction(correction: &CorrectionLine, period: Period, hash: &str) -> Document {
+        let kind = if correction.amount < 0 {
+            "credit"
+        } else {
+            "debit"
+        };
+        Document {
+            id: format!("{kind}-{}", file_name_part(&correction.id)),
+            kind: kind.into(),
+            tenant: correction.tenant.clone(),
+            period: period.name(),
+            amount: correction.amount,
+            lines: Vec::new(),
+            corrections: vec![correction.clone()],
+            totals: None,
+            missing: Vec::new(),
+            corrects: Some(CorrectedStatement {
+                document_id: statement_id(&period.name(), &correction.tenant),
+                hash: hash.into(),
+            }),
+        }
+    }
+}
+
+fn statement_id(period: &str, tenant: &str) -> String {
+    format!(
+        "statement-{}-{}",
+        file_name_part(&period.replace(':', "")),
+        file_name_part(tenant)
+    )
+}
+
+/// `text` with all characters escaped that may not stand in a file's name.
+fn file_name_part(text: &str) -> String {
+    let escape = |character: char| {
+        if character.is_ascii_alphanumeric() || "-_.".contains(character) {
+            character.to_string()
+        } else {
+            format!("%{:x}", u32::from(character))
+        }
+    };
+    text.chars().map(escape).collect()
+}
--- a/crates/usage-ledger/src/join.rs
+++ b/crates/usage-ledger/src/join.rs
@@ -1,39 +1,48 @@
-//! Which tries are one use. Pure: tries go in by the order of their arrival, uses come out.
+//! Joins usage records into logical requests: a client's first request together with its retries.
 //!
-//! A first try begins a use. A try marked as a retry joins the use of an earlier one, at most one
-//! retry to each try:
-//! - by the client's own key, whatever became of the earlier tries;
-//! - else by tenant, class and what was asked, within the class's give-up time of the first try, to
-//!   the try that has waited for longest among those that were not answered. A try whose answer may
-//!   never have left, for its mixer died right after, counts as not answered, but comes last.
+//! Records go in by the order of their arrival, logical requests come out. A first request begins a
+//! logical request. A record marked as a retry joins an earlier one, at most one retry to each
+//! record:
+//! - by the client's own idempotency key, whatever became of the earlier requests;
+//! - else by tenant, class and the hash of the query, within the class's client timeout of the first
+//!   request, to the record that has waited for longest among those that were not answered. A record
+//!   whose answer may never have left, for its aggregator died right after, counts as not answered,
+//!   but comes last.
 //!
-//! A retry that finds nothing to join is a use of its own: its first try never arrived anywhere, or
-//! its record died with a mixer. Clocks of mixers may differ by [`Joiner::new`]'s `skew`: so much
-//! earlier a retry may seem to be.
+//! A retry that finds nothing to join is a logical request of its own: its first request never
+//! arrived anywhere, or its record was lost with an aggregator. The clocks of aggregators may differ
+//! by [`Joiner::new`]'s `skew`: so much earlier than its first request a retry may seem to be.
+//!
+//! Pure: no I/O and no clock.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
-/// How a try ended.
+/// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Outcome {
-    Whole,
-    /// With this share of the weight, in millionths.
+    /// Answered completely.
+    Complete,
+    /// Answered with this share of the weight, in millionths.
     Partial(u32),
-    Refused,
+    /// Rejected.
+    Rejected,
+    /// Failed.
     Failed,
-    Left,
+    /// Cancelled by the client.
+    Cancelled,
 }
 
 impl Outcome {
-    fn answered(self) -> bool {
-        matches!(self, Outcome::Whole | Outcome::Partial(_))
+    fn is_answered(self) -> bool {
+        matches!(self, Outcome::Complete | Outcome::Partial(_))
     }
 
-    /// Which of two tries' outcomes is that of their use: the better one.
+    /// The outcome of a logical request whose records ended like this and, later, like `other`: the
+    /// better one.
     fn better(self, other: Outcome) -> Outcome {
         match (self, other) {
-            (Outcome::Whole, _) | (_, Outcome::Whole) => Outcome::Whole,
-            (Outcome::Partial(a), Outcome::Partial(b)) => Outcome::Partial(a.max(b)),
+            (Outcome::Complete, _) | (_, Outcome::Complete) => Outcome::Complete,
+            (Outcome::Partial(left), Outcome::Partial(right)) => Outcome::Partial(left.max(right)),
             (Outcome::Partial(_), _) => self,
             // None was answered: what the client was told last.
             (_, later) => later,
@@ -41,229 +50,283 @@
     }
 }
 
-/// One record, wherever it came from.
+/// Identifies one record for good; ids sort by arrival.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RecordId {
+    /// Arrival in Unix milliseconds.
+    pub at: i64,
+    /// The aggregator, by number.
+    pub member: u32,
+    /// Its run.
+    pub incarnation: u64,
+    /// The record's number in the run.
+    pub sequence: u64,
+}
+
+/// One record of a request that an aggregator has served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Try {
-    /// Arrival in Unix milliseconds, by its mixer's clock.
+pub struct UsageRecord {
+    /// Arrival in Unix milliseconds, by its aggregator's clock.
     pub at: i64,
+    /// The aggregator, by number.
     pub member: u32,
+    /// Its run.
     pub incarnation: u64,
+    /// The record's number in the run.
     pub sequence: u64,
+    /// The tenant, by number.
     pub tenant: u32,
+    /// The class, by number.
     pub class: u32,
+    /// How it ended.
     pub outcome: Outcome,
+    /// Shards that were asked.
     pub parts: u32,
+    /// Attempts at replicas.
     pub attempts: u32,
+    /// Attempts at replicas of another zone.
     pub crossed: u32,
+    /// The client said that it is a retry.
     pub repeat: bool,
+    /// The client's idempotency key or, where it sent none, the hash of the query.
     pub key: u64,
+    /// The key is the client's.
     pub keyed: bool,
-    /// The class's give-up time in milliseconds.
-    pub window: i64,
-    /// Its mixer died right after: the answer may never have left.
-    pub doubtful: bool,
+    /// The longest that clients of the class wait over all their requests, in milliseconds.
+    pub client_timeout_ms: i64,
+    /// Its aggregator died right after: the answer may never have left.
+    pub reply_uncertain: bool,
 }
 
-/// Names one record for ever, in the order of arrival.
-pub type Id = (i64, u32, u64, u64);
-
-impl Try {
-    pub fn id(&self) -> Id {
-        (self.at, self.member, self.incarnation, self.sequence)
+impl UsageRecord {
+    /// The record's identity.
+    pub fn id(&self) -> RecordId {
+        RecordId {
+            at: self.at,
+            member: self.member,
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+        }
     }
 
-    fn open(&self) -> bool {
-        !self.outcome.answered() || self.doubtful
+    /// Whether a retry without a key may be of this request.
+    fn may_be_retried(&self) -> bool {
+        !self.outcome.is_answered() || self.reply_uncertain
     }
 }
 
-/// One use: its tries, in the order that they were joined.
+/// A first request together with its retries: the unit that is billed.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Use {
-    pub tries: Vec<Try>,
-    /// The best of its tries' outcomes.
+pub struct LogicalRequest {
+    /// Its records, in the order in which they were joined; there is at least one.
+    pub records: Vec<UsageRecord>,
+    /// The best outcome of its records.
     pub outcome: Outcome,
-    /// Of its tries, the retries that had more than one try to join, or none but answered ones:
-    /// another reading would count otherwise.
-    pub ambiguous: Vec<Id>,
+    /// Of its records, the retries that could have joined another record, or answered ones only: a
+    /// different reading would count otherwise.
+    pub ambiguous: Vec<RecordId>,
 }
 
-impl Use {
-    fn new(first: Try, ambiguous: bool) -> Use {
-        let ambiguous = if ambiguous {
-            vec![first.id()]
-        } else {
-            Vec::new()
-        };
-        Use {
-            tries: vec![first],
+impl LogicalRequest {
+    fn new(first: UsageRecord, ambiguous: bool) -> LogicalRequest {
+        LogicalRequest {
+            records: vec![first],
             outcome: first.outcome,
-            ambiguous,
+            ambiguous: ambiguous.then(|| first.id()).into_iter().collect(),
         }
     }
 
-    /// The first try, or the earliest known.
-    pub fn first(&self) -> &Try {
-        &self.tries[0]
+    /// The first request, or the earliest known.
+    pub fn first(&self) -> &UsageRecord {
+        &self.records[0]
     }
 
-    fn last(&self) -> &Try {
-        &self.tries[self.tries.len() - 1]
+    fn last(&self) -> &UsageRecord {
+        &self.records[self.records.len() - 1]
     }
 
-    fn join(&mut self, retry: Try, ambiguous: bool) {
+    fn join(&mut self, retry: UsageRecord, ambiguous: bool) {
         self.outcome = self.outcome.better(retry.outcome);
         if ambiguous {
             self.ambiguous.push(retry.id());
         }
-        self.tries.push(retry);
+        self.records.push(retry);
+    }
+}
+
+/// What records have in common that may belong together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct GroupKey {
+    tenant: u32,
+    class: u32,
+    key: u64,
+    keyed: bool,
+}
+
+impl GroupKey {
+    fn of(record: &UsageRecord) -> GroupKey {
+        GroupKey {
+            tenant: record.tenant,
+            class: record.class,
+            key: record.key,
+            keyed: record.keyed,
+        }
     }
 }
 
-type Group = (u32, u32, u64, bool);
+/// When a logical request can't be joined any more. Sorts by time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Deadline {
+    /// Unix milliseconds.
+    at: i64,
+    /// The request's first record.
+    first: RecordId,
+}
 
-/// Joins tries that come in the order of [`Try::id`], and holds only those that may yet be joined.
+/// Joins records that come in the order of [`UsageRecord::id`], and holds only those that may yet be
+/// joined.
 #[derive(Debug)]
 pub struct Joiner {
+    /// The most that two aggregators' clocks differ, in milliseconds.
     skew: i64,
-    /// Milliseconds after its first try that a use with a client's key may still be joined.
+    /// Milliseconds after its first request within which a retry may arrive.
     horizon: i64,
-    open: HashMap<Group, Vec<Use>>,
-    /// Groups that have a use which can't be joined after this time.
-    due: BTreeMap<(i64, Id), Group>,
-    /// Retries that wait until no earlier try can come any more.
-    retries: VecDeque<Try>,
-    /// Retries that are ambiguous for what came before all that is taken here.
-    hints: BTreeSet<Id>,
+    open: HashMap<GroupKey, Vec<LogicalRequest>>,
+    deadlines: BTreeMap<Deadline, GroupKey>,
+    /// Retries that wait until no earlier record can come any more.
+    retries: VecDeque<UsageRecord>,
+    /// Retries that are ambiguous because of records that came before all that are pushed here.
+    ambiguous_before: BTreeSet<RecordId>,
 }
 
 impl Joiner {
+    /// A joiner with these bounds, in milliseconds.
     pub fn new(skew: i64, horizon: i64) -> Joiner {
-        let (open, due, retries, hints) = Default::default();
         Joiner {
             skew,
             horizon,
-            open,
-            due,
-            retries,
-            hints,
+            open: HashMap::new(),
+            deadlines: BTreeMap::new(),
+            retries: VecDeque::new(),
+            ambiguous_before: BTreeSet::new(),
         }
     }
 
-    /// As [`Joiner::new`], with retries already known to be ambiguous.
-    pub fn with_hints(skew: i64, horizon: i64, hints: BTreeSet<Id>) -> Joiner {
+    /// As [`Joiner::new`], with retries that are already known to be ambiguous.
+    pub fn with_ambiguous(skew: i64, horizon: i64, ambiguous: BTreeSet<RecordId>) -> Joiner {
         Joiner {
-            hints,
+            ambiguous_before: ambiguous,
             ..Joiner::new(skew, horizon)
         }
     }
 
-    fn group(it: &Try) -> Group {
-        (it.tenant, it.class, it.key, it.keyed)
-    }
-
-    /// Milliseconds after the first try within which one may be joined to it.
-    fn window(&self, it: &Try) -> i64 {
-        if it.keyed {
-            self.horizon
+    /// Takes the next record. Logical requests that are complete by now are handed to `done`.
+    pub fn push(&mut self, record: UsageRecord, done: &mut impl FnMut(LogicalRequest)) {
+        self.advance(record.at, done);
+        if record.repeat || record.keyed {
+            self.retries.push_back(record);
         } else {
-            it.window.min(self.horizon)
+            self.open_request(record, false);
         }
     }
 
-    /// Takes the next try. Uses that are over are handed to `done`.
-    pub fn take(&mut self, it: Try, done: &mut impl FnMut(Use)) {
-        self.pass(it.at, done);
-        if it.repeat || it.keyed {
-            self.retries.push_back(it);
-        } else {
-            self.begin(it, false);
-        }
+    /// Hands on all that is left: no more records come.
+    pub fn finish(&mut self, done: &mut impl FnMut(LogicalRequest)) {
+        self.advance(i64::MAX, done);
     }
 
-    /// Nothing more comes.
-    pub fn finish(&mut self, done: &mut impl FnMut(Use)) {
-        self.pass(i64::MAX, done);
+    /// Milliseconds after a first request within which a retry may join it.
+    fn window(&self, record: &UsageRecord) -> i64 {
+        if record.keyed {
+            self.horizon
+        } else {
+            record.client_timeout_ms.min(self.horizon)
+        }
     }
 
-    fn begin(&mut self, first: Try, ambiguous: bool) {
-        let group = Joiner::group(&first);
-        let due = first
-            .at
-            .saturating_add(self.window(&first))
-            .saturating_add(2 * self.skew);
-        self.due.insert((due, first.id()), group);
-        self.open
-            .entry(group)
-            .or_default()
-            .push(Use::new(first, ambiguous));
+    fn open_request(&mut self, first: UsageRecord, ambiguous: bool) {
+        let group = GroupKey::of(&first);
+        let deadline = Deadline {
+            at: first
+                .at
+                .saturating_add(self.window(&first))
+                .saturating_add(2 * self.skew),
+            first: first.id(),
+        };
+        self.deadlines.insert(deadline, group);
+        let requests = self.open.entry(group).or_default();
+        requests.push(LogicalRequest::new(first, ambiguous));
     }
 
-    /// All tries that arrived before `now` are known.
-    fn pass(&mut self, now: i64, done: &mut impl FnMut(Use)) {
+    /// All records that arrived before `now` are known: joins the retries among them that no other
+    /// record can precede any more.
+    fn advance(&mut self, now: i64, done: &mut impl FnMut(LogicalRequest)) {
         while let Some(retry) = self.retries.front().copied() {
             if retry.at.saturating_add(self.skew) >= now {
                 break;
             }
             self.retries.pop_front();
-            self.close(retry.at, done);
-            self.place(retry);
+            self.close_before(retry.at, done);
+            self.join_retry(retry);
         }
-        let waiting = self.retries.front().map_or(now, |retry| retry.at);
-        self.close(waiting, done);
+        let oldest_waiting = self.retries.front().map_or(now, |retry| retry.at);
+        self.close_before(oldest_waiting, done);
     }
 
-    /// Hands on the uses that nothing at or after `now` can join.
-    fn close(&mut self, now: i64, done: &mut impl FnMut(Use)) {
-        while let Some((&(due, id), group)) = self.due.first_key_value() {
-            if due >= now {
+    /// Hands on the logical requests that nothing at or after `now` can join.
+    fn close_before(&mut self, now: i64, done: &mut impl FnMut(LogicalRequest)) {
+        while let Some(entry) = self.deadlines.first_entry() {
+            if entry.key().at >= now {
                 break;
             }
-            let group = *group;
-            self.due.remove(&(due, id));
-            let Some(uses) = self.open.get_mut(&group) else {
+            let (deadline, group) = entry.remove_entry();
+            let Some(requests) = self.open.get_mut(&group) else {
                 continue;
             };
-            if let Some(at) = uses.iter().position(|it| it.first().id() == id) {
-                done(uses.remove(at));
+            let is_due = |request: &LogicalRequest| request.first().id() == deadline.first;
+            if let Some(index) = requests.iter().position(is_due) {
+                done(requests.remove(index));
             }
-            if uses.is_empty() {
+            if requests.is_empty() {
                 self.open.remove(&group);
             }
         }
     }
 
-    fn place(&mut self, retry: Try) {
-        let (skew, window) = (self.skew, self.window(&retry));
-        let group = Joiner::group(&retry);
-        let uses = self.open.entry(group).or_default();
-        let within = |it: &Use| {
-            let first = it.first().at;
-            first >= retry.at.saturating_sub(window + skew)
-                && it.last().at <= retry.at.saturating_add(skew)
+    fn join_retry(&mut self, retry: UsageRecord) {
+        let skew = self.skew;
+        let window = self.window(&retry);
+        let requests = self.open.entry(GroupKey::of(&retry)).or_default();
+        let in_window = |request: &LogicalRequest| {
+            request.first().at >= retry.at.saturating_sub(window + skew)
+                && request.last().at <= retry.at.saturating_add(skew)
         };
         if retry.keyed {
-            // The key names the use: its tries all belong to it, in whatever order they ended.
-            if let Some(it) = uses.iter_mut().find(|it| within(it)) {
-                return it.join(retry, false);
-            }
-            return self.begin(retry, false);
+            // The key identifies the logical request: all its records belong to it, in whatever
+            // order they ended.
+            return match requests.iter_mut().find(|request| in_window(request)) {
+                Some(request) => request.join(retry, false),
+                None => self.open_request(retry, false),
+            };
         }
-        let open: Vec<usize> = (0..uses.len())
-            .filter(|i| within(&uses[*i]) && uses[*i].last().open())
+        let candidates: Vec<usize> = (0..requests.len())
+            .filter(|index| {
+                in_window(&requests[*index]) && requests[*index].last().may_be_retried()
+            })
             .collect();
-        // Those not answered before those in doubt, those before it before those that only seem
-        // after it.
-        let rank = |i: &usize| {
-            let last = uses[*i].last();
-            (last.outcome.answered(), last.at > retry.at, last.id())
+        // Records that were not answered come before uncertain ones, and those before the retry
+        // before those that only seem to be after it.
+        let rank = |index: &usize| {
+            let last = requests[*index].last();
+            (last.outcome.is_answered(), last.at > retry.at, last.id())
         };
-        let hinted = self.hints.contains(&retry.id());
-        match open.iter().copied().min_by_key(rank) {
-            Some(best) => uses[best].join(retry, hinted || open.len() > 1),
+        let best = candidates.iter().copied().min_by_key(rank);
+        let known_ambiguous = self.ambiguous_before.contains(&retry.id());
+        match best {
+            Some(best) => requests[best].join(retry, known_ambiguous || candidates.len() > 1),
             None => {
-                let answered = uses.iter().any(within);
-                self.begin(retry, hinted || answered);
+                let answered = requests.iter().any(in_window);
+                self.open_request(retry, known_ambiguous || answered);
             }
         }
     }
--- a/crates/usage-ledger/src/lib.rs
+++ b/crates/usage-ledger/src/lib.rs
@@ -1,11 +1,13 @@
-//! Use by tenant: what each mixer's log holds, how it is collected, joined, settled, corrected and
-//! exported.
+//! The usage ledger: what each aggregator logs of the requests it served, and how that is collected,
+//! joined, settled, corrected and exported.
 //!
 //! [`join`], [`rate`], [`settle`] and [`period`] are pure: no I/O and no clock. The rest moves
-//! bytes: [`log`] and [`writer`] at the mixer, [`collect`] between mixer and settlement, [`store`],
-//! [`settlement`] and [`export`] at the settlement.
+//! bytes: [`log`] and [`writer`] at the aggregator, [`collect`] between aggregator and settlement,
+//! [`store`], [`settlement`] and [`export`] at the settlement. A [`statement`] is what a closed
+//! period came to, a [`document`] what one tenant is sent of it.
 
 pub mod collect;
+pub mod document;
 pub mod export;
 pub mod join;
 pub mod log;
@@ -15,10 +17,11 @@
 pub mod settings;
 pub mod settle;
 pub mod settlement;
+pub mod statement;
 pub mod store;
 pub mod writer;
 
-/// What crosses process boundaries, as `proto/usage.proto` states it.
+/// What crosses process boundaries, as `proto/usage.proto` defines it.
 pub mod wire {
     #![allow(missing_docs)]
     tonic::include_proto!("cottonhill.usage.v1");
--- a/crates/usage-ledger/src/period.rs
+++ b/crates/usage-ledger/src/period.rs
@@ -1,16 +1,21 @@
-//! Billing periods: half-open spans of UTC, whatever calendar they follow. No clock is read here.
+//! Billing periods: half-open spans of UTC, whatever calendar they follow.
+//!
+//! Pure: no clock is read here.
 
 use jiff::tz::TimeZone;
-use jiff::{Timestamp, ToSpan, Unit, ZonedRound};
+use jiff::{RoundMode, Timestamp, ToSpan, Unit, Zoned, ZonedRound};
 
-/// One period, in Unix milliseconds: from `start`, up to and without `end`.
+/// One period, in Unix milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Period {
+    /// Its first millisecond.
     pub start: i64,
+    /// The first millisecond after it.
     pub end: i64,
 }
 
 impl Period {
+    /// Whether a time in Unix milliseconds belongs to it.
     pub fn holds(&self, at: i64) -> bool {
         (self.start..self.end).contains(&at)
     }
@@ -26,12 +31,14 @@
     Timestamp::from_millisecond(ms).map_or_else(|_| ms.to_string(), |at| format!("{at:.3}"))
 }
 
+/// The length of a period.
 #[derive(Clone, Debug)]
 pub enum Every {
     /// As many milliseconds, counted from the start of 1970.
     Ms(i64),
-    /// A civil day or month: 23 or 25 hours long where the clocks change.
+    /// A civil day: 23 or 25 hours long where the clocks change.
     Day(TimeZone),
+    /// A civil month.
     Month(TimeZone),
 }
 
@@ -50,8 +57,8 @@
                     end: start + length,
                 }
             }
-            Every::Day(zone) => self.civil(ms, zone, false).unwrap_or(FOREVER),
-            Every::Month(zone) => self.civil(ms, zone, true).unwrap_or(FOREVER),
+            Every::Day(zone) => civil_period(ms, zone, civil_day).unwrap_or(UNBOUNDED),
+            Every::Month(zone) => civil_period(ms, zone, civil_month).unwrap_or(UNBOUNDED),
         }
     }
 
@@ -59,39 +66,43 @@
     pub fn after(&self, period: Period) -> Period {
         self.at(period.end)
     }
-
-    fn civil(&self, ms: i64, zone: &TimeZone, month: bool) -> Option<Period> {
-        let at = Timestamp::from_millisecond(ms).ok()?.to_zoned(zone.clone());
-        let day = at
-            .round(
-                ZonedRound::new()
-                    .smallest(Unit::Day)
-                    .mode(jiff::RoundMode::Floor),
-            )
-            .ok()?;
-        // Rounding takes the day's own first instant, also where midnight does not exist.
-        let (start, end) = if month {
-            let first = at.first_of_month().ok()?;
-            let first = first.start_of_day().ok()?;
-            (
-                first.clone(),
-                first.checked_add(1.month()).ok()?.start_of_day().ok()?,
-            )
-        } else {
-            (
-                day.clone(),
-                day.checked_add(1.day()).ok()?.start_of_day().ok()?,
-            )
-        };
-        Some(Period {
-            start: start.timestamp().as_millisecond(),
-            end: end.timestamp().as_millisecond(),
-        })
-    }
 }
 
-/// Where time is past what a calendar knows.
-const FOREVER: Period = Period {
+/// The period where a time is outside of what a calendar can compute.
+const UNBOUNDED: Period = Period {
     start: i64::MIN,
     end: i64::MAX,
 };
+
+/// The first instants of a civil span and of the one after it.
+struct CivilSpan {
+    start: Zoned,
+    next: Zoned,
+}
+
+fn civil_period(
+    ms: i64,
+    zone: &TimeZone,
+    span: fn(Zoned) -> Result<CivilSpan, jiff::Error>,
+) -> Option<Period> {
+    let at = Timestamp::from_millisecond(ms).ok()?;
+    let span = span(at.to_zoned(zone.clone())).ok()?;
+    Some(Period {
+        start: span.start.timestamp().as_millisecond(),
+        end: span.next.timestamp().as_millisecond(),
+    })
+}
+
+fn civil_day(at: Zoned) -> Result<CivilSpan, jiff::Error> {
+    // Rounding takes the day's own first instant, also where midnight does not exist.
+    let floor = ZonedRound::new().smallest(Unit::Day).mode(RoundMode::Floor);
+    let start = at.round(floor)?;
+    let next = start.checked_add(1.day())?.start_of_day()?;
+    Ok(CivilSpan { start, next })
+}
+
+fn civil_month(at: Zoned) -> Result<CivilSpan, jiff::Error> {
+    let start = at.first_of_month()?.start_of_day()?;
+    let next = start.checked_add(1.month())?.start_of_day()?;
+    Ok(CivilSpan { start, next })
+}
--- a/crates/usage-ledger/src/rate.rs
+++ b/crates/usage-ledger/src/rate.rs
@@ -1,89 +1,58 @@
-//! What uses cost. Pure, in whole micro-units.
+//! What usage costs, in whole micro-units.
 //!
-//! A line counts the uses of one tenant and class in one period. Whole answers cost their price
+//! A line counts the usage of one tenant and class in one period. Complete answers cost their price
 //! each; partial ones cost their price times the sum of their shares, rounded **once a line**, half
-//! a micro-unit up. Refused and failed uses and those whose client left are free, and counted.
+//! a micro-unit up. Rejected, failed and cancelled requests are free, and counted.
+//!
+//! Pure: no I/O and no clock.
 
-use crate::join::{Outcome, Use};
+use crate::join::{LogicalRequest, Outcome};
 use crate::settings::Price;
 use serde::{Deserialize, Serialize};
 use std::ops::{AddAssign, Sub};
 
-/// What a line counts. All of it adds up, so the difference of two counts is one, too.
+/// What a line counts.
+///
+/// Every count adds up, so the difference of two counts is one, too. The serialized names are part
+/// of the format of statements.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Counts {
+    /// Logical requests, whatever became of them.
     pub uses: i64,
-    pub whole: i64,
+    /// Answered completely.
+    #[serde(rename = "whole")]
+    pub complete: i64,
+    /// Answered in part.
     pub partial: i64,
-    /// Of the partial answers together, in millionths.
+    /// The shares of all partial answers together, in millionths.
     pub share: i64,
-    pub refused: i64,
+    /// Rejected.
+    #[serde(rename = "refused")]
+    pub rejected: i64,
+    /// Failed.
     pub failed: i64,
-    pub left: i64,
-    /// Records, first tries and retries.
+    /// Cancelled by the client.
+    #[serde(rename = "left")]
+    pub cancelled: i64,
+    /// Records: first requests and retries.
     pub tries: i64,
+    /// Shards that were asked.
     pub parts: i64,
+    /// Attempts at replicas.
     pub attempts: i64,
-    /// Attempts to another zone.
-    pub crossed: i64,
-    /// Uses with a join that might have been another.
+    /// Attempts at replicas of another zone.
+    #[serde(rename = "crossed")]
+    pub cross_zone_attempts: i64,
+    /// Logical requests whose records might have been joined in another way.
     pub ambiguous: i64,
 }
 
-impl Counts {
-    pub fn add(&mut self, it: &Use) {
-        self.uses += 1;
-        match it.outcome {
-            Outcome::Whole => self.whole += 1,
-            Outcome::Partial(share) => {
-                self.partial += 1;
-                self.share += i64::from(share);
-            }
-            Outcome::Refused => self.refused += 1,
-            Outcome::Failed => self.failed += 1,
-            Outcome::Left => self.left += 1,
-        }
-        self.tries += it.tries.len() as i64;
-        for one in &it.tries {
-            self.parts += i64::from(one.parts);
-            self.attempts += i64::from(one.attempts);
-            self.crossed += i64::from(one.crossed);
-        }
-        self.ambiguous += i64::from(!it.ambiguous.is_empty());
-    }
-
-    /// Uses that were answered.
-    pub fn answered(&self) -> i64 {
-        self.whole + self.partial
-    }
-
-    pub fn is_zero(&self) -> bool {
-        *self == Counts::default()
-    }
+/// How many numbers [`Counts`] has.
+const COUNT_FIELDS: usize = 12;
 
-    /// In the order of [`Counts::NAMES`].
-    pub fn values(&self) -> [i64; 12] {
-        let Counts {
-            uses,
-            whole,
-            partial,
-            share,
-            refused,
-            failed,
-            left,
-            tries,
-            parts,
-            attempts,
-            crossed,
-            ambiguous,
-        } = *self;
-        [
-            uses, whole, partial, share, refused, failed, left, tries, parts, attempts, crossed,
-            ambiguous,
-        ]
-    }
-
-    pub const NAMES: [&'static str; 12] = [
+impl Counts {
+    /// The names of the numbers, as in the columns of a statement.
+    pub const NAMES: [&'static str; COUNT_FIELDS] = [
         "uses",
         "whole",
         "partial",
@@ -98,62 +67,106 @@
         "ambiguous",
     ];
 
-    pub fn from_values(values: [i64; 12]) -> Counts {
-        let [uses, whole, partial, share, refused, failed, left, tries, parts, attempts, crossed, ambiguous] =
-            values;
-        Counts {
-            uses,
-            whole,
-            partial,
-            share,
-            refused,
-            failed,
-            left,
-            tries,
-            parts,
-            attempts,
-            crossed,
-            ambiguous,
+    /// The numbers, in the order of [`Counts::NAMES`].
+    fn slots(&mut self) -> [&mut i64; COUNT_FIELDS] {
+        [
+            &mut self.uses,
+            &mut self.complete,
+            &mut self.partial,
+            &mut self.share,
+            &mut self.rejected,
+            &mut self.failed,
+            &mut self.cancelled,
+            &mut self.tries,
+            &mut self.parts,
+            &mut self.attempts,
+            &mut self.cross_zone_attempts,
+            &mut self.ambiguous,
+        ]
+    }
+
+    /// The values, in the order of [`Counts::NAMES`].
+    pub fn values(mut self) -> [i64; COUNT_FIELDS] {
+        self.slots().map(|slot| *slot)
+    }
+
+    /// The counts of these values, in the order of [`Counts::NAMES`].
+    pub fn from_values(values: [i64; COUNT_FIELDS]) -> Counts {
+        let mut counts = Counts::default();
+        for (slot, value) in counts.slots().into_iter().zip(values) {
+            *slot = value;
+        }
+        counts
+    }
+
+    /// Counts one logical request.
+    pub fn add(&mut self, request: &LogicalRequest) {
+        self.uses += 1;
+        match request.outcome {
+            Outcome::Complete => self.complete += 1,
+            Outcome::Partial(share) => {
+                self.partial += 1;
+                self.share += i64::from(share);
+            }
+            Outcome::Rejected => self.rejected += 1,
+            Outcome::Failed => self.failed += 1,
+            Outcome::Cancelled => self.cancelled += 1,
+        }
+        self.tries += request.records.len() as i64;
+        for record in &request.records {
+            self.parts += i64::from(record.parts);
+            self.attempts += i64::from(record.attempts);
+            self.cross_zone_attempts += i64::from(record.crossed);
         }
+        self.ambiguous += i64::from(!request.ambiguous.is_empty());
+    }
+
+    /// Logical requests that were answered.
+    pub fn answered(&self) -> i64 {
+        self.complete + self.partial
+    }
+
+    /// Whether nothing was counted.
+    pub fn is_zero(&self) -> bool {
+        *self == Counts::default()
     }
 }
 
 impl AddAssign for Counts {
     fn add_assign(&mut self, other: Counts) {
-        let mut sum = self.values();
-        sum.iter_mut()
-            .zip(other.values())
-            .for_each(|(a, b)| *a += b);
-        *self = Counts::from_values(sum);
+        for (slot, value) in self.slots().into_iter().zip(other.values()) {
+            *slot += value;
+        }
     }
 }
 
 impl Sub for Counts {
     type Output = Counts;
 
-    fn sub(self, other: Counts) -> Counts {
-        let mut difference = self.values();
-        difference
-            .iter_mut()
-            .zip(other.values())
-            .for_each(|(a, b)| *a -= b);
-        Counts::from_values(difference)
+    fn sub(mut self, other: Counts) -> Counts {
+        for (slot, value) in self.slots().into_iter().zip(other.values()) {
+            *slot -= value;
+        }
+        self
     }
 }
 
-const MILLION: i128 = 1_000_000;
+/// A complete answer's share, in the unit of shares.
+const MILLIONTHS: i128 = 1_000_000;
 
 /// The amount of a line in micro-units.
 pub fn amount(counts: &Counts, price: Price) -> i64 {
-    let whole = i128::from(counts.whole) * i128::from(price.whole);
+    let complete = i128::from(counts.complete) * i128::from(price.whole);
     let shares = i128::from(counts.share) * i128::from(price.partial);
-    let partial = shares.saturating_add(MILLION / 2).div_euclid(MILLION);
-    i64::try_from(whole.saturating_add(partial)).unwrap_or(i64::MAX)
+    let partial = shares.saturating_add(MILLIONTHS / 2).div_euclid(MILLIONTHS);
+    i64::try_from(complete.saturating_add(partial)).unwrap_or(i64::MAX)
 }
 
-/// Answered uses past a tenant's allowance.
-pub fn over(answered: i64, allowance: Option<u64>) -> i64 {
-    allowance.map_or(0, |allowance| {
-        (answered - i64::try_from(allowance).unwrap_or(i64::MAX)).max(0)
-    })
+/// Answered requests past a tenant's allowance.
+pub fn over_allowance(answered: i64, allowance: Option<u64>) -> i64 {
+    let Some(allowance) = allowance else {
+        return 0;
+    };
+    let allowance = i64::try_from(allowance).unwrap_or(i64::MAX);
+    (answered - allowance).max(0)
 }
--- a/crates/usage-ledger/src/reconcile.rs
+++ b/crates/usage-ledger/src/reconcile.rs
@@ -1,83 +1,120 @@
-//! Sets the ledger beside what others counted: the clients' own records of their uses, and the
-//! mixers' counters.
+//! Reconciles the ledger with the clients' own records of their requests.
 
-use crate::join::{Joiner, Outcome, Use};
+use crate::join::{Joiner, LogicalRequest, Outcome};
 use crate::period::{stamp, Calendar};
 use crate::settle::Bounds;
 use crate::store::{Error, Store};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
-/// One use as a client recorded it: a row of its file.
+/// One logical request as a client recorded it: a row of its file.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ClientUse {
-    /// When the first try was sent, in Unix milliseconds.
+    /// When the first request was sent, in Unix milliseconds.
     pub at_ms: i64,
+    /// The tenant's name.
     pub tenant: String,
+    /// The class's name.
     pub class: String,
     /// `whole`, `partial`, or anything else for what was not answered.
     pub outcome: String,
+    /// How many requests the client made, with retries.
     pub tries: u32,
-    /// The key that joins its tries, in hexadecimal.
+    /// The key that joins its requests, in hexadecimal.
     pub key: String,
 }
 
-/// What stands on one side only, or differently on both.
+/// What only one side has, or what differs.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Difference {
+    /// The kind of difference, for people to read.
     pub what: &'static str,
+    /// The tenant's name.
     pub tenant: String,
+    /// The class's name.
     pub class: String,
+    /// Arrival of the first request, or when the client sent it.
     pub at: String,
+    /// The key, in hexadecimal.
     pub key: String,
+    /// The ledger's outcome; empty if it has none.
     pub ledger: String,
+    /// The client's outcome; empty if it has none.
     pub client: String,
 }
 
-/// Uses of one tenant and class in one period, on both sides.
+/// Logical requests of one tenant and class in one period, on both sides.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Pair {
+    /// All that the ledger has.
     pub ledger: u64,
+    /// All that the clients have.
     pub client: u64,
+    /// Those answered, by the ledger.
     pub ledger_answered: u64,
+    /// Those answered, by the clients.
     pub client_answered: u64,
 }
 
+impl Pair {
+    fn is_equal(&self) -> bool {
+        self.ledger == self.client && self.ledger_answered == self.client_answered
+    }
+}
+
+/// The result of a reconciliation.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Reconciled {
     /// By period, tenant and class.
     pub totals: BTreeMap<(String, String, String), Pair>,
+    /// All differences between single requests.
     pub differences: Vec<Difference>,
 }
 
 impl Reconciled {
-    /// Totals that differ.
+    /// How many totals differ.
     pub fn unequal(&self) -> usize {
-        let differ = |pair: &&Pair| {
-            pair.ledger != pair.client || pair.ledger_answered != pair.client_answered
-        };
-        self.totals.values().filter(differ).count()
+        self.totals.values().filter(|pair| !pair.is_equal()).count()
     }
 }
 
-fn word(outcome: Outcome) -> &'static str {
+/// The outcome as the clients' files and the export formats name it.
+fn outcome_name(outcome: Outcome) -> &'static str {
     match outcome {
-        Outcome::Whole => "whole",
+        Outcome::Complete => "whole",
         Outcome::Partial(_) => "partial",
-        Outcome::Refused => "refused",
+        Outcome::Rejected => "refused",
         Outcome::Failed => "failed",
-        Outcome::Left => "left",
+        Outcome::Cancelled => "left",
     }
 }
 
-fn answered(outcome: &str) -> bool {
+fn is_answered(outcome: &str) -> bool {
     outcome == "whole" || outcome == "partial"
 }
 
-/// Joins all records that arrived in `from..until` and sets the uses beside the clients' ones, one
-/// by one.
+/// What both sides know of a logical request.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct RequestKey {
+    tenant: String,
+    class: String,
+    /// In hexadecimal.
+    key: String,
+}
+
+/// A reconciliation under way.
+struct Reconciliation<'a> {
+    calendar: &'a Calendar,
+    reconciled: Reconciled,
+    /// Requests of the ledger that no client's request has been matched with, oldest first.
+    unmatched: BTreeMap<RequestKey, VecDeque<LogicalRequest>>,
+}
+
+/// Joins all records that arrived in `from..until`, in Unix milliseconds, and compares the logical
+/// requests with the clients' ones, one by one.
 ///
-/// # Errors The store can't be read.
+/// # Errors
+/// The store can't be read.
 pub fn with_clients(
     store: &Store,
     calendar: &Calendar,
@@ -85,84 +122,108 @@
     (from, until): (i64, i64),
     clients: &[ClientUse],
 ) -> Result<Reconciled, Error> {
+    let mut reconciliation = Reconciliation {
+        calendar,
+        reconciled: Reconciled::default(),
+        unmatched: BTreeMap::new(),
+    };
     let names = store.names()?;
     let name = |id: u32| names.get(&id).cloned().unwrap_or_default();
-    let mut reconciled = Reconciled::default();
-    let mut ours: BTreeMap<(String, String, String), VecDeque<Use>> = BTreeMap::new();
-    let mut joiner = Joiner::new(bounds.skew, bounds.horizon);
-    let mut put = |it: Use| {
-        let first = it.first();
-        let (tenant, class) = (name(first.tenant), name(first.class));
-        let period = calendar.at(first.at).name();
-        let pair = reconciled
-            .totals
-            .entry((period, tenant.clone(), class.clone()))
-            .or_default();
-        pair.ledger += 1;
-        pair.ledger_answered += u64::from(answered(word(it.outcome)));
-        ours.entry((tenant, class, format!("{:016x}", first.key)))
-            .or_default()
-            .push_back(it);
+    let mut add = |request: LogicalRequest| {
+        let first = request.first();
+        let key = RequestKey {
+            tenant: name(first.tenant),
+            class: name(first.class),
+            key: format!("{:016x}", first.key),
+        };
+        reconciliation.add_ledger_request(key, request);
     };
-    for one in store.tries(from, until)? {
-        joiner.take(one, &mut put);
+    let mut joiner = Joiner::new(bounds.skew, bounds.horizon);
+    for record in store.records(from, until)? {
+        joiner.push(record, &mut add);
     }
-    joiner.finish(&mut put);
-    ours.values_mut()
-        .for_each(|uses| uses.make_contiguous().sort_by_key(|it| it.first().id()));
+    joiner.finish(&mut add);
+    let clients = clients.iter();
     let mut clients: Vec<&ClientUse> = clients
-        .iter()
-        .filter(|it| (from..until).contains(&it.at_ms))
+        .filter(|client| (from..until).contains(&client.at_ms))
         .collect();
-    clients.sort_by_key(|it| it.at_ms);
-    for client in clients {
-        let period = calendar.at(client.at_ms).name();
-        let (tenant, class) = (client.tenant.clone(), client.class.clone());
-        let pair = reconciled
-            .totals
-            .entry((period, tenant.clone(), class.clone()))
-            .or_default();
-        pair.client += 1;
-        pair.client_answered += u64::from(answered(&client.outcome));
-        let key = (tenant, class, client.key.clone());
-        let ledger = ours.get_mut(&key).and_then(VecDeque::pop_front);
-        let what = match &ledger {
-            None => "only the client has it",
-            Some(it) if answered(word(it.outcome)) != answered(&client.outcome) => {
-                "ended otherwise"
-            }
-            Some(it) if answered(&client.outcome) && word(it.outcome) != client.outcome => {
-                "ended otherwise"
+    clients.sort_by_key(|client| client.at_ms);
+    Ok(reconciliation.match_clients(&clients))
+}
+
+impl Reconciliation<'_> {
+    fn total(&mut self, at: i64, key: &RequestKey) -> &mut Pair {
+        let period = self.calendar.at(at).name();
+        let total = (period, key.tenant.clone(), key.class.clone());
+        self.reconciled.totals.entry(total).or_default()
+    }
+
+    fn add_ledger_request(&mut self, key: RequestKey, request: LogicalRequest) {
+        let total = self.total(request.first().at, &key);
+        total.ledger += 1;
+        total.ledger_answered += u64::from(is_answered(outcome_name(request.outcome)));
+        self.unmatched.entry(key).or_default().push_back(request);
+    }
+
+    fn match_clients(mut self, clients: &[&ClientUse]) -> Reconciled {
+        for requests in self.unmatched.values_mut() {
+            let requests = requests.make_contiguous();
+            requests.sort_by_key(|request| request.first().id());
+        }
+        for client in clients {
+            self.match_client(client);
+        }
+        for (key, requests) in std::mem::take(&mut self.unmatched) {
+            for request in requests {
+                self.add_difference(
+                    "only the ledger has it",
+                    &key,
+                    request.first().at,
+                    Some(outcome_name(request.outcome)),
+                    None,
+                );
             }
-            Some(_) => continue,
+        }
+        self.reconciled
+    }
+
+    fn match_client(&mut self, client: &ClientUse) {
+        let key = RequestKey {
+            tenant: client.tenant.clone(),
+            class: client.class.clone(),
+            key: client.key.clone(),
+        };
+        let answered = is_answered(&client.outcome);
+        let total = self.total(client.at_ms, &key);
+        total.client += 1;
+        total.client_answered += u64::from(answered);
+        let request = self.unmatched.get_mut(&key).and_then(VecDeque::pop_front);
+        let ledger = request.map(|request| outcome_name(request.outcome));
+        let what = match ledger {
+            None => "only the client has it",
+            Some(ledger) if is_answered(ledger) != answered => "ended otherwise",
+            Some(ledger) if answered && ledger != client.outcome => "ended otherwise",
+            Some(_) => return,
         };
-        reconciled.differences.push(Difference {
+        self.add_difference(what, &key, client.at_ms, ledger, Some(&client.outcome));
+    }
+
+    fn add_difference(
+        &mut self,
+        what: &'static str,
+        key: &RequestKey,
+        at: i64,
+        ledger: Option<&str>,
+        client: Option<&str>,
+    ) {
+        self.reconciled.differences.push(Difference {
             what,
-            tenant: key.0,
-            class: key.1,
-            at: stamp(client.at_ms),
-            key: key.2,
-            ledger: ledger
-                .map(|it| word(it.outcome).to_string())
-                .unwrap_or_default(),
-            client: client.outcome.clone(),
+            tenant: key.tenant.clone(),
+            class: key.class.clone(),
+            at: stamp(at),
+            key: key.key.clone(),
+            ledger: ledger.unwrap_or_default().to_string(),
+            client: client.unwrap_or_default().to_string(),
         });
     }
-    for ((tenant, class, key), uses) in ours {
-        for it in uses {
-            let (at, ledger) = (stamp(it.first().at), word(it.outcome).to_string());
-            let (tenant, class, key) = (tenant.clone(), class.clone(), key.clone());
-            let what = "only the ledger has it";
-            reconciled.differences.push(Difference {
-                what,
-                tenant,
-                class,
-                at,
-                key,
-                ledger,
-                client: String::new(),
-            });
-        }
-    }
-    Ok(reconciled)
 }
--- /dev/null
+++ b/crates/usage-ledger/src/settings/mod.rs
@@ -0,0 +1,9 @@
+//! The ledger's settings: its sections of the settings file, and their typed values.
+
+mod ledger;
+mod schema;
+mod usage_log;
+
+pub use ledger::{ExportTarget, Ledger, Member, Price};
+pub use schema::{EXPORT, MEMBER, PERIODS, PRICE, SETTLEMENT, TENANT, USAGE};
+pub use usage_log::UsageLog;
--- /dev/null
+++ b/crates/usage-ledger/src/settings/usage_log.rs
@@ -0,0 +1,83 @@
+//! Settings of an aggregator's usage log.
+
+use super::USAGE;
+use ini_config::{Problems, Schema, Settings};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// The smallest valid segment, in bytes.
+const MIN_SEGMENT_BYTES: u64 = 4096;
+/// The shortest valid interval between two marks.
+const MIN_MARK_INTERVAL: Duration = Duration::from_millis(10);
+
+// What holds where the schema has no such key; the same as its defaults.
+const DEFAULT_SEGMENT_BYTES: u64 = 8 << 20;
+const DEFAULT_KEEP_BYTES: u64 = 1 << 30;
+const DEFAULT_QUEUE_ENTRIES: u64 = 8192;
+const DEFAULT_STALL: Duration = Duration::from_millis(5);
+const DEFAULT_MARK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The usage log of one aggregator.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UsageLog {
+    /// Where the log is.
+    pub directory: PathBuf,
+    /// Size at which a segment is closed.
+    pub segment_bytes: u64,
+    /// The most that the log may take.
+    pub keep_bytes: u64,
+    /// Entries that may wait for the writer.
+    pub queue: usize,
+    /// How long an answer waits for its record.
+    pub stall: Duration,
+    /// Interval at which the log says up to when it is complete.
+    pub mark: Duration,
+    /// Where the log is offered for collection; `None` if it is not.
+    pub listen: Option<SocketAddr>,
+}
+
+impl UsageLog {
+    /// Reads the settings; `None` if no log is kept.
+    ///
+    /// # Errors
+    /// Values that contradict each other.
+    pub fn read(settings: &Settings, schema: &Schema) -> Result<Option<UsageLog>, Problems> {
+        let values = settings.of(schema, USAGE.name, "");
+        let listen = values.address("listen");
+        let problem = |key: &str, reason: &str| settings.problem(USAGE.name, "", key, reason);
+        let Some(directory) = values.text("directory").map(PathBuf::from) else {
+            return match listen {
+                Some(_) => Err(problem(
+                    "listen",
+                    "there is no log to collect without 'directory'",
+                )),
+                None => Ok(None),
+            };
+        };
+        let segment_bytes = values.bytes("segment").unwrap_or(DEFAULT_SEGMENT_BYTES);
+        if segment_bytes < MIN_SEGMENT_BYTES {
+            return Err(problem("segment", "has to be 4KiB at least"));
+        }
+        let keep_bytes = values.bytes("keep").unwrap_or(DEFAULT_KEEP_BYTES);
+        if keep_bytes < 2 * segment_bytes {
+            return Err(problem(
+                "keep",
+                "has to be twice 'segment' at least, or no segment could ever be closed",
+            ));
+        }
+        let mark = values.time("mark").unwrap_or(DEFAULT_MARK_INTERVAL);
+        if mark < MIN_MARK_INTERVAL {
+            return Err(problem("mark", "has to be 10ms at least"));
+        }
+        Ok(Some(UsageLog {
+            directory,
+            segment_bytes,
+            keep_bytes,
+            queue: values.count("queue").unwrap_or(DEFAULT_QUEUE_ENTRIES) as usize,
+            stall: values.time("stall").unwrap_or(DEFAULT_STALL),
+            mark,
+            listen,
+        }))
+    }
+}
--- a/crates/usage-ledger/src/settle.rs
+++ b/crates/usage-ledger/src/settle.rs
@@ -1,181 +1,206 @@
-//! Settling periods. Pure: when one may close, what its uses are, and what late records change.
+//! Settling periods: when one may close, what it counts, and what late records change.
+//!
+//! Pure: no I/O and no clock.
 
-use crate::join::{Id, Joiner, Try, Use};
+use crate::join::{Joiner, LogicalRequest, RecordId, UsageRecord};
 use crate::period::Period;
 use crate::rate::Counts;
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Range;
 
 /// Times in milliseconds that joining goes by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
-    /// The longest after a first try that a retry may arrive.
+    /// The longest after a first request that a retry may arrive.
     pub horizon: i64,
-    /// The most that two mixers' clocks differ.
+    /// The most that two aggregators' clocks differ.
     pub skew: i64,
 }
 
 impl Bounds {
-    /// The arrivals that settling a period has to see: from, and up to without.
-    pub fn seen(&self, period: Period) -> (i64, i64) {
-        (
-            period.start.saturating_sub(self.skew),
-            period.end.saturating_add(self.after()),
-        )
+    /// The arrivals that settling a period has to read, in Unix milliseconds.
+    pub fn arrivals(&self, period: Period) -> Range<i64> {
+        let from = period.start.saturating_sub(self.skew);
+        let until = period.end.saturating_add(self.lookahead());
+        from..until
     }
 
-    /// How far past its end settling a period sees, in milliseconds.
-    pub fn after(&self) -> i64 {
+    /// How far past its end settling a period reads, in milliseconds.
+    pub fn lookahead(&self) -> i64 {
         self.horizon.saturating_add(3 * self.skew).saturating_add(1)
     }
 }
 
-/// Up to when a member's records are known.
+/// Up to when an aggregator's records are known.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Known {
+pub struct MemberProgress {
+    /// The aggregator's name.
     pub member: String,
-    /// Complete before this time, in Unix milliseconds; none if it was never heard of.
+    /// Its records are complete before this time, in Unix milliseconds; `None` if it was never heard
+    /// of.
     pub complete: Option<i64>,
 }
 
 /// Whether a period may close.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Closing {
-    /// Not before these are complete, or the grace is over.
-    Waits(Vec<String>),
-    /// All that arrived is there.
-    Whole,
-    /// The grace is over; these are missing.
-    Without(Vec<String>),
+pub enum ClosingDecision {
+    /// Not before these members are complete, or the grace period is over.
+    Wait(Vec<String>),
+    /// All records are known.
+    Complete,
+    /// The grace period is over; the records of these members are missing.
+    Incomplete(Vec<String>),
 }
 
-/// Whether `period` may close at `now`, given the members that took part in it.
-pub fn closing(period: Period, bounds: Bounds, grace: i64, now: i64, members: &[Known]) -> Closing {
-    let (_, until) = bounds.seen(period);
-    let behind = |known: &&Known| known.complete.is_none_or(|complete| complete < until);
+/// Whether `period` may close at `now`, given the members that took part in it. All times are Unix
+/// milliseconds, `grace` is in milliseconds.
+pub fn decide_closing(
+    period: Period,
+    bounds: Bounds,
+    grace: i64,
+    now: i64,
+    members: &[MemberProgress],
+) -> ClosingDecision {
+    let until = bounds.arrivals(period).end;
     let missing: Vec<String> = members
         .iter()
-        .filter(behind)
-        .map(|known| known.member.clone())
+        .filter(|member| member.complete.is_none_or(|complete| complete < until))
+        .map(|member| member.member.clone())
         .collect();
     if now < until {
-        // A mixer whose clock is ahead must not close a period for those that have yet to serve in
+        // A member whose clock is ahead must not close a period for those that have yet to serve in
         // it.
-        Closing::Waits(missing)
+        ClosingDecision::Wait(missing)
     } else if missing.is_empty() {
-        Closing::Whole
+        ClosingDecision::Complete
     } else if now >= until.saturating_add(grace) {
-        Closing::Without(missing)
+        ClosingDecision::Incomplete(missing)
     } else {
-        Closing::Waits(missing)
+        ClosingDecision::Wait(missing)
     }
 }
 
-/// Lines by tenant and class.
-pub type Lines = BTreeMap<(u32, u32), Counts>;
+/// What a line counts: the usage of one tenant in one class.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LineKey {
+    /// The tenant, by number.
+    pub tenant: u32,
+    /// The class, by number.
+    pub class: u32,
+}
+
+/// The lines of a period.
+pub type Lines = BTreeMap<LineKey, Counts>;
 
-/// What one period's settling tells the next one's.
+/// What settling one period tells the settling of the next.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Over {
-    /// Tries near or past the period's end that belong to its uses, and to none of the next one's.
-    pub carried: BTreeSet<Id>,
-    /// Retries of later uses that might have been joined to uses of this period.
-    pub hints: BTreeSet<Id>,
+pub struct CarryOver {
+    /// Records near or past the period's end that belong to its logical requests, and to none of the
+    /// next period's.
+    pub carried: BTreeSet<RecordId>,
+    /// Retries of later requests that could have joined a request of this period.
+    pub ambiguous_retries: BTreeSet<RecordId>,
 }
 
 /// What a period comes to.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Settled {
+pub struct SettledPeriod {
+    /// Its counts.
     pub lines: Lines,
-    pub over: Over,
-    /// First tries of uses with an ambiguous join.
-    pub ambiguous: Vec<Id>,
+    /// What the next period has to know.
+    pub carry_over: CarryOver,
+    /// First records of logical requests with an ambiguous join.
+    pub ambiguous: Vec<RecordId>,
 }
 
-/// Settles one period. Takes the tries that [`Bounds::seen`] asks for, in the order of [`Try::id`],
-/// and passes over those that the period before has carried over.
-pub struct Settling {
-    period: Period,
-    /// From where on a try may be the next period's, and up to where a retry may be this one's.
-    edge: (i64, i64),
-    carried: BTreeSet<Id>,
+/// Settles one period.
+///
+/// Takes the records that [`Bounds::arrivals`] asks for, in the order of [`UsageRecord::id`], and
+/// ignores those that the period before has carried over.
+pub struct PeriodSettler {
+    carried_in: BTreeSet<RecordId>,
     joiner: Joiner,
-    settled: Settled,
+    count: PeriodCount,
+}
+
+/// Counts the logical requests of one period.
+struct PeriodCount {
+    period: Period,
+    /// From here on, in Unix milliseconds, a record may also be read for the next period.
+    carry_from: i64,
+    /// Up to here, in Unix milliseconds, a retry may be of a request of this period.
+    retry_until: i64,
+    settled: SettledPeriod,
 }
 
-impl Settling {
-    pub fn new(period: Period, bounds: Bounds, before: Over) -> Settling {
-        let near = period.end.saturating_sub(bounds.skew);
-        let far = period
-            .end
-            .saturating_add(bounds.horizon)
-            .saturating_add(bounds.skew);
-        let joiner = Joiner::with_hints(bounds.skew, bounds.horizon, before.hints);
-        Settling {
-            period,
-            edge: (near, far),
-            carried: before.carried,
-            joiner,
-            settled: Settled::default(),
+impl PeriodSettler {
+    /// Begins to settle `period`, after the period before has told what it carries over.
+    pub fn new(period: Period, bounds: Bounds, before: CarryOver) -> PeriodSettler {
+        let Bounds { horizon, skew } = bounds;
+        PeriodSettler {
+            carried_in: before.carried,
+            joiner: Joiner::with_ambiguous(skew, horizon, before.ambiguous_retries),
+            count: PeriodCount {
+                period,
+                carry_from: period.end.saturating_sub(skew),
+                retry_until: period.end.saturating_add(horizon).saturating_add(skew),
+                settled: SettledPeriod::default(),
+            },
         }
     }
 
-    pub fn take(&mut self, one: Try) {
-        if !self.carried.contains(&one.id()) {
-            let Settling {
-                joiner,
-                settled,
-                period,
-                edge,
-                ..
-            } = self;
-            joiner.take(one, &mut |it| settled.count(*period, *edge, &it));
+    /// Takes the next record.
+    pub fn push(&mut self, record: UsageRecord) {
+        if self.carried_in.contains(&record.id()) {
+            return;
         }
+        let count = &mut self.count;
+        self.joiner.push(record, &mut |request| count.add(&request));
     }
 
-    pub fn finish(mut self) -> Settled {
-        let Settling {
-            joiner,
-            settled,
-            period,
-            edge,
-            ..
-        } = &mut self;
-        joiner.finish(&mut |it| settled.count(*period, *edge, &it));
-        self.settled
+    /// What the period comes to: no more records come.
+    pub fn finish(mut self) -> SettledPeriod {
+        let count = &mut self.count;
+        self.joiner.finish(&mut |request| count.add(&request));
+        self.count.settled
     }
 }
 
-impl Settled {
-    fn count(&mut self, period: Period, (near, far): (i64, i64), it: &Use) {
-        let first = it.first();
-        if first.at >= period.end {
-            self.over
-                .hints
-                .extend(it.ambiguous.iter().filter(|id| id.0 <= far));
+impl PeriodCount {
+    fn add(&mut self, request: &LogicalRequest) {
+        let first = request.first();
+        let SettledPeriod {
+            lines,
+            carry_over,
+            ambiguous,
+        } = &mut self.settled;
+        if first.at >= self.period.end {
+            let retries = request.ambiguous.iter();
+            let retries = retries.filter(|id| id.at <= self.retry_until);
+            carry_over.ambiguous_retries.extend(retries);
             return;
         }
-        self.lines
-            .entry((first.tenant, first.class))
-            .or_default()
-            .add(it);
-        self.over
-            .carried
-            .extend(it.tries.iter().filter(|one| one.at >= near).map(Try::id));
-        if !it.ambiguous.is_empty() {
-            self.ambiguous.push(first.id());
+        let key = LineKey {
+            tenant: first.tenant,
+            class: first.class,
+        };
+        lines.entry(key).or_default().add(request);
+        let records = request.records.iter();
+        let near_end = records.filter(|record| record.at >= self.carry_from);
+        carry_over.carried.extend(near_end.map(UsageRecord::id));
+        if !request.ambiguous.is_empty() {
+            ambiguous.push(first.id());
         }
     }
 }
 
 /// What has to be put right of a closed period: what it comes to now, less what statements have
-/// said so far.
-pub fn adjustments(now: &Lines, said: &Lines) -> Lines {
-    let keys: BTreeSet<_> = now.keys().chain(said.keys()).copied().collect();
-    let line = |lines: &Lines, key| lines.get(&key).copied().unwrap_or_default();
-    let differences = keys
-        .into_iter()
-        .map(|key| (key, line(now, key) - line(said, key)));
-    differences
-        .filter(|(_, counts)| !counts.is_zero())
+/// counted so far.
+pub fn adjustments(now: &Lines, stated: &Lines) -> Lines {
+    let keys: BTreeSet<LineKey> = now.keys().chain(stated.keys()).copied().collect();
+    let counts = |lines: &Lines, key: &LineKey| lines.get(key).copied().unwrap_or_default();
+    keys.into_iter()
+        .map(|key| (key, counts(now, &key) - counts(stated, &key)))
+        .filter(|(_, difference)| !difference.is_zero())
         .collect()
 }
--- /dev/null
+++ b/crates/usage-ledger/src/settlement/closer.rs
@@ -0,0 +1,136 @@
+//! Takes batches into the store, and closes periods once they may close.
+
+use crate::log::Position;
+use crate::period::Period;
+use crate::settings::{Ledger, Member};
+use crate::settle::{decide_closing, Bounds, ClosingDecision, MemberProgress};
+use crate::store::{Error, Statement, Store, Terms};
+use crate::wire::Batch;
+use std::collections::HashMap;
+
+/// A period that waits for members.
+#[derive(PartialEq)]
+struct WaitingPeriod {
+    period: Period,
+    missing: Vec<String>,
+}
+
+/// The store with the settings in force.
+pub(super) struct PeriodCloser {
+    store: Store,
+    pub(super) settings: Ledger,
+    /// What was last logged as waiting, so that it is logged once.
+    waiting: Option<WaitingPeriod>,
+}
+
+impl PeriodCloser {
+    pub(super) fn new(store: Store, settings: Ledger) -> PeriodCloser {
+        PeriodCloser {
+            store,
+            settings,
+            waiting: None,
+        }
+    }
+
+    /// Puts other settings in force; the calendar and the store stay what they were at the start.
+    pub(super) fn reload(&mut self, next: Ledger) {
+        let calendar = self.settings.calendar.clone();
+        self.settings = Ledger { calendar, ..next };
+    }
+
+    fn bounds(&self) -> Bounds {
+        Bounds {
+            horizon: self.settings.horizon,
+            skew: self.settings.skew,
+        }
+    }
+
+    /// Takes a batch into the store. Returns up to where the member's log is in the store.
+    pub(super) fn ingest(&mut self, member: &str, batch: &Batch) -> Result<Position, Error> {
+        let bounds = self.bounds();
+        let calendar = &self.settings.calendar;
+        let ingested = self.store.ingest(member, batch, calendar, bounds)?;
+        for damage in &batch.damage {
+            let (segment, from, to) = (&damage.segment, damage.from, damage.to);
+            tracing::error!(member, segment, from, to, "damaged bytes in a usage log");
+        }
+        if ingested.late > 0 {
+            tracing::warn!(
+                member,
+                late = ingested.late,
+                "late records: they will adjust the next statement"
+            );
+        }
+        self.store.position(member)
+    }
+
+    /// Closes the next period if it may close at `now`, in Unix milliseconds.
+    pub(super) fn close_next(&mut self, now: i64) -> Result<(), Error> {
+        let Some(period) = self.store.next_period(&self.settings.calendar)? else {
+            return Ok(());
+        };
+        let bounds = self.bounds();
+        if now < bounds.arrivals(period).end {
+            return Ok(());
+        }
+        let members = self.progress(period)?;
+        let missing = match decide_closing(period, bounds, self.settings.grace, now, &members) {
+            ClosingDecision::Complete => Vec::new(),
+            ClosingDecision::Incomplete(missing) => missing,
+            ClosingDecision::Wait(missing) => {
+                self.log_waiting(WaitingPeriod { period, missing });
+                return Ok(());
+            }
+        };
+        let terms = Terms {
+            bounds,
+            prices: &self.settings.prices,
+            allowances: &self.settings.allowances,
+            members: members.into_iter().map(|member| member.member).collect(),
+            missing: &missing,
+            now,
+        };
+        let statement = self.store.close(period, &terms)?;
+        log_closed(&statement, &missing);
+        Ok(())
+    }
+
+    /// How far the records of the members that took part in a period are known.
+    fn progress(&self, period: Period) -> Result<Vec<MemberProgress>, Error> {
+        let standings = self.store.standings()?.into_iter();
+        let complete: HashMap<String, i64> = standings
+            .map(|standing| (standing.member, standing.complete))
+            .collect();
+        let took_part = |member: &Member| member.from < period.end && member.until > period.start;
+        let members = self.settings.members.iter();
+        Ok(members
+            .filter(|(_, member)| took_part(member))
+            .map(|(name, _)| MemberProgress {
+                member: name.clone(),
+                complete: complete.get(name).copied(),
+            })
+            .collect())
+    }
+
+    fn log_waiting(&mut self, waiting: WaitingPeriod) {
+        if self.waiting.as_ref() == Some(&waiting) {
+            return;
+        }
+        tracing::info!(
+            period = waiting.period.name(),
+            missing = waiting.missing.join(" "),
+            "a period waits for members"
+        );
+        self.waiting = Some(waiting);
+    }
+}
+
+fn log_closed(statement: &Statement, missing: &[String]) {
+    tracing::info!(
+        period = statement.period,
+        lines = statement.lines.len(),
+        total = statement.total,
+        missing = missing.join(" "),
+        "period closed"
+    );
+}
--- /dev/null
+++ b/crates/usage-ledger/src/settlement/collector.rs
@@ -0,0 +1,257 @@
+//! Follows the logs of members, each in a task of its own.
+
+use super::lock;
+use crate::log::Position;
+use crate::settings::{Ledger, Member};
+use crate::store::{Error, Store};
+use crate::wire::usage_log_client::UsageLogClient;
+use crate::wire::{AcknowledgeRequest, Batch, FollowRequest};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+use tonic::transport::{Channel, Endpoint};
+use tonic::{Status, Streaming};
+
+/// The least interval at which an aggregator is told what it may remove.
+const ACKNOWLEDGE_INTERVAL: Duration = Duration::from_secs(1);
+/// The longest message of a member, in bytes.
+const MAX_MESSAGE_BYTES: usize = 16 << 20;
+/// The most doublings of the pause before a member is asked again.
+const MAX_BACKOFF_DOUBLINGS: u32 = 5;
+
+/// A batch from a member.
+pub(super) struct CollectedBatch {
+    pub(super) member: String,
+    pub(super) batch: Batch,
+    /// Where to say up to what the member's log is in the store.
+    pub(super) stored: oneshot::Sender<Position>,
+}
+
+/// Times that collection goes by.
+#[derive(Clone, Copy)]
+pub(super) struct CollectionTimes {
+    /// The first pause before a member that failed is asked again.
+    retry_delay: Duration,
+    /// A member that says nothing for so long is asked anew.
+    idle_timeout: Duration,
+}
+
+impl CollectionTimes {
+    pub(super) fn of(settings: &Ledger) -> CollectionTimes {
+        CollectionTimes {
+            retry_delay: settings.again,
+            idle_timeout: settings.silent,
+        }
+    }
+}
+
+/// Why the log of a member is no longer followed.
+#[derive(Debug, thiserror::Error)]
+enum CollectError {
+    #[error("{0}")]
+    Connect(#[from] tonic::transport::Error),
+    #[error("{0}")]
+    Rpc(#[from] Status),
+    #[error("{0}")]
+    Position(#[from] Error),
+    #[error("{0}")]
+    Task(#[from] tokio::task::JoinError),
+    #[error("silent for too long")]
+    IdleTimeout,
+    #[error("the stream ended")]
+    EndOfStream,
+    #[error("the mixer there is {found}, not {expected}")]
+    WrongMember { found: String, expected: String },
+    #[error("the settlement ends")]
+    ShuttingDown,
+    #[error("the store did not take it")]
+    NotStored,
+}
+
+struct FollowedMember {
+    address: SocketAddr,
+    task: AbortHandle,
+}
+
+/// The tasks that follow members.
+pub(super) struct Collectors {
+    store_path: PathBuf,
+    times: Arc<Mutex<CollectionTimes>>,
+    batches: mpsc::Sender<CollectedBatch>,
+    followed: BTreeMap<String, FollowedMember>,
+}
+
+impl Collectors {
+    pub(super) fn new(
+        store_path: PathBuf,
+        times: CollectionTimes,
+        batches: mpsc::Sender<CollectedBatch>,
+    ) -> Collectors {
+        Collectors {
+            store_path,
+            times: Arc::new(Mutex::new(times)),
+            batches,
+            followed: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn reload(&self, times: CollectionTimes) {
+        *lock(&self.times) = times;
+    }
+
+    /// Follows these members, and no others.
+    pub(super) fn follow(&mut self, members: &BTreeMap<String, Member>) {
+        self.followed.retain(|name, followed| {
+            let member = members.get(name);
+            let stays = member.is_some_and(|member| member.address == followed.address);
+            if !stays {
+                followed.task.abort();
+            }
+            stays
+        });
+        for (name, member) in members {
+            if self.followed.contains_key(name) {
+                continue;
+            }
+            let collector = Collector {
+                member: name.clone(),
+                address: member.address,
+                store_path: self.store_path.clone(),
+                times: self.times.clone(),
+                batches: self.batches.clone(),
+            };
+            let followed = FollowedMember {
+                address: member.address,
+                task: tokio::spawn(collector.run()).abort_handle(),
+            };
+            self.followed.insert(name.clone(), followed);
+        }
+    }
+
+    pub(super) fn stop(&self) {
+        for followed in self.followed.values() {
+            followed.task.abort();
+        }
+    }
+}
+
+/// Follows one member.
+struct Collector {
+    member: String,
+    address: SocketAddr,
+    store_path: PathBuf,
+    times: Arc<Mutex<CollectionTimes>>,
+    batches: mpsc::Sender<CollectedBatch>,
+}
+
+impl Collector {
+    /// Follows the member until the task is aborted, with exponential backoff after failures.
+    async fn run(self) {
+        let mut failures: u32 = 0;
+        loop {
+            let started = Instant::now();
+            let Err(error) = self.follow().await;
+            let times = *lock(&self.times);
+            failures = if started.elapsed() > times.idle_timeout {
+                0
+            } else {
+                failures + 1
+            };
+            if failures <= 1 {
+                tracing::info!(
+                    member = self.member,
+                    address = %self.address,
+                    error = error.to_string(),
+                    "collection ended; it will be asked again"
+                );
+            }
+            let doublings = failures.saturating_sub(1).min(MAX_BACKOFF_DOUBLINGS);
+            tokio::time::sleep(times.retry_delay * 2u32.pow(doublings)).await;
+        }
+    }
+
+    /// Follows the member's log for as long as that works.
+    async fn follow(&self) -> Result<std::convert::Infallible, CollectError> {
+        let idle_timeout = lock(&self.times).idle_timeout;
+        let endpoint = Endpoint::from_shared(format!("http://{}", self.address))?;
+        let channel = endpoint.connect_timeout(idle_timeout).connect().await?;
+        let mut client = UsageLogClient::new(channel).max_decoding_message_size(MAX_MESSAGE_BYTES);
+        let position = self.stored_position().await?;
+        let request = FollowRequest {
+            incarnation: position.incarnation,
+            sequence: position.sequence,
+        };
+        let mut stream = client.follow(request).await?.into_inner();
+        let mut acknowledged = Instant::now();
+        loop {
+            let Some(batch) = self.next_batch(&mut stream, idle_timeout).await? else {
+                continue;
+            };
+            let position = self.store(batch).await?;
+            if acknowledged.elapsed() >= ACKNOWLEDGE_INTERVAL {
+                acknowledge(&mut client, position).await?;
+                acknowledged = Instant::now();
+            }
+        }
+    }
+
+    /// The store alone knows how far it got, whatever became of this process before.
+    async fn stored_position(&self) -> Result<Position, CollectError> {
+        let path = self.store_path.clone();
+        let member = self.member.clone();
+        let position = move || Store::open(&path)?.position(&member);
+        Ok(tokio::task::spawn_blocking(position).await??)
+    }
+
+    /// The next message; `None` if it only shows that the member is alive.
+    async fn next_batch(
+        &self,
+        stream: &mut Streaming<Batch>,
+        idle_timeout: Duration,
+    ) -> Result<Option<Batch>, CollectError> {
+        let message = timeout(idle_timeout, stream.message()).await;
+        let message = message.map_err(|_| CollectError::IdleTimeout)?;
+        let batch = message?.ok_or(CollectError::EndOfStream)?;
+        if batch.header.is_none() && batch.entries.is_empty() && batch.damage.is_empty() {
+            return Ok(None);
+        }
+        match &batch.header {
+            Some(header) if header.mixer != self.member => Err(CollectError::WrongMember {
+                found: header.mixer.clone(),
+                expected: self.member.clone(),
+            }),
+            _ => Ok(Some(batch)),
+        }
+    }
+
+    /// Waits until a batch is in the store.
+    async fn store(&self, batch: Batch) -> Result<Position, CollectError> {
+        let (stored, position) = oneshot::channel();
+        let collected = CollectedBatch {
+            member: self.member.clone(),
+            batch,
+            stored,
+        };
+        let sent = self.batches.send(collected).await;
+        sent.map_err(|_| CollectError::ShuttingDown)?;
+        position.await.map_err(|_| CollectError::NotStored)
+    }
+}
+
+/// Tells an aggregator what of its log it may remove.
+async fn acknowledge(
+    client: &mut UsageLogClient<Channel>,
+    position: Position,
+) -> Result<(), CollectError> {
+    let request = AcknowledgeRequest {
+        incarnation: position.incarnation,
+        sequence: position.sequence,
+    };
+    client.acknowledge(request).await?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/usage-ledger/src/settlement/exporter.rs
@@ -0,0 +1,109 @@
+//! Sends the documents of the outbox, each until it is acknowledged, on a thread of its own.
+
+use super::{lock, now, POLL_INTERVAL};
+use crate::document::OutgoingDocument;
+use crate::export;
+use crate::settings::ExportTarget;
+use crate::store::{Error, Store};
+use std::collections::HashMap;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::Instant;
+
+/// What the thread is told.
+struct Shared {
+    target: Mutex<ExportTarget>,
+    stopping: AtomicBool,
+}
+
+impl Shared {
+    fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+}
+
+/// The running exporter.
+pub(super) struct Exporter {
+    shared: Arc<Shared>,
+    thread: JoinHandle<()>,
+}
+
+impl Exporter {
+    pub(super) fn start(store_path: PathBuf, target: ExportTarget) -> Exporter {
+        let shared = Arc::new(Shared {
+            target: Mutex::new(target),
+            stopping: AtomicBool::new(false),
+        });
+        let thread = {
+            let shared = shared.clone();
+            std::thread::spawn(move || {
+                if let Err(error) = run(&store_path, &shared) {
+                    tracing::error!(%error, "export ended");
+                }
+            })
+        };
+        Exporter { shared, thread }
+    }
+
+    pub(super) fn reload(&self, target: ExportTarget) {
+        *lock(&self.shared.target) = target;
+    }
+
+    /// Ends the thread after the document that it is sending.
+    pub(super) async fn stop(self) {
+        self.shared.stopping.store(true, Ordering::Relaxed);
+        let _ = tokio::task::spawn_blocking(move || self.thread.join()).await;
+    }
+}
+
+fn run(store_path: &Path, shared: &Shared) -> Result<(), Error> {
+    let store = Store::open(store_path)?;
+    // When documents that have failed are sent again, by id.
+    let mut retry_at: HashMap<String, Instant> = HashMap::new();
+    while !shared.is_stopping() {
+        let target = lock(&shared.target).clone();
+        let (folder, url) = (target.folder.is_some(), target.url.is_some());
+        let documents = if folder || url {
+            store.outbox(folder, url)?
+        } else {
+            Vec::new()
+        };
+        for document in documents {
+            if shared.is_stopping() {
+                return Ok(());
+            }
+            let retry = retry_at.get(&document.id);
+            if retry.is_none_or(|at| *at <= Instant::now()) {
+                send(&store, &target, &document, &mut retry_at)?;
+            }
+        }
+        std::thread::sleep(POLL_INTERVAL);
+    }
+    Ok(())
+}
+
+fn send(
+    store: &Store,
+    target: &ExportTarget,
+    document: &OutgoingDocument,
+    retry_at: &mut HashMap<String, Instant>,
+) -> Result<(), Error> {
+    let (in_folder, posted, error) = export::send(target, document);
+    store.sent(&document.id, in_folder, posted, error.as_deref(), now())?;
+    let Some(error) = error else {
+        retry_at.remove(&document.id);
+        return Ok(());
+    };
+    let attempts = document.attempts + 1;
+    tracing::warn!(
+        document = document.id,
+        attempts,
+        error,
+        "document not acknowledged"
+    );
+    let pause = export::wait(target.again, attempts);
+    retry_at.insert(document.id.clone(), Instant::now() + pause);
+    Ok(())
+}
--- /dev/null
+++ b/crates/usage-ledger/src/statement.rs
@@ -0,0 +1,141 @@
+//! Statements: what a closed period came to.
+//!
+//! Statements are stored and exported as JSON; the names and the order of the fields are part of
+//! that format.
+
+use crate::rate::{over_allowance, Counts};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// How amounts are rounded, as statements say it.
+pub(crate) const ROUNDING: &str = "once a line, half a micro-unit up";
+
+/// One line of a statement.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StatementLine {
+    /// The tenant's name.
+    pub tenant: String,
+    /// The class's name.
+    pub class: String,
+    /// The period it counts: the statement's own, or an earlier one that late records have changed.
+    pub period: String,
+    /// Whether it adjusts an earlier period.
+    pub adjusts: bool,
+    /// What it counts.
+    #[serde(flatten)]
+    pub counts: Counts,
+    /// Micro-units.
+    pub amount: i64,
+    /// The class has no price; it is counted and free.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub unpriced: bool,
+}
+
+/// A correction that an operator has made.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CorrectionLine {
+    /// The operator's id for it; there is one of each.
+    pub id: String,
+    /// The tenant's name.
+    pub tenant: String,
+    /// Micro-units; below zero in the tenant's favour.
+    pub amount: i64,
+    /// Why it was made.
+    pub reason: String,
+    /// Who made it.
+    pub author: String,
+}
+
+/// One tenant's part of a statement.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TenantTotal {
+    /// The tenant's name.
+    pub tenant: String,
+    /// Answered requests of the period itself.
+    pub answered: i64,
+    /// The tenant's allowance; `None` if it has none.
+    pub allowance: Option<u64>,
+    /// Answered requests past the allowance.
+    pub over: i64,
+    /// Micro-units, with adjustments and corrections.
+    pub amount: i64,
+}
+
+/// How complete a member's records were when a period closed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MemberState {
+    /// The aggregator's name.
+    pub member: String,
+    /// Its records are complete up to this time; `None` if it was never heard of.
+    pub complete: Option<String>,
+    /// It was not complete: the period closed without the rest.
+    pub missing: bool,
+    /// Records that were never written.
+    pub lost: i64,
+    /// Runs that ended without a closing mark.
+    pub died: i64,
+    /// Stretches of its log that can't be read.
+    pub damaged: i64,
+}
+
+/// What a closed period came to. It never changes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Statement {
+    /// The period's name: its start.
+    pub period: String,
+    /// The period's end.
+    pub end: String,
+    /// When it was closed.
+    pub closed: String,
+    /// The aggregators that took part.
+    pub members: Vec<MemberState>,
+    /// Adjustments of earlier periods, then the period's own lines.
+    pub lines: Vec<StatementLine>,
+    /// Corrections that were made before the period closed.
+    pub corrections: Vec<CorrectionLine>,
+    /// Totals by tenant.
+    pub tenants: Vec<TenantTotal>,
+    /// Micro-units: all lines and corrections.
+    pub total: i64,
+    /// How amounts were rounded.
+    pub rounding: String,
+    /// SHA-256 of the statement before, in hexadecimal; empty for the first.
+    pub previous: String,
+}
+
+/// Sums while lines and corrections are added up.
+#[derive(Default)]
+struct TenantSum {
+    answered: i64,
+    amount: i64,
+}
+
+/// The totals of the tenants that lines or corrections mention.
+pub(crate) fn tenant_totals(
+    lines: &[StatementLine],
+    corrections: &[CorrectionLine],
+    allowances: &BTreeMap<String, u64>,
+) -> Vec<TenantTotal> {
+    let mut sums: BTreeMap<&str, TenantSum> = BTreeMap::new();
+    for line in lines {
+        let sum = sums.entry(&line.tenant).or_default();
+        sum.amount += line.amount;
+        if !line.adjusts {
+            sum.answered += line.counts.answered();
+        }
+    }
+    for correction in corrections {
+        sums.entry(&correction.tenant).or_default().amount += correction.amount;
+    }
+    let total = |(tenant, sum): (&str, TenantSum)| {
+        let allowance = allowances.get(tenant).copied();
+        TenantTotal {
+            tenant: tenant.into(),
+            answered: sum.answered,
+            allowance,
+            over: over_allowance(sum.answered, allowance),
+            amount: sum.amount,
+        }
+    };
+    sums.into_iter().map(total).collect()
+}
--- /dev/null
+++ b/crates/usage-ledger/src/store/carry_over.rs
@@ -0,0 +1,98 @@
+//! What settling one period tells the settling of the next, and settling itself.
+//!
+//! Transaction boundary: none of its own; it runs in the caller's transaction.
+
+use super::{records, Result};
+use crate::join::RecordId;
+use crate::period::Period;
+use crate::settle::{Bounds, CarryOver, PeriodSettler, SettledPeriod};
+use rusqlite::{params, Connection};
+use std::collections::BTreeSet;
+
+/// Tables of record ids by period. All have the same columns.
+#[derive(Clone, Copy)]
+pub(super) enum IdTable {
+    Carried,
+    AmbiguousRetries,
+    Ambiguous,
+}
+
+impl IdTable {
+    fn name(self) -> &'static str {
+        match self {
+            IdTable::Carried => "carried",
+            IdTable::AmbiguousRetries => "hint",
+            IdTable::Ambiguous => "ambiguous",
+        }
+    }
+}
+
+/// Settles a period from its records, without storing anything.
+pub(super) fn settle(db: &Connection, period: Period, bounds: Bounds) -> Result<SettledPeriod> {
+    let mut settler = PeriodSettler::new(period, bounds, load_before(db, period.start)?);
+    records::for_each(db, bounds.arrivals(period), |record| settler.push(record))?;
+    Ok(settler.finish())
+}
+
+/// Stores what a settled period carries over. True if that has changed.
+pub(super) fn save(db: &Connection, period: Period, settled: &SettledPeriod) -> Result<bool> {
+    let start = period.start;
+    let carry_over = &settled.carry_over;
+    let changed = load(db, start)? != *carry_over;
+    save_ids(db, IdTable::Carried, start, &carry_over.carried)?;
+    let retries = &carry_over.ambiguous_retries;
+    save_ids(db, IdTable::AmbiguousRetries, start, retries)?;
+    save_ids(db, IdTable::Ambiguous, start, &settled.ambiguous)?;
+    Ok(changed)
+}
+
+/// What the last period before a time carries over.
+fn load_before(db: &Connection, before: i64) -> Result<CarryOver> {
+    let last = "SELECT max(start) FROM period WHERE start < ?";
+    let last: Option<i64> = db.query_row(last, [before], |row| row.get(0))?;
+    load(db, last.unwrap_or(i64::MIN))
+}
+
+fn load(db: &Connection, period: i64) -> Result<CarryOver> {
+    Ok(CarryOver {
+        carried: load_ids(db, IdTable::Carried, period)?,
+        ambiguous_retries: load_ids(db, IdTable::AmbiguousRetries, period)?,
+    })
+}
+
+/// The ids that a table has for the period that starts at this time.
+pub(super) fn load_ids(db: &Connection, table: IdTable, period: i64) -> Result<BTreeSet<RecordId>> {
+    let table = table.name();
+    let select = format!("SELECT at, member, incarnation, sequence FROM {table} WHERE period = ?");
+    let mut select = db.prepare(&select)?;
+    let ids = select.query_map([period], |row| {
+        Ok(RecordId {
+            at: row.get(0)?,
+            member: row.get(1)?,
+            incarnation: row.get(2)?,
+            sequence: row.get(3)?,
+        })
+    })?;
+    Ok(ids.collect::<rusqlite::Result<_>>()?)
+}
+
+fn save_ids<'a>(
+    db: &Connection,
+    table: IdTable,
+    period: i64,
+    ids: impl IntoIterator<Item = &'a RecordId>,
+) -> Result<()> {
+    let table = table.name();
+    db.execute(&format!("DELETE FROM {table} WHERE period = ?"), [period])?;
+    let mut insert = db.prepare(&format!("INSERT INTO {table} VALUES (?, ?, ?, ?, ?)"))?;
+    for id in ids {
+        insert.execute(params![
+            period,
+            id.at,
+            id.member,
+            id.incarnation as i64,
+            id.sequence as i64
+        ])?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/usage-ledger/src/store/closing.rs
@@ -0,0 +1,212 @@
+//! Closing periods.
+//!
+//! Transaction boundary: one transaction a period holds its statement and lines, the adjustments of
+//! earlier periods, the corrections that stand in it, and the documents for the outbox.
+
+use super::lines::Line;
+use super::queries::Standing;
+use super::{carry_over, correction, digest, dirty, lines, outbox, Error, Result, Store};
+use crate::document::Document;
+use crate::period::{stamp, Period};
+use crate::rate::amount;
+use crate::settings::Price;
+use crate::settle::{adjustments, Bounds, LineKey, Lines};
+use crate::statement::{tenant_totals, MemberState, Statement, ROUNDING};
+use rusqlite::{params, Connection, OptionalExtension};
+use std::collections::{BTreeMap, HashMap};
+
+/// What closing a period needs beside the store.
+#[derive(Clone, Debug)]
+pub struct Terms<'a> {
+    /// How records are joined.
+    pub bounds: Bounds,
+    /// Prices by class.
+    pub prices: &'a BTreeMap<String, Price>,
+    /// Allowances by tenant.
+    pub allowances: &'a BTreeMap<String, u64>,
+    /// Members that took part.
+    pub members: Vec<String>,
+    /// Of them, those without whose records the period closes.
+    pub missing: &'a [String],
+    /// Unix milliseconds.
+    pub now: i64,
+}
+
+impl Store {
+    /// Closes a period.
+    ///
+    /// # Errors
+    /// It is closed already, or the store can't be written.
+    pub fn close(&mut self, period: Period, terms: &Terms<'_>) -> Result<Statement> {
+        let standings = self.standings()?;
+        let names = self.names()?;
+        let transaction = self.begin()?;
+        let closing = Closing {
+            db: &transaction,
+            period,
+            terms,
+            names: &names,
+        };
+        let statement = closing.run(&standings)?;
+        transaction.commit()?;
+        Ok(statement)
+    }
+}
+
+/// A period that is being closed, within its transaction.
+struct Closing<'a> {
+    db: &'a Connection,
+    period: Period,
+    terms: &'a Terms<'a>,
+    names: &'a HashMap<u32, String>,
+}
+
+impl Closing<'_> {
+    fn run(&self, standings: &[Standing]) -> Result<Statement> {
+        self.insert_period()?;
+        let mut lines = self.adjustment_lines()?;
+        lines.extend(self.own_lines()?);
+        for line in &lines {
+            line.insert(self.db, self.period)?;
+        }
+        let statement = self.statement(&lines, standings)?;
+        self.insert_statement(&statement)?;
+        for document in Document::of_statement(&statement) {
+            outbox::insert(self.db, &document, self.terms.now)?;
+        }
+        Ok(statement)
+    }
+
+    fn insert_period(&self) -> Result<()> {
+        let start = self.period.start;
+        let count = "SELECT count(*) FROM statement WHERE period = ?";
+        let statements: i64 = self.db.query_row(count, [start], |row| row.get(0))?;
+        if statements > 0 {
+            let period = self.period.name();
+            return Err(Error::PeriodClosed { period });
+        }
+        let prices = serde_json::to_string(self.terms.prices)?;
+        self.db.execute(
+            "INSERT INTO period VALUES (?, ?, ?, 0)
+             ON CONFLICT (start) DO UPDATE SET end = excluded.end, prices = excluded.prices",
+            params![start, self.period.end, prices],
+        )?;
+        Ok(())
+    }
+
+    /// What late records have changed of earlier periods.
+    fn adjustment_lines(&self) -> Result<Vec<Line>> {
+        let mut lines = Vec::new();
+        while let Some(earlier) = dirty::first_before(self.db, self.period.start)? {
+            let (counts, changed) = self.settle(earlier.period)?;
+            if changed {
+                // The next period may have counted records that this one counts now, or the other
+                // way round. The one that closes now is settled after all of them in any case.
+                dirty::mark_following(self.db, earlier.period, self.period.start)?;
+            }
+            lines.extend(self.adjust(&earlier, &counts)?);
+        }
+        Ok(lines)
+    }
+
+    fn adjust(&self, earlier: &dirty::DirtyPeriod, now: &Lines) -> Result<Vec<Line>> {
+        let stated = lines::stated(self.db, earlier.period)?;
+        let adjust = |(key, counts)| {
+            let price = self.price(&earlier.prices, key);
+            let due = now.get(&key);
+            let due = due.map_or(0, |counts| amount(counts, price.unwrap_or_default()));
+            Line {
+                period: earlier.period,
+                adjusts: true,
+                key,
+                counts,
+                amount: due - stated.amounts.get(&key).copied().unwrap_or_default(),
+                unpriced: price.is_none(),
+            }
+        };
+        let differences = adjustments(now, &stated.lines);
+        Ok(differences.into_iter().map(adjust).collect())
+    }
+
+    /// The lines of the period itself.
+    fn own_lines(&self) -> Result<Vec<Line>> {
+        let (counts, _) = self.settle(self.period)?;
+        let line = |(key, counts)| {
+            let price = self.price(self.terms.prices, key);
+            Line {
+                period: self.period,
+                adjusts: false,
+                key,
+                counts,
+                amount: amount(&counts, price.unwrap_or_default()),
+                unpriced: price.is_none(),
+            }
+        };
+        Ok(counts.into_iter().map(line).collect())
+    }
+
+    /// Settles a period from its records, and stores what it carries over. True if that has changed.
+    fn settle(&self, period: Period) -> Result<(Lines, bool)> {
+        let settled = carry_over::settle(self.db, period, self.terms.bounds)?;
+        let changed = carry_over::save(self.db, period, &settled)?;
+        dirty::clear(self.db, period)?;
+        Ok((settled.lines, changed))
+    }
+
+    fn price(&self, prices: &BTreeMap<String, Price>, key: LineKey) -> Option<Price> {
+        let class = self.names.get(&key.class).map_or("", String::as_str);
+        prices.get(class).copied()
+    }
+
+    fn statement(&self, lines: &[Line], standings: &[Standing]) -> Result<Statement> {
+        let corrections = correction::take_waiting(self.db, self.period)?;
+        let lines: Vec<_> = lines
+            .iter()
+            .map(|line| line.with_names(self.names))
+            .collect();
+        let line_total: i64 = lines.iter().map(|line| line.amount).sum();
+        let correction_total: i64 = corrections.iter().map(|line| line.amount).sum();
+        let members = self.terms.members.iter();
+        let last_hash = "SELECT hash FROM statement ORDER BY period DESC LIMIT 1";
+        let previous: Option<String> = self
+            .db
+            .query_row(last_hash, [], |row| row.get(0))
+            .optional()?;
+        Ok(Statement {
+            period: self.period.name(),
+            end: stamp(self.period.end),
+            closed: stamp(self.terms.now),
+            members: members
+                .map(|member| self.member_state(member, standings))
+                .collect(),
+            total: line_total + correction_total,
+            tenants: tenant_totals(&lines, &corrections, self.terms.allowances),
+            lines,
+            corrections,
+            rounding: ROUNDING.into(),
+            previous: previous.unwrap_or_default(),
+        })
+    }
+
+    fn member_state(&self, member: &str, standings: &[Standing]) -> MemberState {
+        let standing = standings.iter().find(|standing| standing.member == member);
+        MemberState {
+            member: member.into(),
+            complete: standing.map(|standing| stamp(standing.complete)),
+            missing: self.terms.missing.iter().any(|missing| missing == member),
+            lost: standing.map_or(0, |standing| standing.lost),
+            died: standing.map_or(0, |standing| standing.died),
+            damaged: standing.map_or(0, |standing| standing.damaged),
+        }
+    }
+
+    fn insert_statement(&self, statement: &Statement) -> Result<()> {
+        let body = serde_json::to_string(statement)?;
+        let hash = digest(body.as_bytes());
+        self.db.execute(
+            "INSERT INTO statement VALUES (?, ?, ?, ?)",
+            params![self.period.start, self.terms.now, body, hash],
+        )?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/usage-ledger/src/store/correction.rs
@@ -0,0 +1,90 @@
+//! Corrections by an operator.
+//!
+//! Transaction boundary: one transaction a correction holds it and, if its period is closed, the
+//! credit or debit in the outbox.
+
+use super::{outbox, Error, Result, Store};
+use crate::document::Document;
+use crate::period::{stamp, Period};
+use crate::statement::CorrectionLine;
+use rusqlite::{params, Connection, OptionalExtension, Row};
+
+impl Store {
+    /// Enters a correction: into the statement of its period if that is still open, else as a
+    /// document of its own, which is returned.
+    ///
+    /// # Errors
+    /// There is one with this id already, or the store can't be written.
+    pub fn correct(
+        &mut self,
+        correction: &CorrectionLine,
+        period: Period,
+        now: i64,
+    ) -> Result<Option<Document>> {
+        let transaction = self.begin()?;
+        let select = "SELECT hash FROM statement WHERE period = ?";
+        let closed: Option<String> = transaction
+            .query_row(select, [period.start], |row| row.get(0))
+            .optional()?;
+        let CorrectionLine {
+            id,
+            tenant,
+            amount,
+            reason,
+            author,
+        } = correction;
+        let added = transaction.execute(
+            "INSERT OR IGNORE INTO correction VALUES (?, ?, ?, ?, ?, ?, ?, NULL)",
+            params![id, now, tenant, period.start, amount, reason, author],
+        )?;
+        if added == 0 {
+            return Err(Error::DuplicateCorrection { id: id.clone() });
+        }
+        let document = closed.map(|hash| Document::of_correction(correction, period, &hash));
+        if let Some(document) = &document {
+            outbox::insert(&transaction, document, now)?;
+        }
+        transaction.commit()?;
+        Ok(document)
+    }
+
+    /// All corrections, with the name of their period and whether they stand in its statement.
+    ///
+    /// # Errors
+    /// The store can't be read.
+    pub fn corrections(&self) -> Result<Vec<(CorrectionLine, String, bool)>> {
+        let mut select = self.db.prepare(
+            "SELECT id, tenant, amount, reason, author, period, statement IS NOT NULL FROM correction
+             ORDER BY made, id",
+        )?;
+        let corrections = select.query_map([], |row| {
+            Ok((read_correction(row)?, stamp(row.get(5)?), row.get(6)?))
+        })?;
+        Ok(corrections.collect::<rusqlite::Result<_>>()?)
+    }
+}
+
+/// The corrections that wait for the statement on `period`, which then has them.
+pub(super) fn take_waiting(db: &Connection, period: Period) -> Result<Vec<CorrectionLine>> {
+    let mut select = db.prepare(
+        "SELECT id, tenant, amount, reason, author FROM correction
+         WHERE statement IS NULL AND period = ? ORDER BY made, id",
+    )?;
+    let corrections = select.query_map([period.start], read_correction)?;
+    let corrections = corrections.collect::<rusqlite::Result<_>>()?;
+    db.execute(
+        "UPDATE correction SET statement = ?1 WHERE statement IS NULL AND period = ?1",
+        [period.start],
+    )?;
+    Ok(corrections)
+}
+
+fn read_correction(row: &Row<'_>) -> rusqlite::Result<CorrectionLine> {
+    Ok(CorrectionLine {
+        id: row.get(0)?,
+        tenant: row.get(1)?,
+        amount: row.get(2)?,
+        reason: row.get(3)?,
+        author: row.get(4)?,
+    })
+}
--- /dev/null
+++ b/crates/usage-ledger/src/store/dirty.rs
@@ -0,0 +1,90 @@
+//! Closed periods that late records have changed: they are settled again when the next one closes.
+//!
+//! Transaction boundary: none of its own; it runs in the caller's transaction.
+
+use super::Result;
+use crate::period::{Calendar, Period};
+use crate::settings::Price;
+use crate::settle::Bounds;
+use rusqlite::{Connection, OptionalExtension, Row};
+use std::collections::BTreeMap;
+
+/// A closed period that has to be settled again.
+pub(super) struct DirtyPeriod {
+    pub(super) period: Period,
+    /// The prices in force when it was closed.
+    pub(super) prices: BTreeMap<String, Price>,
+}
+
+/// A record has arrived late: marks the periods dirty that should have seen it.
+///
+/// If it arrived before `closed_until`, the end of the last closed period, at a time for which no
+/// period was ever made, a period is made for it.
+pub(super) fn mark_late_arrival(
+    db: &Connection,
+    at: i64,
+    closed_until: i64,
+    calendar: &Calendar,
+    bounds: Bounds,
+) -> Result<()> {
+    let mark = "UPDATE period SET dirty = 1 WHERE start - ?2 <= ?1 AND end + ?3 > ?1";
+    db.prepare_cached(mark)?
+        .execute([at, bounds.skew, bounds.lookahead()])?;
+    let count = "SELECT count(*) FROM period WHERE start <= ? AND end > ?";
+    let holding: i64 = db
+        .prepare_cached(count)?
+        .query_row([at, at], |row| row.get(0))?;
+    if at < closed_until && holding == 0 {
+        insert_missing_period(db, at, calendar)?;
+    }
+    Ok(())
+}
+
+fn insert_missing_period(db: &Connection, at: i64, calendar: &Calendar) -> Result<()> {
+    let period = calendar.at(at);
+    // Not over its neighbours, should the calendar have been another then.
+    let after = "SELECT min(start) FROM period WHERE start > ?";
+    let after: Option<i64> = db.query_row(after, [at], |row| row.get(0))?;
+    let before = "SELECT max(end) FROM period WHERE end <= ?";
+    let before: Option<i64> = db.query_row(before, [at], |row| row.get(0))?;
+    let start = period.start.max(before.unwrap_or(i64::MIN));
+    let end = period.end.min(after.unwrap_or(i64::MAX));
+    db.execute("INSERT INTO period VALUES (?, ?, '{}', 1)", [start, end])?;
+    Ok(())
+}
+
+/// The first dirty period before a time. One at a time: settling it may make the next one dirty.
+pub(super) fn first_before(db: &Connection, before: i64) -> Result<Option<DirtyPeriod>> {
+    let select =
+        "SELECT start, end, prices FROM period WHERE dirty AND start < ? ORDER BY start LIMIT 1";
+    let read = |row: &Row<'_>| {
+        let period = Period {
+            start: row.get(0)?,
+            end: row.get(1)?,
+        };
+        Ok((period, row.get::<_, String>(2)?))
+    };
+    let Some((period, prices)) = db.query_row(select, [before], read).optional()? else {
+        return Ok(None);
+    };
+    let prices = serde_json::from_str(&prices)?;
+    Ok(Some(DirtyPeriod { period, prices }))
+}
+
+/// The period has been settled again.
+pub(super) fn clear(db: &Connection, period: Period) -> Result<()> {
+    let clear = "UPDATE period SET dirty = 0 WHERE start = ?";
+    db.execute(clear, [period.start])?;
+    Ok(())
+}
+
+/// What `period` carries over has changed: marks the one after it dirty, if that begins before a
+/// time.
+pub(super) fn mark_following(db: &Connection, period: Period, before: i64) -> Result<()> {
+    db.execute(
+        "UPDATE period SET dirty = 1 WHERE start = (SELECT min(start) FROM period WHERE start > ?)
+           AND start < ?",
+        [period.start, before],
+    )?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/usage-ledger/src/store/error.rs
@@ -0,0 +1,35 @@
+//! What can go wrong with the store.
+
+/// What can go wrong with the store.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// SQLite failed.
+    #[error("the store: {0}")]
+    Sqlite(#[from] rusqlite::Error),
+    /// A later program has changed the schema.
+    #[error("the store is of version {found}, made by a later program: this one knows {known}")]
+    NewerSchema {
+        /// The file's version.
+        found: usize,
+        /// The latest version that this program knows.
+        known: usize,
+    },
+    /// The period to close has a statement already.
+    #[error("the period {period} is closed")]
+    PeriodClosed {
+        /// The period's name.
+        period: String,
+    },
+    /// There is a correction with this id already.
+    #[error("there is a correction {id} already")]
+    DuplicateCorrection {
+        /// The correction's id.
+        id: String,
+    },
+    /// A statement or document can't be written as JSON, or read from it.
+    #[error("a document can't be written: {0}")]
+    Json(#[from] serde_json::Error),
+}
+
+/// The result of an operation on the store.
+pub(super) type Result<T> = std::result::Result<T, Error>;
--- /dev/null
+++ b/crates/usage-ledger/src/store/lines.rs
@@ -0,0 +1,93 @@
+//! The lines of statements.
+//!
+//! Transaction boundary: none of its own; it runs in the caller's transaction.
+
+use super::Result;
+use crate::period::Period;
+use crate::rate::Counts;
+use crate::settle::{LineKey, Lines};
+use crate::statement::StatementLine;
+use rusqlite::{params_from_iter, Connection, Row};
+use std::collections::{BTreeMap, HashMap};
+
+/// A line of a statement, with numbers in place of names.
+pub(super) struct Line {
+    /// The period it counts.
+    pub(super) period: Period,
+    /// Whether it adjusts a period that was closed before.
+    pub(super) adjusts: bool,
+    pub(super) key: LineKey,
+    pub(super) counts: Counts,
+    /// Micro-units.
+    pub(super) amount: i64,
+    /// The class has no price.
+    pub(super) unpriced: bool,
+}
+
+impl Line {
+    pub(super) fn with_names(&self, names: &HashMap<u32, String>) -> StatementLine {
+        let name = |id: u32| names.get(&id).cloned().unwrap_or_default();
+        StatementLine {
+            tenant: name(self.key.tenant),
+            class: name(self.key.class),
+            period: self.period.name(),
+            adjusts: self.adjusts,
+            counts: self.counts,
+            amount: self.amount,
+            unpriced: self.unpriced,
+        }
+    }
+
+    /// Stores the line as one of the statement on `statement`.
+    pub(super) fn insert(&self, db: &Connection, statement: Period) -> Result<()> {
+        let mut values = vec![
+            statement.start,
+            self.period.start,
+            i64::from(self.key.tenant),
+            i64::from(self.key.class),
+        ];
+        values.extend(self.counts.values());
+        values.push(self.amount);
+        let placeholders = vec!["?"; values.len()].join(", ");
+        let insert = format!("INSERT INTO line VALUES ({placeholders})");
+        db.execute(&insert, params_from_iter(values))?;
+        Ok(())
+    }
+}
+
+/// What all statements so far have said of a period.
+#[derive(Default)]
+pub(super) struct Stated {
+    pub(super) lines: Lines,
+    /// Micro-units.
+    pub(super) amounts: BTreeMap<LineKey, i64>,
+}
+
+/// What all statements so far have said of `period`.
+pub(super) fn stated(db: &Connection, period: Period) -> Result<Stated> {
+    let mut select = db.prepare(
+        "SELECT tenant, class, sum(uses), sum(whole), sum(partial), sum(share), sum(refused), sum(failed), sum(gone),
+           sum(tries), sum(parts), sum(attempts), sum(crossed), sum(ambiguous), sum(amount)
+         FROM line WHERE period = ? GROUP BY tenant, class",
+    )?;
+    let mut rows = select.query([period.start])?;
+    let mut stated = Stated::default();
+    while let Some(row) = rows.next()? {
+        let key = LineKey {
+            tenant: row.get(0)?,
+            class: row.get(1)?,
+        };
+        stated.lines.insert(key, read_counts(row)?);
+        stated.amounts.insert(key, row.get(14)?);
+    }
+    Ok(stated)
+}
+
+/// The counts of a row whose first two columns are the line's key.
+fn read_counts(row: &Row<'_>) -> rusqlite::Result<Counts> {
+    let mut values = [0; Counts::NAMES.len()];
+    for (index, value) in values.iter_mut().enumerate() {
+        *value = row.get(index + 2)?;
+    }
+    Ok(Counts::from_values(values))
+}
--- /dev/null
+++ b/crates/usage-ledger/src/store/queries.rs
@@ -0,0 +1,170 @@
+//! What the store knows of members, periods and statements.
+//!
+//! Transaction boundary: none; each method reads one consistent snapshot.
+
+use super::carry_over::{self, IdTable};
+use super::{Result, Store};
+use crate::join::RecordId;
+use crate::log::Position;
+use crate::period::{Calendar, Period};
+use crate::statement::Statement;
+use rusqlite::{params, OptionalExtension, Row};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// How far a member's log has been collected.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Standing {
+    /// The aggregator's name.
+    pub member: String,
+    /// The last record of its last run.
+    pub position: Position,
+    /// Its records are complete before this time, in Unix milliseconds.
+    pub complete: i64,
+    /// Its last run has said that it ended.
+    pub ended: bool,
+    /// Records of all its runs.
+    pub records: i64,
+    /// Records that were never written.
+    pub lost: i64,
+    /// Runs that ended without a closing mark.
+    pub died: i64,
+    /// Stretches of its log that can't be read.
+    pub damaged: i64,
+}
+
+impl Store {
+    /// The names of members, tenants and classes by their numbers.
+    ///
+    /// # Errors
+    /// The store can't be read.
+    pub fn names(&self) -> Result<HashMap<u32, String>> {
+        let mut select = self.db.prepare("SELECT id, text FROM name")?;
+        let names = select.query_map([], |row| Ok((row.get(0)?, row.get(1)?)))?;
+        Ok(names.collect::<rusqlite::Result<_>>()?)
+    }
+
+    /// Up to where a member's log is in the store.
+    ///
+    /// # Errors
+    /// The store can't be read.
+    pub fn position(&self, member: &str) -> Result<Position> {
+        let select = "SELECT incarnation, sequence FROM position JOIN name ON name.id = member
+            WHERE kind = 'member' AND text = ? ORDER BY incarnation DESC LIMIT 1";
+        let read = |row: &Row<'_>| {
+            Ok(Position {
+                incarnation: row.get(0)?,
+                sequence: row.get(1)?,
+            })
+        };
+        let position = self.db.query_row(select, [member], read).optional()?;
+        Ok(position.unwrap_or_default())
+    }
+
+    /// How far the log of each member has been collected that was ever heard of, by name.
+    ///
+    /// # Errors
+    /// The store can't be read.
+    pub fn standings(&self) -> Result<Vec<Standing>> {
+        let mut select = self.db.prepare(
+            "SELECT text, p.incarnation, p.sequence, p.complete, p.ended,
+               (SELECT sum(sequence - lost) FROM position o WHERE o.member = p.member),
+               (SELECT sum(lost) FROM position o WHERE o.member = p.member),
+               (SELECT count(*) FROM position o
+                  WHERE o.member = p.member AND NOT o.ended AND o.incarnation < p.incarnation),
+               (SELECT count(*) FROM damage d WHERE d.member = p.member)
+             FROM position p JOIN name ON name.id = p.member
+             WHERE p.incarnation = (SELECT max(incarnation) FROM position o WHERE o.member = p.member) ORDER BY text",
+        )?;
+        let standings = select.query_map([], |row| {
+            Ok(Standing {
+                member: row.get(0)?,
+                position: Position {
+                    incarnation: row.get(1)?,
+                    sequence: row.get(2)?,
+                },
+                complete: row.get(3)?,
+                ended: row.get(4)?,
+                records: row.get(5)?,
+                lost: row.get(6)?,
+                died: row.get(7)?,
+                damaged: row.get(8)?,
+            })
+        })?;
+        Ok(standings.collect::<rusqlite::Result<_>>()?)
+    }
+
+    /// How many records one run of a member has, by `TENANT CLASS` as the aggregator's own counters
+    /// have them.
+    ///
+    /// # Errors
+    /// The store can't be read.
+    pub fn recorded(&self, member: &str, incarnation: u64) -> Result<BTreeMap<String, u64>> {
+        let mut select = self.db.prepare(
+            "SELECT t.text || ' ' || c.text, count(*) FROM record r JOIN name t ON t.id = r.tenant
+             JOIN name c ON c.id = r.class JOIN name m ON m.id = r.member
+             WHERE m.kind = 'member' AND m.text = ? AND r.incarnation = ? GROUP BY 1",
+        )?;
+        let counts = select.query_map(params![member, incarnation as i64], |row| {
+            Ok((row.get(0)?, row.get(1)?))
+        })?;
+        Ok(counts.collect::<rusqlite::Result<_>>()?)
+    }
+
+    /// The period to close next; `None` before the first record.
+    ///
+    /// # Errors
+    /// The store can't be read.
+    pub fn next_period(&self, calendar: &Calendar) -> Result<Option<Period>> {
+        let last_end = "SELECT max(end) FROM period WHERE start IN (SELECT period FROM statement)";
+        let last_end: Option<i64> = self.db.query_row(last_end, [], |row| row.get(0))?;
+        if let Some(start) = last_end {
+            let end = calendar.at(start).end;
+            return Ok(Some(Period { start, end }));
+        }
+        let first_arrival = "SELECT min(at) FROM record";
+        let first_arrival: Option<i64> = self.db.query_row(first_arrival, [], |row| row.get(0))?;
+        Ok(first_arrival.map(|at| calendar.at(at)))
+    }
+
+    /// Statements, oldest first, each with its hash and its text.
+    ///
+    /// # Errors
+    /// The store can't be read.
+    pub fn statements(&self) -> Result<Vec<(Statement, String, String)>> {
+        let select = "SELECT body, hash FROM statement ORDER BY period";
+        let mut select = self.db.prepare(select)?;
+        let rows = select.query_map([], |row| {
+            Ok((row.get::<_, String>(0)?, row.get::<_, String>(1)?))
+        })?;
+        rows.map(|row| {
+            let (body, hash) = row?;
+            Ok((serde_json::from_str(&body)?, hash, body))
+        })
+        .collect()
+    }
+
+    /// The closed periods, each with whether late records wait to be settled.
+    ///
+    /// # Errors
+    /// The store can't be read.
+    pub fn periods(&self) -> Result<Vec<(Period, bool)>> {
+        let select = "SELECT start, end, dirty FROM period ORDER BY start";
+        let mut select = self.db.prepare(select)?;
+        let periods = select.query_map([], |row| {
+            let period = Period {
+                start: row.get(0)?,
+                end: row.get(1)?,
+            };
+            Ok((period, row.get(2)?))
+        })?;
+        Ok(periods.collect::<rusqlite::Result<_>>()?)
+    }
+
+    /// First records of a period's logical requests that might have been joined in another way.
+    ///
+    /// # Errors
+    /// The store can't be read.
+    pub fn ambiguous(&self, period: Period) -> Result<BTreeSet<RecordId>> {
+        carry_over::load_ids(&self.db, IdTable::Ambiguous, period.start)
+    }
+}
--- /dev/null
+++ b/crates/usage-ledger/src/store/records.rs
@@ -0,0 +1,94 @@
+//! Reading usage records.
+//!
+//! Transaction boundary: none of its own; it runs in the caller's transaction or, outside of one,
+//! reads one consistent snapshot a query.
+
+use super::uncertainty::{self, RunKey};
+use super::{Result, Store};
+use crate::join::{Outcome, UsageRecord};
+use crate::wire::Outcome as WireOutcome;
+use rusqlite::{params, Connection, Row};
+use std::ops::Range;
+
+/// Set in a record's flags where the client said that it is a retry.
+const FLAG_RETRY: i64 = 1;
+/// Set in a record's flags where the key is the client's own.
+const FLAG_KEYED: i64 = 1 << 1;
+
+impl Store {
+    /// The records that arrived in `from..until`, in Unix milliseconds, in the order of their ids.
+    ///
+    /// # Errors
+    /// The store can't be read.
+    pub fn records(&self, from: i64, until: i64) -> Result<Vec<UsageRecord>> {
+        let mut records = Vec::new();
+        for_each(&self.db, from..until, |record| records.push(record))?;
+        Ok(records)
+    }
+}
+
+/// A record's flags as they are stored.
+pub(super) fn flags(retry: bool, keyed: bool) -> i64 {
+    let flag = |set: bool, flag: i64| if set { flag } else { 0 };
+    flag(retry, FLAG_RETRY) | flag(keyed, FLAG_KEYED)
+}
+
+/// Calls `visit` with the records that arrived in this range, in the order of their ids, one after
+/// another: memory holds only one, however long a period is.
+pub(super) fn for_each(
+    db: &Connection,
+    arrivals: Range<i64>,
+    mut visit: impl FnMut(UsageRecord),
+) -> Result<()> {
+    let uncertain = uncertainty::uncertain_tails(db, None)?;
+    let mut select = db.prepare_cached(
+        "SELECT at, member, incarnation, sequence, tenant, class, outcome, share, parts, attempts, crossed, flags,
+           key, give_up FROM record WHERE at >= ? AND at < ? ORDER BY at, member, incarnation, sequence",
+    )?;
+    let mut rows = select.query(params![arrivals.start, arrivals.end])?;
+    while let Some(row) = rows.next()? {
+        let mut record = read_record(row)?;
+        let run = RunKey {
+            member: record.member,
+            incarnation: record.incarnation,
+        };
+        let tail = uncertain.get(&run);
+        record.reply_uncertain = tail.is_some_and(|tail| record.sequence > tail.after_sequence);
+        visit(record);
+    }
+    Ok(())
+}
+
+fn read_record(row: &Row<'_>) -> rusqlite::Result<UsageRecord> {
+    let flags: i64 = row.get(11)?;
+    // SQLite's integers are signed; the bits are those of the key.
+    let key: i64 = row.get(12)?;
+    Ok(UsageRecord {
+        at: row.get(0)?,
+        member: row.get(1)?,
+        incarnation: row.get(2)?,
+        sequence: row.get(3)?,
+        tenant: row.get(4)?,
+        class: row.get(5)?,
+        outcome: outcome(row.get(6)?, row.get(7)?),
+        parts: row.get(8)?,
+        attempts: row.get(9)?,
+        crossed: row.get(10)?,
+        repeat: flags & FLAG_RETRY != 0,
+        key: key as u64,
+        keyed: flags & FLAG_KEYED != 0,
+        client_timeout_ms: row.get(13)?,
+        reply_uncertain: false,
+    })
+}
+
+/// The outcome of a stored number; one that a later version may have written counts as failed.
+fn outcome(number: i32, share: u32) -> Outcome {
+    match WireOutcome::try_from(number) {
+        Ok(WireOutcome::Whole) => Outcome::Complete,
+        Ok(WireOutcome::Partial) => Outcome::Partial(share),
+        Ok(WireOutcome::Refused) => Outcome::Rejected,
+        Ok(WireOutcome::Left) => Outcome::Cancelled,
+        Ok(WireOutcome::Failed) | Err(_) => Outcome::Failed,
+    }
+}
--- /dev/null
+++ b/crates/usage-ledger/src/store/uncertainty.rs
@@ -0,0 +1,90 @@
+//! Runs of aggregators that ended without a closing mark: whether their last answers left is
+//! uncertain, and retries of them may have to be joined in another way.
+//!
+//! Transaction boundary: none of its own; it runs in the caller's transaction.
+
+use super::Result;
+use crate::settle::Bounds;
+use rusqlite::{params, Connection};
+use std::collections::{BTreeSet, HashMap};
+
+/// One run of an aggregator.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(super) struct RunKey {
+    pub(super) member: u32,
+    pub(super) incarnation: u64,
+}
+
+/// The last answers of a run, of which it is uncertain whether they left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct UncertainTail {
+    /// Records after this one are uncertain.
+    pub(super) after_sequence: u64,
+    /// None of them arrived before this time, in Unix milliseconds.
+    pub(super) since: i64,
+}
+
+pub(super) type UncertainTails = HashMap<RunKey, UncertainTail>;
+
+/// The uncertain tails of all members or of one: a later run of the member has begun, and this one
+/// never said that it ended.
+pub(super) fn uncertain_tails(db: &Connection, member: Option<u32>) -> Result<UncertainTails> {
+    let mut select = db.prepare_cached(
+        "SELECT member, incarnation, marked, complete FROM position p WHERE NOT ended AND member = coalesce(?, member)
+           AND EXISTS (SELECT 1 FROM position o WHERE o.member = p.member AND o.incarnation > p.incarnation)",
+    )?;
+    let tails = select.query_map([member], |row| {
+        let run = RunKey {
+            member: row.get(0)?,
+            incarnation: row.get(1)?,
+        };
+        let tail = UncertainTail {
+            after_sequence: row.get(2)?,
+            since: row.get(3)?,
+        };
+        Ok((run, tail))
+    })?;
+    Ok(tails.collect::<rusqlite::Result<_>>()?)
+}
+
+/// Marks the closed periods dirty that have seen a tail which became uncertain, or certain again:
+/// whoever retried its requests may be joined in another way now.
+pub(super) fn mark_changed_tails(
+    db: &Connection,
+    before: &UncertainTails,
+    after: &UncertainTails,
+    bounds: Bounds,
+) -> Result<()> {
+    let runs: BTreeSet<RunKey> = before.keys().chain(after.keys()).copied().collect();
+    for run in runs {
+        let (old, new) = (before.get(&run), after.get(&run));
+        if old == new {
+            continue;
+        }
+        let tails = || [old, new].into_iter().flatten();
+        let after_sequence = tails().map(|tail| tail.after_sequence).min();
+        let since = tails().map(|tail| tail.since).min();
+        let changed = UncertainTail {
+            after_sequence: after_sequence.unwrap_or_default(),
+            since: since.unwrap_or_default(),
+        };
+        mark_tail(db, run, changed, bounds)?;
+    }
+    Ok(())
+}
+
+fn mark_tail(db: &Connection, run: RunKey, tail: UncertainTail, bounds: Bounds) -> Result<()> {
+    db.execute(
+        "UPDATE period SET dirty = 1 WHERE end + ?6 > ?4 AND EXISTS (SELECT 1 FROM record
+           WHERE at >= max(start - ?5, ?4) AND at < end + ?6 AND member = ?1 AND incarnation = ?2 AND sequence > ?3)",
+        params![
+            run.member,
+            run.incarnation as i64,
+            tail.after_sequence as i64,
+            tail.since,
+            bounds.skew,
+            bounds.lookahead()
+        ],
+    )?;
+    Ok(())
+}
--- a/crates/usage-ledger/tests/compatibility.rs
+++ b/crates/usage-ledger/tests/compatibility.rs
@@ -315,14 +315,18 @@
     };
     assert_eq!(store.position("n0").unwrap(), position);
     let outcomes: Vec<Outcome> = store
-        .tries(i64::MIN, i64::MAX)
+        .records(i64::MIN, i64::MAX)
         .unwrap()
         .iter()
         .map(|record| record.outcome)
         .collect();
     assert_eq!(
         outcomes,
-        [Outcome::Refused, Outcome::Partial(900_000), Outcome::Whole]
+        [
+            Outcome::Rejected,
+            Outcome::Partial(900_000),
+            Outcome::Complete
+        ]
     );
     assert_eq!(close(&mut store), one_line(STATEMENT));
     assert_eq!(store.verify(BOUNDS).unwrap(), (3, vec![]));
--- a/crates/usage-ledger/tests/rate.rs
+++ b/crates/usage-ledger/tests/rate.rs
@@ -1,6 +1,6 @@
 //! What counted use costs.
 
-use usage_ledger::rate::{amount, over, Counts};
+use usage_ledger::rate::{amount, over_allowance, Counts};
 use usage_ledger::settings::Price;
 
 #[test]
@@ -9,8 +9,8 @@
         whole: 3,
         partial: 1,
     };
-    let line = |whole, share| Counts {
-        whole,
+    let line = |complete, share| Counts {
+        complete,
         share,
         partial: i64::from(share > 0),
         ..Counts::default()
@@ -22,8 +22,12 @@
         ((1, 1_499_999), 4),
         ((1, 1_500_000), 5),
     ];
-    for ((whole, share), due) in cases {
-        assert_eq!(amount(&line(whole, share), price), due, "{whole} {share}");
+    for ((complete, share), due) in cases {
+        assert_eq!(
+            amount(&line(complete, share), price),
+            due,
+            "{complete} {share}"
+        );
     }
     let (before, after) = (line(1, 400_000), line(2, 900_000));
     assert_eq!((after - before).share, 500_000);
@@ -41,10 +45,10 @@
 fn use_over_the_allowance_stands_apart() {
     assert_eq!(
         (
-            over(5, None),
-            over(5, Some(3)),
-            over(3, Some(3)),
-            over(0, Some(0))
+            over_allowance(5, None),
+            over_allowance(5, Some(3)),
+            over_allowance(3, Some(3)),
+            over_allowance(0, Some(0))
         ),
         (0, 2, 0, 0)
     );
--- a/crates/usage-ledger/tests/store.rs
+++ b/crates/usage-ledger/tests/store.rs
@@ -5,11 +5,12 @@
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
-use usage_ledger::export::{self, Document};
+use usage_ledger::document::Document;
+use usage_ledger::export;
 use usage_ledger::log::Position;
 use usage_ledger::period::{Calendar, Every, Period};
 use usage_ledger::rate::Counts;
-use usage_ledger::settings::{ExportTo, Price};
+use usage_ledger::settings::{ExportTarget, Price};
 use usage_ledger::settle::Bounds;
 use usage_ledger::store::{CorrectionLine, Statement, Store, Terms};
 use usage_ledger::wire::{entry::What, Batch, Class, Entry, Header, Mark, Outcome, Record};
@@ -308,7 +309,7 @@
     assert_eq!(
         (
             uses(&first, false),
-            first.lines[0].counts.whole,
+            first.lines[0].counts.complete,
             first.lines[0].counts.tries
         ),
         (1, 1, 2)
@@ -430,12 +431,12 @@
         (
             credit.kind.as_str(),
             credit.amount,
-            credit.corrects.clone().unwrap().1
+            credit.corrects.clone().unwrap().hash
         ),
         ("credit", -4, hash)
     );
     assert_eq!(
-        credit.corrects.unwrap().0,
+        credit.corrects.unwrap().document_id,
         Document::of_statement(&statement)[0].id
     );
     assert_eq!(
@@ -465,7 +466,7 @@
     bed.close(0, &[]);
     bed.crash();
     let folder = tempfile::tempdir().unwrap();
-    let to = ExportTo {
+    let to = ExportTarget {
         folder: Some(folder.path().into()),
         url: None,
         timeout: Duration::from_secs(1),
@@ -603,8 +604,8 @@
         }
         let mut all = Counts::default();
         let mut joiner = usage_ledger::join::Joiner::new(BOUNDS.skew, BOUNDS.horizon);
-        for one in bed.store.tries(i64::MIN, i64::MAX).unwrap() {
-            joiner.take(one, &mut |it| all.add(&it));
+        for one in bed.store.records(i64::MIN, i64::MAX).unwrap() {
+            joiner.push(one, &mut |it| all.add(&it));
         }
         joiner.finish(&mut |it| all.add(&it));
         prop_assert_eq!(said, all);
