Split the ledger's tests by behaviour and name them in the field's terms

Change: tests/log and tests/store have a harness and a file a behaviour; found records and damage are structs. Assertions and cases are the same; the test of torn tails is a little stricter, as it no longer drops old records where none should be left.

--- a/crates/usage-ledger/tests/joining.rs
+++ b/crates/usage-ledger/tests/joining.rs
@@ -20,7 +20,7 @@
     skew: SKEW,
 };
 
-fn one(at: i64, sequence: u64) -> UsageRecord {
+fn first_record(at: i64, sequence: u64) -> UsageRecord {
     UsageRecord {
         at,
         member: 1,
@@ -40,75 +40,61 @@
     }
 }
 
-fn join(mut tries: Vec<UsageRecord>) -> Vec<LogicalRequest> {
-    tries.sort_by_key(UsageRecord::id);
-    let mut uses = Vec::new();
+fn join(mut records: Vec<UsageRecord>) -> Vec<LogicalRequest> {
+    records.sort_by_key(UsageRecord::id);
+    let mut requests = Vec::new();
     let mut joiner = Joiner::new(SKEW, HORIZON);
-    for it in tries {
-        joiner.push(it, &mut |it| uses.push(it));
+    for record in records {
+        joiner.push(record, &mut |request| requests.push(request));
     }
-    joiner.finish(&mut |it| uses.push(it));
-    uses.sort_by_key(|it| it.first().id());
-    uses
+    joiner.finish(&mut |request| requests.push(request));
+    requests.sort_by_key(|request| request.first().id());
+    requests
 }
 
-/// The rule as it is stated, over everything at once: no streaming, nothing closed early.
-fn naive(mut tries: Vec<UsageRecord>) -> Vec<Vec<RecordId>> {
-    tries.sort_by_key(UsageRecord::id);
-    let mut uses: Vec<Vec<UsageRecord>> = tries
-        .iter()
-        .filter(|it| !it.repeat && !it.keyed)
-        .map(|it| vec![*it])
-        .collect();
-    for retry in tries.iter().filter(|it| it.repeat || it.keyed) {
-        let same = |it: &UsageRecord| {
-            (it.tenant, it.class, it.key, it.keyed)
-                == (retry.tenant, retry.class, retry.key, retry.keyed)
-        };
+fn is_answered(record: &UsageRecord) -> bool {
+    matches!(record.outcome, Outcome::Complete | Outcome::Partial(_))
+}
+
+/// The rule as the module states it, over everything at once: no streaming, nothing closed early.
+fn naive(mut records: Vec<UsageRecord>) -> Vec<Vec<RecordId>> {
+    records.sort_by_key(UsageRecord::id);
+    let is_first = |record: &&UsageRecord| !record.repeat && !record.keyed;
+    let firsts = records.iter().filter(is_first);
+    let mut requests: Vec<Vec<UsageRecord>> = firsts.map(|record| vec![*record]).collect();
+    for retry in records.iter().filter(|record| !is_first(record)) {
+        let group = |record: &UsageRecord| (record.tenant, record.class, record.key, record.keyed);
         let window = if retry.keyed { HORIZON } else { WINDOW };
-        let fits = |it: &&mut Vec<UsageRecord>| {
-            let (first, last) = (it[0], it[it.len() - 1]);
-            let open = retry.keyed
-                || last.reply_uncertain
-                || !matches!(last.outcome, Outcome::Complete | Outcome::Partial(_));
-            same(&first)
+        let fits = |request: &&mut Vec<UsageRecord>| {
+            let (first, last) = (request[0], request[request.len() - 1]);
+            let open = retry.keyed || last.reply_uncertain || !is_answered(&last);
+            group(&first) == group(retry)
                 && first.at + window + SKEW >= retry.at
                 && last.at <= retry.at + SKEW
                 && open
         };
-        let rank = |it: &&mut Vec<UsageRecord>| {
-            let last = it[it.len() - 1];
-            let answered =
-                !retry.keyed && matches!(last.outcome, Outcome::Complete | Outcome::Partial(_));
-            (
-                answered,
-                last.at > retry.at,
-                if retry.keyed { it[0].id() } else { last.id() },
-            )
+        let rank = |request: &&mut Vec<UsageRecord>| {
+            let (first, last) = (request[0], request[request.len() - 1]);
+            let answered = !retry.keyed && is_answered(&last);
+            let id = if retry.keyed { first.id() } else { last.id() };
+            (answered, last.at > retry.at, id)
         };
-        match uses.iter_mut().filter(fits).min_by_key(rank) {
-            Some(it) => it.push(*retry),
-            None => uses.push(vec![*retry]),
+        match requests.iter_mut().filter(fits).min_by_key(rank) {
+            Some(request) => request.push(*retry),
+            None => requests.push(vec![*retry]),
         }
     }
-    let mut ids: Vec<Vec<RecordId>> = uses
-        .iter()
-        .map(|it| it.iter().map(UsageRecord::id).collect())
-        .collect();
-    ids.sort();
-    ids
+    sorted_ids(requests.iter().map(Vec::as_slice))
 }
 
-fn ids(uses: &[LogicalRequest]) -> Vec<Vec<RecordId>> {
-    let mut ids: Vec<Vec<RecordId>> = uses
-        .iter()
-        .map(|it| it.records.iter().map(UsageRecord::id).collect())
-        .collect();
+fn sorted_ids<'a>(requests: impl Iterator<Item = &'a [UsageRecord]>) -> Vec<Vec<RecordId>> {
+    let ids = |records: &[UsageRecord]| records.iter().map(UsageRecord::id).collect();
+    let mut ids: Vec<Vec<RecordId>> = requests.map(ids).collect();
     ids.sort();
     ids
 }
 
-fn tries() -> impl Strategy<Value = Vec<UsageRecord>> {
+fn arbitrary_records() -> impl Strategy<Value = Vec<UsageRecord>> {
     let outcome = prop_oneof![
         Just(Outcome::Complete),
         (1u32..1_000_000).prop_map(Outcome::Partial),
@@ -117,7 +103,7 @@
         Just(Outcome::Failed),
         Just(Outcome::Cancelled),
     ];
-    let it = (
+    let fields = (
         0i64..1600,
         1u32..4,
         1u32..3,
@@ -126,39 +112,37 @@
         outcome,
         0u8..8,
     );
-    prop::collection::vec(it, 0..60).prop_map(|all| {
-        let make = |(n, (at, member, tenant, key, repeat, outcome, dice)): (
-            usize,
-            (i64, u32, u32, u64, bool, _, u8),
-        )| {
-            let keyed = dice == 0;
-            let key = key * 2 + u64::from(keyed);
-            UsageRecord {
-                member,
-                tenant,
-                key,
-                keyed,
-                repeat,
-                outcome,
-                reply_uncertain: dice == 1,
-                ..one(at, n as u64 + 1)
-            }
-        };
-        all.into_iter().enumerate().map(make).collect()
+    let record = |(at, member, tenant, key, repeat, outcome, dice)| {
+        let keyed = dice == 0;
+        UsageRecord {
+            member,
+            tenant,
+            key: key * 2 + u64::from(keyed),
+            keyed,
+            repeat,
+            outcome,
+            reply_uncertain: dice == 1,
+            ..first_record(at, 0)
+        }
+    };
+    prop::collection::vec(fields.prop_map(record), 0..60).prop_map(|mut records| {
+        for (index, record) in records.iter_mut().enumerate() {
+            record.sequence = index as u64 + 1;
+        }
+        records
     })
 }
 
 /// Settles one period after the other, as the store does.
-fn settle(tries: &[UsageRecord], period: Period, before: &CarryOver) -> (Lines, CarryOver) {
+fn settle(records: &[UsageRecord], period: Period, before: &CarryOver) -> (Lines, CarryOver) {
     let arrivals = BOUNDS.arrivals(period);
-    let mut seen: Vec<UsageRecord> = tries
-        .iter()
-        .filter(|it| arrivals.contains(&it.at))
-        .copied()
+    let records = records.iter().copied();
+    let mut seen: Vec<UsageRecord> = records
+        .filter(|record| arrivals.contains(&record.at))
         .collect();
     seen.sort_by_key(UsageRecord::id);
     let mut settler = PeriodSettler::new(period, BOUNDS, before.clone());
-    seen.into_iter().for_each(|it| settler.push(it));
+    seen.into_iter().for_each(|record| settler.push(record));
     let settled = settler.finish();
     (settled.lines, settled.carry_over)
 }
@@ -181,24 +165,29 @@
         failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
-    fn streaming_joins_as_the_rule_says_each_try_once(tries in tries()) {
-        let uses = join(tries.clone());
-        prop_assert_eq!(ids(&uses), naive(tries.clone()));
-        let all: BTreeSet<RecordId> = uses.iter().flat_map(|it| it.records.iter().map(UsageRecord::id)).collect();
-        prop_assert_eq!(all.len(), uses.iter().map(|it| it.records.len()).sum::<usize>());
-        prop_assert_eq!(all.len(), tries.len());
+    fn streaming_joins_each_record_once_as_the_rule_defines(records in arbitrary_records()) {
+        let requests = join(records.clone());
+        let joined = sorted_ids(requests.iter().map(|request| request.records.as_slice()));
+        prop_assert_eq!(joined, naive(records.clone()));
+        let ids: Vec<RecordId> =
+            requests.iter().flat_map(|request| request.records.iter().map(UsageRecord::id)).collect();
+        let distinct: BTreeSet<RecordId> = ids.iter().copied().collect();
+        prop_assert_eq!(distinct.len(), ids.len());
+        prop_assert_eq!(distinct.len(), records.len());
     }
 
     #[test]
-    fn periods_one_by_one_come_to_what_all_together_do(tries in tries()) {
+    fn periods_settled_one_by_one_count_what_all_records_do(records in arbitrary_records()) {
         let mut expected: BTreeMap<i64, Lines> = BTreeMap::new();
-        for it in join(tries.clone()) {
-            let (at, key) = (it.first().at, LineKey { tenant: it.first().tenant, class: it.first().class });
-            expected.entry(at.div_euclid(PERIOD)).or_default().entry(key).or_default().add(&it);
+        for request in join(records.clone()) {
+            let first = request.first();
+            let key = LineKey { tenant: first.tenant, class: first.class };
+            let lines = expected.entry(first.at.div_euclid(PERIOD)).or_default();
+            lines.entry(key).or_default().add(&request);
         }
         let mut carried = CarryOver::default();
         for n in 0..4 {
-            let (lines, next) = settle(&tries, period(n), &carried);
+            let (lines, next) = settle(&records, period(n), &carried);
             prop_assert_eq!(lines, expected.remove(&n).unwrap_or_default(), "period {}", n);
             carried = next;
         }
@@ -208,20 +197,21 @@
     /// Some records come only after the periods were closed: statements and adjustments together
     /// come to what all records do, whatever the order.
     #[test]
-    fn late_records_are_made_good_by_adjustments(tries in tries(), late in any::<u64>()) {
-        let early: Vec<UsageRecord> = tries.iter().filter(|it| late >> (it.sequence % 64) & 1 == 0).copied().collect();
-        let mut said: Vec<Lines> = Vec::new();
+    fn adjustments_account_for_late_records(records in arbitrary_records(), late in any::<u64>()) {
+        let is_early = |record: &&UsageRecord| late >> (record.sequence % 64) & 1 == 0;
+        let early: Vec<UsageRecord> = records.iter().filter(is_early).copied().collect();
+        let mut stated: Vec<Lines> = Vec::new();
         let mut carried = CarryOver::default();
         for n in 0..4 {
             let (lines, next) = settle(&early, period(n), &carried);
-            said.push(lines);
+            stated.push(lines);
             carried = next;
         }
         let mut carried = CarryOver::default();
-        for n in 0..4 {
-            let (now, next) = settle(&tries, period(n), &carried);
-            let adjusted = adjustments(&now, &said[n as usize]);
-            let both = said[n as usize].values().chain(adjusted.values()).copied();
+        for (n, stated) in (0..4).zip(&stated) {
+            let (now, next) = settle(&records, period(n), &carried);
+            let adjusted = adjustments(&now, stated);
+            let both = stated.values().chain(adjusted.values()).copied();
             prop_assert_eq!(total(both), total(now.values().copied()));
             carried = next;
         }
@@ -232,57 +222,67 @@
 fn retries_are_joined_one_to_one_and_in_order() {
     let retry = |at, sequence| UsageRecord {
         repeat: true,
-        ..one(at, sequence)
+        ..first_record(at, sequence)
     };
-    let whole = |it: UsageRecord| UsageRecord {
+    let complete = |record: UsageRecord| UsageRecord {
         outcome: Outcome::Complete,
-        ..it
+        ..record
     };
-    // Two clients with the same text at the same moment are two uses, each with its retry.
-    let uses = join(vec![
-        one(0, 1),
-        one(0, 2),
-        whole(retry(30, 3)),
-        whole(retry(31, 4)),
+    // Two clients with the same text at the same moment are two logical requests, each with its
+    // retry.
+    let requests = join(vec![
+        first_record(0, 1),
+        first_record(0, 2),
+        complete(retry(30, 3)),
+        complete(retry(31, 4)),
     ]);
-    assert_eq!(uses.len(), 2);
-    assert!(uses
+    assert_eq!(requests.len(), 2);
+    assert!(requests
         .iter()
-        .all(|it| it.outcome == Outcome::Complete && it.records.len() == 2));
+        .all(|request| request.outcome == Outcome::Complete && request.records.len() == 2));
     assert!(
-        !uses[0].ambiguous.is_empty(),
-        "there were two to join, and that is told"
+        !requests[0].ambiguous.is_empty(),
+        "either of two could be joined"
     );
-    // Its first try never arrived: a use of its own.
-    let uses = join(vec![whole(retry(30, 1))]);
-    assert_eq!((uses.len(), uses[0].ambiguous.len()), (1, 0));
+    // Its first request never arrived: a logical request of its own.
+    let requests = join(vec![complete(retry(30, 1))]);
+    assert_eq!((requests.len(), requests[0].ambiguous.len()), (1, 0));
     // An answered one has had its retries.
-    let uses = join(vec![whole(one(0, 1)), whole(retry(30, 2))]);
-    assert_eq!((uses.len(), uses[1].ambiguous.len()), (2, 1));
-    // Unless its mixer died before the answer can have left for certain.
+    let requests = join(vec![complete(first_record(0, 1)), complete(retry(30, 2))]);
+    assert_eq!((requests.len(), requests[1].ambiguous.len()), (2, 1));
+    // Unless its aggregator died before the answer can have left for certain.
     let died = UsageRecord {
         reply_uncertain: true,
-        ..whole(one(0, 1))
+        ..complete(first_record(0, 1))
     };
-    assert_eq!(join(vec![died, whole(retry(30, 2))]).len(), 1);
-    // Past the class's give-up time it is no retry of that.
-    assert_eq!(join(vec![one(0, 1), retry(WINDOW + SKEW, 2)]).len(), 1);
-    assert_eq!(join(vec![one(0, 1), retry(WINDOW + SKEW + 1, 2)]).len(), 2);
-    // A clock that is behind: the retry seems to come before its first try.
-    let uses = join(vec![one(100, 1), whole(retry(100 - SKEW, 2))]);
-    assert_eq!((uses.len(), uses[0].first().at), (1, 100));
-    assert_eq!(join(vec![one(100, 1), whole(retry(99 - SKEW, 2))]).len(), 2);
+    assert_eq!(join(vec![died, complete(retry(30, 2))]).len(), 1);
+    // Past the class's client timeout it is no retry of that request.
+    assert_eq!(
+        join(vec![first_record(0, 1), retry(WINDOW + SKEW, 2)]).len(),
+        1
+    );
+    assert_eq!(
+        join(vec![first_record(0, 1), retry(WINDOW + SKEW + 1, 2)]).len(),
+        2
+    );
+    // A clock that is behind: the retry seems to come before its first request.
+    let requests = join(vec![first_record(100, 1), complete(retry(100 - SKEW, 2))]);
+    assert_eq!((requests.len(), requests[0].first().at), (1, 100));
+    assert_eq!(
+        join(vec![first_record(100, 1), complete(retry(99 - SKEW, 2))]).len(),
+        2
+    );
 }
 
 #[test]
-fn a_key_of_the_clients_own_joins_whatever_became_of_the_tries() {
+fn an_idempotency_key_joins_records_whatever_their_outcome() {
     let keyed = |at, sequence, outcome| UsageRecord {
         keyed: true,
         key: 7,
         outcome,
-        ..one(at, sequence)
+        ..first_record(at, sequence)
     };
-    let tries = vec![
+    let records = vec![
         keyed(0, 1, Outcome::Complete),
         keyed(40, 2, Outcome::Partial(700_000)),
         keyed(HORIZON, 3, Outcome::Rejected),
@@ -291,17 +291,18 @@
             ..keyed(10, 4, Outcome::Complete)
         },
     ];
-    let uses = join(tries);
+    let requests = join(records);
     assert_eq!(
-        uses.iter()
-            .map(|it| (it.records.len(), it.outcome))
+        requests
+            .iter()
+            .map(|request| (request.records.len(), request.outcome))
             .collect::<Vec<_>>(),
         [(3, Outcome::Complete), (1, Outcome::Complete)]
     );
 }
 
 #[test]
-fn a_period_waits_for_its_members_until_the_grace_is_over() {
+fn a_period_waits_for_missing_members_until_the_grace_period_is_over() {
     let known = |member: &str, complete| MemberProgress {
         member: member.into(),
         complete,
--- /dev/null
+++ b/crates/usage-ledger/tests/log/harness.rs
@@ -0,0 +1,110 @@
+//! A usage log under test.
+
+use std::path::Path;
+use std::time::Duration;
+use usage_ledger::log::{Follower, Position};
+use usage_ledger::settings::UsageLog;
+use usage_ledger::wire::{entry::What, Damage, Outcome, Record};
+use usage_ledger::writer::{self, FileSystem, Names, Writer};
+
+/// A position past all records of a log.
+pub const EVERYTHING: Position = Position {
+    incarnation: u64::MAX,
+    sequence: u64::MAX,
+};
+
+pub fn settings(directory: &Path, segment_bytes: u64) -> UsageLog {
+    UsageLog {
+        directory: directory.into(),
+        segment_bytes,
+        keep_bytes: 1 << 30,
+        queue: 64,
+        stall: Duration::from_millis(5),
+        mark: Duration::from_millis(100),
+        listen: None,
+    }
+}
+
+pub fn names() -> Names {
+    Names {
+        mixer: "n0".into(),
+        classes: vec!["c".into()],
+        give_up: vec![1_000_000_000],
+        tenants: vec!["t".into()],
+    }
+}
+
+pub fn record(sequence: u64) -> What {
+    What::Record(Record {
+        parts: 5,
+        key: sequence * 7,
+        ..writer::record(sequence, 1_000 + sequence, Outcome::Whole, 0)
+    })
+}
+
+/// Writes records one after another, each waited for, so that none finds the queue full.
+pub fn write(writer: &mut Writer, sequences: std::ops::RangeInclusive<u64>) {
+    let mut written = writer.watch();
+    for sequence in sequences {
+        assert!(writer.offer(record(sequence)));
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .build()
+            .unwrap();
+        runtime.block_on(async { written.wait_for(|upto| *upto >= sequence).await.unwrap() });
+    }
+}
+
+pub fn log_of(directory: &Path, segment_bytes: u64, records: u64) {
+    let mut writer = writer::start_on(
+        FileSystem,
+        &settings(directory, segment_bytes),
+        names(),
+        5_000_000,
+    )
+    .unwrap();
+    write(&mut writer, 1..=records);
+    writer.finish();
+}
+
+/// All that a follower finds.
+#[derive(Default)]
+pub struct Found {
+    pub records: Vec<Position>,
+    pub damage: Vec<Damage>,
+}
+
+impl Found {
+    /// The sequence numbers of all records.
+    pub fn sequences(&self) -> Vec<u64> {
+        self.records.iter().map(|record| record.sequence).collect()
+    }
+
+    /// The sequence numbers of the records of one run.
+    pub fn sequences_of(&self, incarnation: u64) -> Vec<u64> {
+        let records = self.records.iter();
+        records
+            .filter(|record| record.incarnation == incarnation)
+            .map(|record| record.sequence)
+            .collect()
+    }
+}
+
+/// Follows a log from a position to its end.
+pub fn follow(directory: &Path, after: Position, max_entries: usize) -> Found {
+    let mut follower = Follower::new(directory, after);
+    let mut found = Found::default();
+    while let Some(batch) = follower.next(max_entries).unwrap() {
+        let incarnation = batch.header.as_ref().map_or(0, |header| header.incarnation);
+        for entry in batch.entries {
+            if let Some(What::Record(record)) = entry.what {
+                assert_eq!((record.key, record.parts), (record.sequence * 7, 5));
+                found.records.push(Position {
+                    incarnation,
+                    sequence: record.sequence,
+                });
+            }
+        }
+        found.damage.extend(batch.damage);
+    }
+    found
+}
--- /dev/null
+++ b/crates/usage-ledger/tests/log/reading.rs
@@ -0,0 +1,118 @@
+//! Reading a log: torn tails, flipped bytes, and positions.
+
+use crate::harness::{follow, log_of, names, settings, write, EVERYTHING};
+use std::fs;
+use usage_ledger::log::{self, Item, Position};
+use usage_ledger::writer::{self, FileSystem};
+
+#[test]
+fn a_torn_tail_is_cut_at_any_length_and_nothing_before_it_is_lost() {
+    let folder = tempfile::tempdir().unwrap();
+    log_of(folder.path(), 1 << 20, 6);
+    let segment = log::segments(folder.path()).unwrap().remove(0);
+    let complete = fs::read(&segment.path).unwrap();
+    let (_, start) = log::header(&complete).unwrap();
+    let ends: Vec<usize> = (1..=6)
+        .map(|n| log::read(&complete, start, n).end)
+        .collect();
+    for length in 0..=complete.len() {
+        fs::write(&segment.path, &complete[..length]).unwrap();
+        let kept = ends.iter().filter(|end| **end <= length).count() as u64;
+        let mut again =
+            writer::start_on(FileSystem, &settings(folder.path(), 1 << 20), names(), 0).unwrap();
+        write(&mut again, 1..=2);
+        again.finish();
+        let found = follow(folder.path(), Position::default(), 100);
+        if length >= start {
+            let old = found.sequences_of(segment.incarnation);
+            assert_eq!(old, (1..=kept).collect::<Vec<_>>(), "cut at {length}");
+        }
+        let damage = &found.damage;
+        assert!(damage.is_empty(), "cut at {length}: {damage:?}");
+        assert!(found.sequences().ends_with(&[1, 2]), "cut at {length}");
+        for other in log::segments(folder.path()).unwrap() {
+            if other.path != segment.path {
+                fs::remove_file(&other.path).unwrap();
+            }
+        }
+    }
+}
+
+#[test]
+fn a_flipped_byte_costs_only_its_frame_and_is_reported_as_damage() {
+    let folder = tempfile::tempdir().unwrap();
+    log_of(folder.path(), 1 << 20, 8);
+    let segment = log::segments(folder.path()).unwrap().remove(0);
+    let complete = fs::read(&segment.path).unwrap();
+    let (_, start) = log::header(&complete).unwrap();
+    let ends: Vec<usize> = std::iter::once(start)
+        .chain((1..=8).map(|n| log::read(&complete, start, n).end))
+        .collect();
+    // A later segment: what is wrong at the end of this one is no write under way.
+    let mut again =
+        writer::start_on(FileSystem, &settings(folder.path(), 1 << 20), names(), 0).unwrap();
+    write(&mut again, 1..=1);
+    again.finish();
+    for at in start..complete.len() {
+        for bit in [0x01, 0x80] {
+            let mut bytes = complete.clone();
+            bytes[at] ^= bit;
+            fs::write(&segment.path, &bytes).unwrap();
+            let hit = ends
+                .windows(2)
+                .position(|pair| (pair[0]..pair[1]).contains(&at))
+                .unwrap() as u64
+                + 1;
+            let found = follow(folder.path(), Position::default(), 3);
+            assert_eq!(
+                found.sequences_of(segment.incarnation),
+                (1..=8).filter(|n| *n != hit).collect::<Vec<_>>(),
+                "at {at}"
+            );
+            let [damage] = &found.damage[..] else {
+                panic!("at {at}: {:?}", found.damage)
+            };
+            assert_eq!(damage.segment, segment.name());
+            let range = damage.from..damage.to;
+            assert!(range.contains(&(at as u64)), "{at} is not in {range:?}");
+        }
+    }
+    // The header: its names are known from elsewhere in the run, or the records are kept without.
+    let mut bytes = complete.clone();
+    bytes[start - 1] ^= 1;
+    fs::write(&segment.path, &bytes).unwrap();
+    let items = log::read(&bytes, log::MAGIC.len(), 100).items;
+    assert_eq!(
+        items
+            .iter()
+            .filter(|item| matches!(item, Item::Entry(_)))
+            .count(),
+        8
+    );
+}
+
+#[test]
+fn a_follower_resumes_from_any_position_across_segments() {
+    let folder = tempfile::tempdir().unwrap();
+    log_of(folder.path(), 1024, 200);
+    log_of(folder.path(), 1024, 100);
+    assert!(
+        log::segments(folder.path()).unwrap().len() > 4,
+        "it rotates"
+    );
+    let found = follow(folder.path(), Position::default(), 7);
+    let all = &found.records;
+    assert_eq!((all.len(), found.damage.len()), (300, 0));
+    for (n, after) in all.iter().enumerate() {
+        let rest = follow(folder.path(), *after, 1 + n % 90).records;
+        assert_eq!(rest, all[n + 1..], "after {n}");
+    }
+    // What is settled may go; the rest stays, and so does the last segment.
+    let before = log::segments(folder.path()).unwrap().len();
+    let settled = all[120];
+    let removed = log::remove_settled(folder.path(), settled).unwrap();
+    assert!(removed > 0 && log::segments(folder.path()).unwrap().len() == before - removed);
+    assert_eq!(follow(folder.path(), settled, 50).records, all[121..]);
+    log::remove_settled(folder.path(), EVERYTHING).unwrap();
+    assert_eq!(log::segments(folder.path()).unwrap().len(), 1);
+}
--- /dev/null
+++ b/crates/usage-ledger/tests/log/writing.rs
@@ -0,0 +1,118 @@
+//! Writing a log: a full disk, a stalled disk, and limits.
+
+use crate::harness::{follow, names, record, settings, write, EVERYTHING};
+use std::fs::{self, File};
+use std::io::{self, Write};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::Arc;
+use std::time::Duration;
+use usage_ledger::log::{self, Position};
+use usage_ledger::settings::UsageLog;
+use usage_ledger::writer::{self, Disk, FileSystem};
+
+/// Writes half of what it is given and fails, for as long as the flag is set.
+struct FullDisk(Arc<AtomicBool>);
+
+impl Disk for FullDisk {
+    fn append(&mut self, file: &mut File, bytes: &[u8]) -> io::Result<()> {
+        if self.0.load(Ordering::SeqCst) {
+            file.write_all(&bytes[..bytes.len() / 2])?;
+            return Err(io::ErrorKind::StorageFull.into());
+        }
+        file.write_all(bytes)
+    }
+}
+
+#[test]
+fn a_full_disk_loses_records_without_blocking() {
+    let folder = tempfile::tempdir().unwrap();
+    let full = Arc::new(AtomicBool::new(false));
+    let disk = FullDisk(full.clone());
+    let mut writer = writer::start_on(disk, &settings(folder.path(), 1 << 20), names(), 0).unwrap();
+    write(&mut writer, 1..=3);
+    full.store(true, Ordering::SeqCst);
+    // Waited for each: what can't be written is not waited for.
+    write(&mut writer, 4..=9);
+    full.store(false, Ordering::SeqCst);
+    std::thread::sleep(Duration::from_millis(120));
+    write(&mut writer, 10..=12);
+    writer.finish();
+    assert_eq!(
+        (
+            writer.counts().lost.load(Ordering::SeqCst),
+            writer.counts().written.load(Ordering::SeqCst)
+        ),
+        (6, 6)
+    );
+    let found = follow(folder.path(), Position::default(), 100);
+    assert_eq!(found.sequences(), [1, 2, 3, 10, 11, 12]);
+    let damage = &found.damage;
+    assert!(damage.is_empty(), "half a write is taken back: {damage:?}");
+}
+
+/// Completes a write only once it is released.
+struct StalledDisk(Receiver<()>);
+
+impl Disk for StalledDisk {
+    fn append(&mut self, file: &mut File, bytes: &[u8]) -> io::Result<()> {
+        let _ = self.0.recv();
+        file.write_all(bytes)
+    }
+}
+
+#[test]
+fn a_stalled_disk_fills_the_queue_without_blocking() {
+    let folder = tempfile::tempdir().unwrap();
+    let (release, stalled) = channel();
+    let mut writer = writer::start_on(
+        StalledDisk(stalled),
+        &settings(folder.path(), 1 << 20),
+        names(),
+        0,
+    )
+    .unwrap();
+    let taken = (1..=3000)
+        .filter(|sequence| writer.offer(record(*sequence)))
+        .count() as u64;
+    // The queue, and the batch that the writer has in hand.
+    assert!((64..=64 + 1024).contains(&taken), "{taken}");
+    assert_eq!(*writer.watch().borrow(), 0, "none is reported as written");
+    drop(release);
+    writer.finish();
+    let found = follow(folder.path(), Position::default(), 4096);
+    assert_eq!(
+        found.records.len() as u64,
+        taken,
+        "all that was taken is there, and the gap shows in the sequence"
+    );
+}
+
+#[test]
+fn a_log_has_one_writer_and_a_capacity() {
+    let folder = tempfile::tempdir().unwrap();
+    let bounded = UsageLog {
+        keep_bytes: 12 * 1024,
+        ..settings(folder.path(), 4096)
+    };
+    let mut writer = writer::start_on(FileSystem, &bounded, names(), 0).unwrap();
+    let second = writer::start_on(FileSystem, &bounded, names(), 0);
+    assert!(second.err().unwrap().to_string().contains("another mixer"));
+    write(&mut writer, 1..=1000);
+    let lost = writer.counts().lost.load(Ordering::SeqCst);
+    let held: u64 = log::segments(folder.path())
+        .unwrap()
+        .iter()
+        .map(|segment| fs::metadata(&segment.path).unwrap().len())
+        .sum();
+    assert!(
+        lost > 0 && held <= bounded.keep_bytes,
+        "{lost} lost, {held} bytes"
+    );
+    // Once what it holds is settled, there is room again.
+    log::remove_settled(folder.path(), EVERYTHING).unwrap();
+    std::thread::sleep(Duration::from_millis(120));
+    write(&mut writer, 1001..=1003);
+    assert_eq!(writer.counts().lost.load(Ordering::SeqCst), lost);
+    writer.finish();
+}
--- a/crates/usage-ledger/tests/rate.rs
+++ b/crates/usage-ledger/tests/rate.rs
@@ -42,7 +42,7 @@
 }
 
 #[test]
-fn use_over_the_allowance_stands_apart() {
+fn requests_over_the_allowance_are_counted_apart() {
     assert_eq!(
         (
             over_allowance(5, None),
--- /dev/null
+++ b/crates/usage-ledger/tests/store/closing.rs
@@ -0,0 +1,216 @@
+//! Closing periods: late records, clocks, and runs that died.
+
+use crate::harness::{
+    batch, complete_record, header, mark, period, rejected, retry, uses, StoreHarness, FIRST,
+    PERIOD,
+};
+use usage_ledger::wire::{entry::What, Batch, Entry};
+
+#[test]
+fn late_records_adjust_the_next_statement_and_leave_closed_ones_unchanged() {
+    let mut harness = StoreHarness::new();
+    // A retry whose first request's record is still at its aggregator, at the end of one period
+    // and the start of the next.
+    let orphan = batch(
+        1,
+        vec![
+            retry(complete_record(1, FIRST + PERIOD + 30, 4)),
+            mark(1, FIRST + 9000, false),
+        ],
+    );
+    harness.ingest("n0", &orphan);
+    let empty = harness.close(0, &["n1"]);
+    assert_eq!(
+        (
+            uses(&empty, false),
+            empty.members[1].missing,
+            empty.members[1].complete.clone()
+        ),
+        (0, true, None)
+    );
+    let first = harness.close(1, &["n1"]);
+    assert_eq!((uses(&first, false), first.total), (1, 10));
+    let before = harness.store.statements().unwrap();
+    // The silent member returns with the first request: one logical request, in the first one's
+    // period.
+    let late = harness.ingest(
+        "n1",
+        &batch(
+            7,
+            vec![
+                rejected(1, FIRST + PERIOD - 20, 4),
+                mark(1, FIRST + 9000, false),
+            ],
+        ),
+    );
+    assert_eq!(late.late, 1);
+    let next = harness.close(2, &[]);
+    let lines: Vec<(String, i64, i64)> = next
+        .lines
+        .iter()
+        .map(|line| (line.period.clone(), line.counts.uses, line.amount))
+        .collect();
+    assert_eq!(
+        lines,
+        [(period(0).name(), 1, 10), (period(1).name(), -1, -10)]
+    );
+    assert_eq!(
+        harness.store.statements().unwrap()[..2],
+        before[..],
+        "byte for byte"
+    );
+    harness.assert_verified();
+}
+
+#[test]
+fn a_late_record_from_before_the_first_period_is_not_lost() {
+    let mut harness = StoreHarness::new();
+    harness.ingest(
+        "n0",
+        &batch(1, vec![What::Record(complete_record(1, FIRST + 10, 2))]),
+    );
+    harness.close(0, &[]);
+    harness.ingest(
+        "n0",
+        &batch(
+            1,
+            vec![What::Record(complete_record(2, FIRST - 5 * PERIOD + 10, 4))],
+        ),
+    );
+    let next = harness.close(1, &[]);
+    assert_eq!(
+        (uses(&next, true), next.lines[0].period.clone()),
+        (1, period(-5).name())
+    );
+    harness.assert_verified();
+}
+
+#[test]
+fn clock_skew_and_a_clock_that_steps_back_count_each_request_once() {
+    let mut harness = StoreHarness::new();
+    // n1 is behind: the retry that it took seems to come before the first request, across
+    // the end of the period.
+    harness.ingest(
+        "n0",
+        &batch(
+            1,
+            vec![
+                rejected(1, FIRST + PERIOD + 5, 4),
+                mark(1, FIRST + 5000, false),
+            ],
+        ),
+    );
+    harness.ingest(
+        "n1",
+        &batch(
+            1,
+            vec![
+                retry(complete_record(1, FIRST + PERIOD - 10, 4)),
+                mark(1, FIRST + 5000, false),
+            ],
+        ),
+    );
+    assert_eq!(uses(&harness.close(0, &[]), false), 0);
+    let first = harness.close(1, &[]);
+    assert_eq!(
+        (
+            uses(&first, false),
+            first.lines[0].counts.complete,
+            first.lines[0].counts.tries
+        ),
+        (1, 1, 2)
+    );
+    // A restart steps a clock back: its records are late by then, and counted all the same.
+    harness.ingest(
+        "n0",
+        &batch(
+            2,
+            vec![
+                What::Record(complete_record(1, FIRST + 500, 6)),
+                mark(1, FIRST + 900, false),
+            ],
+        ),
+    );
+    assert_eq!(
+        harness.store.standings().unwrap()[0].complete,
+        FIRST + 900,
+        "its last run is the one that counts"
+    );
+    let second = harness.close(2, &[]);
+    assert_eq!(
+        (uses(&second, true), second.lines[0].period.clone()),
+        (1, period(0).name())
+    );
+    harness.assert_verified();
+}
+
+#[test]
+fn an_answer_of_a_run_that_died_right_after_it_may_be_retried() {
+    let mut harness = StoreHarness::new();
+    let last = vec![
+        mark(0, FIRST, false),
+        What::Record(complete_record(1, FIRST + 10, 4)),
+    ];
+    harness.ingest("n0", &batch(1, last));
+    harness.ingest(
+        "n1",
+        &batch(
+            1,
+            vec![
+                retry(complete_record(1, FIRST + 60, 4)),
+                mark(1, FIRST + 5000, false),
+            ],
+        ),
+    );
+    // So far it may be alive: the answer counts, and the retry with it.
+    let first = harness.close(0, &["n0"]);
+    assert_eq!(
+        (uses(&first, false), first.lines[0].counts.ambiguous),
+        (2, 1)
+    );
+    // It is back without a closing mark: the retry was of that answer.
+    harness.ingest("n0", &batch(2, vec![mark(0, FIRST + 5000, false)]));
+    let next = harness.close(1, &[]);
+    assert_eq!(
+        (uses(&next, true), next.total, next.members[0].died),
+        (-1, -10, 1)
+    );
+    harness.assert_verified();
+}
+
+#[test]
+fn statements_report_gaps_deaths_and_damage_and_keep_removed_tenants() {
+    let mut harness = StoreHarness::new();
+    let mut records = batch(
+        1,
+        vec![
+            What::Record(complete_record(1, FIRST, 2)),
+            What::Record(complete_record(5, FIRST + 1, 4)),
+        ],
+    );
+    records.damage.push(usage_ledger::wire::Damage {
+        segment: "s".into(),
+        from: 3,
+        to: 9,
+    });
+    harness.ingest("n0", &records);
+    harness.ingest("n0", &batch(1, vec![mark(7, FIRST + 10, false)]));
+    // The next run's settings know one tenant less.
+    let next = Batch {
+        header: header(2, &["u"]),
+        entries: vec![Entry {
+            what: Some(What::Record(complete_record(1, FIRST + 20, 6))),
+        }],
+        damage: Vec::new(),
+    };
+    harness.ingest("n0", &next);
+    let statement = harness.close(0, &["n1"]);
+    let member = &statement.members[0];
+    assert_eq!((member.lost, member.died, member.damaged), (5, 1, 1));
+    let by: Vec<(&str, i64)> = statement
+        .lines
+        .iter()
+        .map(|line| (line.tenant.as_str(), line.counts.uses))
+        .collect();
+    assert_eq!(by, [("t", 2), ("u", 1)]);
+}
--- /dev/null
+++ b/crates/usage-ledger/tests/store/documents.rs
@@ -0,0 +1,116 @@
+//! Corrections, documents and their export.
+
+use crate::harness::{batch, complete_record, period, StoreHarness, FIRST};
+use std::path::Path;
+use std::time::Duration;
+use usage_ledger::document::Document;
+use usage_ledger::export;
+use usage_ledger::settings::ExportTarget;
+use usage_ledger::store::CorrectionLine;
+use usage_ledger::wire::entry::What;
+
+#[test]
+fn a_correction_joins_an_open_statement_or_becomes_a_document_that_names_the_closed_one() {
+    let mut harness = StoreHarness::new();
+    harness.ingest(
+        "n0",
+        &batch(1, vec![What::Record(complete_record(1, FIRST, 2))]),
+    );
+    let correction = |id: &str, amount| CorrectionLine {
+        id: id.into(),
+        tenant: "t".into(),
+        amount,
+        reason: "r".into(),
+        author: "a".into(),
+    };
+    assert!(harness
+        .store
+        .correct(&correction("early", -3), period(0), FIRST)
+        .unwrap()
+        .is_none());
+    let statement = harness.close(0, &[]);
+    assert_eq!((statement.total, statement.corrections.len()), (7, 1));
+    let credit = harness
+        .store
+        .correct(&correction("late", -4), period(0), FIRST)
+        .unwrap()
+        .unwrap();
+    let (_, hash, _) = harness.store.statements().unwrap().remove(0);
+    assert_eq!(
+        (
+            credit.kind.as_str(),
+            credit.amount,
+            credit.corrects.clone().unwrap().hash
+        ),
+        ("credit", -4, hash)
+    );
+    assert_eq!(
+        credit.corrects.unwrap().document_id,
+        Document::of_statement(&statement)[0].id
+    );
+    assert_eq!(
+        harness
+            .store
+            .correct(&correction("more", 4), period(0), FIRST)
+            .unwrap()
+            .unwrap()
+            .kind,
+        "debit"
+    );
+    assert!(
+        harness
+            .store
+            .correct(&correction("late", -4), period(0), FIRST)
+            .is_err(),
+        "one of each id"
+    );
+    assert_eq!(harness.store.outbox(false, false).unwrap().len(), 3);
+    harness.assert_verified();
+}
+
+/// Killed between close and export, and between an export and its note: the same document goes out
+/// again.
+#[test]
+fn a_document_survives_crashes_under_one_id_with_the_same_bytes() {
+    let mut harness = StoreHarness::new();
+    harness.ingest(
+        "n0",
+        &batch(1, vec![What::Record(complete_record(1, FIRST, 2))]),
+    );
+    harness.close(0, &[]);
+    harness.restart();
+    let folder = tempfile::tempdir().unwrap();
+    let to = ExportTarget {
+        folder: Some(folder.path().into()),
+        url: None,
+        timeout: Duration::from_secs(1),
+        again: Duration::from_millis(1),
+    };
+    let waiting = harness.store.outbox(true, false).unwrap();
+    assert_eq!(export::send(&to, &waiting[0]), (true, false, None));
+    let bytes =
+        |folder: &Path| std::fs::read(folder.join(format!("{}.json", waiting[0].id))).unwrap();
+    let first = bytes(folder.path());
+    // It went out, and the process died before it was noted.
+    harness.restart();
+    let again = harness.store.outbox(true, false).unwrap();
+    assert_eq!(again, waiting);
+    assert_eq!(export::send(&to, &again[0]), (true, false, None));
+    harness
+        .store
+        .sent(&again[0].id, true, false, None, FIRST)
+        .unwrap();
+    assert_eq!(
+        (
+            bytes(folder.path()),
+            std::fs::read_dir(folder.path()).unwrap().count()
+        ),
+        (first, 1)
+    );
+    assert!(harness.store.outbox(true, false).unwrap().is_empty());
+    let again = Duration::from_millis(10);
+    assert_eq!(
+        [1, 2, 7, 99].map(|n| export::wait(again, n).as_millis()),
+        [10, 20, 640, 640]
+    );
+}
--- /dev/null
+++ b/crates/usage-ledger/tests/store/harness.rs
@@ -0,0 +1,156 @@
+//! A store under test, and the records it is given.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use usage_ledger::period::{Calendar, Every, Period};
+use usage_ledger::settings::Price;
+use usage_ledger::settle::Bounds;
+use usage_ledger::store::{Ingested, Statement, Store, Terms};
+use usage_ledger::wire::{entry::What, Batch, Class, Entry, Header, Mark, Outcome, Record};
+use usage_ledger::writer;
+
+pub const BOUNDS: Bounds = Bounds {
+    horizon: 150,
+    skew: 20,
+};
+pub const PERIOD: i64 = 1000;
+pub const FIRST: i64 = 1_000_000;
+
+pub fn calendar() -> Calendar {
+    Calendar(Every::Ms(PERIOD))
+}
+
+pub fn period(n: i64) -> Period {
+    Period {
+        start: FIRST + n * PERIOD,
+        end: FIRST + (n + 1) * PERIOD,
+    }
+}
+
+/// A store in a directory of its own.
+pub struct StoreHarness {
+    _folder: tempfile::TempDir,
+    pub path: PathBuf,
+    pub store: Store,
+    prices: BTreeMap<String, Price>,
+    allowances: BTreeMap<String, u64>,
+}
+
+impl StoreHarness {
+    pub fn new() -> StoreHarness {
+        let folder = tempfile::tempdir().unwrap();
+        let path = folder.path().join("ledger.sqlite");
+        let store = Store::open(&path).unwrap();
+        let prices = BTreeMap::from([(
+            "c".to_string(),
+            Price {
+                whole: 10,
+                partial: 7,
+            },
+        )]);
+        StoreHarness {
+            _folder: folder,
+            path,
+            store,
+            prices,
+            allowances: BTreeMap::from([("t".to_string(), 1)]),
+        }
+    }
+
+    /// The process dies and starts again.
+    pub fn restart(&mut self) {
+        self.store = Store::open(&self.path).unwrap();
+    }
+
+    pub fn ingest(&mut self, member: &str, batch: &Batch) -> Ingested {
+        self.store
+            .ingest(member, batch, &calendar(), BOUNDS)
+            .unwrap()
+    }
+
+    pub fn close(&mut self, n: i64, missing: &[&str]) -> Statement {
+        let missing: Vec<String> = missing.iter().map(|name| name.to_string()).collect();
+        let terms = Terms {
+            bounds: BOUNDS,
+            prices: &self.prices,
+            allowances: &self.allowances,
+            members: vec!["n0".into(), "n1".into()],
+            missing: &missing,
+            now: FIRST + 100 * PERIOD,
+        };
+        self.store.close(period(n), &terms).unwrap()
+    }
+
+    pub fn assert_verified(&self) {
+        let (checked, wrong) = self.store.verify(BOUNDS).unwrap();
+        assert!(checked > 0 && wrong.is_empty(), "{wrong:?}");
+    }
+}
+
+pub fn header(incarnation: u64, tenants: &[&str]) -> Option<Header> {
+    let classes = vec![Class {
+        name: "c".into(),
+        give_up_ms: 100,
+    }];
+    let tenants = tenants.iter().map(|name| name.to_string()).collect();
+    Some(Header {
+        version: 1,
+        mixer: "n0".into(),
+        incarnation,
+        first_sequence: 1,
+        classes,
+        tenants,
+    })
+}
+
+pub fn batch(incarnation: u64, entries: Vec<What>) -> Batch {
+    let entries = entries
+        .into_iter()
+        .map(|what| Entry { what: Some(what) })
+        .collect();
+    Batch {
+        header: header(incarnation, &["t", "u"]),
+        entries,
+        damage: Vec::new(),
+    }
+}
+
+pub fn complete_record(sequence: u64, at: i64, key: u64) -> Record {
+    Record {
+        key,
+        parts: 1,
+        attempts: 1,
+        ..writer::record(sequence, at as u64, Outcome::Whole, 0)
+    }
+}
+
+pub fn retry(record: Record) -> What {
+    What::Record(Record {
+        repeat: true,
+        ..record
+    })
+}
+
+pub fn rejected(sequence: u64, at: i64, key: u64) -> What {
+    What::Record(Record {
+        outcome: Outcome::Refused.into(),
+        ..complete_record(sequence, at, key)
+    })
+}
+
+pub fn mark(sequence: u64, complete: i64, end: bool) -> What {
+    What::Mark(Mark {
+        sequence,
+        complete_ms: complete as u64,
+        end,
+    })
+}
+
+pub fn uses(statement: &Statement, adjusts: bool) -> i64 {
+    statement
+        .lines
+        .iter()
+        .filter(|line| line.adjusts == adjusts)
+        .map(|line| line.counts.uses)
+        .sum()
+}
--- /dev/null
+++ b/crates/usage-ledger/tests/store/ingest.rs
@@ -0,0 +1,57 @@
+//! What is delivered twice, in another order, or after a crash.
+
+use crate::harness::{batch, complete_record, mark, rejected, retry, uses, StoreHarness, FIRST};
+use usage_ledger::log::Position;
+use usage_ledger::wire::entry::What;
+
+#[test]
+fn ingesting_the_same_records_again_changes_nothing() {
+    let mut harness = StoreHarness::new();
+    let one = batch(
+        1,
+        vec![
+            What::Record(complete_record(1, FIRST, 2)),
+            rejected(2, FIRST + 5, 4),
+        ],
+    );
+    let two = batch(
+        1,
+        vec![
+            retry(complete_record(3, FIRST + 60, 4)),
+            mark(3, FIRST + 5000, false),
+        ],
+    );
+    assert_eq!(harness.ingest("n0", &one).new, 2);
+    // Killed between ingest and acknowledgement: it is sent again.
+    harness.restart();
+    assert_eq!(
+        (
+            harness.ingest("n0", &one).known,
+            harness.ingest("n0", &two).new,
+            harness.ingest("n0", &one).known
+        ),
+        (2, 1, 2)
+    );
+    assert_eq!(
+        harness.store.position("n0").unwrap(),
+        Position {
+            incarnation: 1,
+            sequence: 3
+        }
+    );
+    let statement = harness.close(0, &[]);
+    assert_eq!(
+        (
+            uses(&statement, false),
+            statement.total,
+            statement.lines[0].counts.tries
+        ),
+        (2, 20, 3)
+    );
+    assert_eq!(harness.store.standings().unwrap()[0].lost, 0);
+    assert!(
+        (statement.tenants[0].over, statement.tenants[0].answered) == (1, 2),
+        "one over the allowance of one"
+    );
+    harness.assert_verified();
+}
--- /dev/null
+++ b/crates/usage-ledger/tests/store/verification.rs
@@ -0,0 +1,57 @@
+//! Verification of a store that was tampered with, and of its version.
+
+use crate::harness::{batch, complete_record, StoreHarness, BOUNDS, FIRST};
+use usage_ledger::store::Store;
+use usage_ledger::wire::entry::What;
+
+#[test]
+fn verification_finds_tampering_and_a_newer_schema_is_rejected() {
+    let tampering = [
+        (
+            "UPDATE statement SET body = replace(body, '\"total\":10', '\"total\":11')",
+            "is not what was hashed",
+        ),
+        (
+            "UPDATE line SET uses = uses + 1",
+            "differ from the records by -1",
+        ),
+        ("DELETE FROM record", "differ from the records by -1"),
+        (
+            "UPDATE outbox SET body = body || ' '",
+            "document statement-",
+        ),
+        (
+            "DELETE FROM statement WHERE period = 1000000",
+            "does not follow",
+        ),
+    ];
+    for (sql, found) in tampering {
+        let mut harness = StoreHarness::new();
+        harness.ingest(
+            "n0",
+            &batch(1, vec![What::Record(complete_record(1, FIRST, 2))]),
+        );
+        harness.close(0, &[]);
+        harness.close(1, &[]);
+        harness.assert_verified();
+        rusqlite::Connection::open(&harness.path)
+            .unwrap()
+            .execute(sql, [])
+            .unwrap();
+        let (_, wrong) = harness.store.verify(BOUNDS).unwrap();
+        assert!(
+            wrong.iter().any(|line| line.contains(found)),
+            "{sql}: {wrong:?}"
+        );
+    }
+    let harness = StoreHarness::new();
+    rusqlite::Connection::open(&harness.path)
+        .unwrap()
+        .pragma_update(None, "user_version", 99)
+        .unwrap();
+    assert!(Store::open(&harness.path)
+        .err()
+        .unwrap()
+        .to_string()
+        .contains("later program"));
+}
