Remove public items of the ledger that nothing uses

Cause: Period::holds, Store::corrections and Store::ambiguous have no caller in any crate or test; export's parts were public though only send is called. Change: the first three are gone; to_folder, post and DeliveryError are private.

--- a/crates/usage-ledger/src/export.rs
+++ b/crates/usage-ledger/src/export.rs
@@ -18,7 +18,7 @@
 
 /// Why a document was not delivered.
 #[derive(Debug, thiserror::Error)]
-pub enum DeliveryError {
+enum DeliveryError {
     /// It can't be written to the folder.
     #[error("{0}")]
     Folder(#[from] io::Error),
@@ -34,7 +34,7 @@
 ///
 /// # Errors
 /// The folder can't be written.
-pub fn to_folder(folder: &Path, document: &OutgoingDocument) -> Result<(), DeliveryError> {
+fn to_folder(folder: &Path, document: &OutgoingDocument) -> Result<(), DeliveryError> {
     fs::create_dir_all(folder)?;
     let temporary = folder.join(format!(".{}.half", document.id));
     let complete = folder.join(format!("{}.json", document.id));
@@ -51,11 +51,7 @@
 ///
 /// # Errors
 /// The receiver did not say so; it may have the document all the same.
-pub fn post(
-    url: &str,
-    timeout: Duration,
-    document: &OutgoingDocument,
-) -> Result<(), DeliveryError> {
+fn post(url: &str, timeout: Duration, document: &OutgoingDocument) -> Result<(), DeliveryError> {
     let config = ureq::Agent::config_builder()
         .timeout_global(Some(timeout))
         .http_status_as_error(false);
--- a/crates/usage-ledger/src/period.rs
+++ b/crates/usage-ledger/src/period.rs
@@ -15,11 +15,6 @@
 }
 
 impl Period {
-    /// Whether a time in Unix milliseconds belongs to it.
-    pub fn holds(&self, at: i64) -> bool {
-        (self.start..self.end).contains(&at)
-    }
-
     /// Its name: the UTC time of its start, which no other period has.
     pub fn name(&self) -> String {
         stamp(self.start)
--- a/crates/usage-ledger/src/settlement/collector.rs
+++ b/crates/usage-ledger/src/settlement/collector.rs
@@ -167,7 +167,7 @@
                     member = self.member,
                     address = %self.address,
                     error = error.to_string(),
-                    "collection ended; it will be asked again"
+                    "collection ended; retrying"
                 );
             }
             let doublings = failures.saturating_sub(1).min(MAX_BACKOFF_DOUBLINGS);
--- a/crates/usage-ledger/src/store/carry_over.rs
+++ b/crates/usage-ledger/src/store/carry_over.rs
@@ -11,7 +11,7 @@
 
 /// Tables of record ids by period. All have the same columns.
 #[derive(Clone, Copy)]
-pub(super) enum IdTable {
+enum IdTable {
     Carried,
     AmbiguousRetries,
     Ambiguous,
@@ -61,7 +61,7 @@
 }
 
 /// The ids that a table has for the period that starts at this time.
-pub(super) fn load_ids(db: &Connection, table: IdTable, period: i64) -> Result<BTreeSet<RecordId>> {
+fn load_ids(db: &Connection, table: IdTable, period: i64) -> Result<BTreeSet<RecordId>> {
     let table = table.name();
     let select = format!("SELECT at, member, incarnation, sequence FROM {table} WHERE period = ?");
     let mut select = db.prepare(&select)?;
--- a/crates/usage-ledger/src/store/correction.rs
+++ b/crates/usage-ledger/src/store/correction.rs
@@ -5,7 +5,7 @@
 
 use super::{outbox, Error, Result, Store};
 use crate::document::Document;
-use crate::period::{stamp, Period};
+use crate::period::Period;
 use crate::statement::CorrectionLine;
 use rusqlite::{params, Connection, OptionalExtension, Row};
 
@@ -47,21 +47,6 @@
         transaction.commit()?;
         Ok(document)
     }
-
-    /// All corrections, with the name of their period and whether they stand in its statement.
-    ///
-    /// # Errors
-    /// The store can't be read.
-    pub fn corrections(&self) -> Result<Vec<(CorrectionLine, String, bool)>> {
-        let mut select = self.db.prepare(
-            "SELECT id, tenant, amount, reason, author, period, statement IS NOT NULL FROM correction
-             ORDER BY made, id",
-        )?;
-        let corrections = select.query_map([], |row| {
-            Ok((read_correction(row)?, stamp(row.get(5)?), row.get(6)?))
-        })?;
-        Ok(corrections.collect::<rusqlite::Result<_>>()?)
-    }
 }
 
 /// The corrections that wait for the statement on `period`, which then has them.
--- a/crates/usage-ledger/src/store/queries.rs
+++ b/crates/usage-ledger/src/store/queries.rs
@@ -2,14 +2,12 @@
 //!
 //! Transaction boundary: none; each method reads one consistent snapshot.
 
-use super::carry_over::{self, IdTable};
 use super::{Result, Store};
-use crate::join::RecordId;
 use crate::log::Position;
 use crate::period::{Calendar, Period};
 use crate::statement::Statement;
 use rusqlite::{params, OptionalExtension, Row};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 
 /// How far a member's log has been collected.
 #[derive(Clone, Debug, PartialEq)]
@@ -159,12 +157,4 @@
         })?;
         Ok(periods.collect::<rusqlite::Result<_>>()?)
     }
-
-    /// First records of a period's logical requests that might have been joined in another way.
-    ///
-    /// # Errors
-    /// The store can't be read.
-    pub fn ambiguous(&self, period: Period) -> Result<BTreeSet<RecordId>> {
-        carry_over::load_ids(&self.db, IdTable::Ambiguous, period.start)
-    }
 }
