Test the settlement service end to end

Cause: collection over gRPC, closing and export as a service were only covered by a program of the testkit, so a refactoring of the service had no test in the crate. Change: tests/settlement.rs runs the service against real logs: records are collected, a period waits for its member and closes, its document is exported, settled segments are removed; a reload adds a member, and a log under another aggregator's name is not taken.

--- /dev/null
+++ b/crates/usage-ledger/tests/settlement.rs
@@ -0,0 +1,219 @@
+//! The settlement service end to end: collection over gRPC, closing, and export to a folder.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+use tokio::runtime::Runtime;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use usage_ledger::log;
+use usage_ledger::period::{Calendar, Every};
+use usage_ledger::settings::{ExportTarget, Ledger, Member, Price, UsageLog};
+use usage_ledger::settlement::{self, OperatorSignal};
+use usage_ledger::store::{Error, Statement, Store};
+use usage_ledger::wire::{entry::What, Outcome, Record};
+use usage_ledger::writer::{self, Names, Writer};
+
+const PERIOD_MS: i64 = 1000;
+/// A period that was over long before any test runs, in Unix milliseconds.
+const PERIOD_START: i64 = 1_000_000_000_000;
+/// How long a test waits for the service.
+const TIMEOUT: Duration = Duration::from_secs(30);
+/// Interval at which a test looks for what it waits for.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Waits until `condition` holds.
+fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
+    let deadline = Instant::now() + TIMEOUT;
+    while !condition() {
+        assert!(Instant::now() < deadline, "no {what} in time");
+        std::thread::sleep(POLL_INTERVAL);
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// An aggregator's usage log, offered for collection.
+fn start_log(directory: &Path, address: SocketAddr, name: &str) -> Writer {
+    let settings = UsageLog {
+        directory: directory.into(),
+        segment_bytes: 4096,
+        keep_bytes: 1 << 30,
+        queue: 1024,
+        stall: Duration::from_millis(5),
+        mark: Duration::from_millis(100),
+        listen: Some(address),
+    };
+    let names = Names {
+        mixer: name.into(),
+        classes: vec!["c".into()],
+        give_up: vec![100_000_000],
+        tenants: vec!["t".into()],
+    };
+    writer::start(&settings, names, 1_000_000_000).unwrap()
+}
+
+fn write_record(writer: &mut Writer, sequence: u64, at: i64) {
+    let record = Record {
+        key: sequence * 2,
+        ..writer::record(sequence, at as u64, Outcome::Whole, 0)
+    };
+    assert!(writer.offer(What::Record(record)));
+}
+
+/// The service under test, with a store and an export folder in one directory.
+struct Service {
+    runtime: Runtime,
+    signals: mpsc::Sender<OperatorSignal>,
+    serve: JoinHandle<Result<(), Error>>,
+    store: PathBuf,
+    documents: PathBuf,
+}
+
+fn ledger_settings(directory: &Path, members: &[(&str, SocketAddr)]) -> Ledger {
+    let member = |(name, address): &(&str, SocketAddr)| {
+        let member = Member {
+            address: *address,
+            from: i64::MIN,
+            until: i64::MAX,
+        };
+        (name.to_string(), member)
+    };
+    let price = Price {
+        whole: 10,
+        partial: 7,
+    };
+    Ledger {
+        store: None,
+        again: Duration::from_millis(20),
+        silent: Duration::from_secs(5),
+        calendar: Calendar(Every::Ms(PERIOD_MS)),
+        horizon: 150,
+        skew: 20,
+        grace: i64::MAX / 2,
+        members: members.iter().map(member).collect(),
+        prices: BTreeMap::from([("c".to_string(), price)]),
+        allowances: BTreeMap::new(),
+        export: ExportTarget {
+            folder: Some(directory.join("documents")),
+            url: None,
+            timeout: Duration::from_secs(1),
+            again: Duration::from_millis(10),
+        },
+    }
+}
+
+impl Service {
+    fn start(directory: &Path, settings: Ledger) -> Service {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .unwrap();
+        let store = directory.join("ledger.sqlite");
+        let (signals, receiver) = mpsc::channel(1);
+        let serve = runtime.spawn(settlement::serve(store.clone(), settings, receiver));
+        Service {
+            runtime,
+            signals,
+            serve,
+            store,
+            documents: directory.join("documents"),
+        }
+    }
+
+    fn signal(&self, signal: OperatorSignal) {
+        assert!(self.signals.blocking_send(signal).is_ok());
+    }
+
+    fn statements(&self) -> Vec<Statement> {
+        let statements = Store::open(&self.store).unwrap().statements().unwrap();
+        statements
+            .into_iter()
+            .map(|(statement, ..)| statement)
+            .collect()
+    }
+
+    fn exported(&self) -> Vec<String> {
+        let Ok(files) = fs::read_dir(&self.documents) else {
+            return Vec::new();
+        };
+        let name = |file: fs::DirEntry| file.file_name().into_string().unwrap();
+        files.map(|file| name(file.unwrap())).collect()
+    }
+
+    fn stop(self) {
+        self.signal(OperatorSignal::Shutdown);
+        self.runtime.block_on(self.serve).unwrap().unwrap();
+    }
+}
+
+#[test]
+fn records_are_collected_settled_exported_and_acknowledged() {
+    let folder = tempfile::tempdir().unwrap();
+    let log_directory = folder.path().join("log");
+    let address = free_address();
+    let mut writer = start_log(&log_directory, address, "n0");
+    let settings = ledger_settings(folder.path(), &[("n0", address)]);
+    let service = Service::start(folder.path(), settings);
+    for sequence in 1..=500 {
+        write_record(&mut writer, sequence, PERIOD_START + sequence as i64);
+    }
+    // Not complete yet: the period waits for the member.
+    let store = Store::open(&service.store).unwrap();
+    let collected = |sequence| store.position("n0").unwrap().sequence >= sequence;
+    wait_for("records", || collected(500));
+    assert!(service.statements().is_empty());
+    let complete = PERIOD_START + 2 * PERIOD_MS;
+    assert!(writer.offer(writer::mark(500, complete as u64, false)));
+    wait_for("statement", || !service.statements().is_empty());
+    let statement = service.statements().remove(0);
+    assert_eq!(
+        (statement.lines[0].counts.uses, statement.total),
+        (500, 5000)
+    );
+    assert!(!statement.members[0].missing);
+    let document = "statement-2001-09-09T014640.000Z-t.json";
+    wait_for("document", || service.exported().contains(&document.into()));
+    // What is in the store is removed from the log, up to the segment that is being written.
+    assert!(log::segments(&log_directory).unwrap().len() > 1);
+    wait_for("acknowledgement", || {
+        write_record(&mut writer, 501, PERIOD_START + PERIOD_MS);
+        log::segments(&log_directory).unwrap().len() == 1
+    });
+    service.stop();
+    writer.finish();
+}
+
+#[test]
+fn members_that_a_reload_adds_are_followed_and_a_log_of_another_name_is_not_taken() {
+    let folder = tempfile::tempdir().unwrap();
+    let (first, second) = (free_address(), free_address());
+    let mut writers = [
+        start_log(&folder.path().join("log-0"), first, "n0"),
+        start_log(&folder.path().join("log-1"), second, "n1"),
+    ];
+    for writer in &mut writers {
+        write_record(writer, 1, PERIOD_START);
+    }
+    // The address of n1 is that of n0's log.
+    let settings = ledger_settings(folder.path(), &[("n0", first), ("n1", first)]);
+    let service = Service::start(folder.path(), settings);
+    wait_for("first store", || service.store.exists());
+    let store = Store::open(&service.store).unwrap();
+    let collected = |member| store.position(member).unwrap().sequence;
+    wait_for("records of n0", || collected("n0") == 1);
+    assert_eq!(collected("n1"), 0);
+    let corrected = ledger_settings(folder.path(), &[("n0", first), ("n1", second)]);
+    service.signal(OperatorSignal::Reload(Box::new(corrected)));
+    wait_for("records of n1", || collected("n1") == 1);
+    service.stop();
+    for writer in &mut writers {
+        writer.finish();
+    }
+}
