Wrap the ledger's comments and its table of period settings at 100

Cause: comments of 101 and more columns; one long text kept rustfmt from formatting a whole table. Change: both are wrapped; the text is the same bytes.

--- a/crates/usage-ledger/src/join.rs
+++ b/crates/usage-ledger/src/join.rs
@@ -4,14 +4,15 @@
 //! logical request. A record marked as a retry joins an earlier one, at most one retry to each
 //! record:
 //! - by the client's own idempotency key, whatever became of the earlier requests;
-//! - else by tenant, class and the hash of the query, within the class's client timeout of the first
-//!   request, to the record that has waited for longest among those that were not answered. A record
-//!   whose answer may never have left, for its aggregator died right after, counts as not answered,
-//!   but comes last.
+//! - else by tenant, class and the hash of the query, within the class's client timeout of the
+//!   first request, to the record that has waited for longest among those that were not answered. A
+//!   record whose answer may never have left, for its aggregator died right after, counts as not
+//!   answered, but comes last.
 //!
 //! A retry that finds nothing to join is a logical request of its own: its first request never
-//! arrived anywhere, or its record was lost with an aggregator. The clocks of aggregators may differ
-//! by [`Joiner::new`]'s `skew`: so much earlier than its first request a retry may seem to be.
+//! arrived anywhere, or its record was lost with an aggregator. The clocks of aggregators may
+//! differ by [`Joiner::new`]'s `skew`: so much earlier than its first request a retry may seem to
+//! be.
 //!
 //! Pure: no I/O and no clock.
 
@@ -183,8 +184,8 @@
     first: RecordId,
 }
 
-/// Joins records that come in the order of [`UsageRecord::id`], and holds only those that may yet be
-/// joined.
+/// Joins records that come in the order of [`UsageRecord::id`], and holds only those that may yet
+/// be joined.
 #[derive(Debug)]
 pub struct Joiner {
     /// The most that two aggregators' clocks differ, in milliseconds.
--- a/crates/usage-ledger/src/lib.rs
+++ b/crates/usage-ledger/src/lib.rs
@@ -1,5 +1,5 @@
-//! The usage ledger: what each aggregator logs of the requests it served, and how that is collected,
-//! joined, settled, corrected and exported.
+//! The usage ledger: what each aggregator logs of the requests it served, and how that is
+//! collected, joined, settled, corrected and exported.
 //!
 //! [`join`], [`rate`], [`settle`] and [`period`] are pure: no I/O and no clock. The rest moves
 //! bytes: [`log`] and [`writer`] at the aggregator, [`collect`] between aggregator and settlement,
--- a/crates/usage-ledger/src/settings/schema.rs
+++ b/crates/usage-ledger/src/settings/schema.rs
@@ -115,16 +115,37 @@
     name: "periods",
     named: false,
     keys: &[
-        key("every", Kind::TimeOr(&["daily", "monthly"]), Some("monthly"), "Length of a billing period."),
-        key("zone", Kind::Text, Some("UTC"), "Time zone of daily and monthly periods, by its IANA name."),
+        key(
+            "every",
+            Kind::TimeOr(&["daily", "monthly"]),
+            Some("monthly"),
+            "Length of a billing period.",
+        ),
+        key(
+            "zone",
+            Kind::Text,
+            Some("UTC"),
+            "Time zone of daily and monthly periods, by its IANA name.",
+        ),
         live(
             "horizon",
             Kind::Time,
             Some("30s"),
-            "The longest after a first try that a retry may arrive: at least the longest give-up time of a class.",
+            "The longest after a first try that a retry may arrive: \
+             at least the longest give-up time of a class.",
+        ),
+        live(
+            "skew",
+            Kind::Time,
+            Some("2s"),
+            "The most that two mixers' clocks differ.",
+        ),
+        live(
+            "grace",
+            Kind::Time,
+            Some("1h"),
+            "How long a period waits for silent members after it could have closed.",
         ),
-        live("skew", Kind::Time, Some("2s"), "The most that two mixers' clocks differ."),
-        live("grace", Kind::Time, Some("1h"), "How long a period waits for silent members after it could have closed."),
     ],
 };
 
--- a/crates/usage-ledger/src/settle.rs
+++ b/crates/usage-ledger/src/settle.rs
@@ -36,8 +36,8 @@
 pub struct MemberProgress {
     /// The aggregator's name.
     pub member: String,
-    /// Its records are complete before this time, in Unix milliseconds; `None` if it was never heard
-    /// of.
+    /// Its records are complete before this time, in Unix milliseconds; `None` if it was never
+    /// heard of.
     pub complete: Option<i64>,
 }
 
@@ -95,8 +95,8 @@
 /// What settling one period tells the settling of the next.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CarryOver {
-    /// Records near or past the period's end that belong to its logical requests, and to none of the
-    /// next period's.
+    /// Records near or past the period's end that belong to its logical requests, and to none of
+    /// the next period's.
     pub carried: BTreeSet<RecordId>,
     /// Retries of later requests that could have joined a request of this period.
     pub ambiguous_retries: BTreeSet<RecordId>,
--- a/crates/usage-ledger/src/store/closing.rs
+++ b/crates/usage-ledger/src/store/closing.rs
@@ -145,7 +145,8 @@
         Ok(counts.into_iter().map(line).collect())
     }
 
-    /// Settles a period from its records, and stores what it carries over. True if that has changed.
+    /// Settles a period from its records, and stores what it carries over. True if that has
+    /// changed.
     fn settle(&self, period: Period) -> Result<(Lines, bool)> {
         let settled = carry_over::settle(self.db, period, self.terms.bounds)?;
         let changed = carry_over::save(self.db, period, &settled)?;
--- a/crates/usage-ledger/src/store/outbox.rs
+++ b/crates/usage-ledger/src/store/outbox.rs
@@ -8,8 +8,8 @@
 use rusqlite::{params, Connection};
 
 impl Store {
-    /// Documents, oldest first: those still to be put into the folder if `folder`, those still to be
-    /// posted if `url`, all if neither.
+    /// Documents, oldest first: those still to be put into the folder if `folder`, those still to
+    /// be posted if `url`, all if neither.
     ///
     /// # Errors
     /// The store can't be read.
@@ -31,8 +31,8 @@
         Ok(documents.collect::<rusqlite::Result<_>>()?)
     }
 
-    /// Notes an attempt to send a document: whether it put it into the folder, whether it posted it,
-    /// and why it failed.
+    /// Notes an attempt to send a document: whether it put it into the folder, whether it posted
+    /// it, and why it failed.
     ///
     /// # Errors
     /// The store can't be written.
