Follow the ledger's renamed items in the aggregator's commands

Cause: settlement::Told, Store::tries and three variants of join::Outcome have other names. Change: the four places in commands.rs use the new ones. Result: the workspace compiles with all targets; no behaviour changes.

--- a/crates/aggregator/src/commands.rs
+++ b/crates/aggregator/src/commands.rs
@@ -21,7 +21,7 @@
 use usage_ledger::reconcile::{self, ClientUse};
 use usage_ledger::settings::Ledger as Settings;
 use usage_ledger::settle::Bounds;
-use usage_ledger::settlement::{self, Told};
+use usage_ledger::settlement::{self, OperatorSignal};
 use usage_ledger::store::{digest, CorrectionLine, Store};
 use usage_ledger::{export, wire};
 
@@ -353,7 +353,7 @@
             let tell = tell.clone();
             tokio::spawn(async move {
                 if signals.recv().await.is_some() {
-                    let _ = tell.send(Told::End).await;
+                    let _ = tell.send(OperatorSignal::Shutdown).await;
                 }
             });
         }
@@ -370,7 +370,7 @@
                     Ok((next, ledger)) => {
                         let restart = own.needs_restart(&next, &settings::SCHEMA).join(", ");
                         tracing::info!(restart, "settings read again");
-                        let _ = tell.send(Told::Settings(Box::new(ledger))).await;
+                        let _ = tell.send(OperatorSignal::Reload(Box::new(ledger))).await;
                     }
                     Err(Failure { message, .. }) => tracing::error!("the settings stay as they were: {message}"),
                 }
@@ -836,13 +836,16 @@
     let names = store.names().map_err(Failure::running)?;
     let name = |id: u32| json!(names.get(&id));
     let mut rows = Rows::new(&RECORD);
-    for it in store.tries(i64::MIN, i64::MAX).map_err(Failure::running)? {
+    for it in store
+        .records(i64::MIN, i64::MAX)
+        .map_err(Failure::running)?
+    {
         let (outcome, share) = match it.outcome {
-            Outcome::Whole => ("whole", 0),
+            Outcome::Complete => ("whole", 0),
             Outcome::Partial(share) => ("partial", share),
-            Outcome::Refused => ("refused", 0),
+            Outcome::Rejected => ("refused", 0),
             Outcome::Failed => ("failed", 0),
-            Outcome::Left => ("left", 0),
+            Outcome::Cancelled => ("left", 0),
         };
         let whose = [
             name(it.member),
