--- a/crates/aggregator/src/cli/ledger/dump.rs
+++ b/crates/aggregator/src/cli/ledger/dump.rs
@@ -6,7 +6,7 @@
 use serde_json::{json, Value};
 use std::collections::HashMap;
 use std::path::{Path, PathBuf};
-use usage_ledger::join::{Outcome, Try};
+use usage_ledger::join::{Outcome, UsageRecord};
 use usage_ledger::log::{Follower, Position};
 use usage_ledger::period::stamp;
 use usage_ledger::wire::{entry::What, Damage, Header, Record};
@@ -94,20 +94,20 @@
     let store = context.existing_store()?;
     let names = store.names()?;
     let mut report = Report::new(&COLUMNS);
-    for record in store.tries(i64::MIN, i64::MAX)? {
+    for record in store.records(i64::MIN, i64::MAX)? {
         report.push(stored_row(&names, &record).values());
     }
     Ok(report.print(format)?)
 }
 
-fn stored_row<'a>(names: &'a HashMap<u32, String>, record: &Try) -> RecordRow<'a> {
+fn stored_row<'a>(names: &'a HashMap<u32, String>, record: &UsageRecord) -> RecordRow<'a> {
     let name = |id: u32| names.get(&id).map(String::as_str);
     let (outcome, share) = match record.outcome {
-        Outcome::Whole => ("whole", 0),
+        Outcome::Complete => ("whole", 0),
         Outcome::Partial(share) => ("partial", share),
-        Outcome::Refused => ("refused", 0),
+        Outcome::Rejected => ("refused", 0),
         Outcome::Failed => ("failed", 0),
-        Outcome::Left => ("left", 0),
+        Outcome::Cancelled => ("left", 0),
     };
     RecordRow {
         arrived_ms: record.at,
--- a/crates/aggregator/src/cli/ledger/export.rs
+++ b/crates/aggregator/src/cli/ledger/export.rs
@@ -5,9 +5,9 @@
 use serde_json::json;
 use std::time::{Duration, Instant};
 use usage_ledger::export;
-use usage_ledger::settings::ExportTo;
+use usage_ledger::settings::ExportTarget;
 use usage_ledger::settlement;
-use usage_ledger::store::{Outgoing, Store};
+use usage_ledger::store::{OutgoingDocument, Store};
 
 const COLUMNS: [&str; 5] = ["document", "in_folder", "posted", "attempts", "error"];
 
@@ -41,7 +41,7 @@
     Ok(document_report(&store)?.print(arguments.format.format)?)
 }
 
-fn send_outbox(store: &Store, target: &ExportTo, within: Duration) -> Result<(), LedgerError> {
+fn send_outbox(store: &Store, target: &ExportTarget, within: Duration) -> Result<(), LedgerError> {
     let (to_folder, to_url) = (target.folder.is_some(), target.url.is_some());
     if !to_folder && !to_url {
         return Err(LedgerError::NoExportTarget);
@@ -60,8 +60,8 @@
 /// Retries with exponential backoff until the document is acknowledged or the deadline has passed.
 fn send_until_acknowledged(
     store: &Store,
-    target: &ExportTo,
-    mut document: Outgoing,
+    target: &ExportTarget,
+    mut document: OutgoingDocument,
     deadline: Instant,
 ) -> Result<(), LedgerError> {
     loop {
--- a/crates/aggregator/src/cli/ledger/serve.rs
+++ b/crates/aggregator/src/cli/ledger/serve.rs
@@ -11,7 +11,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc;
 use usage_ledger::settings::Ledger as LedgerSettings;
-use usage_ledger::settlement::{self, Told};
+use usage_ledger::settlement::{self, OperatorSignal};
 
 const WORKER_THREADS: usize = 2;
 
@@ -43,28 +43,33 @@
     Ok(())
 }
 
-fn spawn_shutdown_handlers(sender: &mpsc::Sender<Told>) -> io::Result<()> {
+fn spawn_shutdown_handlers(sender: &mpsc::Sender<OperatorSignal>) -> io::Result<()> {
     for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
         let mut signals = signal(kind)?;
         let sender = sender.clone();
         tokio::spawn(async move {
             if signals.recv().await.is_some() {
                 // The receiver is gone once the settlement has ended.
-                let _ = sender.send(Told::End).await;
+                let _ = sender.send(OperatorSignal::Shutdown).await;
             }
         });
     }
     Ok(())
 }
 
-fn spawn_reload_handler(sender: &mpsc::Sender<Told>, reloader: Reloader) -> io::Result<()> {
+fn spawn_reload_handler(
+    sender: &mpsc::Sender<OperatorSignal>,
+    reloader: Reloader,
+) -> io::Result<()> {
     let mut hangups = signal(SignalKind::hangup())?;
     let sender = sender.clone();
     tokio::spawn(async move {
         while hangups.recv().await.is_some() {
             match reloader.reload() {
                 Ok(settings) => {
-                    let _ = sender.send(Told::Settings(Box::new(settings))).await;
+                    let _ = sender
+                        .send(OperatorSignal::Reload(Box::new(settings)))
+                        .await;
                 }
                 Err(error) => tracing::error!("the settings stay as they were: {error}"),
             }
--- a/crates/aggregator/src/process/error.rs
+++ b/crates/aggregator/src/process/error.rs
@@ -31,7 +31,7 @@
     Signals(#[source] io::Error),
     /// The usage log can't be opened.
     #[error("usage log: {0}")]
-    UsageLog(#[source] io::Error),
+    UsageLog(#[source] usage_ledger::writer::StartError),
     /// The address for clients can't be bound.
     #[error("cannot listen on {address}: {source}")]
     Listen {
