--- /dev/null
+++ b/crates/core/src/engine/frames.rs
@@ -0,0 +1,198 @@
+//! Frames to and from leaf servers.
+
+use super::effect::Effect;
+use super::ids::ConnectionId;
+use super::leaf_connection::{CallEntry, OutgoingFrame, ResponseMatch};
+use super::{Engine, MILLISECOND};
+use crate::api::{AttemptOutcome, LoadReport, Nanos};
+use crate::protocol::leaf::{CallPart, End, LeafRequest, LeafResponse};
+use bytes::Bytes;
+
+/// A leaf server's result for one part.
+struct PartResult {
+    wire_id: String,
+    end: End,
+    report: String,
+    value: Bytes,
+}
+
+impl Engine {
+    /// Gives each connection that has work its next frame, and closes those that have no use any
+    /// more.
+    pub(super) fn flush_pending_writes(&mut self, now: Nanos) {
+        while let Some(connection) = self.connections.pop_pending() {
+            self.drop_expired_attempts(now, connection);
+            self.flush_connection(now, connection);
+        }
+    }
+
+    fn flush_connection(&mut self, now: Nanos, id: ConnectionId) {
+        let Some(connection) = self.connections.get_mut(id) else {
+            return;
+        };
+        if connection.should_close() {
+            self.close_connection(now, id);
+        } else if let Some(frame) = connection.next_frame(now) {
+            self.write_frame(now, id, frame);
+        } else if connection.is_idle() {
+            self.on_connection_idle(now, id);
+        }
+    }
+
+    fn write_frame(&mut self, now: Nanos, connection: ConnectionId, frame: OutgoingFrame) {
+        match self.encode_frame(now, frame) {
+            Some(frame) => self.effects.push(Effect::WriteFrame { connection, frame }),
+            // Nothing of it is left: proceed as if it were written.
+            None => self.on_frame_written(connection),
+        }
+    }
+
+    pub(super) fn on_frame_written(&mut self, id: ConnectionId) {
+        if let Some(connection) = self.connections.get_mut(id) {
+            connection.on_frame_written();
+            self.connections.mark_pending(id);
+        }
+    }
+
+    /// The frame as it goes out; none for a call whose attempts have all ended.
+    fn encode_frame(&mut self, now: Nanos, frame: OutgoingFrame) -> Option<LeafRequest> {
+        match frame {
+            OutgoingFrame::Call(entries) => {
+                let entries = entries.into_iter();
+                let parts: Vec<CallPart> = entries
+                    .filter_map(|entry| self.encode_part(now, entry))
+                    .collect();
+                if parts.is_empty() {
+                    return None;
+                }
+                self.counters.sent.calls += 1;
+                Some(LeafRequest::Call(parts))
+            }
+            OutgoingFrame::Cancel(wire_id) => {
+                self.counters.sent.cancellations += 1;
+                Some(LeafRequest::Cancel(wire_id))
+            }
+            OutgoingFrame::HealthCheck(_) => {
+                self.counters.sent.health_checks += 1;
+                let reports_load = !self.site.load_report_fields.is_empty();
+                Some(match reports_load {
+                    true => LeafRequest::LoadReport,
+                    false => LeafRequest::HealthCheck,
+                })
+            }
+        }
+    }
+
+    fn encode_part(&self, now: Nanos, entry: CallEntry) -> Option<CallPart> {
+        let attempt = self.attempts.get(entry.attempt)?;
+        let time_left = attempt.times_out_at.saturating_sub(now);
+        Some(CallPart {
+            id: entry.wire_id,
+            shard: attempt.shard,
+            wait_ms: time_left.div_ceil(MILLISECOND),
+            text: attempt.text.clone(),
+        })
+    }
+
+    pub(super) fn on_frame_received(&mut self, now: Nanos, id: ConnectionId, frame: LeafResponse) {
+        let Some(connection) = self.connections.get_mut(id) else {
+            return;
+        };
+        connection.on_activity(now);
+        self.connections.mark_pending(id);
+        match frame {
+            LeafResponse::PartResult {
+                id: wire_id,
+                end,
+                report,
+                value,
+            } => {
+                let result = PartResult {
+                    wire_id,
+                    end,
+                    report,
+                    value,
+                };
+                self.on_part_result(now, id, result);
+            }
+            LeafResponse::HealthCheckResult { ok, report } => {
+                self.on_health_check_result(now, id, ok, &report)
+            }
+            LeafResponse::ProtocolError(message) => {
+                tracing::warn!(connection = id, message, "leaf server rejected a frame")
+            }
+            LeafResponse::Malformed(wire_id) => {
+                self.on_malformed_response(now, id, wire_id.as_deref())
+            }
+        }
+    }
+
+    fn on_part_result(&mut self, now: Nanos, id: ConnectionId, result: PartResult) {
+        let Some(connection) = self.connections.get_mut(id) else {
+            return;
+        };
+        let attempt = match connection.match_response(&result.wire_id) {
+            ResponseMatch::Attempt(attempt) => attempt,
+            ResponseMatch::AlreadyEnded => return,
+            ResponseMatch::Unknown => return self.on_malformed_response(now, id, None),
+        };
+        let outcome = match result.end {
+            End::Ok => AttemptOutcome::Success,
+            End::Err => AttemptOutcome::Error,
+            End::Busy => AttemptOutcome::Rejected,
+        };
+        if outcome == AttemptOutcome::Success {
+            if let Some(part) = self.queries.part_mut(attempt.part) {
+                // The codec has checked that it is text, so nothing is lost here.
+                let text = || String::from_utf8_lossy(&result.value).into_owned();
+                part.value.get_or_insert_with(text);
+            }
+        }
+        let report = self.parse_load_report(&result.report);
+        self.on_attempt_ended(now, attempt, outcome, report);
+    }
+
+    /// A leaf server has sent what can't be read. It is alive and has executed what it answered:
+    /// that attempt has failed. Where the next frame begins is not known, so the other attempts
+    /// on the connection will get no response: they are cancelled at once, by closing it.
+    fn on_malformed_response(&mut self, now: Nanos, id: ConnectionId, wire_id: Option<&str>) {
+        let replica = self.connections.replica_of(id);
+        let Some(connection) = self.connections.get_mut(id) else {
+            return;
+        };
+        self.counters.connections.malformed += 1;
+        let failed = connection.attempt_of_malformed_response(wire_id);
+        let written = connection.written_attempts();
+        tracing::info!(
+            connection = id,
+            replica = replica.map(|replica| replica.0),
+            id = wire_id,
+            "malformed response: closing its connection"
+        );
+        if let Some(failed) = failed {
+            self.on_attempt_ended(now, failed, AttemptOutcome::Error, LoadReport::new());
+        }
+        let others = written.into_iter().filter(|other| Some(*other) != failed);
+        for other in others {
+            self.on_attempt_ended(now, other, AttemptOutcome::Cancelled, LoadReport::new());
+        }
+        self.close_connection(now, id);
+    }
+
+    /// The values of a load report, in the order that the settings state. A report that is `-`, or
+    /// that lacks one of them, is none.
+    pub(super) fn parse_load_report(&self, text: &str) -> LoadReport {
+        let fields = self.site.load_report_fields.iter();
+        let values: Option<LoadReport> = fields.map(|name| find_load_value(text, name)).collect();
+        values.unwrap_or_default()
+    }
+}
+
+/// The value of one field of a load report.
+fn find_load_value(report: &str, name: &str) -> Option<f32> {
+    let pairs = report.split([',', ';']);
+    let mut pairs = pairs.filter_map(|pair| pair.split_once('='));
+    let (_, value) = pairs.find(|(key, _)| key.trim() == name)?;
+    let value: f32 = value.trim().parse().ok()?;
+    value.is_finite().then_some(value)
+}
--- /dev/null
+++ b/crates/core/src/engine/health_checks.rs
@@ -0,0 +1,109 @@
+//! Health checks of leaf servers, which the policy requests.
+
+use super::ids::ConnectionId;
+use super::leaf_connection::HealthCheckId;
+use super::timers::Timer;
+use super::Engine;
+use crate::api::{AttemptOutcome, Event, LoadReport, Nanos, ReplicaId, ReplicaState};
+use std::collections::BTreeMap;
+
+/// A health check that has not ended.
+#[derive(Debug)]
+struct HealthCheck {
+    replica: ReplicaId,
+    connection: ConnectionId,
+    started_at: Nanos,
+}
+
+/// The health checks that have not ended.
+#[derive(Debug, Default)]
+pub(super) struct HealthCheckTable {
+    checks: BTreeMap<HealthCheckId, HealthCheck>,
+}
+
+impl HealthCheckTable {
+    pub(super) fn len(&self) -> usize {
+        self.checks.len()
+    }
+}
+
+impl Engine {
+    pub(super) fn start_health_check(&mut self, now: Nanos, replica: ReplicaId) {
+        let Some(connection_id) = self.connection_for_health_check(now, replica) else {
+            return self.events.push(Event::HealthCheckEnded {
+                replica,
+                outcome: AttemptOutcome::NotSent,
+                latency: 0,
+                report: LoadReport::new(),
+            });
+        };
+        let id = self.ids.allocate();
+        if let Some(connection) = self.connections.get_mut(connection_id) {
+            connection.queue_health_check(id);
+        }
+        self.connections.mark_pending(connection_id);
+        let times_out_at = now + self.site.connect_timeout;
+        self.timers.set(times_out_at, Timer::HealthCheckTimeout(id));
+        let check = HealthCheck {
+            replica,
+            connection: connection_id,
+            started_at: now,
+        };
+        self.health_checks.checks.insert(id, check);
+    }
+
+    fn connection_for_health_check(
+        &mut self,
+        now: Nanos,
+        replica: ReplicaId,
+    ) -> Option<ConnectionId> {
+        let state = self.endpoints.get(replica)?.state;
+        if state == ReplicaState::Gone || !self.site.health_checks_allowed {
+            return None;
+        }
+        // Health checks carry no wire id.
+        self.find_or_open_connection(now, replica, "")
+    }
+
+    pub(super) fn on_health_check_result(
+        &mut self,
+        now: Nanos,
+        connection: ConnectionId,
+        ok: bool,
+        report: &str,
+    ) {
+        let connection = self.connections.get_mut(connection);
+        let check = connection.and_then(|connection| connection.match_health_check_response());
+        let outcome = match ok {
+            true => AttemptOutcome::Success,
+            false => AttemptOutcome::Error,
+        };
+        if let Some(check) = check {
+            self.on_health_check_ended(now, check, outcome, report);
+        }
+    }
+
+    pub(super) fn on_health_check_ended(
+        &mut self,
+        now: Nanos,
+        id: HealthCheckId,
+        outcome: AttemptOutcome,
+        report: &str,
+    ) {
+        let Some(check) = self.health_checks.checks.remove(&id) else {
+            return;
+        };
+        let times_out_at = check.started_at + self.site.connect_timeout;
+        self.timers
+            .cancel(times_out_at, Timer::HealthCheckTimeout(id));
+        if let Some(connection) = self.connections.get_mut(check.connection) {
+            connection.cancel_health_check(id);
+        }
+        self.events.push(Event::HealthCheckEnded {
+            replica: check.replica,
+            outcome,
+            latency: now.saturating_sub(check.started_at),
+            report: self.parse_load_report(report),
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/src/engine/input.rs
@@ -0,0 +1,78 @@
+//! What the engine is told.
+
+use super::ids::{ClientId, ConnectionId};
+use crate::api::Nanos;
+use crate::protocol::discovery::EndpointUpdate;
+use crate::protocol::http::RequestError;
+use crate::protocol::leaf::LeafResponse;
+use crate::protocol::query::ClientRequest;
+
+/// One thing that happened outside the engine.
+#[derive(Debug)]
+pub enum Input {
+    /// A client has connected.
+    ClientConnected {
+        /// The client.
+        client: ClientId,
+    },
+    /// A client's request has come in, or what came in is no valid request.
+    RequestReceived {
+        /// The client.
+        client: ClientId,
+        /// When the last byte of the request came in.
+        arrived: Nanos,
+        /// The request, or why it is invalid.
+        request: Result<ClientRequest, RequestError>,
+    },
+    /// A client's connection has ended.
+    ClientDisconnected {
+        /// The client.
+        client: ClientId,
+    },
+    /// A connection to a leaf server has been established.
+    ConnectionOpened {
+        /// The connection.
+        connection: ConnectionId,
+    },
+    /// The socket has taken the last byte of the frame that it was given.
+    FrameWritten {
+        /// The connection.
+        connection: ConnectionId,
+    },
+    /// A leaf server has sent a frame.
+    FrameReceived {
+        /// The connection.
+        connection: ConnectionId,
+        /// The frame.
+        frame: LeafResponse,
+    },
+    /// A connection to a leaf server was refused, or has failed or ended.
+    ConnectionClosed {
+        /// The connection.
+        connection: ConnectionId,
+    },
+    /// The endpoint list has changed.
+    EndpointsUpdated(EndpointUpdate),
+    /// A watch on the endpoint list has ended. Another one starts when the policy requests it.
+    WatchEnded {
+        /// The watch, as numbered by [`super::Effect::StartWatch`].
+        watch: u64,
+    },
+    /// A message of another aggregator has come in.
+    GossipReceived {
+        /// The sender, by number.
+        from: u32,
+        /// The message.
+        bytes: Vec<u8>,
+    },
+    /// The configuration was reloaded.
+    ConfigurationReloaded {
+        /// The new configuration is valid and has been applied.
+        usable: bool,
+    },
+    /// The operator requests a graceful shutdown.
+    ShutdownRequested,
+    /// All inputs that were ready have been applied: the policy decides now, and frames are
+    /// written.
+    BatchEnded,
+}
--- a/crates/core/src/engine/leaf_connection.rs
+++ b/crates/core/src/engine/leaf_connection.rs
@@ -1,327 +1,396 @@
-//! The states of one connection to a leaf server. It holds what waits to be written and what is
-//! out, and says what may be written next; it never touches a socket. Whatever happens, each
-//! attempt leaves it once.
-
-use crate::api::Nanos;
+//! The state machine of one connection to a leaf server.
+//!
+//! It holds the frames that wait to be written and the attempts that are in flight, and says what
+//! may be written next. It never touches a socket: the engine hands it what the socket reports.
+//!
+//! Invariants: the socket has at most one frame at a time, and each attempt that is queued leaves
+//! the connection exactly once, by its response, by [`LeafConnection::cancel_attempt`] or by
+//! [`LeafConnection::end`].
+
+use crate::api::{Nanos, RequestId};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
-/// One attempt at a part, by the part's id and the attempt's number.
-pub type AttemptId = (u64, u8);
+/// The most ids kept of attempts that have ended, to tell a late response from an unknown one. A
+/// leaf server has fewer responses under way.
+const MAX_ENDED_IDS: usize = 64;
+
+/// The id that stands for a part in the frames to and from a leaf server.
+pub type WireId = Rc<str>;
+
+/// The identifier of a health check; it is never used again.
+pub type HealthCheckId = u64;
+
+/// The identifier of one attempt at a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId {
+    /// The part that is attempted.
+    pub part: RequestId,
+    /// The number of the attempt, from 0 in the order sent.
+    pub number: u8,
+}
+
+/// An attempt as one entry of a call.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallEntry {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The id of its part on the wire.
+    pub wire_id: WireId,
+}
 
 /// What is written as one frame.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Job {
-    Call(Vec<(AttemptId, Rc<str>)>),
-    GiveUp(Rc<str>),
-    Probe(u64),
+pub enum OutgoingFrame {
+    /// Execute these parts.
+    Call(Vec<CallEntry>),
+    /// Stop executing a part.
+    Cancel(WireId),
+    /// Answer a health check.
+    HealthCheck(HealthCheckId),
 }
 
+/// Whether a connection has been established.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
+    /// Not yet.
     Connecting,
+    /// It has.
     Open,
 }
 
-/// Ids that are over and may yet be heard of: more than a leaf server has answers under way.
-const MOST_OVER: usize = 64;
-
-/// What an answer's id stands for.
+/// What the wire id of a response stands for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Answered {
+pub enum ResponseMatch {
+    /// An attempt that was in flight and has ended with this response.
     Attempt(AttemptId),
-    /// Answered or given up before: a copy, or an answer that crossed our words.
-    Over,
-    /// Nothing that was ever written here: the answer is spoilt.
+    /// An attempt that has ended before: the response is a duplicate, or it crossed our
+    /// cancellation.
+    AlreadyEnded,
+    /// Nothing that was ever written to this connection: the response is malformed.
     Unknown,
 }
 
-/// An attempt on the connection: since when the socket has its frame, and whether it took the last
-/// byte.
+/// An attempt that was in flight when its connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LostAttempt {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The leaf server may have executed it.
+    pub may_have_run: bool,
+}
+
+/// What was in flight when a connection ended.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct LostWork {
+    /// The attempts, in the order of their wire ids.
+    pub attempts: Vec<LostAttempt>,
+    /// The health checks, those written first.
+    pub health_checks: Vec<HealthCheckId>,
+}
+
+/// An attempt that is queued, being written or in flight.
 #[derive(Clone, Debug)]
-struct Out {
+struct InFlight {
     attempt: AttemptId,
-    given: Option<Nanos>,
+    /// When the socket was given its frame.
+    given_at: Option<Nanos>,
+    /// The socket has taken the last byte of its frame.
     written: bool,
 }
 
+/// The state of one connection to a leaf server.
 #[derive(Debug)]
 pub struct LeafConnection {
     phase: Phase,
-    waiting: VecDeque<Job>,
-    /// The frame that the socket has and has not yet taken whole.
-    writing: Option<Job>,
-    out: BTreeMap<Rc<str>, Out>,
-    /// Probes written, in order; answers carry no id, so one that is given up keeps its place as
-    /// none.
-    probes: VecDeque<Option<u64>>,
-    /// Ids written here that are over, latest last.
-    over: VecDeque<Rc<str>>,
-    heard: Nanos,
-    /// It swallowed an attempt: nothing new goes out on it until it is heard again.
-    silent: bool,
-    /// Since when nothing is out or waiting, and when the alarm rings that looks at it: one at a
-    /// time, however often the connection falls idle.
-    pub idle_since: Nanos,
-    pub idle_alarm: Option<Nanos>,
+    /// Frames that wait for the socket, oldest first.
+    queue: VecDeque<OutgoingFrame>,
+    /// The frame that the socket was given and has not taken completely.
+    writing: Option<OutgoingFrame>,
+    in_flight: BTreeMap<WireId, InFlight>,
+    /// Health checks that were written, in order. Responses carry no id, so one that is cancelled
+    /// keeps its place as `None`.
+    health_checks: VecDeque<Option<HealthCheckId>>,
+    /// Wire ids that were written here and have ended, latest last.
+    ended_ids: VecDeque<WireId>,
+    last_activity: Nanos,
+    /// It left an attempt without any response: nothing new goes out on it until something comes
+    /// in on it.
+    unresponsive: bool,
+    /// Since when nothing has been queued or in flight.
+    pub(super) idle_since: Nanos,
+    /// When the timer that checks for idleness is due. There is one at a time, however often the
+    /// connection becomes idle.
+    pub(super) idle_timer: Option<Nanos>,
 }
 
 impl LeafConnection {
+    /// A connection that is being established.
     pub fn new(now: Nanos) -> LeafConnection {
         LeafConnection {
             phase: Phase::Connecting,
-            waiting: VecDeque::new(),
+            queue: VecDeque::new(),
             writing: None,
-            out: BTreeMap::new(),
-            probes: VecDeque::new(),
-            over: VecDeque::new(),
-            heard: now,
-            silent: false,
+            in_flight: BTreeMap::new(),
+            health_checks: VecDeque::new(),
+            ended_ids: VecDeque::new(),
+            last_activity: now,
+            unresponsive: false,
             idle_since: now,
-            idle_alarm: None,
+            idle_timer: None,
         }
     }
 
+    /// Whether the connection has been established.
     pub fn phase(&self) -> Phase {
         self.phase
     }
 
-    /// Whether one more attempt under this wire id may go out on it. Two of one id can't be told
-    /// apart.
-    pub fn has_room(&self, streams: usize, wire: &str) -> bool {
-        !self.silent && self.load() < streams && !self.out.contains_key(wire)
+    /// Whether one more attempt with this wire id may go out on it. Two attempts with one id can't
+    /// be told apart.
+    pub fn has_capacity(&self, max_streams: usize, wire_id: &str) -> bool {
+        !self.unresponsive
+            && self.streams_in_use() < max_streams
+            && !self.in_flight.contains_key(wire_id)
     }
 
-    fn load(&self) -> usize {
-        let probes = self
-            .waiting
-            .iter()
-            .chain(&self.writing)
-            .filter(|job| matches!(job, Job::Probe(_)));
-        self.out.len() + self.probes.len() + probes.count()
+    fn streams_in_use(&self) -> usize {
+        let unwritten_health_checks = self.unwritten_health_checks().count();
+        self.in_flight.len() + self.health_checks.len() + unwritten_health_checks
     }
 
-    /// Nothing is out, waiting or half written.
+    fn unwritten_health_checks(&self) -> impl Iterator<Item = HealthCheckId> + '_ {
+        let unwritten = self.queue.iter().chain(&self.writing);
+        unwritten.filter_map(|frame| match frame {
+            OutgoingFrame::HealthCheck(check) => Some(*check),
+            _ => None,
+        })
+    }
+
+    /// Nothing is queued, half written or in flight.
     pub fn is_idle(&self) -> bool {
-        self.load() == 0 && self.waiting.is_empty() && self.writing.is_none()
+        self.streams_in_use() == 0 && self.queue.is_empty() && self.writing.is_none()
     }
 
-    pub fn is_silent(&self) -> bool {
-        self.silent
+    /// It left an attempt without any response, and nothing has come in on it since.
+    pub fn is_unresponsive(&self) -> bool {
+        self.unresponsive
     }
 
-    /// Silent, and nothing is out that might still be answered. What waits are words that give
-    /// attempts up, which the end of the connection says as well; a frame that the socket can't get
-    /// rid of waits for ever.
-    pub fn is_spent(&self) -> bool {
-        self.silent && self.out.is_empty()
+    /// Unresponsive, with nothing in flight that might still be answered. What is queued are
+    /// cancellations, which the end of the connection expresses as well; a frame that the socket
+    /// can't deliver would wait forever.
+    pub fn should_close(&self) -> bool {
+        self.unresponsive && self.in_flight.is_empty()
     }
 
-    /// Queues an attempt; it joins the last call that waits, if that has room and holds only this
-    /// turn's.
-    pub fn queue(
-        &mut self,
-        attempt: AttemptId,
-        wire: Rc<str>,
-        join: bool,
-        max_parts_per_call: usize,
-    ) {
-        self.out.insert(
-            wire.clone(),
-            Out {
-                attempt,
-                given: None,
-                written: false,
-            },
-        );
-        match self.waiting.back_mut() {
-            Some(Job::Call(call)) if join && call.len() < max_parts_per_call => {
-                call.push((attempt, wire))
+    /// Queues an attempt. With `join` it is added to the last call in the queue, if that holds
+    /// fewer than `max_parts_per_call`.
+    pub fn queue_attempt(&mut self, entry: CallEntry, join: bool, max_parts_per_call: usize) {
+        let in_flight = InFlight {
+            attempt: entry.attempt,
+            given_at: None,
+            written: false,
+        };
+        self.in_flight.insert(entry.wire_id.clone(), in_flight);
+        match self.queue.back_mut() {
+            Some(OutgoingFrame::Call(call)) if join && call.len() < max_parts_per_call => {
+                call.push(entry)
             }
-            _ => self.waiting.push_back(Job::Call(vec![(attempt, wire)])),
+            _ => self.queue.push_back(OutgoingFrame::Call(vec![entry])),
         }
     }
 
-    pub fn queue_probe(&mut self, probe: u64) {
-        self.waiting.push_back(Job::Probe(probe));
+    /// Queues a health check.
+    pub fn queue_health_check(&mut self, check: HealthCheckId) {
+        self.queue.push_back(OutgoingFrame::HealthCheck(check));
     }
 
-    pub fn opened(&mut self, now: Nanos) {
+    /// The connection has been established.
+    pub fn on_opened(&mut self, now: Nanos) {
         self.phase = Phase::Open;
-        self.heard = now;
+        self.last_activity = now;
     }
 
-    /// The next frame for the socket, one at a time: what waits here can still be dropped whole.
-    pub fn take_next(&mut self, now: Nanos) -> Option<Job> {
+    /// The next frame for the socket, which takes one at a time: what stays in the queue can still
+    /// be cancelled without a trace.
+    pub fn next_frame(&mut self, now: Nanos) -> Option<OutgoingFrame> {
         if self.phase != Phase::Open || self.writing.is_some() {
             return None;
         }
-        self.writing = self.waiting.pop_front();
-        self.mark(|out| out.given = Some(now));
+        self.writing = self.queue.pop_front();
+        self.update_attempts_being_written(|in_flight| in_flight.given_at = Some(now));
         self.writing.clone()
     }
 
-    /// Marks the attempts of the frame that the socket has.
-    fn mark(&mut self, mark: impl Fn(&mut Out)) {
-        let Some(Job::Call(call)) = &self.writing else {
+    fn update_attempts_being_written(&mut self, update: impl Fn(&mut InFlight)) {
+        let Some(OutgoingFrame::Call(call)) = &self.writing else {
             return;
         };
-        for (attempt, wire) in call {
-            if let Some(out) = self.out.get_mut(wire).filter(|out| out.attempt == *attempt) {
-                mark(out);
+        for entry in call {
+            // A cancelled attempt's id may have been taken by a later attempt.
+            let in_flight = self.in_flight.get_mut(&entry.wire_id);
+            if let Some(in_flight) = in_flight.filter(|other| other.attempt == entry.attempt) {
+                update(in_flight);
             }
         }
     }
 
-    /// The socket has taken the last byte of the frame: from here on its parts may run.
-    pub fn wrote(&mut self) {
-        self.mark(|out| out.written = true);
-        if let Some(Job::Probe(probe)) = self.writing.take() {
-            self.probes.push_back(Some(probe));
+    /// The socket has taken the last byte of the frame: from now on its parts may be executed.
+    pub fn on_frame_written(&mut self) {
+        self.update_attempts_being_written(|in_flight| in_flight.written = true);
+        if let Some(OutgoingFrame::HealthCheck(check)) = self.writing.take() {
+            self.health_checks.push_back(Some(check));
         }
     }
 
-    /// A sign of life; a connection that is heard is no longer held to swallow attempts.
-    pub fn hear(&mut self, now: Nanos) {
-        (self.heard, self.silent) = (now, false);
+    /// Something has come in on the connection: it is responsive.
+    pub fn on_activity(&mut self, now: Nanos) {
+        self.last_activity = now;
+        self.unresponsive = false;
     }
 
-    /// The attempt that an answer is for. What has not been written yet can't have been answered:
-    /// that is an earlier attempt's answer under the same id.
-    pub fn answered(&mut self, wire: &str) -> Answered {
-        match self.out.get_key_value(wire).filter(|(_, out)| out.written) {
-            Some((wire, out)) => {
-                let (wire, attempt) = (wire.clone(), out.attempt);
-                self.out.remove(&wire);
-                self.note_over(wire);
-                Answered::Attempt(attempt)
+    /// Ends the attempt that a response is for. What has not been written yet can't have been
+    /// answered: that is the response to an earlier attempt with the same id.
+    pub fn match_response(&mut self, wire_id: &str) -> ResponseMatch {
+        let entry = self.in_flight.get_key_value(wire_id);
+        match entry.filter(|(_, in_flight)| in_flight.written) {
+            Some((wire_id, in_flight)) => {
+                let (wire_id, attempt) = (wire_id.clone(), in_flight.attempt);
+                self.in_flight.remove(&wire_id);
+                self.remember_ended(wire_id);
+                ResponseMatch::Attempt(attempt)
             }
-            None if self.over.iter().any(|over| **over == *wire) => Answered::Over,
-            None => Answered::Unknown,
+            None if self.ended_ids.iter().any(|ended| **ended == *wire_id) => {
+                ResponseMatch::AlreadyEnded
+            }
+            None => ResponseMatch::Unknown,
         }
     }
 
-    fn note_over(&mut self, wire: Rc<str>) {
-        if self.over.len() == MOST_OVER {
-            self.over.pop_front();
+    fn remember_ended(&mut self, wire_id: WireId) {
+        if self.ended_ids.len() == MAX_ENDED_IDS {
+            self.ended_ids.pop_front();
         }
-        self.over.push_back(wire);
+        self.ended_ids.push_back(wire_id);
     }
 
-    /// What a spoilt answer is held to have been for: the attempt it names, else the longest out.
-    pub fn spoilt(&mut self, wire: Option<&str>) -> Option<AttemptId> {
-        let written = |out: &&Out| out.written;
-        let named = wire.and_then(|wire| self.out.get(wire)).filter(written);
+    /// The attempt that a malformed response is taken to answer: the one it names, else the one
+    /// that has been in flight for longest.
+    pub fn attempt_of_malformed_response(&self, wire_id: Option<&str>) -> Option<AttemptId> {
+        let written = |in_flight: &&InFlight| in_flight.written;
+        let named = wire_id
+            .and_then(|wire_id| self.in_flight.get(wire_id))
+            .filter(written);
         let oldest = || {
-            self.out
-                .values()
-                .filter(written)
-                .min_by_key(|out| (out.given, out.attempt))
+            let candidates = self.in_flight.values().filter(written);
+            candidates.min_by_key(|in_flight| (in_flight.given_at, in_flight.attempt))
         };
-        named.or_else(oldest).map(|out| out.attempt)
+        named.or_else(oldest).map(|in_flight| in_flight.attempt)
     }
 
-    /// The attempts whose last byte the socket has taken.
-    pub fn written(&self) -> Vec<AttemptId> {
-        self.out
-            .values()
-            .filter(|out| out.written)
-            .map(|out| out.attempt)
-            .collect()
+    /// The attempts of which the socket has taken the last byte.
+    pub fn written_attempts(&self) -> Vec<AttemptId> {
+        let in_flight = self.in_flight.values();
+        let written = in_flight.filter(|in_flight| in_flight.written);
+        written.map(|in_flight| in_flight.attempt).collect()
     }
 
-    /// The probe that an answer is for; none where it was given up, or none was asked.
-    pub fn probed(&mut self) -> Option<u64> {
-        self.probes.pop_front().flatten()
+    /// The health check that a response is for; none where that was cancelled or never sent.
+    pub fn match_health_check_response(&mut self) -> Option<HealthCheckId> {
+        self.health_checks.pop_front().flatten()
     }
 
-    /// Gives a probe up; its answer, should it come, is not mistaken for the next one's.
-    pub fn drop_probe(&mut self, probe: u64) {
-        self.waiting.retain(|job| *job != Job::Probe(probe));
-        if let Some(kept) = self.probes.iter_mut().find(|kept| **kept == Some(probe)) {
-            *kept = None;
+    /// Cancels a health check. Its response, should it come, is not taken for the next one's.
+    pub fn cancel_health_check(&mut self, check: HealthCheckId) {
+        self.queue
+            .retain(|frame| *frame != OutgoingFrame::HealthCheck(check));
+        let mut written = self.health_checks.iter_mut();
+        if let Some(place) = written.find(|place| **place == Some(check)) {
+            *place = None;
         }
     }
 
-    /// Gives an attempt up. What waits is dropped whole and never goes out; what the socket has is
-    /// followed by a frame that says so. True if it may have run. After `patience` without a sound
-    /// since the socket has it, the connection is held to swallow attempts.
-    pub fn drop_attempt(&mut self, attempt: AttemptId, now: Nanos, client_timeout: Nanos) -> bool {
-        let Some(wire) = self.wire_of(attempt) else {
+    /// Cancels an attempt. What is queued is removed and never goes out; what the socket was given
+    /// is followed by a cancellation. True if the attempt may have been executed. A connection on
+    /// which nothing has come in for `response_timeout` since the socket was given the attempt
+    /// counts as unresponsive.
+    pub fn cancel_attempt(
+        &mut self,
+        attempt: AttemptId,
+        now: Nanos,
+        response_timeout: Nanos,
+    ) -> bool {
+        let Some(wire_id) = self.wire_id_of(attempt) else {
             return false;
         };
-        let Some(out) = self.out.remove(&wire) else {
+        let Some(in_flight) = self.in_flight.remove(&wire_id) else {
             return false;
         };
-        let mut waited = false;
-        for job in &mut self.waiting {
-            if let Job::Call(call) = job {
-                let before = call.len();
-                call.retain(|(a, _)| *a != attempt);
-                waited |= call.len() < before;
-            }
-        }
-        self.waiting
-            .retain(|job| !matches!(job, Job::Call(call) if call.is_empty()));
-        if waited {
+        if self.remove_from_queue(attempt) {
             return false;
         }
-        self.note_over(wire.clone());
-        self.waiting.push_back(Job::GiveUp(wire));
-        if let Some(given) = out.given {
-            self.silent |= self.heard <= given && now.saturating_sub(given) >= client_timeout;
+        self.remember_ended(wire_id.clone());
+        self.queue.push_back(OutgoingFrame::Cancel(wire_id));
+        if let Some(given_at) = in_flight.given_at {
+            let no_activity_since = self.last_activity <= given_at;
+            let waited = now.saturating_sub(given_at);
+            self.unresponsive |= no_activity_since && waited >= response_timeout;
         }
         true
     }
 
-    fn wire_of(&self, attempt: AttemptId) -> Option<Rc<str>> {
-        self.out
-            .iter()
-            .find(|(_, out)| out.attempt == attempt)
-            .map(|(wire, _)| wire.clone())
+    /// Removes an attempt from the calls in the queue; whether it was in one.
+    fn remove_from_queue(&mut self, attempt: AttemptId) -> bool {
+        let mut removed = false;
+        self.queue.retain_mut(|frame| {
+            let OutgoingFrame::Call(call) = frame else {
+                return true;
+            };
+            let entries_before = call.len();
+            call.retain(|entry| entry.attempt != attempt);
+            removed |= call.len() < entries_before;
+            !call.is_empty()
+        });
+        removed
     }
 
-    /// Whether an attempt is here and has not gone to the socket yet.
+    fn wire_id_of(&self, attempt: AttemptId) -> Option<WireId> {
+        let mut entries = self.in_flight.iter();
+        let entry = entries.find(|(_, in_flight)| in_flight.attempt == attempt);
+        entry.map(|(wire_id, _)| wire_id.clone())
+    }
+
+    /// Whether an attempt is here and the socket was not given it yet.
     pub fn is_unsent(&self, attempt: AttemptId) -> bool {
-        self.out
-            .values()
-            .any(|out| out.attempt == attempt && out.given.is_none())
+        let mut in_flight = self.in_flight.values();
+        in_flight.any(|other| other.attempt == attempt && other.given_at.is_none())
     }
 
-    /// The attempts that have not gone to the socket yet.
-    pub fn unsent(&self) -> Vec<AttemptId> {
-        let calls = self.waiting.iter().filter_map(|job| match job {
-            Job::Call(call) => Some(call),
+    /// The attempts that the socket was not given yet.
+    pub fn unsent_attempts(&self) -> Vec<AttemptId> {
+        let calls = self.queue.iter().filter_map(|frame| match frame {
+            OutgoingFrame::Call(call) => Some(call),
             _ => None,
         });
-        calls.flatten().map(|(attempt, _)| *attempt).collect()
+        calls.flatten().map(|entry| entry.attempt).collect()
     }
 
-    /// The connection is over: all attempts on it, with whether they may have run, and all probes.
-    /// Where the socket has said so itself, it has told of each frame that it took whole before;
-    /// where we close (`ours`), its word may still be on the way.
-    pub fn end(self, ours: bool) -> (Vec<(AttemptId, bool)>, Vec<u64>) {
-        let may_have_run = |out: &Out| out.written || ours && out.given.is_some();
-        let attempts = self
-            .out
-            .values()
-            .map(|out| (out.attempt, may_have_run(out)))
-            .collect();
-        let queued = self
-            .waiting
-            .iter()
-            .chain(&self.writing)
-            .filter_map(|job| match job {
-                Job::Probe(probe) => Some(*probe),
-                _ => None,
-            });
-        let probes = self
-            .probes
-            .iter()
-            .flatten()
-            .copied()
-            .chain(queued)
-            .collect();
-        (attempts, probes)
+    /// Ends the connection and returns what was in flight. Where the socket reported the end, it
+    /// has reported every frame that it took completely before; where we close the connection
+    /// (`closed_by_us`), such a report may still be on its way.
+    pub fn end(self, closed_by_us: bool) -> LostWork {
+        let in_flight = self.in_flight.values();
+        let attempts = in_flight.map(|in_flight| LostAttempt {
+            attempt: in_flight.attempt,
+            may_have_run: in_flight.written || closed_by_us && in_flight.given_at.is_some(),
+        });
+        let written_health_checks = self.health_checks.iter().flatten().copied();
+        LostWork {
+            attempts: attempts.collect(),
+            health_checks: written_health_checks
+                .chain(self.unwritten_health_checks())
+                .collect(),
+        }
     }
 }
--- a/crates/core/src/engine/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -1,13 +1,214 @@
-//! The reducer: all state of the mixer and every change to it. Inputs go in one by one, effects
-//! come out; no socket and no clock is touched here. The decisions come from
-//! [`crate::Coordinator`], once a turn.
+//! The engine: one reducer that owns the whole state of an aggregator.
+//!
+//! Data flows from the sockets as [`Input`]s into [`Engine::apply`], which returns [`Effect`]s for
+//! the sockets. The engine touches neither a socket nor a clock, so it is deterministic: the same
+//! inputs at the same times yield the same effects. What happened becomes events; at the end of
+//! each batch of inputs the [`Policy`] decides on them, and its actions are executed.
+//!
+//! Each table in the submodules owns one part of the state, and the handlers of that part's inputs
+//! are next to it. `Engine` only joins them.
 
+mod actions;
+mod attempts;
+mod clients;
+mod connections;
 pub mod counters;
+mod effect;
+mod endpoints;
+mod frames;
+mod health_checks;
+mod ids;
+mod input;
 pub mod leaf_connection;
-pub mod messages;
-mod replicas;
-mod state;
+mod queries;
+mod replies;
+mod shutdown;
+mod timers;
 pub mod usage;
+mod usage_log;
 
-pub use messages::{ClientId, ConnectionId, Effect, Input};
-pub use state::Engine;
+pub use effect::Effect;
+pub use ids::{ClientId, ConnectionId};
+pub use input::Input;
+
+use crate::api::{EndpointUpdateKind, Event, Nanos, Settings};
+use crate::protocol::discovery::EndpointUpdate;
+use crate::settings::Site;
+use crate::Policy;
+use attempts::AttemptTable;
+use clients::ClientTable;
+use connections::ConnectionTable;
+use counters::Counters;
+use endpoints::{EndpointTable, EndpointWatch};
+use health_checks::HealthCheckTable;
+use ids::IdAllocator;
+use queries::QueryTable;
+use shutdown::ShutdownState;
+use timers::TimerQueue;
+use usage_log::UsageLog;
+
+/// In nanoseconds.
+const MILLISECOND: Nanos = 1_000_000;
+
+/// Shares of the file descriptors, in percent, for connections to leaf servers and to clients.
+/// Well-behaved ones use a third at most; either kind leaves the other its share.
+const LEAF_CONNECTION_PERCENT: usize = 40;
+const CLIENT_PERCENT: usize = 45;
+
+/// How long a watch may take to answer where the list is pushed: the local agent answers at once,
+/// and has more to tell as soon as discovery is back.
+const PUSHED_LIST_TIMEOUT: Nanos = 1_000 * MILLISECOND;
+
+/// How long a watch may take to answer where the list is polled: a single service answers all
+/// aggregators in turn.
+const POLLED_LIST_TIMEOUT: Nanos = 4_500 * MILLISECOND;
+
+/// The state of an aggregator.
+pub struct Engine {
+    site: Site,
+    policy: Policy,
+    /// What the policy has yet to be told.
+    events: Vec<Event>,
+    /// What the caller of `apply` has yet to carry out.
+    effects: Vec<Effect>,
+    ids: IdAllocator,
+    timers: TimerQueue,
+    endpoints: EndpointTable,
+    watch: EndpointWatch,
+    connections: ConnectionTable,
+    clients: ClientTable,
+    queries: QueryTable,
+    attempts: AttemptTable,
+    health_checks: HealthCheckTable,
+    shutdown: ShutdownState,
+    counters: Counters,
+    /// None where no usage is recorded.
+    usage_log: Option<UsageLog>,
+}
+
+impl Engine {
+    /// Starts an engine that may use as many file `descriptors`. `known` is the endpoint list as
+    /// it was last held, which may be stale.
+    pub fn new(
+        now: Nanos,
+        site: Site,
+        settings: Settings,
+        seed: u64,
+        known: &EndpointUpdate,
+        descriptors: usize,
+    ) -> Engine {
+        let list_is_polled = settings.endpoint_list_polled;
+        let answer_timeout = match list_is_polled {
+            true => POLLED_LIST_TIMEOUT,
+            false => PUSHED_LIST_TIMEOUT,
+        };
+        let mut engine = Engine {
+            endpoints: EndpointTable::new(site.zones.clone()),
+            site,
+            policy: Policy::new(settings, seed),
+            events: Vec::new(),
+            effects: Vec::new(),
+            ids: IdAllocator::default(),
+            timers: TimerQueue::default(),
+            watch: EndpointWatch::new(answer_timeout),
+            connections: ConnectionTable::new(descriptors * LEAF_CONNECTION_PERCENT / 100),
+            clients: ClientTable::new(descriptors * CLIENT_PERCENT / 100),
+            queries: QueryTable::default(),
+            attempts: AttemptTable::default(),
+            health_checks: HealthCheckTable::default(),
+            shutdown: ShutdownState::default(),
+            counters: Counters::default(),
+            usage_log: None,
+        };
+        engine.load_cached_endpoints(known);
+        // Where the list has to be polled, the policy says when, in its first batch.
+        if !list_is_polled {
+            engine.start_watch();
+        }
+        engine.end_batch(now);
+        engine
+    }
+
+    fn load_cached_endpoints(&mut self, known: &EndpointUpdate) {
+        let entries = self.endpoints.apply(known).entries;
+        self.events.push(Event::EndpointsUpdated {
+            kind: EndpointUpdateKind::Cached,
+            entries,
+        });
+    }
+
+    /// The version of the endpoint list that is held: a watch continues from there.
+    pub fn list_index(&self) -> u64 {
+        self.endpoints.version()
+    }
+
+    /// The most clients that may be connected.
+    pub fn most_clients(&self) -> usize {
+        self.clients.capacity()
+    }
+
+    /// When a batch has to end next, even if nothing comes in until then.
+    pub fn next_due(&self) -> Option<Nanos> {
+        if !self.events.is_empty() {
+            return Some(0);
+        }
+        self.timers.next_due()
+    }
+
+    /// The number of things of every kind that are held in memory. It is bounded while the load
+    /// is, however many names come and go.
+    pub fn held(&self) -> usize {
+        self.queries.entries()
+            + self.attempts.len()
+            + self.clients.len()
+            + self.connections.len()
+            + self.health_checks.len()
+            + self.timers.len()
+            + self.endpoints.len()
+            + self.policy.held()
+    }
+
+    /// What was counted since the start.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Applies one input at `now` and returns what is to be done about it, in order.
+    ///
+    /// Frames are only written at [`Input::BatchEnded`], so that a disconnected client, a draining
+    /// replica or a shutdown takes precedence over a connection that was opened in the same batch.
+    pub fn apply(&mut self, now: Nanos, input: Input) -> Vec<Effect> {
+        self.handle(now, input);
+        self.maybe_exit();
+        std::mem::take(&mut self.effects)
+    }
+
+    fn handle(&mut self, now: Nanos, input: Input) {
+        match input {
+            Input::ClientConnected { client } => self.on_client_connected(now, client),
+            Input::RequestReceived {
+                client,
+                arrived,
+                request,
+            } => self.on_request(now, client, arrived, request),
+            Input::ClientDisconnected { client } => self.on_client_disconnected(now, client),
+            Input::ConnectionOpened { connection } => self.on_connection_opened(now, connection),
+            Input::FrameWritten { connection } => self.on_frame_written(connection),
+            Input::FrameReceived { connection, frame } => {
+                self.on_frame_received(now, connection, frame)
+            }
+            Input::ConnectionClosed { connection } => self.on_connection_closed(now, connection),
+            Input::EndpointsUpdated(update) => self.on_endpoints_updated(now, &update),
+            Input::GossipReceived { from, bytes } => {
+                self.events.push(Event::GossipReceived { from, bytes })
+            }
+            Input::WatchEnded { watch } => self.on_watch_ended(watch),
+            Input::ConfigurationReloaded { usable } => self.on_configuration_reloaded(usable),
+            Input::ShutdownRequested => self.on_shutdown_requested(now),
+            Input::BatchEnded => {
+                self.end_batch(now);
+                self.flush_pending_writes(now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/engine/replies.rs
@@ -0,0 +1,120 @@
+//! The replies to queries, and the ways in which a query ends.
+
+use super::queries::{EndedQuery, Part};
+use super::usage::Outcome;
+use super::{Engine, MILLISECOND};
+use crate::api::{Event, Nanos, RequestId};
+use crate::protocol::query::{Hit, Reply};
+
+/// How far below a threshold a coverage may be by rounding, as a share of the weight.
+const COVERAGE_TOLERANCE: f64 = 1e-4;
+
+impl Engine {
+    pub(super) fn answer_query(&mut self, now: Nanos, id: RequestId, complete: bool) {
+        self.finish_query(now, id, |engine, ended| {
+            engine.compose_answer(ended, complete)
+        });
+    }
+
+    pub(super) fn reject_query(&mut self, now: Nanos, id: RequestId, retry_after: Option<Nanos>) {
+        self.finish_query(now, id, |engine, _| {
+            engine.counters.queries_ended.rejected += 1;
+            Reply::Rejected { retry_after }
+        });
+    }
+
+    pub(super) fn fail_query(&mut self, now: Nanos, id: RequestId) {
+        self.finish_query(now, id, |engine, _| {
+            engine.counters.queries_ended.failed += 1;
+            Reply::Failed
+        });
+    }
+
+    /// Fails a query that the policy has not ended in time. It should have: every query that was
+    /// admitted is to be answered before its client gives up.
+    pub(super) fn on_reply_deadline(&mut self, now: Nanos, id: RequestId) {
+        self.counters.faults.reply_deadline += 1;
+        tracing::error!(id, "query still open at its reply deadline");
+        self.events.push(Event::ClientDisconnected { id });
+        self.fail_query(now, id);
+    }
+
+    /// Ends a query whose client has disconnected.
+    pub(super) fn abandon_query(&mut self, now: Nanos, id: RequestId) {
+        if let Some(ended) = self.end_query(now, id) {
+            self.record_query(&ended, Outcome::Left);
+        }
+    }
+
+    fn finish_query(
+        &mut self,
+        now: Nanos,
+        id: RequestId,
+        compose_reply: impl FnOnce(&mut Self, &EndedQuery) -> Reply,
+    ) {
+        let Some(ended) = self.end_query(now, id) else {
+            return;
+        };
+        let reply = compose_reply(self, &ended);
+        let outcome = Outcome::of_reply(&reply, ended.covered_weight(), ended.total_weight());
+        self.record_query(&ended, outcome);
+        if tracing::enabled!(tracing::Level::DEBUG) {
+            log_query_ended(now, id, &ended, outcome);
+        }
+        self.send_reply(now, ended.query.client, reply);
+    }
+
+    /// The answer from the results that are in. It claims nothing that its parts do not support,
+    /// whatever the policy requests: a single answer that overstates its coverage is very costly.
+    fn compose_answer(&mut self, ended: &EndedQuery, complete: bool) -> Reply {
+        let class = usize::from(ended.query.class);
+        let is_complete = covers(ended, &self.site.completeness_thresholds, class);
+        let is_sufficient = covers(ended, &self.site.minimum_coverages, class);
+        if !is_sufficient || complete && !is_complete {
+            let covered = ended.covered_weight();
+            tracing::error!(covered, complete, class, "answer overstates its coverage");
+            self.counters.faults.overstated_coverage += 1;
+            self.counters.queries_ended.failed += 1;
+            return Reply::Failed;
+        }
+        if complete {
+            self.counters.queries_ended.complete += 1;
+        } else {
+            self.counters.queries_ended.partial += 1;
+        }
+        let hits = ended.parts.iter().filter_map(hit).collect();
+        Reply::Answer { complete, hits }
+    }
+}
+
+/// Whether the results that are in reach the class's threshold. A class without one needs all.
+fn covers(ended: &EndedQuery, thresholds: &[f64], class: usize) -> bool {
+    let threshold = thresholds.get(class).copied().unwrap_or(1.0);
+    let needed = threshold * ended.total_weight().min(1.0);
+    ended.covered_weight() + COVERAGE_TOLERANCE >= needed
+}
+
+fn hit(part: &Part) -> Option<Hit> {
+    let doc = part.value.clone()?;
+    let shard = part.shard;
+    Some(Hit { shard, doc })
+}
+
+/// Logs a query that has ended, with the number of attempts at each of its parts and whether the
+/// part has a result.
+fn log_query_ended(now: Nanos, id: RequestId, ended: &EndedQuery, outcome: Outcome) {
+    let attempts = |part: &Part| {
+        let result = if part.value.is_some() { "+" } else { "-" };
+        format!("{}:{}{result}", part.shard, part.attempts)
+    };
+    let attempts: Vec<String> = ended.parts.iter().map(attempts).collect();
+    let time_left = ended.query.deadline.saturating_sub(now);
+    tracing::debug!(
+        id,
+        class = ended.query.class,
+        time_left_ms = time_left / MILLISECOND,
+        attempts = attempts.join(" "),
+        ?outcome,
+        "query ended"
+    );
+}
--- /dev/null
+++ b/crates/core/src/engine/timers.rs
@@ -0,0 +1,88 @@
+//! The engine's timers.
+
+use super::ids::ConnectionId;
+use super::leaf_connection::{AttemptId, HealthCheckId};
+use super::Engine;
+use crate::api::{AttemptOutcome, Event, Nanos, RequestId};
+use std::collections::BTreeSet;
+
+/// What happens when a timer is due. Timers that are due at the same time run in the order of the
+/// variants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Timer {
+    /// A timer of the policy, by its token.
+    Policy(u64),
+    /// An attempt times out.
+    AttemptTimeout(AttemptId),
+    /// A connection should have been established.
+    ConnectTimeout(ConnectionId),
+    /// A connection may have been idle for too long.
+    IdleTimeout(ConnectionId),
+    /// A health check times out.
+    HealthCheckTimeout(HealthCheckId),
+    /// The last moment at which the reply to a query reaches its client in time.
+    ReplyDeadline(RequestId),
+    /// The next watermark of the usage log is due.
+    UsageWatermark,
+    /// The drain period is over.
+    DrainPeriodEnded,
+    /// A graceful shutdown has to be complete.
+    ShutdownDeadline,
+}
+
+/// The timers that are set, by the time at which they are due.
+#[derive(Debug, Default)]
+pub(super) struct TimerQueue {
+    timers: BTreeSet<(Nanos, Timer)>,
+}
+
+impl TimerQueue {
+    pub(super) fn set(&mut self, due: Nanos, timer: Timer) {
+        self.timers.insert((due, timer));
+    }
+
+    pub(super) fn cancel(&mut self, due: Nanos, timer: Timer) {
+        self.timers.remove(&(due, timer));
+    }
+
+    /// When the first timer is due.
+    pub(super) fn next_due(&self) -> Option<Nanos> {
+        self.timers.first().map(|(due, _)| *due)
+    }
+
+    /// Removes the first timer if it is due.
+    fn pop_due(&mut self, now: Nanos) -> Option<Timer> {
+        self.next_due().filter(|due| *due <= now)?;
+        self.timers.pop_first().map(|(_, timer)| timer)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.timers.len()
+    }
+}
+
+impl Engine {
+    pub(super) fn run_due_timers(&mut self, now: Nanos) {
+        while let Some(timer) = self.timers.pop_due(now) {
+            self.on_timer(now, timer);
+        }
+    }
+
+    fn on_timer(&mut self, now: Nanos, timer: Timer) {
+        match timer {
+            Timer::Policy(token) => self.events.push(Event::TimerFired { token }),
+            Timer::AttemptTimeout(attempt) => {
+                self.end_attempt(now, attempt, AttemptOutcome::TimedOut)
+            }
+            Timer::ConnectTimeout(connection) => self.on_connect_timeout(now, connection),
+            Timer::IdleTimeout(connection) => self.on_idle_timeout(now, connection),
+            Timer::HealthCheckTimeout(check) => {
+                self.on_health_check_ended(now, check, AttemptOutcome::TimedOut, "")
+            }
+            Timer::ReplyDeadline(query) => self.on_reply_deadline(now, query),
+            Timer::UsageWatermark => self.record_watermark(now),
+            Timer::DrainPeriodEnded => self.on_drain_period_ended(),
+            Timer::ShutdownDeadline => self.on_shutdown_deadline(now),
+        }
+    }
+}
--- a/crates/core/src/engine/usage.rs
+++ b/crates/core/src/engine/usage.rs
@@ -1,10 +1,11 @@
-//! What a query was used for, as the ledger counts it: one record for each query that ended.
+//! Usage records: one for each query that ended, for the usage ledger.
 
 use crate::api::Nanos;
+use crate::protocol::query::Reply;
 use xxhash_rust::xxh3::Xxh3;
 
-/// What joins the tries of one use: the same at every mixer and in every run, so that a retry
-/// elsewhere is known again. Odd if the client gave it; 0 is no key.
+/// The key that joins the retries of one use. It is the same at every aggregator and in every run,
+/// so that a retry elsewhere is recognised. Odd if the client gave it; 0 is no key.
 pub type JoinKey = u64;
 
 /// The key of a use that its client has named.
@@ -14,9 +15,10 @@
     hash.digest() | 1
 }
 
-/// The key of a use by what it asks: the class, the parts in any order, and the text.
+/// The key of a use by its request: the class, the parts (shard and weight) in any order, and the
+/// text.
 pub fn key_of_query(class: &str, parts: impl Iterator<Item = (u32, f64)>, text: &[u8]) -> JoinKey {
-    let mut parts: Vec<_> = parts
+    let mut parts: Vec<(u32, u64)> = parts
         .map(|(shard, weight)| (shard, weight.to_bits()))
         .collect();
     parts.sort_unstable();
@@ -45,32 +47,57 @@
 /// How a query ended for its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Outcome {
+    /// Answered completely.
     Whole,
     /// Answered from parts with this share of the weight, in millionths.
     Partial(u32),
+    /// Rejected: trying again is harmless.
     Refused,
+    /// Failed: it may have had an effect.
     Failed,
-    /// The client left before the answer.
+    /// The client disconnected before the reply.
     Left,
 }
 
+impl Outcome {
+    /// The outcome of a query with this reply, whose parts with a result have `covered_weight` of
+    /// the `total_weight`.
+    pub(super) fn of_reply(reply: &Reply, covered_weight: f64, total_weight: f64) -> Outcome {
+        match reply {
+            Reply::Answer { complete: true, .. } => Outcome::Whole,
+            Reply::Answer { .. } => {
+                let share = covered_weight / total_weight.max(f64::MIN_POSITIVE);
+                Outcome::Partial((share * 1e6).round().clamp(0.0, 1e6) as u32)
+            }
+            Reply::Rejected { .. } => Outcome::Refused,
+            _ => Outcome::Failed,
+        }
+    }
+}
+
 /// One query that ended.
 #[derive(Clone, Debug, PartialEq)]
 pub struct UsageRecord {
     /// Counts from 1 over the records of this run, without a gap.
     pub sequence: u64,
-    /// By the settings' numbers.
+    /// The tenant, by its number in the settings.
     pub tenant: u32,
+    /// The class, by its number in the settings.
     pub class: u16,
-    /// Unix nanoseconds by this mixer's clock; never before what a mark has said to be complete.
+    /// Unix nanoseconds by this aggregator's clock; never before what a watermark has declared
+    /// complete.
     pub arrived: Nanos,
+    /// How the query ended.
     pub outcome: Outcome,
+    /// The number of its parts.
     pub parts: u32,
+    /// The number of attempts at its parts.
     pub attempts: u32,
     /// Of the attempts, those to replicas in other zones.
     pub crossed: u32,
-    /// The client marked it as a repeat of an earlier try.
+    /// The client marked it as a retry.
     pub is_retry: bool,
+    /// Joins it with the other tries of the same use.
     pub key: JoinKey,
     /// The key is one that the client gave.
     pub keyed: bool,
@@ -80,8 +107,10 @@
 /// `sequence`, and none that arrived before it will follow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UsageWatermark {
+    /// The sequence of the last record.
     pub sequence: u64,
+    /// Up to when the records are complete.
     pub complete: Nanos,
-    /// Nothing at all follows: the mixer ends.
+    /// No record follows at all: the aggregator exits.
     pub end: bool,
 }
--- a/crates/core/tests/connection.rs
+++ b/crates/core/tests/connection.rs
@@ -4,7 +4,9 @@
 
 mod support;
 
-use aggregator_core::engine::leaf_connection::{Answered, AttemptId, Job, LeafConnection};
+use aggregator_core::engine::leaf_connection::{
+    AttemptId, CallEntry, LeafConnection, LostAttempt, OutgoingFrame, ResponseMatch, WireId,
+};
 use aggregator_core::protocol::leaf::{End, LeafRequest};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -20,34 +22,35 @@
     }
 }
 
+/// One thing that happens to a connection.
 #[derive(Clone, Debug)]
 enum Step {
-    Queue,
+    QueueAttempt,
     Open,
-    Take,
-    Wrote,
-    Answer(usize),
-    Drop(usize),
-    Probe,
-    Probed,
+    TakeFrame,
+    FrameWritten,
+    Respond(usize),
+    CancelAttempt(usize),
+    QueueHealthCheck,
+    HealthCheckResponse,
 }
 
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
-        3 => Just(Step::Queue),
+        3 => Just(Step::QueueAttempt),
         1 => Just(Step::Open),
-        4 => Just(Step::Take),
-        4 => Just(Step::Wrote),
-        2 => (0usize..8).prop_map(Step::Answer),
-        2 => (0usize..8).prop_map(Step::Drop),
-        1 => Just(Step::Probe),
-        1 => Just(Step::Probed),
+        4 => Just(Step::TakeFrame),
+        4 => Just(Step::FrameWritten),
+        2 => (0usize..8).prop_map(Step::Respond),
+        2 => (0usize..8).prop_map(Step::CancelAttempt),
+        1 => Just(Step::QueueHealthCheck),
+        1 => Just(Step::HealthCheckResponse),
     ]
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Stage {
-    Waiting,
+    Queued,
     Writing,
     Written,
 }
@@ -57,19 +60,187 @@
 struct Model {
     open: bool,
     stages: BTreeMap<AttemptId, Stage>,
-    frames: VecDeque<Job>,
-    writing: Option<Job>,
-    probes: VecDeque<u64>,
+    frames: VecDeque<OutgoingFrame>,
+    writing: Option<OutgoingFrame>,
+    health_checks: VecDeque<u64>,
 }
 
 impl Model {
-    fn nth(&self, n: usize) -> Option<AttemptId> {
+    fn nth_attempt(&self, n: usize) -> Option<AttemptId> {
         (!self.stages.is_empty()).then(|| *self.stages.keys().nth(n % self.stages.len()).unwrap())
     }
+
+    fn attempts_in(&self, stage: Stage) -> Vec<AttemptId> {
+        let attempts = self.stages.iter().filter(|(_, other)| **other == stage);
+        attempts.map(|(attempt, _)| *attempt).collect()
+    }
+
+    fn is_idle(&self) -> bool {
+        let nothing_open = self.stages.is_empty() && self.health_checks.is_empty();
+        nothing_open && self.frames.is_empty() && self.writing.is_none()
+    }
+}
+
+fn wire_id(attempt: AttemptId) -> WireId {
+    format!("q.{}", attempt.part).into()
 }
 
-fn wire(attempt: AttemptId) -> std::rc::Rc<str> {
-    format!("q.{}", attempt.0).into()
+fn call_entry(attempt: AttemptId) -> CallEntry {
+    CallEntry {
+        attempt,
+        wire_id: wire_id(attempt),
+    }
+}
+
+fn call(attempt: AttemptId) -> OutgoingFrame {
+    OutgoingFrame::Call(vec![call_entry(attempt)])
+}
+
+/// A connection and its model, which take the same steps.
+struct Pair {
+    connection: LeafConnection,
+    model: Model,
+}
+
+impl Pair {
+    /// Takes one step with both and compares what they return.
+    fn take_step(&mut self, n: u64, step: Step) -> Result<(), TestCaseError> {
+        let Pair { connection, model } = self;
+        let now = n * MS;
+        match step {
+            Step::QueueAttempt => {
+                let attempt = AttemptId { part: n, number: 0 };
+                connection.queue_attempt(call_entry(attempt), false, 1);
+                model.stages.insert(attempt, Stage::Queued);
+                model.frames.push_back(call(attempt));
+            }
+            Step::Open => {
+                connection.on_opened(now);
+                model.open = true;
+            }
+            Step::TakeFrame => self.take_frame(now)?,
+            Step::FrameWritten => self.frame_written(),
+            Step::Respond(nth) => self.respond(nth)?,
+            Step::CancelAttempt(nth) => self.cancel_attempt(nth, now)?,
+            Step::QueueHealthCheck => {
+                connection.queue_health_check(n);
+                model.frames.push_back(OutgoingFrame::HealthCheck(n));
+            }
+            Step::HealthCheckResponse => prop_assert_eq!(
+                connection.match_health_check_response(),
+                model.health_checks.pop_front()
+            ),
+        }
+        Ok(())
+    }
+
+    fn take_frame(&mut self, now: u64) -> Result<(), TestCaseError> {
+        let Pair { connection, model } = self;
+        let due = model.open && model.writing.is_none();
+        let expected = if due { model.frames.pop_front() } else { None };
+        prop_assert_eq!(connection.next_frame(now), expected.clone());
+        if let Some(OutgoingFrame::Call(call)) = &expected {
+            model.stages.insert(call[0].attempt, Stage::Writing);
+        }
+        model.writing = expected.or(model.writing.take());
+        Ok(())
+    }
+
+    fn frame_written(&mut self) {
+        let Pair { connection, model } = self;
+        connection.on_frame_written();
+        match model.writing.take() {
+            Some(OutgoingFrame::Call(call)) => {
+                let stage = model.stages.entry(call[0].attempt);
+                stage.and_modify(|stage| *stage = Stage::Written);
+            }
+            Some(OutgoingFrame::HealthCheck(check)) => model.health_checks.push_back(check),
+            _ => {}
+        }
+    }
+
+    fn respond(&mut self, nth: usize) -> Result<(), TestCaseError> {
+        let Pair { connection, model } = self;
+        let Some(attempt) = model.nth_attempt(nth) else {
+            return Ok(());
+        };
+        let written = model.stages[&attempt] == Stage::Written;
+        let expected = if written {
+            ResponseMatch::Attempt(attempt)
+        } else {
+            ResponseMatch::Unknown
+        };
+        let id = wire_id(attempt);
+        prop_assert_eq!(connection.match_response(&id), expected);
+        let unknown = connection.match_response("never.asked");
+        prop_assert_eq!(unknown, ResponseMatch::Unknown);
+        if written {
+            let again = connection.match_response(&id);
+            prop_assert_eq!(again, ResponseMatch::AlreadyEnded, "a duplicate");
+            model.stages.remove(&attempt);
+        }
+        Ok(())
+    }
+
+    fn cancel_attempt(&mut self, nth: usize, now: u64) -> Result<(), TestCaseError> {
+        let Pair { connection, model } = self;
+        let Some(attempt) = model.nth_attempt(nth) else {
+            return Ok(());
+        };
+        let went_out = model.stages.remove(&attempt) != Some(Stage::Queued);
+        prop_assert_eq!(connection.cancel_attempt(attempt, now, MS), went_out);
+        prop_assert!(!connection.cancel_attempt(attempt, now, MS), "it has ended");
+        let expected = if went_out {
+            ResponseMatch::AlreadyEnded
+        } else {
+            ResponseMatch::Unknown
+        };
+        prop_assert_eq!(
+            connection.match_response(&wire_id(attempt)),
+            expected,
+            "its response may cross our cancellation"
+        );
+        if went_out {
+            let cancel = OutgoingFrame::Cancel(wire_id(attempt));
+            model.frames.push_back(cancel);
+        } else {
+            model.frames.retain(|frame| *frame != call(attempt));
+        }
+        Ok(())
+    }
+
+    /// Compares what both say of their state.
+    fn check_state(&mut self) -> Result<(), TestCaseError> {
+        let Pair { connection, model } = self;
+        let queued = model.attempts_in(Stage::Queued);
+        let written = model.attempts_in(Stage::Written);
+        let blamed = connection.attempt_of_malformed_response(None);
+        prop_assert_eq!(blamed.is_some(), !written.is_empty());
+        for attempt in &written {
+            let blamed = connection.attempt_of_malformed_response(Some(&wire_id(*attempt)));
+            prop_assert_eq!(blamed, Some(*attempt));
+        }
+        prop_assert_eq!(connection.written_attempts().len(), written.len());
+        prop_assert_eq!(connection.unsent_attempts(), queued);
+        prop_assert_eq!(connection.is_idle(), model.is_idle());
+        Ok(())
+    }
+
+    /// Ends the connection and compares what was lost.
+    fn end(self, closed_by_us: bool) -> Result<(), TestCaseError> {
+        let mut lost = self.connection.end(closed_by_us).attempts;
+        lost.sort();
+        // Where we close, the socket's report of a frame that it took may still be on its way.
+        let may_have_run =
+            |stage| stage == Stage::Written || closed_by_us && stage == Stage::Writing;
+        let stages = self.model.stages.into_iter();
+        let expected = stages.map(|(attempt, stage)| LostAttempt {
+            attempt,
+            may_have_run: may_have_run(stage),
+        });
+        prop_assert_eq!(lost, expected.collect::<Vec<_>>());
+        Ok(())
+    }
 }
 
 proptest! {
@@ -77,87 +248,15 @@
 
     #[test]
     fn a_connection_keeps_to_its_model(steps in prop::collection::vec(step(), 1..60), ours in any::<bool>()) {
-        let (mut connection, mut model) = (LeafConnection::new(0), Model::default());
+        let mut pair = Pair {
+            connection: LeafConnection::new(0),
+            model: Model::default(),
+        };
         for (n, step) in steps.into_iter().enumerate() {
-            let now = n as u64 * MS;
-            match step {
-                Step::Queue => {
-                    let attempt = (n as u64, 0);
-                    connection.queue(attempt, wire(attempt), false, 1);
-                    model.stages.insert(attempt, Stage::Waiting);
-                    model.frames.push_back(Job::Call(vec![(attempt, wire(attempt))]));
-                }
-                Step::Open => {
-                    connection.opened(now);
-                    model.open = true;
-                }
-                Step::Take => {
-                    let due = model.open && model.writing.is_none();
-                    let expected = if due { model.frames.pop_front() } else { None };
-                    prop_assert_eq!(connection.take_next(now), expected.clone());
-                    if let Some(Job::Call(call)) = &expected {
-                        model.stages.insert(call[0].0, Stage::Writing);
-                    }
-                    model.writing = expected.or(model.writing);
-                }
-                Step::Wrote => {
-                    connection.wrote();
-                    match model.writing.take() {
-                        Some(Job::Call(call)) => {
-                            model.stages.entry(call[0].0).and_modify(|stage| *stage = Stage::Written);
-                        }
-                        Some(Job::Probe(probe)) => model.probes.push_back(probe),
-                        _ => {}
-                    }
-                }
-                Step::Answer(k) => {
-                    let Some(attempt) = model.nth(k) else { continue };
-                    let written = model.stages[&attempt] == Stage::Written;
-                    let expected = if written { Answered::Attempt(attempt) } else { Answered::Unknown };
-                    prop_assert_eq!(connection.answered(&wire(attempt)), expected);
-                    prop_assert_eq!(connection.answered("never.asked"), Answered::Unknown);
-                    if written {
-                        prop_assert_eq!(connection.answered(&wire(attempt)), Answered::Over, "a copy");
-                        model.stages.remove(&attempt);
-                    }
-                }
-                Step::Drop(k) => {
-                    let Some(attempt) = model.nth(k) else { continue };
-                    let went_out = model.stages.remove(&attempt) != Some(Stage::Waiting);
-                    prop_assert_eq!(connection.drop_attempt(attempt, now, MS), went_out);
-                    prop_assert!(!connection.drop_attempt(attempt, now, MS), "it is over");
-                    let heard = if went_out { Answered::Over } else { Answered::Unknown };
-                    prop_assert_eq!(connection.answered(&wire(attempt)), heard, "its answer may cross our words");
-                    if went_out {
-                        model.frames.push_back(Job::GiveUp(wire(attempt)));
-                    } else {
-                        model.frames.retain(|job| *job != Job::Call(vec![(attempt, wire(attempt))]));
-                    }
-                }
-                Step::Probe => {
-                    connection.queue_probe(n as u64);
-                    model.frames.push_back(Job::Probe(n as u64));
-                }
-                Step::Probed => prop_assert_eq!(connection.probed(), model.probes.pop_front()),
-            }
-            let waiting = model.stages.iter().filter(|(_, stage)| **stage == Stage::Waiting);
-            let written = model.stages.iter().filter(|(_, stage)| **stage == Stage::Written);
-            let written: Vec<AttemptId> = written.map(|(attempt, _)| *attempt).collect();
-            prop_assert_eq!(connection.spoilt(None).is_some(), !written.is_empty());
-            for attempt in &written {
-                prop_assert_eq!(connection.spoilt(Some(&wire(*attempt))), Some(*attempt));
-            }
-            prop_assert_eq!(connection.written().len(), written.len());
-            prop_assert_eq!(connection.unsent(), waiting.map(|(attempt, _)| *attempt).collect::<Vec<_>>());
-            let busy = !(model.stages.is_empty() && model.frames.is_empty() && model.probes.is_empty());
-            prop_assert_eq!(connection.is_idle(), !busy && model.writing.is_none());
+            pair.take_step(n as u64, step)?;
+            pair.check_state()?;
         }
-        let (mut ended, _) = connection.end(ours);
-        ended.sort();
-        // Where we close, the socket's word of a frame that it took may still be on the way.
-        let may_have_run = |stage| stage == Stage::Written || ours && stage == Stage::Writing;
-        let left = model.stages.iter().map(|(attempt, stage)| (*attempt, may_have_run(*stage)));
-        prop_assert_eq!(ended, left.collect::<Vec<_>>());
+        pair.end(ours)?;
     }
 
     #[test]
