Write the engine's tests in the field's terms, one file a concern

Change: EngineHarness has methods that say what they do and named structs for replies, frames and sockets; the test target `reducer` is a directory with one file a concern; usage.rs and connection.rs follow. Steps of the model test became methods. No expectation has changed.

reducer: old test name | new test name a_query_is_answered_whole_with_the_values_as_given | queries::a_query_is_answered_completely_with_the_values_as_given where_the_settings_allow_no_advice_a_refused_client_gets_none | queries::without_retry_after_in_the_settings_a_rejected_client_gets_none over_the_cap_a_query_is_refused_at_once_with_advice | queries::over_capacity_a_query_is_rejected_at_once_with_retry_after parts_that_are_in_leave_room_under_the_cap | queries::parts_with_a_result_take_no_capacity what_is_given_up_is_refused_at_once_with_advice | queries::a_query_that_no_replica_can_answer_is_rejected_at_once_with_retry_after a_client_without_time_left_is_refused_and_nothing_is_sent | queries::a_client_without_time_left_is_rejected_and_nothing_is_sent every_query_is_over_before_its_client_gives_up | queries::every_query_ends_before_its_client_times_out a_second_query_under_the_id_of_an_open_one_is_turned_away | queries::a_second_query_with_the_id_of_an_open_one_is_rejected an_answered_query_sends_nothing_more | queries::an_answered_query_sends_nothing_more what_is_held_does_not_grow_with_the_names_that_came_and_went | queries::memory_does_not_grow_with_the_names_that_came_and_went what_expired_while_it_waited_does_not_go_out_when_the_socket_is_free_at_last | attempts::an_attempt_that_expired_in_the_queue_is_not_sent_when_the_socket_is_free a_late_answer_to_what_was_given_up_is_ignored | attempts::a_late_response_to_a_cancelled_attempt_is_ignored a_client_that_left_and_a_drain_come_before_a_connection_that_came_up_with_them | attempts::a_disconnect_and_a_drain_take_precedence_over_a_connection_opened_in_the_same_batch what_the_socket_was_given_when_we_close_may_have_run | attempts::a_frame_that_the_socket_was_given_when_we_close_may_have_run a_repeat_does_not_go_out_on_a_connection_that_came_up_past_its_window | attempts::a_retry_is_not_sent_on_a_connection_opened_after_its_idempotency_window a_spoilt_answer_fails_its_attempt_and_frees_the_others_at_once | attempts::a_malformed_response_fails_its_attempt_and_cancels_the_others_at_once an_answer_for_nothing_that_is_out_is_spoilt_but_a_copy_is_not | attempts::a_response_to_nothing_in_flight_is_malformed_but_a_duplicate_is_not what_waits_for_a_connection_is_dropped_whole_when_its_replica_drains | attempts::an_attempt_that_waits_for_a_connection_is_dropped_when_its_replica_drains a_frame_cut_off_before_its_end_never_ran_and_after_it_may_have | attempts::a_frame_lost_before_its_end_never_ran_and_after_it_may_have what_waits_for_a_connection_does_not_go_where_its_replica_was_before | attempts::an_attempt_that_waits_is_not_sent_to_the_former_address_of_its_replica parts_of_one_turn_reuse_a_connection_and_later_ones_too | connections::parts_of_one_batch_share_a_connection_and_later_ones_reuse_it a_full_connection_gets_a_second_beside_it | connections::a_second_connection_is_opened_beside_a_full_one a_connection_that_never_comes_up_is_given_up_in_time | connections::a_connection_that_is_never_established_times_out a_connection_that_swallowed_an_attempt_gets_nothing_more | connections::an_unresponsive_connection_gets_nothing_more a_frame_that_the_socket_never_takes_does_not_hold_its_connection_for_ever | connections::a_frame_that_the_socket_never_takes_does_not_keep_its_connection_open an_idle_connection_is_closed_before_its_other_end_does_so | connections::an_idle_connection_is_closed_before_the_leaf_server_closes_it many_idle_clients_at_once_each_make_room_for_one_more | clients::idle_clients_over_capacity_are_closed_two_for_each_that_connects who_never_asked_goes_first_when_there_is_no_room | clients::clients_that_never_sent_a_query_are_closed_first clients_idle_for_two_seconds_make_room_before_it_runs_out | clients::clients_idle_for_two_seconds_are_closed_from_half_of_the_capacity_on not_ready_without_a_list_nor_once_told_to_end | clients::not_ready_without_endpoints_nor_after_a_shutdown_request told_to_end_it_serves_on_then_closes_between_requests_and_finishes_what_it_took | shutdown::a_shutdown_drains_then_closes_idle_clients_and_finishes_open_queries told_to_end_it_leaves_nothing_for_the_kill | shutdown::a_shutdown_is_complete_before_a_kill_can_follow a_client_accepted_as_the_listener_goes_does_not_hold_up_the_end | shutdown::a_client_accepted_while_the_listener_closes_does_not_delay_the_exit the_list_is_watched_when_the_module_says_so_and_not_in_step | endpoints::a_polled_list_is_watched_on_the_policys_request_and_not_in_step a_pushed_list_is_watched_from_the_start_and_again_soon | endpoints::a_pushed_list_is_watched_from_the_start_and_again_soon the_end_of_a_watch_that_was_replaced_begins_no_other | endpoints::the_end_of_a_replaced_watch_starts_no_other a_remembered_list_may_be_old_and_a_whole_one_replaces_it | endpoints::a_cached_list_may_be_stale_and_a_snapshot_replaces_it a_replica_that_has_moved_is_asked_at_its_new_address | endpoints::a_replica_that_has_moved_is_called_at_its_new_address

usage: old test name | new test name each_end_of_a_query_is_one_record_that_says_how_it_ended | each_query_that_ends_is_one_record_with_its_outcome a_partial_answer_tells_its_share | the_record_of_a_partial_answer_has_its_share a_mark_is_never_belied | what_a_watermark_declares_complete_stays_complete nothing_is_recorded_where_the_ledger_is_off | nothing_is_recorded_unless_it_is_enabled tries_of_one_use_have_one_key_and_others_another | retries_of_one_use_share_a_key_and_other_uses_do_not

connection: the names stay.

--- a/crates/core/tests/connection.rs
+++ b/crates/core/tests/connection.rs
@@ -1,17 +1,17 @@
-//! A model of the states of one connection to a leaf server, against which random steps are
-//! checked; and the whole reducer under random steps, against the promises that the sockets must
-//! keep.
+//! One connection to a leaf server against a plain model, and the whole engine against its
+//! promises, both under random steps.
 
 mod support;
 
 use aggregator_core::engine::leaf_connection::{
     AttemptId, CallEntry, LeafConnection, LostAttempt, OutgoingFrame, ResponseMatch, WireId,
 };
+use aggregator_core::engine::ConnectionId;
 use aggregator_core::protocol::leaf::{End, LeafRequest};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::collections::{BTreeMap, VecDeque};
-use support::engine_harness::{Bed, MS};
+use support::engine_harness::{EngineHarness, MS};
 
 fn config(cases: u32) -> ProptestConfig {
     ProptestConfig {
@@ -247,7 +247,7 @@
     #![proptest_config(config(512))]
 
     #[test]
-    fn a_connection_keeps_to_its_model(steps in prop::collection::vec(step(), 1..60), ours in any::<bool>()) {
+    fn a_connection_keeps_to_its_model(steps in prop::collection::vec(step(), 1..60), closed_by_us in any::<bool>()) {
         let mut pair = Pair {
             connection: LeafConnection::new(0),
             model: Model::default(),
@@ -256,40 +256,56 @@
             pair.take_step(n as u64, step)?;
             pair.check_state()?;
         }
-        pair.end(ours)?;
+        pair.end(closed_by_us)?;
     }
 
     #[test]
     fn every_query_ends_once_and_every_attempt_ends_once(
         steps in prop::collection::vec((0u8..12, any::<u64>(), 1u64..400), 1..80),
     ) {
-        let (ends, standings) = ([End::Ok, End::Ok, End::Err, End::Busy], ["up", "draining", "removed"]);
-        let mut bed = Bed::new(4);
+        let mut harness = EngineHarness::new(4);
         for (kind, dice, ms) in steps {
-            let connections: Vec<u64> = bed.connections.keys().copied().collect();
-            let connection = connections.get(dice as usize % connections.len().max(1)).copied();
-            match (kind, connection) {
-                (0..=2, _) => drop(bed.ask((dice % 3) as u16 % 2, &[0.5, 0.3, 0.2])),
-                (3..=4, Some(connection)) => bed.open(connection),
-                (5..=6, Some(connection)) => bed.answer(connection, ends[dice as usize % 4]),
-                (7, Some(connection)) => bed.break_off(connection),
-                (8, _) => bed.list(1 + dice % 4, standings[dice as usize / 4 % 3], bed.now),
-                (9, _) => bed.leave(dice),
-                (10, Some(connection)) => bed.spoil(connection, dice % 2 == 0),
-                _ => bed.pass(ms),
-            }
+            take_engine_step(&mut harness, kind, dice, ms);
         }
-        bed.pass(20_000);
-        for (client, replies) in &bed.replies {
-            let gone = bed.left.contains(client);
-            prop_assert!(replies.len() == 1 || gone && replies.is_empty(), "client {client}: {replies:?}");
+        harness.advance(20_000);
+        for (client, replies) in &harness.replies {
+            let disconnected = harness.disconnected.contains(client);
+            let replied_once = replies.len() == 1 || disconnected && replies.is_empty();
+            prop_assert!(replied_once, "client {client}: {replies:?}");
         }
-        let counters = bed.state.counters().clone();
-        let e = &counters.attempts_ended;
-        let known = e.success + e.error + e.rejected + e.unreachable + e.not_sent;
-        let ended = known + e.timed_out + e.connection_lost + e.cancelled;
-        prop_assert_eq!(ended, counters.sent.attempts, "each attempt ends once");
+        let counters = harness.engine.counters().clone();
+        let ended = &counters.attempts_ended;
+        let settled = ended.success + ended.error + ended.rejected;
+        let not_executed = ended.unreachable + ended.not_sent;
+        let uncertain = ended.timed_out + ended.connection_lost + ended.cancelled;
+        let all_ended = settled + not_executed + uncertain;
+        prop_assert_eq!(all_ended, counters.sent.attempts, "each attempt ends once");
         prop_assert_eq!(&counters.faults, &Default::default());
-        prop_assert!(bed.frames.iter().all(|(_, f)| !matches!(f, LeafRequest::Call(parts) if parts.is_empty())));
+        let is_empty_call =
+            |frame: &LeafRequest| matches!(frame, LeafRequest::Call(parts) if parts.is_empty());
+        prop_assert!(harness.frames.iter().all(|sent| !is_empty_call(&sent.frame)));
+    }
+}
+
+/// Lets something happen to an engine: what, to whom and for how long is up to the numbers.
+fn take_engine_step(harness: &mut EngineHarness, kind: u8, dice: u64, ms: u64) {
+    let ends = [End::Ok, End::Ok, End::Err, End::Busy];
+    let statuses = ["up", "draining", "removed"];
+    let connections: Vec<ConnectionId> = harness.connections.keys().copied().collect();
+    let picked = dice as usize % connections.len().max(1);
+    match (kind, connections.get(picked).copied()) {
+        (0..=2, _) => {
+            harness.send_query((dice % 3) as u16 % 2, &[0.5, 0.3, 0.2]);
+        }
+        (3..=4, Some(connection)) => harness.open_connection(connection),
+        (5..=6, Some(connection)) => harness.respond_to_oldest(connection, ends[dice as usize % 4]),
+        (7, Some(connection)) => harness.lose_connection(connection),
+        (8, _) => {
+            let status = statuses[dice as usize / 4 % 3];
+            harness.list_replica(1 + dice % 4, status, harness.now)
+        }
+        (9, _) => harness.disconnect_some_client(dice),
+        (10, Some(connection)) => harness.send_malformed(connection, dice.is_multiple_of(2)),
+        _ => harness.advance(ms),
     }
 }
--- /dev/null
+++ b/crates/core/tests/reducer/endpoints.rs
@@ -0,0 +1,104 @@
+//! The endpoint list, and the watch on it.
+
+use crate::snapshot_of_one;
+use crate::support::engine_harness::{address, EngineHarness, MS, SETTINGS, START};
+use aggregator_core::engine::Input;
+
+/// Discovery is one service for all aggregators: if those whose watch was rejected tried again in
+/// step, they would keep it so busy that none gets a list.
+#[test]
+fn a_polled_list_is_watched_on_the_policys_request_and_not_in_step() {
+    let settings =
+        format!("{SETTINGS}discovery=on_request\nguarantees.ask_within_ns=10000000000\n");
+    let mut starts = Vec::new();
+    for seed in 0..20 {
+        let mut harness = EngineHarness::with_seed(&settings, 1, seed);
+        let mut failed = 0;
+        while harness.now < START + 60_000 * MS {
+            harness.advance(50);
+            if harness.watch_starts.len() > failed {
+                failed = harness.watch_starts.len();
+                let watch = harness.last_watch;
+                harness.apply(Input::WatchEnded { watch });
+            }
+        }
+        assert!(
+            (5..=20).contains(&failed),
+            "it goes on polling, ever more rarely: {failed} watches in a minute"
+        );
+        starts.extend(harness.watch_starts[..2].to_vec());
+    }
+    let starts_within_half_a_second = |from: &u64| {
+        let half_a_second = *from..from + 500 * MS;
+        let starts = starts.iter().filter(|at| half_a_second.contains(at));
+        starts.count()
+    };
+    let most = starts.iter().map(starts_within_half_a_second).max();
+    assert!(
+        most <= Some(starts.len() / 3),
+        "no half second sees most of the first watches: {most:?}"
+    );
+}
+
+/// Where discovery pushes its list, restarting a watch burdens nobody: the list must not be late.
+#[test]
+fn a_pushed_list_is_watched_from_the_start_and_again_soon() {
+    let mut harness = EngineHarness::new(1);
+    assert_eq!(harness.watch_starts, [START]);
+    let watch = harness.last_watch;
+    harness.apply(Input::WatchEnded { watch });
+    harness.advance(1000);
+    assert_eq!(harness.watch_starts.len(), 2);
+    harness.apply(Input::ConfigurationReloaded { usable: true });
+    assert_eq!(
+        harness.watch_starts.len(),
+        3,
+        "a new address is watched at once"
+    );
+}
+
+#[test]
+fn the_end_of_a_replaced_watch_starts_no_other() {
+    let mut harness = EngineHarness::new(1);
+    let replaced = harness.last_watch;
+    harness.apply(Input::ConfigurationReloaded { usable: true });
+    harness.apply(Input::WatchEnded { watch: replaced });
+    harness.advance(20_000);
+    assert_eq!(
+        harness.watch_starts.len(),
+        2,
+        "the one that replaced it is kept"
+    );
+}
+
+#[test]
+fn a_cached_list_may_be_stale_and_a_snapshot_replaces_it() {
+    let mut harness = EngineHarness::new(2);
+    harness.apply(snapshot_of_one(2, &address(2)));
+    harness.send_query(1, &[0.5, 0.5]);
+    let mut connections = harness.connections.values();
+    assert!(
+        connections.all(|socket| socket.address == address(2)),
+        "{:?}",
+        harness.connections
+    );
+    assert_eq!(harness.engine.list_index(), 9);
+}
+
+#[test]
+fn a_replica_that_has_moved_is_called_at_its_new_address() {
+    let mut harness = EngineHarness::new(2);
+    harness.send_query(1, &[0.5, 0.5]);
+    harness.open_all_connections();
+    harness.respond_to_all();
+    harness.set_listed_status("127.0.0.9:7070", "up");
+    harness.apply(snapshot_of_one(2, "127.0.0.9:7070"));
+    let frames_before = harness.frames.len();
+    harness.send_query(1, &[1.0]);
+    harness.open_all_connections();
+    let called: Vec<&str> = harness.frames[frames_before..]
+        .iter()
+        .map(|sent| harness.connections[&sent.connection].address.as_str())
+        .collect();
+    assert_eq!(called, ["127.0.0.9:7070"]);
+}
--- /dev/null
+++ b/crates/core/tests/reducer/main.rs
@@ -0,0 +1,54 @@
+//! The engine with hand-made inputs: what it owes clients and leaf servers, one danger a test.
+
+mod attempts;
+mod clients;
+mod connections;
+mod endpoints;
+mod queries;
+mod shutdown;
+#[path = "../support/mod.rs"]
+mod support;
+
+use aggregator_core::engine::{ConnectionId, Effect, Input};
+use aggregator_core::protocol::leaf::LeafRequest;
+use aggregator_core::protocol::query::Reply;
+use support::engine_harness::{EngineHarness, MS};
+
+/// The connection of each part that was sent, in order.
+fn sent_parts(harness: &EngineHarness) -> Vec<ConnectionId> {
+    let mut connections = Vec::new();
+    for sent in &harness.frames {
+        if let LeafRequest::Call(parts) = &sent.frame {
+            connections.extend(parts.iter().map(|_| sent.connection));
+        }
+    }
+    connections
+}
+
+/// Whether a reply is a rejection with a `Retry-After` that the settings allow.
+fn is_rejected(reply: Option<&Reply>) -> bool {
+    matches!(reply, Some(Reply::Rejected { retry_after: Some(after) }) if (1..=500 * MS).contains(after))
+}
+
+fn is_complete(reply: Option<&Reply>) -> bool {
+    matches!(reply, Some(Reply::Answer { complete: true, .. }))
+}
+
+/// Applies inputs that come at once, and returns the frames that are written at the end of their
+/// batch.
+fn frames_of_batch(harness: &mut EngineHarness, inputs: Vec<Input>) -> Vec<Effect> {
+    let now = harness.now;
+    let inputs = inputs.into_iter().chain([Input::BatchEnded]);
+    let effects = inputs.flat_map(|input| harness.engine.apply(now, input));
+    effects
+        .filter(|effect| matches!(effect, Effect::WriteFrame { .. }))
+        .collect()
+}
+
+/// A snapshot of the endpoint list that holds this replica alone.
+fn snapshot_of_one(replica: u64, address: &str) -> Input {
+    let line = serde_json::json!(
+        {"name": format!("s-{replica}"), "address": address, "group": 0, "status": "up"});
+    let snapshot = serde_json::json!({"index": 9, "snapshot": true, "endpoints": [line]});
+    Input::EndpointsUpdated(serde_json::from_value(snapshot).expect("an endpoint list"))
+}
--- /dev/null
+++ b/crates/core/tests/reducer/queries.rs
@@ -0,0 +1,175 @@
+//! Queries: their admission, their answers and their end.
+
+use crate::support::engine_harness::{query, EngineHarness, MS, SETTINGS, START};
+use crate::{is_rejected, sent_parts};
+use aggregator_core::engine::{ClientId, ConnectionId, Input};
+use aggregator_core::protocol::http::RequestError;
+use aggregator_core::protocol::leaf::End;
+use aggregator_core::protocol::query::{ClientRequest, Reply};
+
+#[test]
+fn a_query_is_answered_completely_with_the_values_as_given() {
+    let mut harness = EngineHarness::new(2);
+    let client = harness.send_query(1, &[0.5, 0.5]);
+    harness.open_all_connections();
+    harness.respond_to_all();
+    let Some(Reply::Answer {
+        complete: true,
+        hits,
+    }) = harness.last_reply(client)
+    else {
+        panic!("{:?}", harness.last_reply(client))
+    };
+    assert_eq!(hits[1].doc, "doc q1.1");
+    assert_eq!(hits.len(), 2);
+}
+
+#[test]
+fn an_answered_query_sends_nothing_more() {
+    let settings = SETTINGS.replace("cancelling=true", "cancelling=false");
+    let mut harness = EngineHarness::with_settings(&settings, 3);
+    let client = harness.send_query(0, &[0.7, 0.3]);
+    let connections: Vec<ConnectionId> = harness.connections.keys().copied().collect();
+    assert_eq!(connections.len(), 2, "each part at a replica of its own");
+    let has_no_frame = |connection: &&ConnectionId| {
+        let mut frames = harness.frames.iter();
+        frames.all(|sent| sent.connection != **connection)
+    };
+    let heavy = *connections.iter().find(has_no_frame).unwrap();
+    harness.open_connection(heavy);
+    harness.respond_to_all();
+    harness.advance(10_000);
+    assert!(harness.last_reply(client).is_some());
+    let sent_before = sent_parts(&harness).len();
+    harness.open_all_connections();
+    harness.advance(1000);
+    assert_eq!(
+        sent_parts(&harness).len(),
+        sent_before,
+        "what waited for its connection has ended with its query"
+    );
+}
+
+#[test]
+fn without_retry_after_in_the_settings_a_rejected_client_gets_none() {
+    let settings = SETTINGS.replace("retry_after=true", "retry_after=false");
+    let mut harness = EngineHarness::with_settings(&settings, 0);
+    let without_replicas = harness.send_query(1, &[1.0]);
+    let over_capacity = harness.send_query(1, &[1.0 / 64.0; 64]);
+    let too_late = harness.connect_client();
+    harness.send_query_from(too_late, 1, &[1.0], 1);
+    for client in [without_replicas, over_capacity, too_late] {
+        assert_eq!(
+            harness.last_reply(client),
+            Some(&Reply::Rejected { retry_after: None })
+        );
+    }
+}
+
+#[test]
+fn over_capacity_a_query_is_rejected_at_once_with_retry_after() {
+    let mut harness = EngineHarness::new(1);
+    let clients: Vec<ClientId> = (0..20).map(|_| harness.send_query(1, &[0.2; 5])).collect();
+    let rejected_at_once = clients
+        .iter()
+        .filter(|client| is_rejected(harness.last_reply(**client)))
+        .count();
+    assert_eq!(
+        harness.engine.counters().received.over_capacity,
+        10,
+        "ten queries of five parts fill the capacity of 60"
+    );
+    assert!(rejected_at_once >= 10);
+}
+
+#[test]
+fn parts_with_a_result_take_no_capacity() {
+    let mut harness = EngineHarness::new(3);
+    for _ in 0..10 {
+        harness.send_query(1, &[0.2; 5]);
+    }
+    harness.open_all_connections();
+    let connection = *harness.in_flight.keys().next().unwrap();
+    harness.respond_to_oldest(connection, End::Ok);
+    let client = harness.send_query(1, &[0.2; 5]);
+    assert_eq!(harness.last_reply(client), None, "59 are open, 60 may be");
+    let client = harness.send_query(1, &[0.2; 5]);
+    assert!(is_rejected(harness.last_reply(client)));
+}
+
+#[test]
+fn a_query_that_no_replica_can_answer_is_rejected_at_once_with_retry_after() {
+    let mut harness = EngineHarness::new(1);
+    harness.list_replica(1, "removed", 0);
+    let client = harness.send_query(1, &[1.0]);
+    let reply = harness.last_reply(client);
+    assert!(is_rejected(reply), "{reply:?}");
+    assert_eq!(harness.replies[&client][0].at, START);
+}
+
+#[test]
+fn a_client_without_time_left_is_rejected_and_nothing_is_sent() {
+    let mut harness = EngineHarness::new(1);
+    let client = harness.connect_client();
+    harness.send_query_from(client, 1, &[1.0], 5);
+    assert!(is_rejected(harness.last_reply(client)));
+    assert!(harness.connections.is_empty());
+}
+
+#[test]
+fn every_query_ends_before_its_client_times_out() {
+    let mut harness = EngineHarness::new(2);
+    let client = harness.send_query(0, &[0.5, 0.5]);
+    harness.advance(10_000);
+    assert!(harness.replies[&client][0].at < START + 5000 * MS);
+    assert_eq!(harness.engine.counters().faults.reply_deadline, 0);
+}
+
+#[test]
+fn a_second_query_with_the_id_of_an_open_one_is_rejected() {
+    let mut harness = EngineHarness::new(1);
+    let client = harness.send_query(1, &[1.0]);
+    let other = harness.connect_client();
+    let send_with_same_id = |harness: &mut EngineHarness| {
+        let query = query(&format!("q{client}"), 1, &[1.0], 5000);
+        harness.send_request(other, ClientRequest::Query(query));
+        harness.last_reply(other).cloned()
+    };
+    assert!(matches!(
+        send_with_same_id(&mut harness),
+        Some(Reply::InvalidRequest(RequestError { status: 409, .. }))
+    ));
+    harness.open_all_connections();
+    assert_eq!(
+        sent_parts(&harness).len(),
+        1,
+        "its parts would have the same wire ids"
+    );
+    harness.respond_to_all();
+    send_with_same_id(&mut harness);
+    assert_eq!(sent_parts(&harness).len(), 2, "the first has ended");
+}
+
+/// Replicas, clients and queries of ever new names, all day long.
+#[test]
+fn memory_does_not_grow_with_the_names_that_came_and_went() {
+    let mut harness = EngineHarness::new(1);
+    let mut held = Vec::new();
+    let mut replica = 1;
+    for _ in 0..4 {
+        for _ in 0..100 {
+            replica += 1;
+            harness.list_replica(replica, "up", 0);
+            harness.list_replica(replica - 1, "removed", 0);
+            let client = harness.send_query(1, &[0.5, 0.5]);
+            harness.open_all_connections();
+            harness.respond_to_all();
+            harness.advance(150);
+            harness.disconnected.insert(client);
+            harness.apply(Input::ClientDisconnected { client });
+        }
+        held.push(harness.engine.held());
+    }
+    assert!(held[1..].iter().all(|now| *now <= held[0] + 5), "{held:?}");
+    assert_eq!(harness.engine.counters().queries_ended.complete, 400);
+}
--- a/crates/core/tests/support/engine_harness.rs
+++ b/crates/core/tests/support/engine_harness.rs
@@ -1,17 +1,23 @@
-//! A reducer with hand-made inputs in place of sockets. It carries the effects out as sockets
-//! would, and checks at each step what must hold at every one.
+//! An engine with hand-made inputs in place of sockets. The harness carries the effects out as
+//! sockets would, and checks at each step what must always hold.
 
 use aggregator_core::engine::usage::{UsageRecord, UsageWatermark};
 use aggregator_core::engine::{ClientId, ConnectionId, Effect, Engine, Input};
 use aggregator_core::protocol::discovery::EndpointUpdate;
-use aggregator_core::protocol::leaf::{End, LeafRequest, LeafResponse};
+use aggregator_core::protocol::leaf::{CallPart, End, LeafRequest, LeafResponse};
 use aggregator_core::protocol::query::{ClientRequest, Query, QueryPart, Reply};
 use aggregator_core::settings;
 use bytes::Bytes;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// A millisecond, in nanoseconds.
 pub const MS: u64 = 1_000_000;
+/// When an engine starts, in nanoseconds.
 pub const START: u64 = 1_000_000 * MS;
+/// The file descriptors that an engine may use.
+const DESCRIPTORS: usize = 1024;
+/// `limits.streams_per_conn` of the settings.
+const STREAMS_PER_CONNECTION: usize = 4;
 /// As a real site has them: class 0 takes partial answers, class 1 needs every part.
 pub const SETTINGS: &str = "classes.count=2\nclasses.0.name=report\nclasses.0.aim_ns=2000000000\n\
 classes.0.give_up_ns=5000000000\nclasses.0.semantics=read_like\nclasses.1.name=lookup\n\
@@ -22,256 +28,332 @@
 limits.connect_timeout_ns=250000000\nlimits.conn_idle_ns=30000000000\nlimits.open_cap=60\n\
 limits.max_retry_after_ns=500000000\nlimits.retry_after=true\nlocalities=north,south\n";
 
-pub struct Bed {
-    pub state: Engine,
+/// A reply and when it was sent.
+#[derive(Debug)]
+pub struct SentReply {
+    pub at: u64,
+    pub reply: Reply,
+}
+
+/// A frame and the connection that it was written to.
+#[derive(Debug)]
+pub struct SentFrame {
+    pub connection: ConnectionId,
+    pub frame: LeafRequest,
+}
+
+/// A connection as the sockets know it.
+#[derive(Debug)]
+pub struct Socket {
+    pub address: String,
+    pub is_open: bool,
+}
+
+/// An engine, and the world around it.
+pub struct EngineHarness {
+    pub engine: Engine,
     pub now: u64,
-    pub replies: BTreeMap<ClientId, Vec<(u64, Reply)>>,
-    pub left: BTreeSet<ClientId>,
-    /// Connections by their number: the address, and whether it is up.
-    pub connections: BTreeMap<ConnectionId, (String, bool)>,
-    /// All frames, and what is out at each connection.
-    pub frames: Vec<(ConnectionId, LeafRequest)>,
-    pub out: BTreeMap<ConnectionId, Vec<String>>,
-    pub closed: Vec<ClientId>,
-    pub listening: bool,
-    pub exited: bool,
+    pub replies: BTreeMap<ClientId, Vec<SentReply>>,
+    /// Clients that have disconnected on their own.
+    pub disconnected: BTreeSet<ClientId>,
+    pub connections: BTreeMap<ConnectionId, Socket>,
+    /// All frames that were written.
+    pub frames: Vec<SentFrame>,
+    /// The wire ids in flight at each connection, oldest first.
+    pub in_flight: BTreeMap<ConnectionId, Vec<String>>,
+    /// Clients that the engine has closed.
+    pub closed_clients: Vec<ClientId>,
+    pub is_listening: bool,
+    pub has_exited: bool,
     /// No socket takes the last byte of a frame.
-    pub stuck: bool,
+    pub writes_are_stuck: bool,
     pub records: Vec<UsageRecord>,
-    pub marks: Vec<UsageWatermark>,
-    /// When the list was watched anew.
-    pub watches: Vec<u64>,
-    /// The number of the last one.
-    pub watch: u64,
-    told: BTreeMap<String, String>,
+    pub watermarks: Vec<UsageWatermark>,
+    /// When watches on the endpoint list were started.
+    pub watch_starts: Vec<u64>,
+    /// The number of the last watch.
+    pub last_watch: u64,
+    /// The status that discovery lists for each address.
+    listed_status: BTreeMap<String, String>,
+    /// Connections whose socket has a frame.
     writing: BTreeSet<ConnectionId>,
-    clients: u64,
-    index: u64,
+    last_client: ClientId,
+    list_version: u64,
 }
 
+/// The address of a replica, by its number.
 pub fn address(replica: u64) -> String {
     format!("127.0.{}.{}:7070", replica / 256, replica % 256)
 }
 
-fn listing(index: u64, snapshot: bool, lines: &[(u64, &str, u64)]) -> EndpointUpdate {
-    let line = |(replica, status, since): &(u64, &str, u64)| {
-        serde_json::json!({"name": format!("s-{replica}"), "address": address(*replica), "zone": "north",
-            "type": "m", "group": 0, "status": status, "weight": 1.0, "since_ms": since / MS})
+/// One line of the endpoint list.
+struct ListLine<'a> {
+    replica: u64,
+    status: &'a str,
+    started: u64,
+}
+
+fn endpoint_update(index: u64, snapshot: bool, lines: &[ListLine]) -> EndpointUpdate {
+    let line = |line: &ListLine| {
+        serde_json::json!({"name": format!("s-{}", line.replica), "address": address(line.replica),
+            "zone": "north", "type": "m", "group": 0, "status": line.status, "weight": 1.0,
+            "since_ms": line.started / MS})
     };
     let lines: Vec<_> = lines.iter().map(line).collect();
     serde_json::from_value(
         serde_json::json!({"index": index, "snapshot": snapshot, "endpoints": lines}),
     )
-    .expect("a list")
+    .expect("an endpoint list")
+}
+
+/// A query with one part for each weight, on shards from 0.
+pub fn query(name: &str, class: u16, weights: &[f64], timeout_ms: u64) -> Query {
+    let part = |(shard, weight): (usize, &f64)| QueryPart {
+        shard: shard as u32,
+        weight: *weight,
+        work: None,
+    };
+    Query {
+        name: name.into(),
+        class,
+        tenant: 0,
+        timeout: timeout_ms * MS,
+        is_retry: false,
+        idempotency_key: None,
+        parts: weights.iter().enumerate().map(part).collect(),
+        text: Bytes::from_static(b"c41e77d0"),
+    }
 }
 
-impl Bed {
-    pub fn new(replicas: u64) -> Bed {
-        Bed::with(SETTINGS, replicas)
+impl EngineHarness {
+    /// An engine with this many replicas, all of them ready.
+    pub fn new(replicas: u64) -> EngineHarness {
+        EngineHarness::with_settings(SETTINGS, replicas)
     }
 
-    pub fn with(text: &str, replicas: u64) -> Bed {
-        Bed::seeded(text, replicas, 7)
+    pub fn with_settings(settings: &str, replicas: u64) -> EngineHarness {
+        EngineHarness::with_seed(settings, replicas, 7)
     }
 
-    pub fn seeded(text: &str, replicas: u64, seed: u64) -> Bed {
-        let (site, decisions) = (
-            settings::site(text).unwrap(),
-            settings::parse(text).unwrap(),
-        );
-        let lines: Vec<_> = (1..=replicas).map(|r| (r, "up", 0)).collect();
-        let mut bed = Bed {
-            state: Engine::new(
-                START,
-                site,
-                decisions,
-                seed,
-                &listing(1, true, &lines),
-                1024,
-            ),
+    pub fn with_seed(settings: &str, replicas: u64, seed: u64) -> EngineHarness {
+        let site = settings::site(settings).unwrap();
+        let settings = settings::parse(settings).unwrap();
+        let ready = |replica| ListLine {
+            replica,
+            status: "up",
+            started: 0,
+        };
+        let lines: Vec<_> = (1..=replicas).map(ready).collect();
+        let known = endpoint_update(1, true, &lines);
+        let statuses = (1..=replicas).map(|replica| (address(replica), "up".to_string()));
+        let mut harness = EngineHarness {
+            engine: Engine::new(START, site, settings, seed, &known, DESCRIPTORS),
             now: START,
             replies: BTreeMap::new(),
-            left: BTreeSet::new(),
+            disconnected: BTreeSet::new(),
             connections: BTreeMap::new(),
             frames: Vec::new(),
-            out: BTreeMap::new(),
-            closed: Vec::new(),
-            listening: true,
-            exited: false,
-            stuck: false,
+            in_flight: BTreeMap::new(),
+            closed_clients: Vec::new(),
+            is_listening: true,
+            has_exited: false,
+            writes_are_stuck: false,
             records: Vec::new(),
-            marks: Vec::new(),
-            watches: Vec::new(),
-            watch: 0,
-            told: (1..=replicas)
-                .map(|r| (address(r), "up".to_string()))
-                .collect(),
+            watermarks: Vec::new(),
+            watch_starts: Vec::new(),
+            last_watch: 0,
+            listed_status: statuses.collect(),
             writing: BTreeSet::new(),
-            clients: 0,
-            index: 1,
+            last_client: 0,
+            list_version: 1,
         };
-        bed.put(Input::BatchEnded);
-        bed
+        harness.apply(Input::BatchEnded);
+        harness
     }
 
-    /// One input and the turn after it.
-    pub fn put(&mut self, input: Input) {
-        let mut effects = self.state.apply(self.now, input);
-        effects.extend(self.state.apply(self.now, Input::BatchEnded));
-        effects.into_iter().for_each(|effect| self.perform(effect));
+    /// Applies one input and ends the batch after it.
+    pub fn apply(&mut self, input: Input) {
+        let mut effects = self.engine.apply(self.now, input);
+        effects.extend(self.engine.apply(self.now, Input::BatchEnded));
+        effects
+            .into_iter()
+            .for_each(|effect| self.carry_out(effect));
     }
 
-    fn perform(&mut self, effect: Effect) {
+    fn carry_out(&mut self, effect: Effect) {
         match effect {
-            Effect::RecordUsage(usage) => self.records.push(usage),
-            Effect::RecordWatermark(mark) => self.marks.push(mark),
+            Effect::RecordUsage(record) => self.records.push(record),
+            Effect::RecordWatermark(watermark) => self.watermarks.push(watermark),
             Effect::SendReply {
                 client,
                 reply,
                 close,
-            } => {
-                self.replies
-                    .entry(client)
-                    .or_default()
-                    .push((self.now, reply));
-                if close {
-                    self.put(Input::ClientDisconnected { client });
-                }
-            }
+            } => self.carry_out_reply(client, reply, close),
             Effect::CloseClient { client } => {
-                self.closed.push(client);
-                self.put(Input::ClientDisconnected { client });
+                self.closed_clients.push(client);
+                self.apply(Input::ClientDisconnected { client });
             }
             Effect::OpenConnection {
                 connection,
                 address,
-            } => {
-                assert_eq!(
-                    self.told[&address.to_string()],
-                    "up",
-                    "no new connection where nothing may go"
-                );
-                self.connections
-                    .insert(connection, (address.to_string(), false));
-            }
-            Effect::WriteFrame { connection, frame } => {
-                let (address, up) = &self.connections[&connection];
-                assert!(*up, "nothing is written before the connection is up");
-                assert!(self.writing.insert(connection), "one frame at a time");
-                let out = self.out.entry(connection).or_default();
-                match &frame {
-                    LeafRequest::Call(parts) => {
-                        assert_eq!(
-                            self.told[address], "up",
-                            "nothing new goes to what drains or is gone"
-                        );
-                        for part in parts {
-                            assert!(
-                                !out.contains(&part.id.to_string()),
-                                "{} is out there",
-                                part.id
-                            );
-                            out.push(part.id.to_string());
-                        }
-                        assert!(out.len() <= 4, "no more than streams_per_conn");
-                    }
-                    LeafRequest::Cancel(id) => out.retain(|other| **other != **id),
-                    LeafRequest::HealthCheck | LeafRequest::LoadReport => {}
-                }
-                self.frames.push((connection, frame));
-                if !self.stuck {
-                    self.writing.remove(&connection);
-                    self.put(Input::FrameWritten { connection });
-                }
-            }
+            } => self.carry_out_open(connection, address.to_string()),
+            Effect::WriteFrame { connection, frame } => self.carry_out_write(connection, frame),
             Effect::CloseConnection { connection } => {
                 self.connections.remove(&connection);
-                self.out.remove(&connection);
+                self.in_flight.remove(&connection);
             }
             Effect::StartWatch { watch, .. } => {
-                self.watches.push(self.now);
-                self.watch = watch;
+                self.watch_starts.push(self.now);
+                self.last_watch = watch;
             }
             Effect::SendGossip { .. } => {}
-            Effect::StopListening => self.listening = false,
-            Effect::Exit(_) => self.exited = true,
+            Effect::StopListening => self.is_listening = false,
+            Effect::Exit(_) => self.has_exited = true,
+        }
+    }
+
+    fn carry_out_reply(&mut self, client: ClientId, reply: Reply, close: bool) {
+        let at = self.now;
+        let replies = self.replies.entry(client).or_default();
+        replies.push(SentReply { at, reply });
+        if close {
+            self.apply(Input::ClientDisconnected { client });
+        }
+    }
+
+    fn carry_out_open(&mut self, connection: ConnectionId, address: String) {
+        assert_eq!(
+            self.listed_status[&address], "up",
+            "no new connection where nothing may go"
+        );
+        let socket = Socket {
+            address,
+            is_open: false,
+        };
+        self.connections.insert(connection, socket);
+    }
+
+    fn carry_out_write(&mut self, connection: ConnectionId, frame: LeafRequest) {
+        let socket = &self.connections[&connection];
+        assert!(
+            socket.is_open,
+            "nothing is written before the connection is open"
+        );
+        assert!(self.writing.insert(connection), "one frame at a time");
+        match &frame {
+            LeafRequest::Call(parts) => self.check_call(connection, parts),
+            LeafRequest::Cancel(id) => {
+                let in_flight = self.in_flight.entry(connection).or_default();
+                in_flight.retain(|other| **other != **id);
+            }
+            LeafRequest::HealthCheck | LeafRequest::LoadReport => {
+                self.in_flight.entry(connection).or_default();
+            }
+        }
+        self.frames.push(SentFrame { connection, frame });
+        if !self.writes_are_stuck {
+            self.writing.remove(&connection);
+            self.apply(Input::FrameWritten { connection });
         }
     }
 
-    /// Time passes, with a turn whenever one is due.
-    pub fn pass(&mut self, ms: u64) {
+    fn check_call(&mut self, connection: ConnectionId, parts: &[CallPart]) {
+        let address = &self.connections[&connection].address;
+        assert_eq!(
+            self.listed_status[address], "up",
+            "nothing new goes to a replica that drains or is gone"
+        );
+        let in_flight = self.in_flight.entry(connection).or_default();
+        for part in parts {
+            let id = part.id.to_string();
+            assert!(!in_flight.contains(&id), "{id} is in flight");
+            in_flight.push(id);
+        }
+        assert!(
+            in_flight.len() <= STREAMS_PER_CONNECTION,
+            "no more than streams_per_conn"
+        );
+    }
+
+    /// Lets time pass, and ends a batch whenever one is due.
+    pub fn advance(&mut self, ms: u64) {
         let end = self.now + ms * MS;
-        while let Some(due) = self.state.next_due().filter(|due| *due <= end) {
+        while let Some(due) = self.engine.next_due().filter(|due| *due <= end) {
             self.now = self.now.max(due);
-            self.put(Input::BatchEnded);
+            self.apply(Input::BatchEnded);
         }
         self.now = end;
     }
 
-    pub fn connect(&mut self) -> ClientId {
-        self.clients += 1;
-        self.put(Input::ClientConnected {
-            client: self.clients,
-        });
-        self.clients
+    /// Connects a new client.
+    pub fn connect_client(&mut self) -> ClientId {
+        self.last_client += 1;
+        let client = self.last_client;
+        self.apply(Input::ClientConnected { client });
+        client
     }
 
-    pub fn ask(&mut self, class: u16, weights: &[f64]) -> ClientId {
-        let client = self.connect();
-        self.ask_on(client, class, weights, 5000);
+    /// Sends a query from a new client that waits 5 s.
+    pub fn send_query(&mut self, class: u16, weights: &[f64]) -> ClientId {
+        let client = self.connect_client();
+        self.send_query_from(client, class, weights, 5000);
         client
     }
 
-    pub fn ask_on(&mut self, client: ClientId, class: u16, weights: &[f64], timeout_ms: u64) {
-        let part = |(shard, weight): (usize, &f64)| QueryPart {
-            shard: shard as u32,
-            weight: *weight,
-            work: None,
-        };
-        let query = Query {
-            name: format!("q{client}"),
-            class,
-            tenant: 0,
-            timeout: timeout_ms * MS,
-            is_retry: false,
-            idempotency_key: None,
-            parts: weights.iter().enumerate().map(part).collect(),
-            text: Bytes::from_static(b"c41e77d0"),
-        };
+    pub fn send_query_from(
+        &mut self,
+        client: ClientId,
+        class: u16,
+        weights: &[f64],
+        timeout_ms: u64,
+    ) {
         self.replies.entry(client).or_default();
-        self.put(Input::RequestReceived {
+        let query = query(&format!("q{client}"), class, weights, timeout_ms);
+        self.send_request(client, ClientRequest::Query(query));
+    }
+
+    /// Sends a request that has arrived just now.
+    pub fn send_request(&mut self, client: ClientId, request: ClientRequest) {
+        self.apply(Input::RequestReceived {
             client,
             arrived: self.now,
-            request: Ok(ClientRequest::Query(query)),
+            request: Ok(request),
         });
     }
 
-    pub fn open(&mut self, connection: ConnectionId) {
-        if let Some(it) = self.connections.get_mut(&connection).filter(|it| !it.1) {
-            it.1 = true;
-            self.put(Input::ConnectionOpened { connection });
+    /// Establishes a connection.
+    pub fn open_connection(&mut self, connection: ConnectionId) {
+        let socket = self.connections.get_mut(&connection);
+        if let Some(socket) = socket.filter(|socket| !socket.is_open) {
+            socket.is_open = true;
+            self.apply(Input::ConnectionOpened { connection });
         }
     }
 
-    pub fn open_all(&mut self) {
-        self.connections
-            .keys()
-            .copied()
-            .collect::<Vec<_>>()
-            .into_iter()
-            .for_each(|connection| self.open(connection));
+    /// Establishes all connections that were begun.
+    pub fn open_all_connections(&mut self) {
+        let connections: Vec<ConnectionId> = self.connections.keys().copied().collect();
+        for connection in connections {
+            self.open_connection(connection);
+        }
+    }
+
+    /// The oldest connection.
+    pub fn first_connection(&self) -> ConnectionId {
+        *self.connections.keys().next().unwrap()
     }
 
-    /// The oldest part out at a connection ends.
-    pub fn answer(&mut self, connection: ConnectionId, end: End) {
-        let out = self.out.entry(connection).or_default();
-        if !out.is_empty() {
-            let id = out.remove(0);
-            self.answer_to(connection, &id, end);
+    /// Responds to the part that has been in flight for longest at a connection.
+    pub fn respond_to_oldest(&mut self, connection: ConnectionId, end: End) {
+        let in_flight = self.in_flight.entry(connection).or_default();
+        if !in_flight.is_empty() {
+            let id = in_flight.remove(0);
+            self.respond(connection, &id, end);
         }
     }
 
-    pub fn answer_to(&mut self, connection: ConnectionId, id: &str, end: End) {
+    /// Responds to a part, whether or not it is in flight.
+    pub fn respond(&mut self, connection: ConnectionId, id: &str, end: End) {
         let value = Bytes::from(format!("doc {id}"));
         let frame = LeafResponse::PartResult {
             id: id.to_string(),
@@ -279,71 +361,71 @@
             report: "-".into(),
             value,
         };
-        self.put(Input::FrameReceived { connection, frame });
+        self.apply(Input::FrameReceived { connection, frame });
     }
 
-    /// All that is out is answered.
-    pub fn answer_all(&mut self) {
-        while let Some(connection) = self
-            .out
-            .iter()
-            .find(|(_, out)| !out.is_empty())
-            .map(|(connection, _)| *connection)
-        {
-            self.answer(connection, End::Ok);
+    /// Responds to all that is in flight, and to what is sent then.
+    pub fn respond_to_all(&mut self) {
+        let busy = |in_flight: &BTreeMap<ConnectionId, Vec<String>>| {
+            let mut connections = in_flight.iter();
+            let busy = connections.find(|(_, in_flight)| !in_flight.is_empty());
+            busy.map(|(connection, _)| *connection)
+        };
+        while let Some(connection) = busy(&self.in_flight) {
+            self.respond_to_oldest(connection, End::Ok);
         }
     }
 
-    /// Something comes that can't be read, with or without the id of the oldest part out.
-    pub fn spoil(&mut self, connection: ConnectionId, named: bool) {
-        let id = self
-            .out
-            .get(&connection)
-            .and_then(|out| out.first().cloned())
-            .filter(|_| named);
-        if self.connections[&connection].1 {
-            self.put(Input::FrameReceived {
-                connection,
-                frame: LeafResponse::Malformed(id),
-            });
+    /// Sends what can't be read, with or without the id of the oldest part in flight.
+    pub fn send_malformed(&mut self, connection: ConnectionId, with_id: bool) {
+        let in_flight = self.in_flight.get(&connection);
+        let oldest = in_flight.and_then(|in_flight| in_flight.first().cloned());
+        let id = oldest.filter(|_| with_id);
+        if self.connections[&connection].is_open {
+            let frame = LeafResponse::Malformed(id);
+            self.apply(Input::FrameReceived { connection, frame });
         }
     }
 
-    pub fn break_off(&mut self, connection: ConnectionId) {
+    /// Fails a connection.
+    pub fn lose_connection(&mut self, connection: ConnectionId) {
         self.connections.remove(&connection);
-        self.out.remove(&connection);
-        self.put(Input::ConnectionClosed { connection });
+        self.in_flight.remove(&connection);
+        self.apply(Input::ConnectionClosed { connection });
     }
 
-    /// Notes what a list says of an address, for the checks on what is written there.
-    pub fn told(&mut self, address: &str, status: &str) {
-        self.told.insert(address.to_string(), status.to_string());
+    /// Notes the listed status of an address, for the checks on what is written there.
+    pub fn set_listed_status(&mut self, address: &str, status: &str) {
+        self.listed_status
+            .insert(address.to_string(), status.to_string());
     }
 
-    pub fn list(&mut self, replica: u64, status: &str, since: u64) {
-        self.index += 1;
-        self.told(&address(replica), status);
-        self.put(Input::EndpointsUpdated(listing(
-            self.index,
-            false,
-            &[(replica, status, since)],
-        )));
+    /// Updates one line of the endpoint list.
+    pub fn list_replica(&mut self, replica: u64, status: &str, started: u64) {
+        self.list_version += 1;
+        self.set_listed_status(&address(replica), status);
+        let line = ListLine {
+            replica,
+            status,
+            started,
+        };
+        let update = endpoint_update(self.list_version, false, &[line]);
+        self.apply(Input::EndpointsUpdated(update));
     }
 
-    /// Some client leaves.
-    pub fn leave(&mut self, dice: u64) {
-        if self.clients > 0 {
-            let client = 1 + dice % self.clients;
-            if self.left.insert(client) {
-                self.put(Input::ClientDisconnected { client });
+    /// Disconnects one of the clients so far, unless it has disconnected before.
+    pub fn disconnect_some_client(&mut self, dice: u64) {
+        if self.last_client > 0 {
+            let client = 1 + dice % self.last_client;
+            if self.disconnected.insert(client) {
+                self.apply(Input::ClientDisconnected { client });
             }
         }
     }
 
-    pub fn reply(&self, client: ClientId) -> Option<&Reply> {
-        self.replies
-            .get(&client)
-            .and_then(|replies| replies.last())
-            .map(|(_, reply)| reply)
+    /// The last reply that was sent to a client.
+    pub fn last_reply(&self, client: ClientId) -> Option<&Reply> {
+        let last = self.replies.get(&client)?.last()?;
+        Some(&last.reply)
     }
 }
--- a/crates/core/tests/usage.rs
+++ b/crates/core/tests/usage.rs
@@ -1,83 +1,76 @@
-//! The ledger's hook in the reducer: one record for each query that ends, and marks that keep their
-//! word.
+//! The engine's usage log: one record for each query that ends, and watermarks that stay true.
 
 mod support;
 
 use aggregator_core::engine::usage::{is_client_key, key_of_client, key_of_query, Outcome};
 use aggregator_core::engine::Input;
 use aggregator_core::protocol::leaf::End;
-use aggregator_core::protocol::query::{ClientRequest, Query, QueryPart};
-use support::engine_harness::{Bed, MS, START};
+use aggregator_core::protocol::query::{ClientRequest, Query};
+use support::engine_harness::{query, EngineHarness, MS, START};
 
-fn recording(replicas: u64) -> Bed {
-    let mut bed = Bed::new(replicas);
-    bed.state.record_usage(100 * MS);
-    bed
+/// An engine that records usage, with a watermark each 100 ms.
+fn recording(replicas: u64) -> EngineHarness {
+    let mut harness = EngineHarness::new(replicas);
+    harness.engine.record_usage(100 * MS);
+    harness
 }
 
-fn ask(bed: &mut Bed, name: &str, timeout_ms: u64, key: Option<&str>) -> u64 {
-    let client = bed.connect();
-    let part = |shard| QueryPart {
-        shard,
-        weight: 0.5,
-        work: None,
-    };
+/// Sends a query of class `lookup` for two parts. With a key it is a retry.
+fn send_lookup(harness: &mut EngineHarness, name: &str, timeout_ms: u64, key: Option<&str>) {
+    let client = harness.connect_client();
     let query = Query {
-        name: name.into(),
-        class: 1,
-        tenant: 0,
-        timeout: timeout_ms * MS,
         is_retry: key.is_some(),
         idempotency_key: key.map(str::to_string),
-        parts: vec![part(0), part(1)],
         text: bytes::Bytes::from_static(b"text"),
+        ..query(name, 1, &[0.5, 0.5], timeout_ms)
     };
-    bed.put(Input::RequestReceived {
-        client,
-        arrived: bed.now,
-        request: Ok(ClientRequest::Query(query)),
-    });
-    client
+    harness.send_request(client, ClientRequest::Query(query));
 }
 
 #[test]
-fn each_end_of_a_query_is_one_record_that_says_how_it_ended() {
-    let mut bed = recording(2);
-    bed.ask(1, &[0.5, 0.5]);
-    bed.open_all();
-    bed.answer_all();
-    // Left before the answer.
-    let client = bed.ask(1, &[1.0]);
-    bed.put(Input::ClientDisconnected { client });
-    // Refused before any decision: no time left, and too much open.
-    ask(&mut bed, "late", 1, None);
-    let many: Vec<u64> = (0..30).map(|_| bed.ask(1, &[0.5, 0.5])).collect();
-    let over = bed
+fn each_query_that_ends_is_one_record_with_its_outcome() {
+    let mut harness = recording(2);
+    harness.send_query(1, &[0.5, 0.5]);
+    harness.open_all_connections();
+    harness.respond_to_all();
+    // Its client disconnects before the reply.
+    let client = harness.send_query(1, &[1.0]);
+    harness.apply(Input::ClientDisconnected { client });
+    // Rejected before any decision: no time left, and over capacity.
+    send_lookup(&mut harness, "late", 1, None);
+    let many: Vec<u64> = (0..30)
+        .map(|_| harness.send_query(1, &[0.5, 0.5]))
+        .collect();
+    let rejected = harness
         .records
         .iter()
-        .filter(|it| it.outcome == Outcome::Refused)
+        .filter(|record| record.outcome == Outcome::Refused)
         .count();
     assert_eq!(
-        over,
+        rejected,
         1 + 10,
         "20 queries of two parts each are all that may be open"
     );
-    // Failed or refused once their time is up: none is left without a record.
-    bed.pass(7000);
-    assert_eq!(bed.records.len(), 3 + many.len());
-    let first = &bed.records[0];
+    // Failed or rejected once their time is up: none is left without a record.
+    harness.advance(7000);
+    assert_eq!(harness.records.len(), 3 + many.len());
+    let first = &harness.records[0];
     assert_eq!(
         (first.outcome, first.parts, first.attempts, first.arrived),
         (Outcome::Whole, 2, 2, START)
     );
-    assert_eq!(bed.records[1].outcome, Outcome::Left);
-    let numbers: Vec<u64> = bed.records.iter().map(|it| it.sequence).collect();
+    assert_eq!(harness.records[1].outcome, Outcome::Left);
+    let numbers: Vec<u64> = harness
+        .records
+        .iter()
+        .map(|record| record.sequence)
+        .collect();
     assert_eq!(
         numbers,
         (1..=numbers.len() as u64).collect::<Vec<_>>(),
         "without a gap"
     );
-    let counters = bed.state.counters();
+    let counters = harness.engine.counters();
     assert_eq!(counters.recorded, numbers.len() as u64);
     assert_eq!(
         counters.recorded_of.values().sum::<u64>(),
@@ -90,100 +83,86 @@
 }
 
 #[test]
-fn a_partial_answer_tells_its_share() {
-    let mut bed = recording(1);
-    bed.ask(0, &[0.7, 0.2, 0.1]);
-    bed.open_all();
-    let connection = *bed.connections.keys().next().unwrap();
-    bed.answer(connection, End::Ok);
-    bed.pass(5000);
-    assert_eq!(bed.records.len(), 1);
+fn the_record_of_a_partial_answer_has_its_share() {
+    let mut harness = recording(1);
+    harness.send_query(0, &[0.7, 0.2, 0.1]);
+    harness.open_all_connections();
+    let connection = harness.first_connection();
+    harness.respond_to_oldest(connection, End::Ok);
+    harness.advance(5000);
+    assert_eq!(harness.records.len(), 1);
     assert_eq!(
-        bed.records[0].outcome,
+        harness.records[0].outcome,
         Outcome::Partial(700_000),
         "{:?}",
-        bed.records[0]
+        harness.records[0]
     );
 }
 
-/// What a mark calls complete stays so: whatever arrives later counts as later, and what is open
-/// holds it back.
+/// What a watermark declares complete stays so: whatever arrives later counts as later, and an open
+/// query holds the watermark back.
 #[test]
-fn a_mark_is_never_belied() {
-    let mut bed = recording(1);
-    bed.pass(150);
-    let early = bed.ask(1, &[1.0]);
-    let asked = bed.now;
-    bed.pass(1000);
-    let held = bed.marks.last().unwrap();
+fn what_a_watermark_declares_complete_stays_complete() {
+    let mut harness = recording(1);
+    harness.advance(150);
+    let early = harness.send_query(1, &[1.0]);
+    let arrived = harness.now;
+    harness.advance(1000);
+    let held_back = harness.watermarks.last().unwrap();
     assert_eq!(
-        (held.complete, held.sequence, held.end),
-        (asked, 0, false),
+        (held_back.complete, held_back.sequence, held_back.end),
+        (arrived, 0, false),
         "an open query holds it back"
     );
-    bed.open_all();
-    bed.answer_all();
-    assert!(bed.reply(early).is_some());
-    bed.pass(200);
-    let (complete, now) = (bed.marks.last().unwrap().complete, bed.now);
-    assert!(complete > asked && bed.marks.last().unwrap().sequence == 1);
-    // It waited for its turn since before the mark.
-    let client = bed.connect();
-    let part = QueryPart {
-        shard: 0,
-        weight: 1.0,
-        work: None,
-    };
-    let query = Query {
-        name: "waited".into(),
-        class: 1,
-        tenant: 0,
-        timeout: 5000 * MS,
-        is_retry: false,
-        idempotency_key: None,
-        parts: vec![part],
-        text: bytes::Bytes::from_static(b"text"),
-    };
-    bed.put(Input::RequestReceived {
+    harness.open_all_connections();
+    harness.respond_to_all();
+    assert!(harness.last_reply(early).is_some());
+    harness.advance(200);
+    let (complete, now) = (harness.watermarks.last().unwrap().complete, harness.now);
+    assert!(complete > arrived && harness.watermarks.last().unwrap().sequence == 1);
+    // It arrived before the watermark, and had to wait for its batch.
+    let client = harness.connect_client();
+    let waited = query("waited", 1, &[1.0], 5000);
+    harness.apply(Input::RequestReceived {
         client,
         arrived: now - 190 * MS,
-        request: Ok(ClientRequest::Query(query)),
+        request: Ok(ClientRequest::Query(waited)),
     });
-    bed.open_all();
-    bed.answer_all();
-    assert_eq!(bed.records[1].arrived, complete);
-    bed.put(Input::ShutdownRequested);
-    bed.pass(7000);
+    harness.open_all_connections();
+    harness.respond_to_all();
+    assert_eq!(harness.records[1].arrived, complete);
+    harness.apply(Input::ShutdownRequested);
+    harness.advance(7000);
     assert!(
-        bed.exited && bed.marks.last().unwrap().end,
-        "the last mark says that nothing follows"
+        harness.has_exited && harness.watermarks.last().unwrap().end,
+        "the last watermark states that nothing follows"
     );
 }
 
 #[test]
-fn nothing_is_recorded_where_the_ledger_is_off() {
-    let mut bed = Bed::new(1);
-    bed.ask(1, &[1.0]);
-    bed.open_all();
-    bed.answer_all();
-    bed.pass(1000);
+fn nothing_is_recorded_unless_it_is_enabled() {
+    let mut harness = EngineHarness::new(1);
+    harness.send_query(1, &[1.0]);
+    harness.open_all_connections();
+    harness.respond_to_all();
+    harness.advance(1000);
     assert_eq!(
         (
-            bed.records.len(),
-            bed.marks.len(),
-            bed.state.counters().recorded
+            harness.records.len(),
+            harness.watermarks.len(),
+            harness.engine.counters().recorded
         ),
         (0, 0, 0)
     );
 }
 
 #[test]
-fn tries_of_one_use_have_one_key_and_others_another() {
-    let mut bed = recording(1);
-    ask(&mut bed, "a", 1, None);
-    ask(&mut bed, "b", 1, None);
-    ask(&mut bed, "c", 1, Some("k"));
-    let keys: Vec<u64> = bed.records.iter().map(|it| it.key).collect();
+fn retries_of_one_use_share_a_key_and_other_uses_do_not() {
+    let mut harness = recording(1);
+    send_lookup(&mut harness, "a", 1, None);
+    send_lookup(&mut harness, "b", 1, None);
+    send_lookup(&mut harness, "c", 1, Some("k"));
+    let keys: Vec<u64> = harness.records.iter().map(|record| record.key).collect();
     let parts = [(1, 0.5), (0, 0.5)];
     assert_eq!(
         keys[0],
@@ -191,7 +170,7 @@
         "parts in any order"
     );
     assert_eq!((keys[0], keys[2]), (keys[1], key_of_client("lookup", "k")));
-    assert!(is_client_key(keys[2]) && !is_client_key(keys[0]) && bed.records[2].keyed);
+    assert!(is_client_key(keys[2]) && !is_client_key(keys[0]) && harness.records[2].keyed);
     let others = [
         key_of_query("report", parts.into_iter(), b"text"),
         key_of_query("lookup", parts.into_iter(), b"test"),
