Let each table of the engine change its own entries; split the harness's inputs

Change: ClientTable, QueryTable, AttemptTable, ConnectionTable and HealthCheckTable have insert, remove and get_mut of their own. The settings, endpoint lists and queries that the harness's inputs are made from stand in support/engine_harness/inputs.rs.

--- a/crates/core/src/engine/attempts.rs
+++ b/crates/core/src/engine/attempts.rs
@@ -65,6 +65,14 @@
         attempts.map(|(id, attempt)| (*id, attempt))
     }
 
+    fn insert(&mut self, id: AttemptId, attempt: Attempt) {
+        self.attempts.insert(id, attempt);
+    }
+
+    fn remove(&mut self, id: AttemptId) -> Option<Attempt> {
+        self.attempts.remove(&id)
+    }
+
     pub(super) fn len(&self) -> usize {
         self.attempts.len()
     }
@@ -111,7 +119,7 @@
             shard,
             text,
         };
-        self.attempts.attempts.insert(id, attempt);
+        self.attempts.insert(id, attempt);
     }
 
     fn is_in_other_zone(&self, replica: ReplicaId) -> bool {
@@ -153,7 +161,7 @@
         outcome: AttemptOutcome,
         report: LoadReport,
     ) {
-        let Some(attempt) = self.attempts.attempts.remove(&id) else {
+        let Some(attempt) = self.attempts.remove(id) else {
             return;
         };
         tracing::debug!(
--- a/crates/core/src/engine/clients.rs
+++ b/crates/core/src/engine/clients.rs
@@ -68,27 +68,32 @@
         idle.map(|(id, _)| *id)
     }
 
+    fn get_mut(&mut self, client: ClientId) -> Option<&mut Client> {
+        self.clients.get_mut(&client)
+    }
+
+    fn remove(&mut self, client: ClientId) -> Option<Client> {
+        self.clients.remove(&client)
+    }
+
     pub(super) fn clear(&mut self) {
         self.clients.clear();
     }
 
     /// Notes that a client waits for a query.
     pub(super) fn set_query(&mut self, client: ClientId, query: RequestId) {
-        if let Some(client) = self.clients.get_mut(&client) {
+        if let Some(client) = self.get_mut(client) {
             client.query = Some(query);
             client.has_sent_query = true;
         }
     }
 
     fn connect(&mut self, now: Nanos, client: ClientId) {
-        let idle_since = now;
-        self.clients.insert(
-            client,
-            Client {
-                idle_since,
-                ..Client::default()
-            },
-        );
+        let state = Client {
+            idle_since: now,
+            ..Client::default()
+        };
+        self.clients.insert(client, state);
     }
 
     /// Picks the clients to close so that `newest` has room, and marks them: many may connect
@@ -142,7 +147,7 @@
     }
 
     pub(super) fn on_client_disconnected(&mut self, now: Nanos, client: ClientId) {
-        let removed = self.clients.clients.remove(&client);
+        let removed = self.clients.remove(client);
         if let Some(query) = removed.and_then(|client| client.query) {
             self.counters.queries_ended.client_disconnected += 1;
             self.events.push(Event::ClientDisconnected { id: query });
@@ -185,7 +190,7 @@
     }
 
     pub(super) fn send_reply(&mut self, now: Nanos, client_id: ClientId, reply: Reply) {
-        let Some(client) = self.clients.clients.get_mut(&client_id) else {
+        let Some(client) = self.clients.get_mut(client_id) else {
             return;
         };
         client.query = None;
--- a/crates/core/src/engine/connections.rs
+++ b/crates/core/src/engine/connections.rs
@@ -53,6 +53,14 @@
         self.connections.get(&id).map(|entry| entry.replica)
     }
 
+    fn insert(&mut self, id: ConnectionId, connection: ReplicaConnection) {
+        self.connections.insert(id, connection);
+    }
+
+    fn remove(&mut self, id: ConnectionId) -> Option<ReplicaConnection> {
+        self.connections.remove(&id)
+    }
+
     pub(super) fn len(&self) -> usize {
         self.connections.len()
     }
@@ -221,7 +229,7 @@
             replica: replica_id,
             state: LeafConnection::new(now),
         };
-        self.connections.connections.insert(id, connection);
+        self.connections.insert(id, connection);
         let due = now + self.site.connect_timeout;
         self.timers.set(due, Timer::ConnectTimeout(id));
         Some(id)
@@ -237,7 +245,7 @@
 
     /// Ends a connection that has failed, or that we close (`closed_by_us`).
     fn end_connection(&mut self, now: Nanos, id: ConnectionId, closed_by_us: bool) {
-        let Some(connection) = self.connections.connections.remove(&id) else {
+        let Some(connection) = self.connections.remove(id) else {
             return;
         };
         if let Some(due) = connection.state.idle_timer {
@@ -248,9 +256,10 @@
         }
         let lost = connection.state.end(closed_by_us);
         for lost_attempt in lost.attempts {
-            let outcome = match lost_attempt.may_have_run {
-                true => AttemptOutcome::ConnectionLost,
-                false => AttemptOutcome::Unreachable,
+            let outcome = if lost_attempt.may_have_run {
+                AttemptOutcome::ConnectionLost
+            } else {
+                AttemptOutcome::Unreachable
             };
             self.on_attempt_ended(now, lost_attempt.attempt, outcome, LoadReport::new());
         }
--- a/crates/core/src/engine/endpoints.rs
+++ b/crates/core/src/engine/endpoints.rs
@@ -92,13 +92,12 @@
         for endpoint in &update.endpoints {
             entries.extend(self.apply_endpoint(endpoint, &mut stopped));
         }
-        let kind = match update.snapshot {
-            true => EndpointUpdateKind::Snapshot,
-            false => EndpointUpdateKind::Delta,
+        let kind = if update.snapshot {
+            self.mark_omitted_as_gone(&entries, &mut stopped);
+            EndpointUpdateKind::Snapshot
+        } else {
+            EndpointUpdateKind::Delta
         };
-        if kind == EndpointUpdateKind::Snapshot {
-            self.mark_unlisted_as_gone(&entries, &mut stopped);
-        }
         let not_ready = entries
             .iter()
             .filter(|entry| entry.state != ReplicaState::Ready);
@@ -124,10 +123,11 @@
         self.numbers.retain(|_, id| replicas.contains_key(id));
     }
 
-    fn mark_unlisted_as_gone(&mut self, entries: &[ReplicaEntry], stopped: &mut Vec<ConnectionId>) {
-        let listed: BTreeSet<ReplicaId> = entries.iter().map(|entry| entry.replica).collect();
+    /// A snapshot omits the replicas that are gone.
+    fn mark_omitted_as_gone(&mut self, entries: &[ReplicaEntry], stopped: &mut Vec<ConnectionId>) {
+        let present: BTreeSet<ReplicaId> = entries.iter().map(|entry| entry.replica).collect();
         for (id, replica) in &mut self.replicas {
-            if !listed.contains(id) {
+            if !present.contains(id) {
                 replica.state = ReplicaState::Gone;
                 stopped.extend(&replica.connections);
             }
--- a/crates/core/src/engine/frames.rs
+++ b/crates/core/src/engine/frames.rs
@@ -74,10 +74,11 @@
             }
             OutgoingFrame::HealthCheck(_) => {
                 self.counters.sent.health_checks += 1;
-                let reports_load = !self.site.load_report_fields.is_empty();
-                Some(match reports_load {
-                    true => LeafRequest::LoadReport,
-                    false => LeafRequest::HealthCheck,
+                let load_is_reported = !self.site.load_report_fields.is_empty();
+                Some(if load_is_reported {
+                    LeafRequest::LoadReport
+                } else {
+                    LeafRequest::HealthCheck
                 })
             }
         }
--- a/crates/core/src/engine/health_checks.rs
+++ b/crates/core/src/engine/health_checks.rs
@@ -22,6 +22,14 @@
 }
 
 impl HealthCheckTable {
+    fn insert(&mut self, id: HealthCheckId, check: HealthCheck) {
+        self.checks.insert(id, check);
+    }
+
+    fn remove(&mut self, id: HealthCheckId) -> Option<HealthCheck> {
+        self.checks.remove(&id)
+    }
+
     pub(super) fn len(&self) -> usize {
         self.checks.len()
     }
@@ -49,7 +57,7 @@
             connection: connection_id,
             started_at: now,
         };
-        self.health_checks.checks.insert(id, check);
+        self.health_checks.insert(id, check);
     }
 
     fn connection_for_health_check(
@@ -74,9 +82,10 @@
     ) {
         let connection = self.connections.get_mut(connection);
         let check = connection.and_then(|connection| connection.match_health_check_response());
-        let outcome = match ok {
-            true => AttemptOutcome::Success,
-            false => AttemptOutcome::Error,
+        let outcome = if ok {
+            AttemptOutcome::Success
+        } else {
+            AttemptOutcome::Error
         };
         if let Some(check) = check {
             self.on_health_check_ended(now, check, outcome, report);
@@ -90,7 +99,7 @@
         outcome: AttemptOutcome,
         report: &str,
     ) {
-        let Some(check) = self.health_checks.checks.remove(&id) else {
+        let Some(check) = self.health_checks.remove(id) else {
             return;
         };
         let times_out_at = check.started_at + self.site.connect_timeout;
--- a/crates/core/src/engine/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -98,9 +98,10 @@
         descriptors: usize,
     ) -> Engine {
         let list_is_polled = settings.endpoint_list_polled;
-        let answer_timeout = match list_is_polled {
-            true => POLLED_LIST_TIMEOUT,
-            false => PUSHED_LIST_TIMEOUT,
+        let answer_timeout = if list_is_polled {
+            POLLED_LIST_TIMEOUT
+        } else {
+            PUSHED_LIST_TIMEOUT
         };
         let mut engine = Engine {
             endpoints: EndpointTable::new(site.zones.clone()),
--- a/crates/core/src/engine/queries.rs
+++ b/crates/core/src/engine/queries.rs
@@ -102,6 +102,10 @@
         self.parts.get_mut(&part)
     }
 
+    pub(super) fn len(&self) -> usize {
+        self.queries.len()
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.queries.is_empty()
     }
@@ -136,6 +140,10 @@
         self.queries.insert(id, query);
     }
 
+    fn insert_part(&mut self, id: RequestId, part: Part) {
+        self.parts.insert(id, part);
+    }
+
     fn remove(&mut self, id: RequestId) -> Option<EndedQuery> {
         let query = self.queries.remove(&id)?;
         self.names.remove(&query.name);
@@ -165,7 +173,7 @@
             };
             return self.on_invalid_request(now, client, error);
         }
-        let open_queries = self.queries.queries.len();
+        let open_queries = self.queries.len();
         let open_parts = self.queries.count_open_parts();
         if open_queries + open_parts >= self.site.max_open {
             self.counters.received.over_capacity += 1;
@@ -276,7 +284,7 @@
             cross_zone_attempts: 0,
             value: None,
         };
-        self.queries.parts.insert(id, part);
+        self.queries.insert_part(id, part);
         self.events.push(Event::PartReceived {
             id,
             group,
--- a/crates/core/src/engine/usage.rs
+++ b/crates/core/src/engine/usage.rs
@@ -4,6 +4,9 @@
 use crate::protocol::query::Reply;
 use xxhash_rust::xxh3::Xxh3;
 
+/// In which [`Outcome::Partial`] counts the share of the weight: the whole weight is this many.
+const MILLIONTHS: f64 = 1e6;
+
 /// The key that joins the retries of one use. It is the same at every aggregator and in every run,
 /// so that a retry elsewhere is recognised. Odd if the client gave it; 0 is no key.
 pub type JoinKey = u64;
@@ -67,7 +70,7 @@
             Reply::Answer { complete: true, .. } => Outcome::Whole,
             Reply::Answer { .. } => {
                 let share = covered_weight / total_weight.max(f64::MIN_POSITIVE);
-                Outcome::Partial((share * 1e6).round().clamp(0.0, 1e6) as u32)
+                Outcome::Partial((share * MILLIONTHS).round().clamp(0.0, MILLIONTHS) as u32)
             }
             Reply::Rejected { .. } => Outcome::Refused,
             _ => Outcome::Failed,
--- a/crates/core/tests/connection.rs
+++ b/crates/core/tests/connection.rs
@@ -49,7 +49,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum Stage {
+enum AttemptState {
     Queued,
     Writing,
     Written,
@@ -59,7 +59,7 @@
 #[derive(Default)]
 struct Model {
     open: bool,
-    stages: BTreeMap<AttemptId, Stage>,
+    attempts: BTreeMap<AttemptId, AttemptState>,
     frames: VecDeque<OutgoingFrame>,
     writing: Option<OutgoingFrame>,
     health_checks: VecDeque<u64>,
@@ -67,16 +67,17 @@
 
 impl Model {
     fn nth_attempt(&self, n: usize) -> Option<AttemptId> {
-        (!self.stages.is_empty()).then(|| *self.stages.keys().nth(n % self.stages.len()).unwrap())
+        (!self.attempts.is_empty())
+            .then(|| *self.attempts.keys().nth(n % self.attempts.len()).unwrap())
     }
 
-    fn attempts_in(&self, stage: Stage) -> Vec<AttemptId> {
-        let attempts = self.stages.iter().filter(|(_, other)| **other == stage);
+    fn attempts_in(&self, state: AttemptState) -> Vec<AttemptId> {
+        let attempts = self.attempts.iter().filter(|(_, other)| **other == state);
         attempts.map(|(attempt, _)| *attempt).collect()
     }
 
     fn is_idle(&self) -> bool {
-        let nothing_open = self.stages.is_empty() && self.health_checks.is_empty();
+        let nothing_open = self.attempts.is_empty() && self.health_checks.is_empty();
         nothing_open && self.frames.is_empty() && self.writing.is_none()
     }
 }
@@ -111,7 +112,7 @@
             Step::QueueAttempt => {
                 let attempt = AttemptId { part: n, number: 0 };
                 connection.queue_attempt(call_entry(attempt), false, 1);
-                model.stages.insert(attempt, Stage::Queued);
+                model.attempts.insert(attempt, AttemptState::Queued);
                 model.frames.push_back(call(attempt));
             }
             Step::Open => {
@@ -140,7 +141,9 @@
         let expected = if due { model.frames.pop_front() } else { None };
         prop_assert_eq!(connection.next_frame(now), expected.clone());
         if let Some(OutgoingFrame::Call(call)) = &expected {
-            model.stages.insert(call[0].attempt, Stage::Writing);
+            model
+                .attempts
+                .insert(call[0].attempt, AttemptState::Writing);
         }
         model.writing = expected.or(model.writing.take());
         Ok(())
@@ -151,8 +154,8 @@
         connection.on_frame_written();
         match model.writing.take() {
             Some(OutgoingFrame::Call(call)) => {
-                let stage = model.stages.entry(call[0].attempt);
-                stage.and_modify(|stage| *stage = Stage::Written);
+                let state = model.attempts.entry(call[0].attempt);
+                state.and_modify(|state| *state = AttemptState::Written);
             }
             Some(OutgoingFrame::HealthCheck(check)) => model.health_checks.push_back(check),
             _ => {}
@@ -164,7 +167,7 @@
         let Some(attempt) = model.nth_attempt(nth) else {
             return Ok(());
         };
-        let written = model.stages[&attempt] == Stage::Written;
+        let written = model.attempts[&attempt] == AttemptState::Written;
         let expected = if written {
             ResponseMatch::Attempt(attempt)
         } else {
@@ -177,7 +180,7 @@
         if written {
             let again = connection.match_response(&id);
             prop_assert_eq!(again, ResponseMatch::AlreadyEnded, "a duplicate");
-            model.stages.remove(&attempt);
+            model.attempts.remove(&attempt);
         }
         Ok(())
     }
@@ -187,7 +190,7 @@
         let Some(attempt) = model.nth_attempt(nth) else {
             return Ok(());
         };
-        let went_out = model.stages.remove(&attempt) != Some(Stage::Queued);
+        let went_out = model.attempts.remove(&attempt) != Some(AttemptState::Queued);
         prop_assert_eq!(connection.cancel_attempt(attempt, now, MS), went_out);
         prop_assert!(!connection.cancel_attempt(attempt, now, MS), "it has ended");
         let expected = if went_out {
@@ -212,8 +215,8 @@
     /// Compares what both say of their state.
     fn check_state(&mut self) -> Result<(), TestCaseError> {
         let Pair { connection, model } = self;
-        let queued = model.attempts_in(Stage::Queued);
-        let written = model.attempts_in(Stage::Written);
+        let queued = model.attempts_in(AttemptState::Queued);
+        let written = model.attempts_in(AttemptState::Written);
         let blamed = connection.attempt_of_malformed_response(None);
         prop_assert_eq!(blamed.is_some(), !written.is_empty());
         for attempt in &written {
@@ -231,12 +234,13 @@
         let mut lost = self.connection.end(closed_by_us).attempts;
         lost.sort();
         // Where we close, the socket's report of a frame that it took may still be on its way.
-        let may_have_run =
-            |stage| stage == Stage::Written || closed_by_us && stage == Stage::Writing;
-        let stages = self.model.stages.into_iter();
-        let expected = stages.map(|(attempt, stage)| LostAttempt {
+        let may_have_run = |state| {
+            state == AttemptState::Written || closed_by_us && state == AttemptState::Writing
+        };
+        let attempts = self.model.attempts.into_iter();
+        let expected = attempts.map(|(attempt, state)| LostAttempt {
             attempt,
-            may_have_run: may_have_run(stage),
+            may_have_run: may_have_run(state),
         });
         prop_assert_eq!(lost, expected.collect::<Vec<_>>());
         Ok(())
--- a/crates/core/tests/reducer/attempts.rs
+++ b/crates/core/tests/reducer/attempts.rs
@@ -72,10 +72,10 @@
 fn an_attempt_that_waits_is_not_sent_to_the_former_address_of_its_replica() {
     let mut harness = EngineHarness::new(2);
     harness.send_query(1, &[0.5, 0.5]);
-    harness.set_listed_status("127.0.0.9:7070", "up");
+    harness.set_status_of_address("127.0.0.9:7070", "up");
     let former: Vec<ConnectionId> = harness.connections.keys().copied().collect();
     harness.apply(snapshot_of_one(2, "127.0.0.9:7070"));
-    harness.set_listed_status(&address(2), "removed");
+    harness.set_status_of_address(&address(2), "removed");
     harness.open_all_connections();
     harness.advance(100);
     let sent = sent_parts(&harness);
--- a/crates/core/tests/reducer/endpoints.rs
+++ b/crates/core/tests/reducer/endpoints.rs
@@ -33,10 +33,10 @@
         let starts = starts.iter().filter(|at| half_a_second.contains(at));
         starts.count()
     };
-    let most = starts.iter().map(starts_within_half_a_second).max();
+    let maximum = starts.iter().map(starts_within_half_a_second).max();
     assert!(
-        most <= Some(starts.len() / 3),
-        "no half second sees most of the first watches: {most:?}"
+        maximum <= Some(starts.len() / 3),
+        "no half second sees most of the first watches: {maximum:?}"
     );
 }
 
@@ -91,7 +91,7 @@
     harness.send_query(1, &[0.5, 0.5]);
     harness.open_all_connections();
     harness.respond_to_all();
-    harness.set_listed_status("127.0.0.9:7070", "up");
+    harness.set_status_of_address("127.0.0.9:7070", "up");
     harness.apply(snapshot_of_one(2, "127.0.0.9:7070"));
     let frames_before = harness.frames.len();
     harness.send_query(1, &[1.0]);
--- a/crates/core/tests/support/engine_harness.rs
+++ b/crates/core/tests/support/engine_harness.rs
@@ -1,32 +1,25 @@
 //! An engine with hand-made inputs in place of sockets. The harness carries the effects out as
 //! sockets would, and checks at each step what must always hold.
 
+mod inputs;
+
+pub use inputs::{address, query, MS, SETTINGS};
+
 use aggregator_core::engine::usage::{UsageRecord, UsageWatermark};
 use aggregator_core::engine::{ClientId, ConnectionId, Effect, Engine, Input};
-use aggregator_core::protocol::discovery::EndpointUpdate;
 use aggregator_core::protocol::leaf::{CallPart, End, LeafRequest, LeafResponse};
-use aggregator_core::protocol::query::{ClientRequest, Query, QueryPart, Reply};
+use aggregator_core::protocol::query::{ClientRequest, Reply};
 use aggregator_core::settings;
 use bytes::Bytes;
+use inputs::{endpoint_update, ListLine};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A millisecond, in nanoseconds.
-pub const MS: u64 = 1_000_000;
 /// When an engine starts, in nanoseconds.
 pub const START: u64 = 1_000_000 * MS;
 /// The file descriptors that an engine may use.
 const DESCRIPTORS: usize = 1024;
 /// `limits.streams_per_conn` of the settings.
 const STREAMS_PER_CONNECTION: usize = 4;
-/// As a real site has them: class 0 takes partial answers, class 1 needs every part.
-pub const SETTINGS: &str = "classes.count=2\nclasses.0.name=report\nclasses.0.aim_ns=2000000000\n\
-classes.0.give_up_ns=5000000000\nclasses.0.semantics=read_like\nclasses.1.name=lookup\n\
-classes.1.aim_ns=2000000000\nclasses.1.give_up_ns=6000000000\nclasses.1.semantics=read_like\n\
-extra.places=1\nextra.reach=1\nextra.ranges=8\nextra.class_need=1.0,1.0\nextra.least_share=0.6,1.0\n\
-extra.partial_earns=0.9,0.9\nextra.second_step=0,0\nreplicas_of_me=1\ntick_ns=5000000\n\
-limits.cancelling=true\nlimits.may_duplicate=true\nlimits.max_attempts=4\nlimits.streams_per_conn=4\n\
-limits.connect_timeout_ns=250000000\nlimits.conn_idle_ns=30000000000\nlimits.open_cap=60\n\
-limits.max_retry_after_ns=500000000\nlimits.retry_after=true\nlocalities=north,south\n";
 
 /// A reply and when it was sent.
 #[derive(Debug)]
@@ -74,67 +67,25 @@
     /// The number of the last watch.
     pub last_watch: u64,
     /// The status that discovery lists for each address.
-    listed_status: BTreeMap<String, String>,
+    status_by_address: BTreeMap<String, String>,
     /// Connections whose socket has a frame.
     writing: BTreeSet<ConnectionId>,
     last_client: ClientId,
     list_version: u64,
 }
 
-/// The address of a replica, by its number.
-pub fn address(replica: u64) -> String {
-    format!("127.0.{}.{}:7070", replica / 256, replica % 256)
-}
-
-/// One line of the endpoint list.
-struct ListLine<'a> {
-    replica: u64,
-    status: &'a str,
-    started: u64,
-}
-
-fn endpoint_update(index: u64, snapshot: bool, lines: &[ListLine]) -> EndpointUpdate {
-    let line = |line: &ListLine| {
-        serde_json::json!({"name": format!("s-{}", line.replica), "address": address(line.replica),
-            "zone": "north", "type": "m", "group": 0, "status": line.status, "weight": 1.0,
-            "since_ms": line.started / MS})
-    };
-    let lines: Vec<_> = lines.iter().map(line).collect();
-    serde_json::from_value(
-        serde_json::json!({"index": index, "snapshot": snapshot, "endpoints": lines}),
-    )
-    .expect("an endpoint list")
-}
-
-/// A query with one part for each weight, on shards from 0.
-pub fn query(name: &str, class: u16, weights: &[f64], timeout_ms: u64) -> Query {
-    let part = |(shard, weight): (usize, &f64)| QueryPart {
-        shard: shard as u32,
-        weight: *weight,
-        work: None,
-    };
-    Query {
-        name: name.into(),
-        class,
-        tenant: 0,
-        timeout: timeout_ms * MS,
-        is_retry: false,
-        idempotency_key: None,
-        parts: weights.iter().enumerate().map(part).collect(),
-        text: Bytes::from_static(b"c41e77d0"),
-    }
-}
-
 impl EngineHarness {
     /// An engine with this many replicas, all of them ready.
     pub fn new(replicas: u64) -> EngineHarness {
         EngineHarness::with_settings(SETTINGS, replicas)
     }
 
+    /// An engine with these settings.
     pub fn with_settings(settings: &str, replicas: u64) -> EngineHarness {
         EngineHarness::with_seed(settings, replicas, 7)
     }
 
+    /// An engine whose policy has this seed.
     pub fn with_seed(settings: &str, replicas: u64, seed: u64) -> EngineHarness {
         let site = settings::site(settings).unwrap();
         let settings = settings::parse(settings).unwrap();
@@ -162,7 +113,7 @@
             watermarks: Vec::new(),
             watch_starts: Vec::new(),
             last_watch: 0,
-            listed_status: statuses.collect(),
+            status_by_address: statuses.collect(),
             writing: BTreeSet::new(),
             last_client: 0,
             list_version: 1,
@@ -223,7 +174,7 @@
 
     fn carry_out_open(&mut self, connection: ConnectionId, address: String) {
         assert_eq!(
-            self.listed_status[&address], "up",
+            self.status_by_address[&address], "up",
             "no new connection where nothing may go"
         );
         let socket = Socket {
@@ -260,7 +211,7 @@
     fn check_call(&mut self, connection: ConnectionId, parts: &[CallPart]) {
         let address = &self.connections[&connection].address;
         assert_eq!(
-            self.listed_status[address], "up",
+            self.status_by_address[address], "up",
             "nothing new goes to a replica that drains or is gone"
         );
         let in_flight = self.in_flight.entry(connection).or_default();
@@ -300,6 +251,7 @@
         client
     }
 
+    /// Sends a query from a client that is connected.
     pub fn send_query_from(
         &mut self,
         client: ClientId,
@@ -395,15 +347,15 @@
     }
 
     /// Notes the listed status of an address, for the checks on what is written there.
-    pub fn set_listed_status(&mut self, address: &str, status: &str) {
-        self.listed_status
+    pub fn set_status_of_address(&mut self, address: &str, status: &str) {
+        self.status_by_address
             .insert(address.to_string(), status.to_string());
     }
 
     /// Updates one line of the endpoint list.
     pub fn list_replica(&mut self, replica: u64, status: &str, started: u64) {
         self.list_version += 1;
-        self.set_listed_status(&address(replica), status);
+        self.set_status_of_address(&address(replica), status);
         let line = ListLine {
             replica,
             status,
