Rename the engine's last public items, with their one-line follow-ups elsewhere

Cause: Outcome::{Whole, Refused, Left}, Engine::most_clients, list_index and held kept the old house style's words.

Change: Outcome::{Complete, Rejected, ClientDisconnected}, Engine::max_clients, endpoints_version and retained_entries. Outside the engine only their uses change: one line each in net/mod.rs and net/ledger.rs, three in the usage log's recorder, which goes on mapping them to the published wire names.

--- a/crates/aggregator/src/recorder.rs
+++ b/crates/aggregator/src/recorder.rs
@@ -15,11 +15,11 @@
 impl UsageRecorder for UsageLogRecorder {
     fn record(&mut self, usage: UsageRecord) -> bool {
         let (outcome, share) = match usage.outcome {
-            Outcome::Whole => (WireOutcome::Whole, 0),
+            Outcome::Complete => (WireOutcome::Whole, 0),
             Outcome::Partial(share) => (WireOutcome::Partial, share),
-            Outcome::Refused => (WireOutcome::Refused, 0),
+            Outcome::Rejected => (WireOutcome::Refused, 0),
             Outcome::Failed => (WireOutcome::Failed, 0),
-            Outcome::Left => (WireOutcome::Left, 0),
+            Outcome::ClientDisconnected => (WireOutcome::Left, 0),
         };
         let taken = self.0.offer(What::Record(Record {
             sequence: usage.sequence,
--- a/crates/core/src/engine/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -139,12 +139,12 @@
     }
 
     /// The version of the endpoint list that is held: a watch continues from there.
-    pub fn list_index(&self) -> u64 {
+    pub fn endpoints_version(&self) -> u64 {
         self.endpoints.version()
     }
 
     /// The most clients that may be connected.
-    pub fn most_clients(&self) -> usize {
+    pub fn max_clients(&self) -> usize {
         self.clients.capacity()
     }
 
@@ -158,7 +158,7 @@
 
     /// The number of things of every kind that are held in memory. It is bounded while the load
     /// is, however many names come and go.
-    pub fn held(&self) -> usize {
+    pub fn retained_entries(&self) -> usize {
         self.queries.entries()
             + self.attempts.len()
             + self.clients.len()
--- a/crates/core/src/engine/replies.rs
+++ b/crates/core/src/engine/replies.rs
@@ -42,7 +42,7 @@
     /// Ends a query whose client has disconnected.
     pub(super) fn abandon_query(&mut self, now: Nanos, id: RequestId) {
         if let Some(ended) = self.end_query(now, id) {
-            self.record_query(&ended, Outcome::Left);
+            self.record_query(&ended, Outcome::ClientDisconnected);
         }
     }
 
--- a/crates/core/src/engine/usage.rs
+++ b/crates/core/src/engine/usage.rs
@@ -51,15 +51,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Outcome {
     /// Answered completely.
-    Whole,
+    Complete,
     /// Answered from parts with this share of the weight, in millionths.
     Partial(u32),
     /// Rejected: trying again is harmless.
-    Refused,
+    Rejected,
     /// Failed: it may have had an effect.
     Failed,
     /// The client disconnected before the reply.
-    Left,
+    ClientDisconnected,
 }
 
 impl Outcome {
@@ -67,12 +67,12 @@
     /// the `total_weight`.
     pub(super) fn of_reply(reply: &Reply, covered_weight: f64, total_weight: f64) -> Outcome {
         match reply {
-            Reply::Answer { complete: true, .. } => Outcome::Whole,
+            Reply::Answer { complete: true, .. } => Outcome::Complete,
             Reply::Answer { .. } => {
                 let share = covered_weight / total_weight.max(f64::MIN_POSITIVE);
                 Outcome::Partial((share * MILLIONTHS).round().clamp(0.0, MILLIONTHS) as u32)
             }
-            Reply::Rejected { .. } => Outcome::Refused,
+            Reply::Rejected { .. } => Outcome::Rejected,
             _ => Outcome::Failed,
         }
     }
--- a/crates/core/src/engine/usage_log.rs
+++ b/crates/core/src/engine/usage_log.rs
@@ -143,7 +143,7 @@
             tenant: request.tenant,
             class: request.class,
             arrived,
-            outcome: Outcome::Refused,
+            outcome: Outcome::Rejected,
             parts: request.parts.len() as u32,
             attempts: 0,
             crossed: 0,
--- a/crates/core/src/net/ledger.rs
+++ b/crates/core/src/net/ledger.rs
@@ -164,7 +164,7 @@
     }
 
     fn usage(sequence: u64) -> UsageRecord {
-        let outcome = crate::engine::usage::Outcome::Whole;
+        let outcome = crate::engine::usage::Outcome::Complete;
         let (tenant, class, arrived, parts, attempts, crossed) = (0, 0, 0, 1, 1, 0);
         UsageRecord {
             sequence,
--- a/crates/core/src/net/mod.rs
+++ b/crates/core/src/net/mod.rs
@@ -181,7 +181,7 @@
     tokio::task::spawn_local(clients::listen(
         shared.clone(),
         listener,
-        state.most_clients(),
+        state.max_clients(),
     ));
     beside
         .fronts
--- a/crates/core/tests/reducer/endpoints.rs
+++ b/crates/core/tests/reducer/endpoints.rs
@@ -82,7 +82,7 @@
         "{:?}",
         harness.connections
     );
-    assert_eq!(harness.engine.list_index(), 9);
+    assert_eq!(harness.engine.endpoints_version(), 9);
 }
 
 #[test]
--- a/crates/core/tests/reducer/queries.rs
+++ b/crates/core/tests/reducer/queries.rs
@@ -154,7 +154,7 @@
 #[test]
 fn memory_does_not_grow_with_the_names_that_came_and_went() {
     let mut harness = EngineHarness::new(1);
-    let mut held = Vec::new();
+    let mut retained = Vec::new();
     let mut replica = 1;
     for _ in 0..4 {
         for _ in 0..100 {
@@ -168,8 +168,11 @@
             harness.disconnected.insert(client);
             harness.apply(Input::ClientDisconnected { client });
         }
-        held.push(harness.engine.held());
+        retained.push(harness.engine.retained_entries());
     }
-    assert!(held[1..].iter().all(|now| *now <= held[0] + 5), "{held:?}");
+    assert!(
+        retained[1..].iter().all(|now| *now <= retained[0] + 5),
+        "{retained:?}"
+    );
     assert_eq!(harness.engine.counters().queries_ended.complete, 400);
 }
--- a/crates/core/tests/usage.rs
+++ b/crates/core/tests/usage.rs
@@ -44,7 +44,7 @@
     let rejected = harness
         .records
         .iter()
-        .filter(|record| record.outcome == Outcome::Refused)
+        .filter(|record| record.outcome == Outcome::Rejected)
         .count();
     assert_eq!(
         rejected,
@@ -57,9 +57,9 @@
     let first = &harness.records[0];
     assert_eq!(
         (first.outcome, first.parts, first.attempts, first.arrived),
-        (Outcome::Whole, 2, 2, START)
+        (Outcome::Complete, 2, 2, START)
     );
-    assert_eq!(harness.records[1].outcome, Outcome::Left);
+    assert_eq!(harness.records[1].outcome, Outcome::ClientDisconnected);
     let numbers: Vec<u64> = harness
         .records
         .iter()
