--- a/crates/opensearch-gateway/src/lib.rs
+++ b/crates/opensearch-gateway/src/lib.rs
@@ -1,15 +1,21 @@
-//! An OpenSearch-style front on the mixer's core.
+//! An OpenSearch-style HTTP frontend on the aggregator's core.
 //!
-//! [`dsl`], [`merge`], [`index`], [`tenant`] and [`shape`] are pure: a request's bytes become a
-//! typed search, the shards' answers become one, and both get the shapes that clients know.
-//! [`front`] is the listener, with [`tls`] and [`packed`] bodies; what it takes goes through the
-//! same reducer and decisions as every native query.
+//! [`server`] accepts HTTP requests, optionally over [`tls`], and runs each search as one query of
+//! the aggregator, subject to the same policy as every native query. The other modules are free of
+//! I/O:
+//!
+//! - [`query_dsl`] parses a request's body into a typed search and rewrites it for the shards,
+//! - [`merge`] merges the shards' answers,
+//! - [`networks`] finds the client's address and the tenant that it belongs to,
+//! - [`compression`] compresses bodies,
+//! - [`settings`] reads the sections of the INI file.
 
-pub mod dsl;
-pub mod front;
-pub mod index;
+pub mod compression;
+mod error;
 pub mod merge;
-pub mod packed;
-pub mod shape;
-pub mod tenant;
+pub mod networks;
+pub mod query_dsl;
+mod response;
+pub mod server;
+pub mod settings;
 pub mod tls;
--- /dev/null
+++ b/crates/opensearch-gateway/src/merge/aggregations.rs
@@ -0,0 +1,133 @@
+//! Reduces the shards' partial aggregations.
+
+use super::ordering::compare_sort_values;
+use crate::query_dsl::{Aggregation, SortOrder};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+
+/// One bucket of a `terms`, `histogram` or `date_histogram` aggregation.
+struct Bucket {
+    key: Value,
+    doc_count: u64,
+}
+
+impl Bucket {
+    fn into_json(self) -> Value {
+        json!({"key": self.key, "doc_count": self.doc_count})
+    }
+}
+
+/// Reduces one aggregation from the partial results of the shards.
+pub(super) fn reduce(aggregation: &Aggregation, partials: &[Value]) -> Value {
+    match aggregation {
+        Aggregation::Min(_) => json!({"value": min_of(partials, "value")}),
+        Aggregation::Max(_) => json!({"value": max_of(partials, "value")}),
+        Aggregation::Sum(_) => json!({"value": sum_of(partials, "value")}),
+        Aggregation::ValueCount(_) => json!({"value": count_of(partials, "value")}),
+        Aggregation::Avg(_) => json!({"value": average_of(partials)}),
+        Aggregation::Stats(_) => json!({
+            "count": count_of(partials, "count"),
+            "min": min_of(partials, "min"),
+            "max": max_of(partials, "max"),
+            "avg": average_of(partials),
+            "sum": sum_of(partials, "sum"),
+        }),
+        Aggregation::Terms(terms) => reduce_terms(terms.size as usize, partials),
+        Aggregation::Histogram(_) | Aggregation::DateHistogram(_) => reduce_histogram(partials),
+    }
+}
+
+/// The finite numbers under `key` in all partial results.
+fn numbers<'a>(partials: &'a [Value], key: &'a str) -> impl Iterator<Item = f64> + 'a {
+    partials
+        .iter()
+        .filter_map(move |partial| partial.get(key).and_then(Value::as_f64))
+        .filter(|number| number.is_finite())
+}
+
+fn min_of(partials: &[Value], key: &str) -> Option<f64> {
+    numbers(partials, key).min_by(f64::total_cmp)
+}
+
+fn max_of(partials: &[Value], key: &str) -> Option<f64> {
+    numbers(partials, key).max_by(f64::total_cmp)
+}
+
+fn sum_of(partials: &[Value], key: &str) -> f64 {
+    numbers(partials, key).sum()
+}
+
+fn count_of(partials: &[Value], key: &str) -> u64 {
+    partials.iter().map(|partial| count(partial, key)).sum()
+}
+
+/// The average by the shards' counts and sums; none where there is nothing to average.
+fn average_of(partials: &[Value]) -> Option<f64> {
+    let count = count_of(partials, "count");
+    (count > 0).then(|| sum_of(partials, "sum") / count as f64)
+}
+
+/// The unsigned integer under `key`, 0 if there is none.
+fn count(partial: &Value, key: &str) -> u64 {
+    partial.get(key).and_then(Value::as_u64).unwrap_or(0)
+}
+
+/// The well-formed buckets of one partial result.
+fn buckets(partial: &Value) -> impl Iterator<Item = (&Value, u64)> {
+    let buckets = partial
+        .get("buckets")
+        .and_then(Value::as_array)
+        .into_iter()
+        .flatten();
+    buckets.filter_map(|bucket| Some((bucket.get("key")?, bucket.get("doc_count")?.as_u64()?)))
+}
+
+/// Adds up the buckets of all partial results by key, in the order of the keys' JSON.
+fn sum_buckets(partials: &[Value]) -> Vec<Bucket> {
+    let mut sums: BTreeMap<String, Bucket> = BTreeMap::new();
+    for (key, doc_count) in partials.iter().flat_map(buckets) {
+        let bucket = sums.entry(key.to_string()).or_insert_with(|| Bucket {
+            key: key.clone(),
+            doc_count: 0,
+        });
+        bucket.doc_count = bucket.doc_count.saturating_add(doc_count);
+    }
+    sums.into_values().collect()
+}
+
+fn reduce_histogram(partials: &[Value]) -> Value {
+    let mut buckets = sum_buckets(partials);
+    buckets.sort_by(|left, right| compare_sort_values(&left.key, &right.key, SortOrder::Asc));
+    let buckets: Vec<Value> = buckets.into_iter().map(Bucket::into_json).collect();
+    json!({ "buckets": buckets })
+}
+
+/// The most frequent terms, with the error bound: a shard that left terms out may have had as many
+/// documents of any term that it did not return as of its least frequent returned one.
+fn reduce_terms(size: usize, partials: &[Value]) -> Value {
+    let mut error_bound = 0;
+    let mut other_doc_count = 0;
+    for partial in partials {
+        let left_out = count(partial, "sum_other_doc_count");
+        other_doc_count += left_out;
+        if left_out > 0 {
+            let least_frequent = buckets(partial).map(|(_, doc_count)| doc_count).min();
+            error_bound += least_frequent.unwrap_or(0);
+        }
+        error_bound += count(partial, "doc_count_error_upper_bound");
+    }
+    let mut buckets = sum_buckets(partials);
+    buckets.sort_by(|left, right| {
+        let by_count = right.doc_count.cmp(&left.doc_count);
+        by_count.then_with(|| compare_sort_values(&left.key, &right.key, SortOrder::Asc))
+    });
+    let beyond_page = buckets.iter().skip(size).map(|bucket| bucket.doc_count);
+    other_doc_count += beyond_page.sum::<u64>();
+    let buckets = buckets.into_iter().take(size);
+    let top: Vec<Value> = buckets.map(Bucket::into_json).collect();
+    json!({
+        "doc_count_error_upper_bound": error_bound,
+        "sum_other_doc_count": other_doc_count,
+        "buckets": top,
+    })
+}
--- /dev/null
+++ b/crates/opensearch-gateway/src/merge/mod.rs
@@ -0,0 +1,114 @@
+//! Merges the answers of the shards into one response. Pure.
+//!
+//! Hits are ordered by the search's sort keys (by score alone: the highest first), then by shard,
+//! then by id, so that equal inputs always give the same page (see [`compare_sort_values`]). Totals
+//! are added up; if any shard's total is a lower bound, so is the sum.
+
+mod aggregations;
+mod ordering;
+mod shard_answer;
+
+pub use ordering::compare_sort_values;
+pub use shard_answer::{Hit, Relation, ShardAnswer, ShardFailure, ShardHits, Total};
+
+use crate::query_dsl::{Aggregation, SearchRequest};
+use ordering::compare_hits;
+use serde_json::{Map, Value};
+use std::collections::BTreeMap;
+
+/// The usable answer of one shard.
+#[derive(Debug)]
+pub struct ShardResult {
+    /// The shard's number.
+    pub shard: u32,
+    /// What it answered.
+    pub answer: ShardAnswer,
+}
+
+/// The merged page.
+#[derive(Debug, Default)]
+pub struct MergedResult {
+    /// The number of matching documents, if any shard counted.
+    pub total: Option<Total>,
+    /// The best score of all shards; none if the search is not sorted by score.
+    pub max_score: Option<f64>,
+    /// The requested page of hits.
+    pub hits: Vec<Hit>,
+    /// Reduced aggregations by their names.
+    pub aggregations: Map<String, Value>,
+}
+
+/// A hit and the shard that it came from.
+struct ShardHit {
+    shard: u32,
+    hit: Hit,
+}
+
+/// Merges the shards' results for `request`.
+pub fn merge(request: &SearchRequest, results: Vec<ShardResult>) -> MergedResult {
+    let mut total = None;
+    let mut hits: Vec<ShardHit> = Vec::new();
+    let mut partial_aggregations: BTreeMap<String, Vec<Value>> = BTreeMap::new();
+    for ShardResult { shard, answer } in results {
+        if let Some(shard_total) = answer.hits.total {
+            total = Some(add_totals(total, shard_total));
+        }
+        let shard_hits = answer.hits.hits.into_iter();
+        hits.extend(shard_hits.map(|hit| ShardHit { shard, hit }));
+        for (name, partial) in answer.aggregations {
+            partial_aggregations.entry(name).or_default().push(partial);
+        }
+    }
+    MergedResult {
+        total,
+        max_score: max_score(request, &hits),
+        hits: page_of(request, hits),
+        aggregations: reduce_aggregations(request, &partial_aggregations),
+    }
+}
+
+fn add_totals(sum: Option<Total>, total: Total) -> Total {
+    let Some(sum) = sum else {
+        return total;
+    };
+    let relation = match (sum.relation, total.relation) {
+        (Relation::Eq, Relation::Eq) => Relation::Eq,
+        _ => Relation::Gte,
+    };
+    Total {
+        value: sum.value.saturating_add(total.value),
+        relation,
+    }
+}
+
+fn max_score(request: &SearchRequest, hits: &[ShardHit]) -> Option<f64> {
+    if !request.is_sorted_by_score() {
+        return None;
+    }
+    hits.iter()
+        .filter_map(|shard_hit| shard_hit.hit.score)
+        .max_by(f64::total_cmp)
+}
+
+/// Sorts the hits and cuts out the requested page.
+fn page_of(request: &SearchRequest, mut hits: Vec<ShardHit>) -> Vec<Hit> {
+    hits.sort_by(|left, right| compare_hits(request, left, right));
+    hits.into_iter()
+        .skip(request.from() as usize)
+        .take(request.size() as usize)
+        .map(|shard_hit| shard_hit.hit)
+        .collect()
+}
+
+fn reduce_aggregations(
+    request: &SearchRequest,
+    partial_aggregations: &BTreeMap<String, Vec<Value>>,
+) -> Map<String, Value> {
+    let reduce = |(name, aggregation): (&String, &Aggregation)| {
+        let partials = partial_aggregations
+            .get(name)
+            .map_or(&[][..], Vec::as_slice);
+        (name.clone(), aggregations::reduce(aggregation, partials))
+    };
+    request.aggs.iter().map(reduce).collect()
+}
--- /dev/null
+++ b/crates/opensearch-gateway/src/merge/shard_answer.rs
@@ -0,0 +1,176 @@
+//! What one shard answers.
+//!
+//! The names of the deserialized types appear in the `json_parse_exception` texts that clients see
+//! for malformed answers, so they are part of the published behaviour.
+
+use crate::query_dsl::SearchRequest;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+/// Reason reported for a shard's error that gives none.
+const NO_REASON: &str = "no reason given";
+
+/// The answer of one shard.
+#[derive(Debug, Deserialize)]
+pub struct ShardAnswer {
+    /// The shard's hits.
+    pub hits: ShardHits,
+    /// Partial aggregations by their names.
+    #[serde(default)]
+    pub aggregations: BTreeMap<String, Value>,
+    /// Whether the shard ran out of time.
+    #[serde(default)]
+    pub timed_out: bool,
+}
+
+/// The hits of one shard.
+#[derive(Debug, Deserialize)]
+pub struct ShardHits {
+    /// The number of matching documents, if it was counted.
+    #[serde(default)]
+    pub total: Option<Total>,
+    /// The shard's best hits.
+    pub hits: Vec<Hit>,
+}
+
+/// One hit. Its document is passed on as the shard sent it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Hit {
+    /// The document's id.
+    #[serde(rename = "_id")]
+    pub id: String,
+    /// The document's score.
+    #[serde(rename = "_score", default)]
+    pub score: Option<f64>,
+    /// The document, or the requested parts of it.
+    #[serde(rename = "_source", default, skip_serializing_if = "Option::is_none")]
+    pub source: Option<Box<RawValue>>,
+    /// One value for each sort key.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub sort: Vec<Value>,
+}
+
+/// A count of matching documents.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Total {
+    /// The count.
+    pub value: u64,
+    /// Whether the count is exact.
+    pub relation: Relation,
+}
+
+/// How a [`Total`] relates to the actual count.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Relation {
+    /// The total is exact.
+    Eq,
+    /// The total is a lower bound.
+    Gte,
+}
+
+/// Why the answer of a shard can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum ShardFailure {
+    /// No answer arrived before the deadline.
+    #[error("no answer in time")]
+    NoAnswer,
+    /// The shard itself ran out of time.
+    #[error("the shard ran out of time")]
+    TimedOut,
+    /// The shard answered with an error.
+    #[error("{reason}")]
+    Reported {
+        /// The type of the shard's error.
+        kind: String,
+        /// The reason that the shard gave.
+        reason: String,
+    },
+    /// The answer is not JSON or not of the expected form.
+    #[error(transparent)]
+    Malformed(serde_json::Error),
+    /// The number of sort values of a hit differs from the number of sort keys.
+    #[error("hit [{id}] lacks its sort values")]
+    MissingSortValues {
+        /// The hit's id.
+        id: String,
+    },
+    /// A score is infinite or not a number.
+    #[error("a score that is no number")]
+    NonFiniteScore,
+    /// A requested aggregation is missing.
+    #[error("the aggregation [{name}] is missing")]
+    MissingAggregation {
+        /// The aggregation's name.
+        name: String,
+    },
+}
+
+impl ShardFailure {
+    /// The type of the error on the wire.
+    pub fn kind(&self) -> &str {
+        match self {
+            Self::NoAnswer | Self::TimedOut => "timeout_exception",
+            Self::Reported { kind, .. } => kind,
+            Self::Malformed(_) => "json_parse_exception",
+            Self::MissingSortValues { .. }
+            | Self::NonFiniteScore
+            | Self::MissingAggregation { .. } => "illegal_state_exception",
+        }
+    }
+}
+
+impl ShardAnswer {
+    /// Parses a shard's answer and checks that it answers `request`.
+    ///
+    /// # Errors
+    /// The shard reported an error, timed out, or its answer does not fit the request.
+    pub fn parse(text: &str, request: &SearchRequest) -> Result<ShardAnswer, ShardFailure> {
+        let answer: ShardAnswer = serde_json::from_str(text)
+            .map_err(|error| reported_error(text).unwrap_or(ShardFailure::Malformed(error)))?;
+        answer.check(request)?;
+        Ok(answer)
+    }
+
+    fn check(&self, request: &SearchRequest) -> Result<(), ShardFailure> {
+        if self.timed_out {
+            return Err(ShardFailure::TimedOut);
+        }
+        let hits = &self.hits.hits;
+        let sort_keys = request.sort.len();
+        let incomplete = hits
+            .iter()
+            .find(|hit| hit.sort.len() != sort_keys && !request.is_sorted_by_score());
+        if let Some(hit) = incomplete {
+            let id = hit.id.clone();
+            return Err(ShardFailure::MissingSortValues { id });
+        }
+        if hits
+            .iter()
+            .any(|hit| hit.score.is_some_and(|score| !score.is_finite()))
+        {
+            return Err(ShardFailure::NonFiniteScore);
+        }
+        let missing = request
+            .aggs
+            .keys()
+            .find(|name| !self.aggregations.contains_key(*name));
+        match missing {
+            Some(name) => Err(ShardFailure::MissingAggregation { name: name.clone() }),
+            None => Ok(()),
+        }
+    }
+}
+
+/// The error that a shard answered with, if `text` is a well-formed error.
+fn reported_error(text: &str) -> Option<ShardFailure> {
+    let answer: Value = serde_json::from_str(text).ok()?;
+    let error = answer.get("error")?;
+    let text_of = |key: &str| error.get(key).and_then(Value::as_str);
+    Some(ShardFailure::Reported {
+        kind: text_of("type")?.to_string(),
+        reason: text_of("reason").unwrap_or(NO_REASON).to_string(),
+    })
+}
--- /dev/null
+++ b/crates/opensearch-gateway/src/query_dsl/mod.rs
@@ -0,0 +1,30 @@
+//! The supported subset of the OpenSearch query DSL.
+//!
+//! A request body is parsed once into a typed [`SearchRequest`]. Unknown fields are rejected with
+//! their path. Nesting depth, clause counts and numeric parameters are bounded (see [`limits`]), so
+//! that the cost of a search is bounded by the size of its body.
+
+mod aggregation;
+mod clause;
+mod deserialize;
+mod error;
+pub mod limits;
+mod request;
+mod shard_request;
+mod sort;
+mod time_value;
+mod validation;
+
+pub use aggregation::{
+    Aggregation, DateHistogramAggregation, FieldAggregation, HistogramAggregation, TermsAggregation,
+};
+pub use clause::{
+    BoolQuery, ClauseList, ConstantScoreQuery, ExistsQuery, FunctionScoreQuery, IdsQuery,
+    MatchAllQuery, MatchOperator, MatchQuery, MultiMatchQuery, PrefixQuery, Query, RangeQuery,
+    Scalar, TermQuery,
+};
+pub use deserialize::FieldEntry;
+pub use error::{SearchRequestError, SearchRequestErrorCause};
+pub use request::{SearchRequest, SourceFilter, SourceIncludesExcludes, TrackTotalHits};
+pub use sort::{SortKey, SortOrder};
+pub use time_value::parse_time_value_ms;
--- /dev/null
+++ b/crates/opensearch-gateway/src/server/http.rs
@@ -0,0 +1,121 @@
+//! From an HTTP request to its response.
+
+use super::body::read_body;
+use super::context::{header_text, Client, Gateway, Peer, RequestContext};
+use super::router;
+use crate::compression::{self, MIN_COMPRESSED_BYTES};
+use crate::error::GatewayError;
+use crate::networks;
+use crate::response::to_json_bytes;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{HeaderValue, ACCEPT_ENCODING, CONTENT_ENCODING, CONTENT_TYPE, RETRY_AFTER};
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Response, StatusCode};
+use std::rc::Rc;
+
+/// The client's own id of a request, which is returned to it.
+const X_OPAQUE_ID: &str = "x-opaque-id";
+const X_FORWARDED_FOR: &str = "x-forwarded-for";
+const JSON_CONTENT_TYPE: &str = "application/json; charset=UTF-8";
+
+/// How the client can take the response.
+#[derive(Clone, Copy)]
+struct ResponseOptions {
+    /// The request is a `HEAD`: the response has no body.
+    omit_body: bool,
+    accepts_gzip: bool,
+}
+
+/// Handles one request. Errors become responses.
+pub(super) async fn handle_request(
+    gateway: Rc<Gateway>,
+    peer: Peer,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let received_at_ns = gateway.aggregator.now();
+    let (parts, body) = request.into_parts();
+    let options = ResponseOptions {
+        omit_body: parts.method == Method::HEAD,
+        accepts_gzip: header_text(&parts.headers, ACCEPT_ENCODING.as_str())
+            .is_some_and(|encodings| encodings.contains("gzip")),
+    };
+    let mut response = match run_request(gateway, peer, &parts, body, received_at_ns).await {
+        Ok(body) => success_response(body, options),
+        Err(error) => error_response(&error, options),
+    };
+    if let Some(opaque_id) = parts.headers.get(X_OPAQUE_ID) {
+        let headers = response.headers_mut();
+        headers.insert(X_OPAQUE_ID, opaque_id.clone());
+    }
+    response
+}
+
+/// Returns the body of the successful response.
+async fn run_request(
+    gateway: Rc<Gateway>,
+    peer: Peer,
+    parts: &Parts,
+    body: Incoming,
+    received_at_ns: u64,
+) -> Result<Vec<u8>, GatewayError> {
+    let body = read_body(&parts.headers, body, gateway.settings.max_body_bytes).await?;
+    let forwarded_for: Vec<&str> = parts
+        .headers
+        .get_all(X_FORWARDED_FOR)
+        .iter()
+        .filter_map(|line| line.to_str().ok())
+        .collect();
+    let proxies = &gateway.settings.trusted_proxies;
+    let client = Rc::new(Client {
+        headers: parts.headers.clone(),
+        address: networks::client_address(peer.address, &forwarded_for, proxies),
+        certificate_name: peer.certificate_name,
+    });
+    let context = RequestContext {
+        gateway,
+        received_at_ns,
+        client,
+    };
+    router::dispatch(&context, &parts.method, &parts.uri, &body).await
+}
+
+fn success_response(body: Vec<u8>, options: ResponseOptions) -> Response<Full<Bytes>> {
+    if options.omit_body {
+        return json_response(StatusCode::OK, Vec::new());
+    }
+    if options.accepts_gzip && body.len() >= MIN_COMPRESSED_BYTES {
+        if let Some(compressed) = compression::compress(&body) {
+            let mut response = json_response(StatusCode::OK, compressed);
+            let gzip = HeaderValue::from_static("gzip");
+            response.headers_mut().insert(CONTENT_ENCODING, gzip);
+            return response;
+        }
+    }
+    json_response(StatusCode::OK, body)
+}
+
+fn error_response(error: &GatewayError, options: ResponseOptions) -> Response<Full<Bytes>> {
+    let error = error.to_response();
+    let body = if options.omit_body {
+        Vec::new()
+    } else {
+        to_json_bytes(&error.body)
+    };
+    let mut response = json_response(error.status, body);
+    if let Some(delay) = error.retry_after {
+        // The header has whole seconds; the error's reason states the milliseconds.
+        let seconds = HeaderValue::from(delay.as_millis().div_ceil(1000) as u64);
+        response.headers_mut().insert(RETRY_AFTER, seconds);
+    }
+    response
+}
+
+fn json_response(status: StatusCode, body: Vec<u8>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    let content_type = HeaderValue::from_static(JSON_CONTENT_TYPE);
+    response.headers_mut().insert(CONTENT_TYPE, content_type);
+    response
+}
--- /dev/null
+++ b/crates/opensearch-gateway/src/server/metadata.rs
@@ -0,0 +1,57 @@
+//! Responses about the cluster and its indices.
+//!
+//! Clients probe these to find out what they are connected to; names and versions in them are
+//! published and stay as they are.
+
+use super::context::{Gateway, Index};
+use crate::settings::{GatewaySettings, IndexSettings};
+use serde_json::{json, Value};
+
+/// `GET /`
+pub(super) fn cluster_info(gateway: &Gateway) -> Value {
+    json!({
+        "name": "mixer",
+        "cluster_name": gateway.settings.cluster_name,
+        "cluster_uuid": gateway.instance_id,
+        "version": {
+            "distribution": "opensearch",
+            "number": "2.11.0",
+            // The program's earlier name, by which clients know this build.
+            "build_type": "cottonhill",
+            "minimum_wire_compatibility_version": "7.10.0",
+            "minimum_index_compatibility_version": "7.0.0",
+        },
+        "tagline": "a query mixer",
+    })
+}
+
+/// `GET /_cluster/health`
+pub(super) fn cluster_health(settings: &GatewaySettings) -> Value {
+    let indices = settings.indices.values();
+    let shards: usize = indices.map(|index| index.shards.len()).sum();
+    json!({
+        "cluster_name": settings.cluster_name,
+        "status": "green",
+        "timed_out": false,
+        "number_of_nodes": 1,
+        "active_primary_shards": shards,
+        "active_shards": shards,
+        "unassigned_shards": 0,
+    })
+}
+
+/// `GET /_cat/indices`
+pub(super) fn list_indices(settings: &GatewaySettings) -> Value {
+    let describe = |(name, index): (&String, &IndexSettings)| {
+        let shards = index.shards.len().to_string();
+        json!({"health": "green", "status": "open", "index": name, "pri": shards})
+    };
+    settings.indices.iter().map(describe).collect()
+}
+
+/// `GET /INDEX`
+pub(super) fn index_settings(index: Index) -> Value {
+    let shards = index.settings.shards.len().to_string();
+    let settings = json!({"index": {"number_of_shards": shards}});
+    json!({index.name: {"settings": settings}})
+}
--- /dev/null
+++ b/crates/opensearch-gateway/src/server/multi_search.rs
@@ -0,0 +1,199 @@
+//! `_msearch`: several searches in one request.
+//!
+//! The body holds two lines for each search, its header and its body. Searches are run a few at a
+//! time and answered in their order. A search that fails is answered with its error and does not
+//! affect the others.
+
+use super::context::RequestContext;
+use super::parameters::UrlParameters;
+use super::search::search;
+use crate::error::GatewayError;
+use crate::response::to_json_bytes;
+use bytes::Bytes;
+use serde::Deserialize;
+use serde_json::Value;
+use std::time::{Duration, Instant};
+use tokio::task::{JoinError, JoinSet};
+
+/// Maximum number of searches in one request.
+pub(crate) const MAX_SEARCHES_PER_REQUEST: usize = 256;
+/// Maximum number of searches of one request that run at the same time.
+const MAX_CONCURRENT_SEARCHES: usize = 8;
+/// The index that a search without one addresses.
+const ALL_INDICES: &str = "_all";
+/// The only supported `search_type`.
+const QUERY_THEN_FETCH: &str = "query_then_fetch";
+
+/// The header line of a search.
+// Clients see the type's published name in error texts.
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default, expecting = "struct Line")]
+struct SearchHeader {
+    index: Option<Value>,
+    preference: Option<String>,
+    allow_partial_search_results: Option<bool>,
+    engine: Option<String>,
+    search_type: Option<String>,
+}
+
+/// The two lines of a search.
+struct SearchLines {
+    header: Bytes,
+    body: Bytes,
+}
+
+/// What all searches of one request share.
+#[derive(Clone)]
+struct Defaults {
+    context: RequestContext,
+    /// The index in the URL.
+    index: Option<String>,
+    parameters: UrlParameters,
+}
+
+/// Runs all searches of a request. Returns the body of the response.
+pub(super) async fn multi_search(
+    context: &RequestContext,
+    index: Option<&str>,
+    parameters: &UrlParameters,
+    body: &Bytes,
+) -> Result<Vec<u8>, GatewayError> {
+    let started = Instant::now();
+    let searches = split_searches(body)?;
+    let defaults = Defaults {
+        context: context.clone(),
+        index: index.map(str::to_string),
+        parameters: parameters.clone(),
+    };
+    let responses = run_searches(searches, &defaults).await;
+    Ok(join_responses(started.elapsed(), &responses))
+}
+
+fn split_searches(body: &Bytes) -> Result<Vec<SearchLines>, GatewayError> {
+    let mut lines: Vec<&[u8]> = body
+        .split(|byte| *byte == b'\n')
+        .map(<[u8]>::trim_ascii)
+        .collect();
+    while lines.last().is_some_and(|line| line.is_empty()) {
+        lines.pop();
+    }
+    if lines.is_empty() || lines.len() % 2 == 1 {
+        return Err(GatewayError::UnpairedLines);
+    }
+    let searches = lines.len() / 2;
+    if searches > MAX_SEARCHES_PER_REQUEST {
+        return Err(GatewayError::TooManySearches { searches });
+    }
+    let pairs = lines.chunks_exact(2);
+    Ok(pairs
+        .map(|pair| SearchLines {
+            header: body.slice_ref(pair[0]),
+            body: body.slice_ref(pair[1]),
+        })
+        .collect())
+}
+
+/// The response to one search, with the search's position in the request.
+struct PositionedResponse {
+    position: usize,
+    body: Vec<u8>,
+}
+
+/// The responses' bodies in the order of the searches.
+async fn run_searches(searches: Vec<SearchLines>, defaults: &Defaults) -> Vec<Vec<u8>> {
+    let mut responses = vec![Vec::new(); searches.len()];
+    // Dropped if the client disconnects, which cancels the searches in flight.
+    let mut running = JoinSet::new();
+    for (position, search) in searches.into_iter().enumerate() {
+        while running.len() >= MAX_CONCURRENT_SEARCHES {
+            if let Some(finished) = running.join_next().await {
+                store_response(&mut responses, finished);
+            }
+        }
+        let defaults = defaults.clone();
+        running.spawn_local(async move {
+            let result = run_search(&search, defaults).await;
+            let body = response_with_status(result);
+            PositionedResponse { position, body }
+        });
+    }
+    while let Some(finished) = running.join_next().await {
+        store_response(&mut responses, finished);
+    }
+    responses
+}
+
+fn store_response(responses: &mut [Vec<u8>], finished: Result<PositionedResponse, JoinError>) {
+    if let Ok(response) = finished {
+        responses[response.position] = response.body;
+    }
+}
+
+async fn run_search(
+    search_lines: &SearchLines,
+    defaults: Defaults,
+) -> Result<Vec<u8>, GatewayError> {
+    let header = parse_header(&search_lines.header)?;
+    let header_index = header_index(&header)?;
+    let index = header_index.or(defaults.index.as_deref());
+    let has_other_type = header
+        .search_type
+        .as_deref()
+        .is_some_and(|search_type| search_type != QUERY_THEN_FETCH);
+    if header.engine.is_some() || has_other_type {
+        return Err(GatewayError::UnsupportedSearchOption);
+    }
+    let mut parameters = defaults.parameters;
+    if let Some(preference) = &header.preference {
+        // Has the same form as in a URL, and the same errors.
+        let query = format!("preference={preference}");
+        parameters.shards = UrlParameters::parse("/_msearch", Some(&query))?.shards;
+    }
+    parameters.allow_partial_search_results = header
+        .allow_partial_search_results
+        .or(parameters.allow_partial_search_results);
+    let index = index.unwrap_or(ALL_INDICES);
+    search(&defaults.context, index, &parameters, &search_lines.body).await
+}
+
+/// Parses a header line; an empty one has no options.
+fn parse_header(line: &[u8]) -> Result<SearchHeader, GatewayError> {
+    if line.is_empty() {
+        return Ok(SearchHeader::default());
+    }
+    serde_json::from_slice(line).map_err(GatewayError::InvalidSearchHeader)
+}
+
+/// The index in the header, if it has one.
+fn header_index(header: &SearchHeader) -> Result<Option<&str>, GatewayError> {
+    let Some(index) = &header.index else {
+        return Ok(None);
+    };
+    let name = match index {
+        Value::String(name) => Some(name.as_str()),
+        Value::Array(names) if names.len() == 1 => names[0].as_str(),
+        _ => None,
+    };
+    name.map(Some).ok_or(GatewayError::NotOneIndex)
+}
+
+/// The body of one response among several: with its status in it.
+fn response_with_status(result: Result<Vec<u8>, GatewayError>) -> Vec<u8> {
+    match result {
+        Ok(mut body) if body.last() == Some(&b'}') => {
+            body.pop();
+            body.extend_from_slice(b",\"status\":200}");
+            body
+        }
+        Ok(body) => body,
+        Err(error) => to_json_bytes(&error.to_response().body),
+    }
+}
+
+fn join_responses(took: Duration, responses: &[Vec<u8>]) -> Vec<u8> {
+    let head = format!("{{\"took\":{},\"responses\":[", took.as_millis());
+    let mut body = head.into_bytes();
+    body.extend(responses.join(&b','));
+    body.extend_from_slice(b"]}");
+    body
+}
--- /dev/null
+++ b/crates/opensearch-gateway/src/server/search.rs
@@ -0,0 +1,66 @@
+//! `_search` and `_count`.
+
+use super::context::RequestContext;
+use super::execution::{execute, SearchOutcome};
+use super::parameters::UrlParameters;
+use crate::error::GatewayError;
+use crate::merge::merge;
+use crate::query_dsl::{SearchRequest, TrackTotalHits};
+use crate::response::{count_response, search_response};
+use std::time::Instant;
+
+/// Runs a search. Returns the body of the response.
+pub(super) async fn search(
+    context: &RequestContext,
+    index: &str,
+    parameters: &UrlParameters,
+    body: &[u8],
+) -> Result<Vec<u8>, GatewayError> {
+    let request = parse_request(parameters, body)?;
+    let started = Instant::now();
+    let SearchOutcome {
+        index,
+        shards,
+        results,
+    } = execute(context, index, parameters, &request).await?;
+    let merged = merge(&request, results);
+    let took = started.elapsed();
+    Ok(search_response(
+        index.name, &request, took, &shards, &merged,
+    ))
+}
+
+/// Runs a count. Returns the body of the response.
+pub(super) async fn count(
+    context: &RequestContext,
+    index: &str,
+    parameters: &UrlParameters,
+    body: &[u8],
+) -> Result<Vec<u8>, GatewayError> {
+    let mut request = parse_request(parameters, body)?;
+    let has_page = request.size.is_some() || request.from.is_some();
+    if has_page || !request.sort.is_empty() || !request.aggs.is_empty() {
+        return Err(GatewayError::NotACount);
+    }
+    request.size = Some(0);
+    request.track_total_hits = Some(TrackTotalHits::Enabled(true));
+    let SearchOutcome {
+        index,
+        shards,
+        results,
+    } = execute(context, index, parameters, &request).await?;
+    let count = merge(&request, results)
+        .total
+        .map_or(0, |total| total.value);
+    Ok(count_response(index.name, &shards, count))
+}
+
+/// Parses a search. Parameters of the URL take precedence over the body.
+fn parse_request(parameters: &UrlParameters, body: &[u8]) -> Result<SearchRequest, GatewayError> {
+    let mut request = SearchRequest::parse(body)?;
+    request.from = parameters.from.or(request.from);
+    request.size = parameters.size.or(request.size);
+    request.track_total_hits = parameters.track_total_hits.or(request.track_total_hits);
+    request.validate()?;
+    Ok(request)
+}
--- /dev/null
+++ b/crates/opensearch-gateway/src/server/tenant.rs
@@ -0,0 +1,37 @@
+//! Attribution of requests to tenants.
+
+use super::context::RequestContext;
+use crate::error::GatewayError;
+use crate::settings::TenantSource;
+
+/// The number of the tenant among the platform's `tenants`; 0 on a platform without tenants.
+pub(super) fn resolve_tenant(
+    context: &RequestContext,
+    tenants: &[String],
+) -> Result<usize, GatewayError> {
+    if tenants.is_empty() {
+        return Ok(0);
+    }
+    let tenant = tenant_name(context).ok_or(GatewayError::MissingTenant)?;
+    tenants
+        .iter()
+        .position(|name| name == tenant)
+        .ok_or_else(|| GatewayError::UnknownTenant {
+            tenant: tenant.to_string(),
+        })
+}
+
+/// The tenant's name by the configured source, else the default tenant.
+fn tenant_name(context: &RequestContext) -> Option<&str> {
+    let settings = &context.gateway.settings;
+    let client = &context.client;
+    let by_header = || client.header(&settings.tenant_header);
+    let by_network = || settings.tenant_networks.find(client.address);
+    let tenant = match settings.tenant_source {
+        TenantSource::Header => by_header(),
+        TenantSource::Network => by_network(),
+        TenantSource::Certificate => client.certificate_name.as_deref(),
+        TenantSource::HeaderOrNetwork => by_header().or_else(by_network),
+    };
+    tenant.or(settings.default_tenant.as_deref())
+}
--- a/crates/opensearch-gateway/src/tls.rs
+++ b/crates/opensearch-gateway/src/tls.rs
@@ -1,266 +1,206 @@
-//! TLS on the front: certificate and key from files, taken up anew without dropping a connection.
+//! TLS with certificates that are reloaded without closing connections.
 
-use rustls::pki_types::pem::PemObject;
+use rustls::crypto::CryptoProvider;
+use rustls::pki_types::pem::{self, PemObject};
 use rustls::pki_types::{CertificateDer, PrivateKeyDer};
-use rustls::server::WebPkiClientVerifier;
+use rustls::server::danger::ClientCertVerifier;
+use rustls::server::{VerifierBuilderError, WebPkiClientVerifier};
 use rustls::{RootCertStore, ServerConfig};
+use std::io;
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio_rustls::TlsAcceptor;
 
+/// Permission bits that let anyone but the owner access a file.
+const GROUP_AND_OTHERS_MASK: u32 = 0o077;
+/// All permission bits of a file's mode.
+const PERMISSIONS_MASK: u32 = 0o777;
+/// The only protocol that is negotiated by ALPN.
+const ALPN_HTTP_1_1: &[u8] = b"http/1.1";
+
 /// The files that the settings name.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Files {
+pub struct TlsFiles {
+    /// PEM file of the certificate chain.
     pub certificate: PathBuf,
+    /// PEM file of the private key.
     pub key: PathBuf,
-    /// Who vouches for clients; none where they are not asked for certificates.
-    pub clients: Option<PathBuf>,
+    /// PEM file of the authorities that sign clients' certificates. Clients are not asked for
+    /// certificates without it.
+    pub client_ca: Option<PathBuf>,
 }
 
-/// What new connections are met with.
-pub struct Tls {
-    files: Files,
-    config: Mutex<Arc<ServerConfig>>,
-}
-
-fn certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>, String> {
-    let at = |e: rustls::pki_types::pem::Error| format!("{}: {e}", path.display());
-    let all: Vec<_> = CertificateDer::pem_file_iter(path)
-        .map_err(at)?
-        .collect::<Result<_, _>>()
-        .map_err(at)?;
-    if all.is_empty() {
-        return Err(format!("{}: there is no certificate in it", path.display()));
-    }
-    Ok(all)
+/// Why the TLS files can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum TlsError {
+    /// The key file can't be inspected.
+    #[error("{}: {source}", path.display())]
+    KeyMetadata {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: io::Error,
+    },
+    /// Others than the owner have access to the key file.
+    #[error("{}: others may read it (mode {mode:03o}); chmod 600 it", path.display())]
+    KeyPermissions {
+        /// The file.
+        path: PathBuf,
+        /// Its permission bits.
+        mode: u32,
+    },
+    /// A file can't be read, or is not PEM of the expected kind.
+    #[error("{}: {source}", path.display())]
+    Pem {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: pem::Error,
+    },
+    /// A file holds no certificate.
+    #[error("{}: there is no certificate in it", path.display())]
+    NoCertificate {
+        /// The file.
+        path: PathBuf,
+    },
+    /// A certificate can't serve as a client authority.
+    #[error("{}: {source}", path.display())]
+    InvalidAuthority {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: rustls::Error,
+    },
+    /// The verifier of clients' certificates can't be built.
+    #[error(transparent)]
+    ClientVerifier(#[from] VerifierBuilderError),
+    /// The protocol versions are not supported.
+    #[error(transparent)]
+    Protocol(rustls::Error),
+    /// Certificate and key do not fit together.
+    #[error("{} and {}: {source}", certificate.display(), key.display())]
+    CertificateKeyMismatch {
+        /// The certificate's file.
+        certificate: PathBuf,
+        /// The key's file.
+        key: PathBuf,
+        /// The cause.
+        source: rustls::Error,
+    },
 }
 
-fn read(files: &Files) -> Result<ServerConfig, String> {
-    let key = files.key.display();
-    let mode = std::fs::metadata(&files.key)
-        .map_err(|e| format!("{key}: {e}"))?
-        .permissions()
-        .mode();
-    if mode & 0o077 != 0 {
-        return Err(format!(
-            "{key}: others may read it (mode {:03o}); chmod 600 it",
-            mode & 0o777
-        ));
-    }
-    let secret = PrivateKeyDer::from_pem_file(&files.key).map_err(|e| format!("{key}: {e}"))?;
-    let provider = Arc::new(rustls::crypto::ring::default_provider());
-    let builder = ServerConfig::builder_with_provider(provider.clone())
-        .with_safe_default_protocol_versions()
-        .map_err(|e| e.to_string())?;
-    let builder = match &files.clients {
-        None => builder.with_no_client_auth(),
-        Some(path) => {
-            let mut roots = RootCertStore::empty();
-            for certificate in certificates(path)? {
-                roots
-                    .add(certificate)
-                    .map_err(|e| format!("{}: {e}", path.display()))?;
-            }
-            let verifier = WebPkiClientVerifier::builder_with_provider(Arc::new(roots), provider);
-            let verifier = verifier
-                .allow_unauthenticated()
-                .build()
-                .map_err(|e| e.to_string())?;
-            builder.with_client_cert_verifier(verifier)
-        }
-    };
-    let chain = certificates(&files.certificate)?;
-    let mut config = builder
-        .with_single_cert(chain, secret)
-        .map_err(|e| format!("{} and {key}: {e}", files.certificate.display()))?;
-    config.alpn_protocols = vec![b"http/1.1".to_vec()];
-    Ok(config)
+/// The TLS configuration of new connections.
+pub struct ReloadableTls {
+    files: TlsFiles,
+    config: Mutex<Arc<ServerConfig>>,
 }
 
-impl Tls {
+impl ReloadableTls {
+    /// Loads certificate and key.
+    ///
     /// # Errors
-    /// A file that does not do, by its name.
-    pub fn load(files: Files) -> Result<Tls, String> {
-        let config = Mutex::new(Arc::new(read(&files)?));
-        Ok(Tls { files, config })
+    /// A file can't be used.
+    pub fn load(files: TlsFiles) -> Result<ReloadableTls, TlsError> {
+        let config = Mutex::new(Arc::new(load_config(&files)?));
+        Ok(ReloadableTls { files, config })
     }
 
-    /// Reads the files again. Connections that are open go on as they are.
+    /// Loads the files again. Open connections are not affected.
     ///
     /// # Errors
-    /// A file that does not do; then the old ones stay in force.
-    pub fn reload(&self) -> Result<(), String> {
-        let next = Arc::new(read(&self.files)?);
-        *self.config.lock().unwrap_or_else(PoisonError::into_inner) = next;
+    /// A file can't be used; the previous configuration stays in force.
+    pub fn reload(&self) -> Result<(), TlsError> {
+        let config = Arc::new(load_config(&self.files)?);
+        *self.config.lock().unwrap_or_else(PoisonError::into_inner) = config;
         Ok(())
     }
 
+    /// Accepts connections with the current configuration.
     pub fn acceptor(&self) -> TlsAcceptor {
-        TlsAcceptor::from(
-            self.config
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .clone(),
-        )
+        let config = self.config.lock().unwrap_or_else(PoisonError::into_inner);
+        TlsAcceptor::from(config.clone())
     }
 }
 
-/// The common name of a client's certificate, which was verified in the handshake.
-pub fn common_name(certificate: &CertificateDer) -> Option<String> {
-    let (_, parsed) = x509_parser::parse_x509_certificate(certificate).ok()?;
-    let name = parsed.subject().iter_common_name().next()?;
-    name.as_str().ok().map(str::to_string)
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, DnType, IsCa, KeyPair};
-    use rustls::pki_types::ServerName;
-    use rustls::ClientConfig;
-    use std::fs;
-    use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
-    use tokio_rustls::{client, server, TlsConnector};
-
-    struct Authority(CertifiedIssuer<'static, KeyPair>);
-
-    impl Authority {
-        fn new() -> Authority {
-            let mut params = CertificateParams::new(Vec::new()).unwrap();
-            params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
-            Authority(CertifiedIssuer::self_signed(params, KeyPair::generate().unwrap()).unwrap())
-        }
-
-        /// A certificate and its key, in PEM.
-        fn issue(&self, host: &str, name: &str) -> (String, String) {
-            let mut params = CertificateParams::new(vec![host.to_string()]).unwrap();
-            params.distinguished_name.push(DnType::CommonName, name);
-            let key = KeyPair::generate().unwrap();
-            (
-                params.signed_by(&key, &self.0).unwrap().pem(),
-                key.serialize_pem(),
-            )
+fn load_config(files: &TlsFiles) -> Result<ServerConfig, TlsError> {
+    let key = load_key(&files.key)?;
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let builder = ServerConfig::builder_with_provider(provider.clone())
+        .with_safe_default_protocol_versions()
+        .map_err(TlsError::Protocol)?;
+    let builder = match &files.client_ca {
+        None => builder.with_no_client_auth(),
+        Some(path) => builder.with_client_cert_verifier(load_client_verifier(path, provider)?),
+    };
+    let chain = load_certificates(&files.certificate)?;
+    let mut config = builder.with_single_cert(chain, key).map_err(|source| {
+        TlsError::CertificateKeyMismatch {
+            certificate: files.certificate.clone(),
+            key: files.key.clone(),
+            source,
         }
+    })?;
+    config.alpn_protocols = vec![ALPN_HTTP_1_1.to_vec()];
+    Ok(config)
+}
 
-        fn client(&self, identity: Option<(String, String)>) -> ClientConfig {
-            let mut roots = RootCertStore::empty();
-            roots
-                .add(CertificateDer::from_pem_slice(self.0.pem().as_bytes()).unwrap())
-                .unwrap();
-            let provider = Arc::new(rustls::crypto::ring::default_provider());
-            let builder = ClientConfig::builder_with_provider(provider)
-                .with_safe_default_protocol_versions()
-                .unwrap();
-            let builder = builder.with_root_certificates(roots);
-            match identity {
-                None => builder.with_no_client_auth(),
-                Some((certificate, key)) => {
-                    let chain =
-                        vec![CertificateDer::from_pem_slice(certificate.as_bytes()).unwrap()];
-                    let key = PrivateKeyDer::from_pem_slice(key.as_bytes()).unwrap();
-                    builder.with_client_auth_cert(chain, key).unwrap()
-                }
-            }
-        }
+/// Loads the private key, which only its owner may access.
+fn load_key(path: &Path) -> Result<PrivateKeyDer<'static>, TlsError> {
+    let metadata = std::fs::metadata(path).map_err(|source| TlsError::KeyMetadata {
+        path: path.into(),
+        source,
+    })?;
+    let mode = metadata.permissions().mode();
+    if mode & GROUP_AND_OTHERS_MASK != 0 {
+        return Err(TlsError::KeyPermissions {
+            path: path.into(),
+            mode: mode & PERMISSIONS_MASK,
+        });
     }
+    PrivateKeyDer::from_pem_file(path).map_err(|source| pem_error(path, source))
+}
 
-    fn put(path: &Path, text: &str, mode: u32) {
-        fs::write(path, text).unwrap();
-        fs::set_permissions(path, fs::Permissions::from_mode(mode)).unwrap();
+fn load_certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>, TlsError> {
+    let certificates = CertificateDer::pem_file_iter(path)
+        .and_then(|certificates| certificates.collect::<Result<Vec<_>, _>>())
+        .map_err(|source| pem_error(path, source))?;
+    if certificates.is_empty() {
+        return Err(TlsError::NoCertificate { path: path.into() });
     }
+    Ok(certificates)
+}
 
-    type Pair = (
-        client::TlsStream<DuplexStream>,
-        server::TlsStream<DuplexStream>,
-    );
-
-    async fn meet(tls: &Tls, client: ClientConfig, host: &'static str) -> std::io::Result<Pair> {
-        let (near, far) = tokio::io::duplex(65_536);
-        let acceptor = tls.acceptor();
-        let server = tokio::spawn(async move { acceptor.accept(far).await });
-        let connector = TlsConnector::from(Arc::new(client));
-        let client = connector
-            .connect(ServerName::try_from(host).unwrap(), near)
-            .await;
-        let server = server.await.unwrap();
-        Ok((client?, server?))
+fn pem_error(path: &Path, source: pem::Error) -> TlsError {
+    TlsError::Pem {
+        path: path.into(),
+        source,
     }
+}
 
-    #[tokio::test]
-    async fn a_reload_changes_new_connections_only_and_bad_files_change_nothing() {
-        let (folder, authority) = (tempfile::tempdir().unwrap(), Authority::new());
-        let at = |name: &str| folder.path().join(name);
-        let files = Files {
-            certificate: at("cert"),
-            key: at("key"),
-            clients: Some(at("ca")),
-        };
-        let (certificate, key) = authority.issue("one.example", "one");
-        put(&files.certificate, &certificate, 0o644);
-        put(&at("ca"), &authority.0.pem(), 0o644);
-        put(&files.key, &key, 0o640);
-        assert!(Tls::load(files.clone())
-            .err()
-            .unwrap()
-            .contains("others may read it"));
-        put(&files.key, &key, 0o600);
-        let tls = Tls::load(files.clone()).unwrap();
-        let (mut client, mut server) = meet(&tls, authority.client(None), "one.example")
-            .await
-            .unwrap();
-        assert!(
-            server.get_ref().1.peer_certificates().is_none(),
-            "a client's certificate is optional"
-        );
-        // Another certificate; half of a new pair first.
-        let (next, next_key) = authority.issue("two.example", "two");
-        put(&files.certificate, &next, 0o644);
-        assert!(tls.reload().is_err());
-        assert!(
-            meet(&tls, authority.client(None), "one.example")
-                .await
-                .is_ok(),
-            "the old one stays in force"
-        );
-        put(&files.key, &next_key, 0o600);
-        tls.reload().unwrap();
-        assert!(meet(&tls, authority.client(None), "two.example")
-            .await
-            .is_ok());
-        assert!(meet(&tls, authority.client(None), "one.example")
-            .await
-            .is_err());
-        client.write_all(b"still here").await.unwrap();
-        client.flush().await.unwrap();
-        let mut said = [0; 10];
-        server.read_exact(&mut said).await.unwrap();
-        assert_eq!(&said, b"still here", "the connection from before goes on");
+/// Verifies clients' certificates against the authorities in a file. A client may have none.
+fn load_client_verifier(
+    path: &Path,
+    provider: Arc<CryptoProvider>,
+) -> Result<Arc<dyn ClientCertVerifier>, TlsError> {
+    let mut roots = RootCertStore::empty();
+    for certificate in load_certificates(path)? {
+        roots
+            .add(certificate)
+            .map_err(|source| TlsError::InvalidAuthority {
+                path: path.into(),
+                source,
+            })?;
     }
+    let verifier = WebPkiClientVerifier::builder_with_provider(Arc::new(roots), provider)
+        .allow_unauthenticated()
+        .build()?;
+    Ok(verifier)
+}
 
-    #[tokio::test]
-    async fn a_clients_certificate_names_it_and_a_strangers_is_refused() {
-        let (folder, authority, stranger) = (
-            tempfile::tempdir().unwrap(),
-            Authority::new(),
-            Authority::new(),
-        );
-        let at = |name: &str| folder.path().join(name);
-        let files = Files {
-            certificate: at("cert"),
-            key: at("key"),
-            clients: Some(at("ca")),
-        };
-        let (certificate, key) = authority.issue("one.example", "one");
-        put(&files.certificate, &certificate, 0o644);
-        put(&files.key, &key, 0o600);
-        put(&at("ca"), &authority.0.pem(), 0o644);
-        let tls = Tls::load(files).unwrap();
-        let alpha = authority.client(Some(authority.issue("client.example", "alpha")));
-        let (_client, server) = meet(&tls, alpha, "one.example").await.unwrap();
-        let certificates = server.get_ref().1.peer_certificates().unwrap();
-        assert_eq!(common_name(&certificates[0]).as_deref(), Some("alpha"));
-        let other = authority.client(Some(stranger.issue("client.example", "alpha")));
-        assert!(meet(&tls, other, "one.example").await.is_err());
-    }
+/// The common name in a client's certificate, which was verified in the handshake.
+pub fn common_name(certificate: &CertificateDer) -> Option<String> {
+    let (_, certificate) = x509_parser::parse_x509_certificate(certificate).ok()?;
+    let name = certificate.subject().iter_common_name().next()?;
+    name.as_str().ok().map(str::to_string)
 }
--- a/crates/opensearch-gateway/tests/language.rs
+++ b/crates/opensearch-gateway/tests/language.rs
@@ -1,12 +1,13 @@
 //! The query language and the merge, without a socket.
 
-use opensearch_gateway::dsl::{Problem, Search, MOST_CLAUSES, MOST_DEPTH};
-use opensearch_gateway::merge::{merge, read, Relation, ShardAnswer};
+use opensearch_gateway::merge::{merge, Relation, ShardAnswer, ShardResult};
+use opensearch_gateway::query_dsl::limits::{MAX_CLAUSES, MAX_CLAUSE_DEPTH};
+use opensearch_gateway::query_dsl::{SearchRequest, SearchRequestError};
 use proptest::prelude::*;
 use serde_json::{json, Value};
 
-fn search(body: &Value) -> Result<Search, Problem> {
-    Search::read(body.to_string().as_bytes())
+fn search(body: &Value) -> Result<SearchRequest, SearchRequestError> {
+    SearchRequest::parse(body.to_string().as_bytes())
 }
 
 #[test]
@@ -17,9 +18,7 @@
             |inner, _| json!({"constant_score": {"filter": inner}}),
         )
     };
-    let many: Vec<Value> = (0..MOST_CLAUSES)
-        .map(|_| json!({"match_all": {}}))
-        .collect();
+    let many: Vec<Value> = (0..MAX_CLAUSES).map(|_| json!({"match_all": {}})).collect();
     let cases = [
         (json!({"quary": {}}), "quary", "unknown field"),
         (
@@ -60,14 +59,14 @@
             "from",
             "10000 at most",
         ),
-        (json!({"query": nested(MOST_DEPTH)}), "query", "deep"),
+        (json!({"query": nested(MAX_CLAUSE_DEPTH)}), "query", "deep"),
         (
             json!({"query": {"bool": {"should": many}}}),
             "query",
             "clauses",
         ),
         (
-            json!({"query": {"ids": {"values": vec!["x"; MOST_CLAUSES + 1]}}}),
+            json!({"query": {"ids": {"values": vec!["x"; MAX_CLAUSES + 1]}}}),
             "query",
             "values",
         ),
@@ -108,14 +107,17 @@
     for (body, path, reason) in cases {
         let problem = search(&body).expect_err(&body.to_string());
         assert!(
-            problem.path.starts_with(path) && problem.reason.contains(reason),
+            problem.path.starts_with(path) && problem.cause.to_string().contains(reason),
             "{body}: {problem}"
         );
     }
-    assert!(search(&json!({"query": nested(MOST_DEPTH - 1)})).is_ok());
+    assert!(search(&json!({"query": nested(MAX_CLAUSE_DEPTH - 1)})).is_ok());
     // As deep as a body can be: it is refused before anything goes down into it.
     let deep = [b"[".repeat(60_000), b"]".repeat(60_000)].concat();
-    assert!(Search::read(&deep).unwrap_err().too_much);
+    assert!(SearchRequest::parse(&deep)
+        .unwrap_err()
+        .cause
+        .exceeds_limit());
     for text in [
         "{",
         "{}{}",
@@ -125,9 +127,12 @@
         "{\"size\":1e999}",
         "{\"query\":{\"term\":{\"a\":NaN}}}",
     ] {
-        assert!(Search::read(text.as_bytes()).is_err(), "{text}");
+        assert!(SearchRequest::parse(text.as_bytes()).is_err(), "{text}");
     }
-    assert_eq!(Search::read(b" \n").unwrap(), Search::default());
+    assert_eq!(
+        SearchRequest::parse(b" \n").unwrap(),
+        SearchRequest::default()
+    );
 }
 
 #[test]
@@ -136,17 +141,18 @@
         &json!({"from": 30, "size": 20, "timeout": "1s", "aggregations": {
         "a": {"avg": {"field": "x"}}, "t": {"terms": {"field": "x", "size": 4}}}}),
     );
-    let shard = serde_json::to_value(asked.unwrap().for_shards()).unwrap();
+    let shard = serde_json::to_value(asked.unwrap().to_shard_request()).unwrap();
     assert_eq!(
         shard,
         json!({"size": 50, "aggs": {"a": {"stats": {"field": "x"}}, "t": {"terms": {"field": "x", "size": 16}}}})
     );
 }
 
-fn shard(hits: Value, total: Value, aggregations: Value) -> ShardAnswer {
+fn shard_result(shard: u32, hits: Value, total: Value, aggregations: Value) -> ShardResult {
     let text =
         json!({"hits": {"total": total, "hits": hits}, "aggregations": aggregations}).to_string();
-    serde_json::from_str(&text).unwrap()
+    let answer = serde_json::from_str(&text).unwrap();
+    ShardResult { shard, answer }
 }
 
 #[test]
@@ -168,9 +174,9 @@
         let three = json!([hit("m", json!(-1e300)), hit("f", json!(true))]);
         let bound = json!({"value": 9, "relation": "gte"});
         vec![
-            (2, shard(two, eq(3), json!({}))),
-            (1, shard(one, eq(3), json!({}))),
-            (3, shard(three, bound, json!({}))),
+            shard_result(2, two, eq(3), json!({})),
+            shard_result(1, one, eq(3), json!({})),
+            shard_result(3, three, bound, json!({})),
         ]
     };
     let ids = |answers| {
@@ -197,21 +203,22 @@
 fn terms_tell_how_wrong_they_may_be() {
     let asked =
         search(&json!({"size": 0, "aggs": {"t": {"terms": {"field": "x", "size": 2}}}})).unwrap();
-    let part = |buckets: &[(&str, u64)], other: u64| {
+    let part = |number: u32, buckets: &[(&str, u64)], other: u64| {
         let buckets: Vec<Value> = buckets
             .iter()
             .map(|(key, n)| json!({"key": key, "doc_count": n}))
             .collect();
         let terms = json!({"doc_count_error_upper_bound": 0, "sum_other_doc_count": other, "buckets": buckets});
-        shard(
+        shard_result(
+            number,
             json!([]),
             json!({"value": 0, "relation": "eq"}),
             json!({ "t": terms }),
         )
     };
     let answers = vec![
-        (0, part(&[("a", 9), ("b", 5)], 4)),
-        (1, part(&[("c", 8), ("b", 6), ("d", 1)], 0)),
+        part(0, &[("a", 9), ("b", 5)], 4),
+        part(1, &[("c", 8), ("b", 6), ("d", 1)], 0),
     ];
     let merged = merge(&asked, answers);
     assert_eq!(
@@ -252,9 +259,9 @@
         ),
     ];
     for (text, kind, reason) in cases {
-        let why = read(&text, &asked).unwrap_err();
+        let why = ShardAnswer::parse(&text, &asked).unwrap_err();
         assert!(
-            why.kind == kind && why.reason.contains(reason),
+            why.kind() == kind && why.to_string().contains(reason),
             "{text}: {why:?}"
         );
     }
@@ -274,13 +281,13 @@
         noise in prop::collection::vec(any::<u8>(), 0..20),
     ) {
         let mut bytes = pieces.concat().into_bytes();
-        let _ = Search::read(&bytes);
+        let _ = SearchRequest::parse(&bytes);
         bytes.extend(noise);
-        if let Ok(search) = Search::read(&bytes) {
+        if let Ok(search) = SearchRequest::parse(&bytes) {
             let again = serde_json::to_vec(&search).unwrap();
-            prop_assert_eq!(Search::read(&again).unwrap(), search);
+            prop_assert_eq!(SearchRequest::parse(&again).unwrap(), search);
         }
-        let _ = read(&String::from_utf8_lossy(&bytes), &Search::default());
+        let _ = ShardAnswer::parse(&String::from_utf8_lossy(&bytes), &SearchRequest::default());
     }
 
     /// A page of the merge is that page of all hits in order, however they are spread over shards.
@@ -297,7 +304,7 @@
         }
         right.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2)));
         let total = |hits: &[Value]| json!({"value": hits.len(), "relation": "eq"});
-        let answers = shards.iter().enumerate().map(|(n, hits)| (n as u32, shard(json!(hits), total(hits), json!({}))));
+        let answers = shards.iter().enumerate().map(|(n, hits)| shard_result(n as u32, json!(hits), total(hits), json!({})));
         let merged = merge(&asked, answers.collect());
         let ids: Vec<String> = merged.hits.iter().map(|hit| hit.id.clone()).collect();
         let page: Vec<String> = right.into_iter().skip(from as usize).take(size as usize).map(|it| it.2).collect();
