Name the OpenSearch gateway's tests after the behaviour that they check

Cause: the tests spoke of what is told, asked and refused, with nameless tuples for hits and connections.

--- a/crates/opensearch-gateway/tests/networks.rs
+++ b/crates/opensearch-gateway/tests/networks.rs
@@ -7,23 +7,23 @@
 use proptest::prelude::*;
 use std::net::{IpAddr, Ipv4Addr};
 
-fn table(rules: &[(&str, &str)]) -> Result<TenantNetworks, TenantNetworkError> {
-    let mut table = TenantNetworks::default();
-    for (net, tenant) in rules {
-        table.insert(net.parse().unwrap(), tenant)?;
+fn tenant_networks(rules: &[(&str, &str)]) -> Result<TenantNetworks, TenantNetworkError> {
+    let mut networks = TenantNetworks::default();
+    for (network, tenant) in rules {
+        networks.insert(network.parse().unwrap(), tenant)?;
     }
-    Ok(table)
+    Ok(networks)
 }
 
 #[test]
-fn the_longest_prefix_wins_and_rules_that_do_nothing_are_refused() {
-    let found = table(&[
+fn the_longest_prefix_wins_and_ineffective_rules_are_rejected() {
+    let networks = tenant_networks(&[
         ("10.0.0.0/8", "a"),
         ("10.1.0.0/16", "b"),
         ("10.1.2.0/24", "a"),
         ("2001:db8::/32", "c"),
     ]);
-    let found = found.unwrap();
+    let networks = networks.unwrap();
     let cases = [
         ("10.9.9.9", Some("a")),
         ("10.1.9.9", Some("b")),
@@ -34,16 +34,18 @@
         ("2001:db9::1", None),
     ];
     for (address, tenant) in cases {
-        assert_eq!(found.find(address.parse().unwrap()), tenant, "{address}");
+        assert_eq!(networks.find(address.parse().unwrap()), tenant, "{address}");
     }
-    assert!(table(&[("10.0.0.0/8", "a"), ("10.0.0.0/8", "b")])
+    assert!(tenant_networks(&[("10.0.0.0/8", "a"), ("10.0.0.0/8", "b")])
         .unwrap_err()
         .to_string()
         .contains("already"));
-    assert!(table(&[("10.0.0.0/8", "a"), ("10.1.0.0/16", "a")])
-        .unwrap_err()
-        .to_string()
-        .contains("changes nothing"));
+    assert!(
+        tenant_networks(&[("10.0.0.0/8", "a"), ("10.1.0.0/16", "a")])
+            .unwrap_err()
+            .to_string()
+            .contains("changes nothing")
+    );
     assert!(
         parse_networks("10.1.0.1/16")
             .unwrap_err()
@@ -55,12 +57,12 @@
 }
 
 #[test]
-fn forwarded_addresses_are_believed_from_trusted_proxies_only() {
+fn forwarded_addresses_are_trusted_from_trusted_proxies_only() {
     let mut proxies = NetworkSet::default();
     parse_networks("10.0.0.0/24, ::1")
         .unwrap()
         .into_iter()
-        .for_each(|net| proxies.insert(net));
+        .for_each(|network| proxies.insert(network));
     let cases: [(&str, &[&str], &str); 8] = [
         ("192.0.2.1", &["10.9.9.9"], "192.0.2.1"),
         ("10.0.0.1", &["192.0.2.7"], "192.0.2.7"),
@@ -75,11 +77,11 @@
         ("10.0.0.1", &[], "10.0.0.1"),
         ("::ffff:10.0.0.1", &["::ffff:192.0.2.7"], "192.0.2.7"),
     ];
-    for (peer, forwarded, right) in cases {
-        let got = client_address(peer.parse().unwrap(), forwarded, &proxies);
+    for (peer, forwarded, expected) in cases {
+        let client = client_address(peer.parse().unwrap(), forwarded, &proxies);
         assert_eq!(
-            got,
-            right.parse::<IpAddr>().unwrap(),
+            client,
+            expected.parse::<IpAddr>().unwrap(),
             "{peer} {forwarded:?}"
         );
     }
@@ -89,23 +91,26 @@
     #![proptest_config(ProptestConfig { cases: 500, failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
-    fn the_table_agrees_with_a_look_at_every_rule(
+    fn longest_prefix_lookup_agrees_with_a_linear_scan(
         rules in prop::collection::vec((0u32..64, 0u8..=6, 0u8..3), 0..20), address in 0u32..64,
     ) {
-        let spread = |n: u32| Ipv4Addr::from(n << 26);
-        let mut nets: Vec<(Ipv4Net, u8)> = rules.iter().map(|(at, length, tenant)| {
-            (Ipv4Net::new(spread(*at), *length).unwrap().trunc(), *tenant)
+        // Six significant bits in front, so that the networks overlap often.
+        let spread = |bits: u32| Ipv4Addr::from(bits << 26);
+        let mut rules: Vec<(Ipv4Net, u8)> = rules.iter().map(|(bits, length, tenant)| {
+            (Ipv4Net::new(spread(*bits), *length).unwrap().trunc(), *tenant)
         }).collect();
-        nets.sort_by_key(|(net, _)| net.prefix_len());
-        let mut table = TenantNetworks::default();
-        let mut taken: Vec<(Ipv4Net, u8)> = Vec::new();
-        for (net, tenant) in nets {
-            if table.insert(net.into(), &tenant.to_string()).is_ok() {
-                taken.push((net, tenant));
+        rules.sort_by_key(|(network, _)| network.prefix_len());
+        let mut networks = TenantNetworks::default();
+        let mut accepted: Vec<(Ipv4Net, u8)> = Vec::new();
+        for (network, tenant) in rules {
+            if networks.insert(network.into(), &tenant.to_string()).is_ok() {
+                accepted.push((network, tenant));
             }
         }
-        let around = taken.iter().filter(|(net, _)| net.contains(&spread(address)));
-        let right = around.max_by_key(|(net, _)| net.prefix_len()).map(|(_, tenant)| tenant.to_string());
-        prop_assert_eq!(table.find(IpAddr::V4(spread(address))).map(str::to_string), right);
+        let address = spread(address);
+        let containing = accepted.iter().filter(|(network, _)| network.contains(&address));
+        let narrowest = containing.max_by_key(|(network, _)| network.prefix_len());
+        let expected = narrowest.map(|(_, tenant)| tenant.to_string());
+        prop_assert_eq!(networks.find(IpAddr::V4(address)).map(str::to_string), expected);
     }
 }
--- a/crates/opensearch-gateway/tests/tls.rs
+++ b/crates/opensearch-gateway/tests/tls.rs
@@ -9,150 +9,175 @@
 use std::os::unix::fs::PermissionsExt;
 use std::path::Path;
 use std::sync::Arc;
+use tempfile::TempDir;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, DuplexStream};
 use tokio_rustls::{client, server, TlsConnector};
 
+/// A certificate authority.
 struct Authority(CertifiedIssuer<'static, KeyPair>);
 
+/// A certificate and its key, in PEM.
+struct Identity {
+    certificate: String,
+    key: String,
+}
+
 impl Authority {
     fn new() -> Authority {
         let mut params = CertificateParams::new(Vec::new()).unwrap();
         params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
-        Authority(CertifiedIssuer::self_signed(params, KeyPair::generate().unwrap()).unwrap())
+        let key = KeyPair::generate().unwrap();
+        Authority(CertifiedIssuer::self_signed(params, key).unwrap())
     }
 
-    /// A certificate and its key, in PEM.
-    fn issue(&self, host: &str, name: &str) -> (String, String) {
+    fn issue(&self, host: &str, common_name: &str) -> Identity {
         let mut params = CertificateParams::new(vec![host.to_string()]).unwrap();
-        params.distinguished_name.push(DnType::CommonName, name);
+        params
+            .distinguished_name
+            .push(DnType::CommonName, common_name);
         let key = KeyPair::generate().unwrap();
-        (
-            params.signed_by(&key, &self.0).unwrap().pem(),
-            key.serialize_pem(),
-        )
+        Identity {
+            certificate: params.signed_by(&key, &self.0).unwrap().pem(),
+            key: key.serialize_pem(),
+        }
     }
 
-    fn client(&self, identity: Option<(String, String)>) -> ClientConfig {
+    /// A client that trusts this authority.
+    fn client(&self, identity: Option<Identity>) -> ClientConfig {
+        let root = CertificateDer::from_pem_slice(self.0.pem().as_bytes()).unwrap();
         let mut roots = RootCertStore::empty();
-        roots
-            .add(CertificateDer::from_pem_slice(self.0.pem().as_bytes()).unwrap())
-            .unwrap();
+        roots.add(root).unwrap();
         let provider = Arc::new(rustls::crypto::ring::default_provider());
         let builder = ClientConfig::builder_with_provider(provider)
             .with_safe_default_protocol_versions()
-            .unwrap();
-        let builder = builder.with_root_certificates(roots);
-        match identity {
-            None => builder.with_no_client_auth(),
-            Some((certificate, key)) => {
-                let chain = vec![CertificateDer::from_pem_slice(certificate.as_bytes()).unwrap()];
-                let key = PrivateKeyDer::from_pem_slice(key.as_bytes()).unwrap();
-                builder.with_client_auth_cert(chain, key).unwrap()
-            }
+            .unwrap()
+            .with_root_certificates(roots);
+        let Some(Identity { certificate, key }) = identity else {
+            return builder.with_no_client_auth();
+        };
+        let certificate = CertificateDer::from_pem_slice(certificate.as_bytes()).unwrap();
+        let key = PrivateKeyDer::from_pem_slice(key.as_bytes()).unwrap();
+        builder
+            .with_client_auth_cert(vec![certificate], key)
+            .unwrap()
+    }
+}
+
+/// The server's files, in a directory that is removed with them.
+struct ServerFiles {
+    _directory: TempDir,
+    paths: TlsFiles,
+}
+
+impl ServerFiles {
+    /// Writes the client authority and the certificate, but not yet the key.
+    fn new(client_ca: &Authority, identity: &Identity) -> ServerFiles {
+        let directory = tempfile::tempdir().unwrap();
+        let path_of = |name: &str| directory.path().join(name);
+        let paths = TlsFiles {
+            certificate: path_of("cert"),
+            key: path_of("key"),
+            client_ca: Some(path_of("ca")),
+        };
+        write_file(&path_of("ca"), &client_ca.0.pem(), 0o644);
+        write_file(&paths.certificate, &identity.certificate, 0o644);
+        ServerFiles {
+            _directory: directory,
+            paths,
         }
     }
 }
 
-fn put(path: &Path, text: &str, mode: u32) {
+fn write_file(path: &Path, text: &str, mode: u32) {
     fs::write(path, text).unwrap();
     fs::set_permissions(path, fs::Permissions::from_mode(mode)).unwrap();
 }
 
-type Pair = (
-    client::TlsStream<DuplexStream>,
-    server::TlsStream<DuplexStream>,
-);
+/// Both ends of an established connection.
+struct Connection {
+    client: client::TlsStream<DuplexStream>,
+    server: server::TlsStream<DuplexStream>,
+}
 
-async fn meet(
+async fn connect(
     tls: &ReloadableTls,
     client: ClientConfig,
     host: &'static str,
-) -> std::io::Result<Pair> {
-    let (near, far) = tokio::io::duplex(65_536);
+) -> std::io::Result<Connection> {
+    let (client_stream, server_stream) = tokio::io::duplex(65_536);
     let acceptor = tls.acceptor();
-    let server = tokio::spawn(async move { acceptor.accept(far).await });
+    let server = tokio::spawn(async move { acceptor.accept(server_stream).await });
     let connector = TlsConnector::from(Arc::new(client));
-    let client = connector
-        .connect(ServerName::try_from(host).unwrap(), near)
-        .await;
+    let host = ServerName::try_from(host).unwrap();
+    let client = connector.connect(host, client_stream).await;
     let server = server.await.unwrap();
-    Ok((client?, server?))
+    Ok(Connection {
+        client: client?,
+        server: server?,
+    })
 }
 
 #[tokio::test]
-async fn a_reload_changes_new_connections_only_and_bad_files_change_nothing() {
-    let (folder, authority) = (tempfile::tempdir().unwrap(), Authority::new());
-    let at = |name: &str| folder.path().join(name);
-    let files = TlsFiles {
-        certificate: at("cert"),
-        key: at("key"),
-        client_ca: Some(at("ca")),
-    };
-    let (certificate, key) = authority.issue("one.example", "one");
-    put(&files.certificate, &certificate, 0o644);
-    put(&at("ca"), &authority.0.pem(), 0o644);
-    put(&files.key, &key, 0o640);
-    assert!(ReloadableTls::load(files.clone())
+async fn a_reload_affects_new_connections_only_and_unusable_files_change_nothing() {
+    let authority = Authority::new();
+    let identity = authority.issue("one.example", "one");
+    let files = ServerFiles::new(&authority, &identity);
+    write_file(&files.paths.key, &identity.key, 0o640);
+    assert!(ReloadableTls::load(files.paths.clone())
         .err()
         .unwrap()
         .to_string()
         .contains("others may read it"));
-    put(&files.key, &key, 0o600);
-    let tls = ReloadableTls::load(files.clone()).unwrap();
-    let (mut client, mut server) = meet(&tls, authority.client(None), "one.example")
+    write_file(&files.paths.key, &identity.key, 0o600);
+    let tls = ReloadableTls::load(files.paths.clone()).unwrap();
+    let mut before = connect(&tls, authority.client(None), "one.example")
         .await
         .unwrap();
     assert!(
-        server.get_ref().1.peer_certificates().is_none(),
+        before.server.get_ref().1.peer_certificates().is_none(),
         "a client's certificate is optional"
     );
-    // Another certificate; half of a new pair first.
-    let (next, next_key) = authority.issue("two.example", "two");
-    put(&files.certificate, &next, 0o644);
+    // A new certificate without its key first.
+    let next_identity = authority.issue("two.example", "two");
+    write_file(&files.paths.certificate, &next_identity.certificate, 0o644);
     assert!(tls.reload().is_err());
     assert!(
-        meet(&tls, authority.client(None), "one.example")
+        connect(&tls, authority.client(None), "one.example")
             .await
             .is_ok(),
-        "the old one stays in force"
+        "the previous certificate stays in force"
     );
-    put(&files.key, &next_key, 0o600);
+    write_file(&files.paths.key, &next_identity.key, 0o600);
     tls.reload().unwrap();
-    assert!(meet(&tls, authority.client(None), "two.example")
+    assert!(connect(&tls, authority.client(None), "two.example")
         .await
         .is_ok());
-    assert!(meet(&tls, authority.client(None), "one.example")
+    assert!(connect(&tls, authority.client(None), "one.example")
         .await
         .is_err());
-    client.write_all(b"still here").await.unwrap();
-    client.flush().await.unwrap();
-    let mut said = [0; 10];
-    server.read_exact(&mut said).await.unwrap();
-    assert_eq!(&said, b"still here", "the connection from before goes on");
+    before.client.write_all(b"still here").await.unwrap();
+    before.client.flush().await.unwrap();
+    let mut received = [0; 10];
+    before.server.read_exact(&mut received).await.unwrap();
+    assert_eq!(
+        &received, b"still here",
+        "the connection from before the reload stays open"
+    );
 }
 
 #[tokio::test]
-async fn a_clients_certificate_names_it_and_a_strangers_is_refused() {
-    let (folder, authority, stranger) = (
-        tempfile::tempdir().unwrap(),
-        Authority::new(),
-        Authority::new(),
-    );
-    let at = |name: &str| folder.path().join(name);
-    let files = TlsFiles {
-        certificate: at("cert"),
-        key: at("key"),
-        client_ca: Some(at("ca")),
-    };
-    let (certificate, key) = authority.issue("one.example", "one");
-    put(&files.certificate, &certificate, 0o644);
-    put(&files.key, &key, 0o600);
-    put(&at("ca"), &authority.0.pem(), 0o644);
-    let tls = ReloadableTls::load(files).unwrap();
-    let alpha = authority.client(Some(authority.issue("client.example", "alpha")));
-    let (_client, server) = meet(&tls, alpha, "one.example").await.unwrap();
-    let certificates = server.get_ref().1.peer_certificates().unwrap();
+async fn a_client_is_named_by_its_certificate_and_an_unknown_authority_is_rejected() {
+    let authority = Authority::new();
+    let unknown_authority = Authority::new();
+    let identity = authority.issue("one.example", "one");
+    let files = ServerFiles::new(&authority, &identity);
+    write_file(&files.paths.key, &identity.key, 0o600);
+    let tls = ReloadableTls::load(files.paths.clone()).unwrap();
+    let client = authority.client(Some(authority.issue("client.example", "alpha")));
+    let connection = connect(&tls, client, "one.example").await.unwrap();
+    let certificates = connection.server.get_ref().1.peer_certificates().unwrap();
     assert_eq!(common_name(&certificates[0]).as_deref(), Some("alpha"));
-    let other = authority.client(Some(stranger.issue("client.example", "alpha")));
-    assert!(meet(&tls, other, "one.example").await.is_err());
+    let unknown = unknown_authority.issue("client.example", "alpha");
+    let client = authority.client(Some(unknown));
+    assert!(connect(&tls, client, "one.example").await.is_err());
 }
