Keep the gateway's response types and index names in one place

Cause: the name of all indices stood in three files, and the type of error responses among those of successful ones. Change: one constant, and ErrorResponse beside GatewayError.

--- a/crates/opensearch-gateway/src/error.rs
+++ b/crates/opensearch-gateway/src/error.rs
@@ -2,7 +2,7 @@
 
 use crate::compression::DecompressError;
 use crate::query_dsl::SearchRequestError;
-use crate::response::{JsonResponse, ShardSummary};
+use crate::response::ShardSummary;
 use crate::server::MAX_SEARCHES_PER_REQUEST;
 use hyper::{Method, StatusCode};
 use serde_json::{json, Value};
@@ -90,7 +90,7 @@
     TooManySearches { searches: usize },
     /// The header line of a search in a multi-search is malformed.
     #[error("the line before it: {0}")]
-    InvalidSearchHeader(serde_json::Error),
+    InvalidSearchHeader(#[source] serde_json::Error),
     /// The header line of a search in a multi-search names no or several indices.
     #[error("one search goes to one index here")]
     NotOneIndex,
@@ -99,6 +99,15 @@
     UnsupportedSearchOption,
 }
 
+/// The HTTP response to a request that failed.
+#[derive(Debug)]
+pub(crate) struct ErrorResponse {
+    pub(crate) status: StatusCode,
+    pub(crate) body: Value,
+    /// The value of `Retry-After`.
+    pub(crate) retry_after: Option<Duration>,
+}
+
 fn retry_after_hint(retry_after: &Option<Duration>) -> String {
     match retry_after {
         Some(delay) => format!("; come back in {} ms", delay.as_millis()),
@@ -146,7 +155,7 @@
     }
 
     /// The response to the client.
-    pub(crate) fn to_response(&self) -> JsonResponse {
+    pub(crate) fn to_response(&self) -> ErrorResponse {
         let (status, kind, reason) = (self.status(), self.kind(), self.to_string());
         let mut root_cause = json!({"type": kind, "reason": reason});
         if let Self::UnknownIndex { index } = self {
@@ -154,7 +163,7 @@
         }
         let mut error = json!({"root_cause": [root_cause], "type": kind, "reason": reason});
         self.add_details(&mut error);
-        JsonResponse {
+        ErrorResponse {
             status,
             body: json!({"error": error, "status": status.as_u16()}),
             retry_after: self.retry_after(),
--- a/crates/opensearch-gateway/src/response.rs
+++ b/crates/opensearch-gateway/src/response.rs
@@ -2,7 +2,6 @@
 
 use crate::merge::{Hit, MergedResult, Relation, ShardFailure, Total};
 use crate::query_dsl::{SearchRequest, TrackTotalHits};
-use hyper::StatusCode;
 use serde::Serialize;
 use serde_json::{json, Map, Value};
 use std::time::Duration;
@@ -10,15 +9,6 @@
 /// Up to where hits are counted if the search does not say.
 const DEFAULT_TRACK_TOTAL_HITS: u64 = 10_000;
 
-/// A response whose body is JSON.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) struct JsonResponse {
-    pub(crate) status: StatusCode,
-    pub(crate) body: Value,
-    /// The value of `Retry-After`.
-    pub(crate) retry_after: Option<Duration>,
-}
-
 /// A shard without a usable answer.
 #[derive(Debug)]
 pub(crate) struct FailedShard {
--- a/crates/opensearch-gateway/src/server/context.rs
+++ b/crates/opensearch-gateway/src/server/context.rs
@@ -8,8 +8,10 @@
 use std::net::IpAddr;
 use std::rc::Rc;
 
-/// Names that address all indices.
-const ALL_INDICES: [&str; 2] = ["_all", "*"];
+/// The name that addresses all indices.
+pub(super) const ALL_INDICES: &str = "_all";
+/// The pattern that addresses all indices.
+const ALL_INDICES_PATTERN: &str = "*";
 
 /// The state of a running gateway.
 pub(super) struct Gateway {
@@ -48,7 +50,7 @@
     /// The index of this name. All indices may be addressed only if there is just one.
     pub(super) fn find_index(&self, name: &str) -> Result<Index<'_>, GatewayError> {
         let indices = &self.settings.indices;
-        let found = if ALL_INDICES.contains(&name) {
+        let found = if matches!(name, ALL_INDICES | ALL_INDICES_PATTERN) {
             if indices.len() != 1 {
                 return Err(GatewayError::AmbiguousIndex);
             }
--- a/crates/opensearch-gateway/src/server/multi_search.rs
+++ b/crates/opensearch-gateway/src/server/multi_search.rs
@@ -4,7 +4,7 @@
 //! time and answered in their order. A search that fails is answered with its error and does not
 //! affect the others.
 
-use super::context::RequestContext;
+use super::context::{RequestContext, ALL_INDICES};
 use super::parameters::UrlParameters;
 use super::search::search;
 use crate::error::GatewayError;
@@ -19,8 +19,6 @@
 pub(crate) const MAX_SEARCHES_PER_REQUEST: usize = 256;
 /// Maximum number of searches of one request that run at the same time.
 const MAX_CONCURRENT_SEARCHES: usize = 8;
-/// The index that a search without one addresses.
-const ALL_INDICES: &str = "_all";
 /// The only supported `search_type`.
 const QUERY_THEN_FETCH: &str = "query_then_fetch";
 
--- a/crates/opensearch-gateway/src/server/router.rs
+++ b/crates/opensearch-gateway/src/server/router.rs
@@ -1,6 +1,6 @@
 //! Routing of requests by path and method.
 
-use super::context::RequestContext;
+use super::context::{RequestContext, ALL_INDICES};
 use super::metadata;
 use super::multi_search::multi_search;
 use super::parameters::UrlParameters;
@@ -10,9 +10,6 @@
 use bytes::Bytes;
 use hyper::{Method, Uri};
 
-/// The index that a request without one addresses.
-const ALL_INDICES: &str = "_all";
-
 /// Calls the handler of a request. Returns the body of the successful response.
 pub(super) async fn dispatch(
     context: &RequestContext,
