Accept `routing` in the header of a multi-search again, to reject it by name

Cause: the renaming of the module `routing` to `engine` also renamed the field `routing` of a multi-search's header line, which is a name on the wire. Since then a header with `routing` was answered with a parsing_exception about an unknown field, and one with `engine` with "neither routing nor another search_type is supported here". Change: the field is called `routing` again. Result: both are answered as before that renaming. No test covers the field.

--- a/crates/opensearch-gateway/src/server/multi_search.rs
+++ b/crates/opensearch-gateway/src/server/multi_search.rs
@@ -30,7 +30,7 @@
     index: Option<Value>,
     preference: Option<String>,
     allow_partial_search_results: Option<bool>,
-    engine: Option<String>,
+    routing: Option<String>,
     search_type: Option<String>,
 }
 
@@ -138,7 +138,7 @@
         .search_type
         .as_deref()
         .is_some_and(|search_type| search_type != QUERY_THEN_FETCH);
-    if header.engine.is_some() || has_other_type {
+    if header.routing.is_some() || has_other_type {
         return Err(GatewayError::UnsupportedSearchOption);
     }
     let mut parameters = defaults.parameters;
