Follow the OpenSearch gateway's new public names in the program

Cause: the program names the gateway's settings, server and TLS by their old paths. Change: GatewaySettings, server::start, ReloadableTls and the three sections of the settings.

--- a/crates/aggregator/src/check.rs
+++ b/crates/aggregator/src/check.rs
@@ -4,14 +4,14 @@
 use crate::{program, settings, Files};
 use comfy_table::Table;
 use ini_config::Origin;
-use opensearch_gateway::index::Front;
+use opensearch_gateway::settings::GatewaySettings;
 use usage_ledger::settings::{Ledger, UsageLog};
 
 pub fn run(files: &Files) -> Done {
     let own = settings::read(files)?;
     UsageLog::read(&own, &settings::SCHEMA).map_err(Failure::configuration)?;
     Ledger::read(&own, &settings::SCHEMA).map_err(Failure::configuration)?;
-    Front::read(&own, &settings::SCHEMA).map_err(Failure::configuration)?;
+    GatewaySettings::read(&own, &settings::SCHEMA).map_err(Failure::configuration)?;
     let mut table = Table::new();
     table
         .load_preset(comfy_table::presets::NOTHING)
--- a/crates/aggregator/src/fronts.rs
+++ b/crates/aggregator/src/fronts.rs
@@ -4,9 +4,9 @@
 use crate::settings;
 use aggregator_core::net::StartFrontend;
 use ini_config::Settings;
-use opensearch_gateway::front;
-use opensearch_gateway::index::Front;
-use opensearch_gateway::tls::Tls;
+use opensearch_gateway::server;
+use opensearch_gateway::settings::GatewaySettings;
+use opensearch_gateway::tls::ReloadableTls;
 use std::rc::Rc;
 use tokio::net::TcpListener;
 
@@ -14,17 +14,20 @@
 #[derive(Default)]
 pub struct Fronts {
     pub start: Vec<StartFrontend>,
-    pub tls: Option<Rc<Tls>>,
+    pub tls: Option<Rc<ReloadableTls>>,
 }
 
 /// Opens the listeners of all fronts that are on.
 pub async fn open(own: &Settings) -> Result<Fronts, Failure> {
-    let Some(opensearch) = Front::read(own, &settings::SCHEMA).map_err(Failure::configuration)?
+    let Some(opensearch) =
+        GatewaySettings::read(own, &settings::SCHEMA).map_err(Failure::configuration)?
     else {
         return Ok(Fronts::default());
     };
     let tls = match opensearch.tls.clone() {
-        Some(files) => Some(Rc::new(Tls::load(files).map_err(Failure::configuration)?)),
+        Some(files) => Some(Rc::new(
+            ReloadableTls::load(files).map_err(Failure::configuration)?,
+        )),
         None => None,
     };
     let at = opensearch.listen;
@@ -34,7 +37,7 @@
     let with = tls.clone();
     Ok(Fronts {
         start: vec![Box::new(move |door| {
-            front::start(opensearch, with, listener, door)
+            server::start(opensearch, with, listener, door)
         })],
         tls,
     })
--- a/crates/aggregator/src/program.rs
+++ b/crates/aggregator/src/program.rs
@@ -8,7 +8,7 @@
 use aggregator_core::engine::Engine;
 use aggregator_core::net::{self, Addresses, Clock, OperatorSignal};
 use ini_config::Settings;
-use opensearch_gateway::tls::Tls;
+use opensearch_gateway::tls::ReloadableTls;
 use std::path::Path;
 use std::rc::Rc;
 use tokio::net::TcpListener;
@@ -56,7 +56,7 @@
     config: Config,
     own: Settings,
     logs: Logs,
-    tls: Option<Rc<Tls>>,
+    tls: Option<Rc<ReloadableTls>>,
 }
 
 impl Running {
--- a/crates/aggregator/src/settings.rs
+++ b/crates/aggregator/src/settings.rs
@@ -4,7 +4,7 @@
 use crate::output::Failure;
 use crate::Files;
 use ini_config::{Schema, Settings};
-use opensearch_gateway::index;
+use opensearch_gateway::settings as gateway;
 use usage_ledger::settings as ledger;
 
 pub const SCHEMA: Schema = Schema(&[
@@ -16,9 +16,9 @@
     ledger::PRICE,
     ledger::TENANT,
     ledger::EXPORT,
-    index::FRONT,
-    index::INDEX,
-    index::NETWORK,
+    gateway::GATEWAY_SECTION,
+    gateway::INDEX_SECTION,
+    gateway::NETWORK_SECTION,
 ]);
 
 /// Reads the settings that the command line or the environment names; the defaults where neither
