--- a/crates/aggregator/src/cli/check.rs
+++ b/crates/aggregator/src/cli/check.rs
@@ -7,7 +7,7 @@
 use crate::settings::{self, SettingsError, SCHEMA};
 use aggregator_core::config::Config;
 use ini_config::{Origin, Settings};
-use opensearch_gateway::index::Front;
+use opensearch_gateway::settings::GatewaySettings;
 use std::path::Path;
 use usage_ledger::settings::{Ledger, UsageLog};
 
@@ -38,7 +38,7 @@
 fn validate(settings: &Settings) -> Result<(), SettingsError> {
     UsageLog::read(settings, &SCHEMA)?;
     Ledger::read(settings, &SCHEMA)?;
-    Front::read(settings, &SCHEMA)?;
+    GatewaySettings::read(settings, &SCHEMA)?;
     Ok(())
 }
 
--- a/crates/aggregator/src/frontends.rs
+++ b/crates/aggregator/src/frontends.rs
@@ -4,9 +4,9 @@
 use crate::settings::{SettingsError, SCHEMA};
 use aggregator_core::net::StartFrontend;
 use ini_config::Settings;
-use opensearch_gateway::front;
-use opensearch_gateway::index::Front;
-use opensearch_gateway::tls::Tls;
+use opensearch_gateway::server;
+use opensearch_gateway::settings::GatewaySettings;
+use opensearch_gateway::tls::ReloadableTls;
 use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
@@ -48,17 +48,19 @@
     /// Starts each frontend on the listener that is open for it.
     pub start: Vec<StartFrontend>,
     /// The certificate in use, if a frontend uses TLS.
-    pub tls: Option<Rc<Tls>>,
+    pub tls: Option<Rc<ReloadableTls>>,
 }
 
 /// Opens the listeners of all enabled frontends.
 pub async fn open(settings: &Settings) -> Result<Frontends, FrontendError> {
-    let Some(opensearch) = Front::read(settings, &SCHEMA).map_err(SettingsError::from)? else {
+    let Some(opensearch) = GatewaySettings::read(settings, &SCHEMA).map_err(SettingsError::from)?
+    else {
         return Ok(Frontends::default());
     };
     let tls = match opensearch.tls.clone() {
         Some(files) => {
-            let tls = Tls::load(files).map_err(|error| FrontendError::Certificate(error.into()))?;
+            let tls = ReloadableTls::load(files)
+                .map_err(|error| FrontendError::Certificate(error.into()))?;
             Some(Rc::new(tls))
         }
         None => None,
@@ -72,7 +74,7 @@
     let acceptor = tls.clone();
     Ok(Frontends {
         start: vec![Box::new(move |client| {
-            front::start(opensearch, acceptor, listener, client)
+            server::start(opensearch, acceptor, listener, client)
         })],
         tls,
     })
--- a/crates/aggregator/src/process/reload.rs
+++ b/crates/aggregator/src/process/reload.rs
@@ -10,7 +10,7 @@
 use aggregator_core::config::Config;
 use aggregator_core::net::Addresses;
 use ini_config::Settings;
-use opensearch_gateway::tls::Tls;
+use opensearch_gateway::tls::ReloadableTls;
 use std::rc::Rc;
 
 /// Why changed settings are not applied.
@@ -35,7 +35,7 @@
     /// The logging whose levels follow the settings.
     pub logging: Logging,
     /// The certificate in use, if a frontend uses TLS.
-    pub tls: Option<Rc<Tls>>,
+    pub tls: Option<Rc<ReloadableTls>>,
 }
 
 impl Reloader {
--- a/crates/aggregator/src/settings/mod.rs
+++ b/crates/aggregator/src/settings/mod.rs
@@ -5,7 +5,7 @@
 pub use log::{LogFormat, LogSettings};
 
 use ini_config::{Problems, Schema, Settings};
-use opensearch_gateway::index;
+use opensearch_gateway::settings as gateway;
 use std::io;
 use std::path::{Path, PathBuf};
 use usage_ledger::settings as ledger;
@@ -20,9 +20,9 @@
     ledger::PRICE,
     ledger::TENANT,
     ledger::EXPORT,
-    index::FRONT,
-    index::INDEX,
-    index::NETWORK,
+    gateway::GATEWAY_SECTION,
+    gateway::INDEX_SECTION,
+    gateway::NETWORK_SECTION,
 ]);
 
 /// Why there are no valid settings.
