Split the kit's reference search engine by concern and name its parts

Now search/ has a file for each, one function a query kind, SearchHit, SortKey and Bucket with named fields, and ShardFault as an enum with the same trigger values and report labels.

--- a/crates/testkit/src/bin/prove-opensearch.rs
+++ b/crates/testkit/src/bin/prove-opensearch.rs
@@ -7,7 +7,10 @@
 
 use aggregator_testkit::client::{Attempt, Connection, Got, Question};
 use aggregator_testkit::installation::{Installation, Plan, CLASSES, SHARDS, TENANTS};
-use aggregator_testkit::search::{aggregate, all, cue, page, words, CUES, GENRES, SICK, WORDS};
+use aggregator_testkit::search::{
+    aggregate, matching_documents, page, shard_response, ShardFault, FAULTY_SHARD, GENRES,
+    TITLE_WORDS,
+};
 use bytes::Bytes;
 use clap::Parser;
 use flate2::read::GzDecoder;
@@ -39,7 +42,7 @@
 }
 
 fn clause(random: &mut StdRng, depth: u32) -> Value {
-    let word = WORDS[random.random_range(0..WORDS.len())];
+    let word = TITLE_WORDS[random.random_range(0..TITLE_WORDS.len())];
     let genre = GENRES[random.random_range(0..GENRES.len())];
     let year = random.random_range(1960..2020);
     match random.random_range(0..if depth > 0 { 13 } else { 9 }) {
@@ -94,9 +97,9 @@
     if random.random_bool(0.2) {
         search["min_score"] = json!(1.0);
     }
-    let cue = CUES[random.random_range(0..CUES.len())];
+    let cue = ShardFault::ALL[random.random_range(0..ShardFault::ALL.len())];
     if random.random_bool(0.06) {
-        search["min_score"] = json!(cue.0);
+        search["min_score"] = json!(cue.min_score());
         search["sort"] = json!(["year"]);
     }
     if random.random_bool(0.3) {
@@ -167,10 +170,10 @@
     {
         return Some(format!("_shards do not add up: {}", body["_shards"]));
     }
-    if cue(search).is_some() && failed != [SICK] {
+    if ShardFault::requested_by(search).is_some() && failed != [FAULTY_SHARD] {
         return Some(format!("failed shards {failed:?} instead of the sick one"));
     }
-    let found = all(search, &claimed);
+    let found = matching_documents(search, &claimed);
     let ids: Vec<&str> = body["hits"]["hits"]
         .as_array()?
         .iter()
@@ -236,7 +239,7 @@
             grace: Duration::from_secs(3),
         };
         let (sick, floor) = (
-            cue(&search),
+            ShardFault::requested_by(&search).map(ShardFault::label),
             CLASSES
                 .iter()
                 .find(|it| it.0 == class)
@@ -254,7 +257,8 @@
                 let mut tally = tally.lock().unwrap_or_else(PoisonError::into_inner);
                 outcome.0 = match got {
                     Got::Answer(whole, hits) => {
-                        let right = |(shard, doc): &(u32, String)| *doc == words(*shard, &search);
+                        let right =
+                            |(shard, doc): &(u32, String)| *doc == shard_response(*shard, &search);
                         if !hits.iter().all(right) {
                             tally
                                 .wrong
@@ -377,12 +381,12 @@
     let mut wrong = Vec::new();
     let every: Vec<u32> = (0..SHARDS).collect();
     let query = json!({"query": {"match": {"title": "river"}}});
-    let found = all(&query, &every);
-    let some = all(&query, &[3, 14]);
+    let found = matching_documents(&query, &every);
+    let some = matching_documents(&query, &[3, 14]);
     let msearch = format!(
         "{{\"index\":\"chart-ranking\"}}\n{query}\n{{}}\n{{\"quary\":1}}\n{{\"index\":\"none\"}}\n{{}}\n"
     );
-    let sick = json!({"min_score": CUES[0].0, "sort": ["year"]}).to_string();
+    let sick = json!({"min_score": ShardFault::ALL[0].min_score(), "sort": ["year"]}).to_string();
     let (q, none) = (query.to_string(), String::new());
     // Method, path, body, status, and a pointer into the answer with what has to stand there.
     let cases: Vec<(&str, &str, &str, u16, &str, Value)> = vec![
@@ -498,7 +502,7 @@
             &sick,
             503,
             "/error/failed_shards/0/shard",
-            json!(SICK),
+            json!(FAULTY_SHARD),
         ),
         (
             "POST",
@@ -600,7 +604,10 @@
     }
     // All of it, page by page, each after the last hit of the one before.
     let mut search = json!({"query": {"match_all": {}}, "size": 37, "sort": [{"year": "desc"}, "released", "title"]});
-    let right: Vec<String> = all(&search, &every).into_iter().map(|hit| hit.id).collect();
+    let right: Vec<String> = matching_documents(&search, &every)
+        .into_iter()
+        .map(|hit| hit.id)
+        .collect();
     let mut paged: Vec<String> = Vec::new();
     while paged.len() < right.len() {
         let Some((200, body)) = ask("POST", "/catalogue-report/_search", &search.to_string()).await
--- a/crates/testkit/src/leaf.rs
+++ b/crates/testkit/src/leaf.rs
@@ -156,7 +156,7 @@
 pub fn value(shard: u32, text: &str) -> String {
     if text.starts_with('{') {
         let search = serde_json::from_str(text).unwrap_or_default();
-        return crate::search::words(shard, &search);
+        return crate::search::shard_response(shard, &search);
     }
     let mut hash = 0xcbf2_9ce4_8422_2325u64;
     for byte in shard.to_le_bytes().into_iter().chain(text.bytes()) {
--- /dev/null
+++ b/crates/testkit/src/search/faults.rs
@@ -0,0 +1,91 @@
+//! Faulty responses of a shard, which a search requests by an otherwise unused `min_score`.
+
+use serde_json::{json, Value};
+
+/// The shard that responds wrongly on request.
+pub const FAULTY_SHARD: u32 = 13;
+
+/// A way in which shards respond wrongly.
+///
+/// Declared in the order of the labels, in which reports list them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ShardFault {
+    /// Every shard responds with an error.
+    ErrorFromEveryShard,
+    /// The faulty shard responds with an error.
+    ErrorFromOneShard,
+    /// The faulty shard's response ends in the middle.
+    Truncated,
+    /// The faulty shard reports that its search timed out.
+    TimedOut,
+    /// The faulty shard's hits have no sort values, and its aggregations are missing.
+    MissingFields,
+}
+
+impl ShardFault {
+    /// All faults, in the order in which they are drawn at random.
+    pub const ALL: [ShardFault; 5] = [
+        ShardFault::ErrorFromOneShard,
+        ShardFault::ErrorFromEveryShard,
+        ShardFault::TimedOut,
+        ShardFault::Truncated,
+        ShardFault::MissingFields,
+    ];
+
+    /// The `min_score` that requests this fault.
+    pub fn min_score(self) -> f64 {
+        match self {
+            ShardFault::ErrorFromOneShard => 0.5,
+            ShardFault::ErrorFromEveryShard => 0.25,
+            ShardFault::TimedOut => 0.125,
+            ShardFault::Truncated => 0.0625,
+            ShardFault::MissingFields => 0.03125,
+        }
+    }
+
+    /// The name of this fault in reports.
+    pub fn label(self) -> &'static str {
+        match self {
+            ShardFault::ErrorFromOneShard => "an error for the shard",
+            ShardFault::ErrorFromEveryShard => "an error for every shard",
+            ShardFault::TimedOut => "timed out",
+            ShardFault::Truncated => "cut short",
+            ShardFault::MissingFields => "without its sort values or aggregations",
+        }
+    }
+
+    /// The fault that a search requests, if any.
+    pub fn requested_by(search: &Value) -> Option<ShardFault> {
+        let min_score = search.get("min_score").and_then(Value::as_f64)?;
+        ShardFault::ALL
+            .into_iter()
+            .find(|fault| fault.min_score() == min_score)
+    }
+
+    /// What `shard` responds with this fault, given its correct response.
+    pub(super) fn apply(self, shard: u32, mut response: Value) -> String {
+        if self != ShardFault::ErrorFromEveryShard && shard != FAULTY_SHARD {
+            return response.to_string();
+        }
+        match self {
+            ShardFault::ErrorFromEveryShard | ShardFault::ErrorFromOneShard => error_response(),
+            ShardFault::TimedOut => {
+                response["timed_out"] = json!(true);
+                response.to_string()
+            }
+            ShardFault::Truncated => {
+                let mut text = response.to_string();
+                text.truncate(text.len() / 2);
+                text
+            }
+            ShardFault::MissingFields => {
+                json!({"hits": {"hits": [{"_id": "x", "_score": null}]}}).to_string()
+            }
+        }
+    }
+}
+
+fn error_response() -> String {
+    let cause = json!({"root_cause": [], "type": "query_shard_exception", "reason": "on cue"});
+    json!({"error": cause, "status": 400}).to_string()
+}
--- /dev/null
+++ b/crates/testkit/src/search/ranking.rs
@@ -0,0 +1,143 @@
+//! The order of matching documents and the pages cut from it.
+
+use super::documents::{document, document_count, Document};
+use super::query::score;
+use super::{field_and_value, number};
+use serde_json::{json, Value};
+use std::cmp::Ordering;
+
+const DEFAULT_PAGE_SIZE: u64 = 10;
+
+/// A matching document with what it is ranked by.
+#[derive(Clone, Debug)]
+pub struct SearchHit {
+    /// The shard that holds the document.
+    pub shard: u32,
+    /// The document's id.
+    pub id: String,
+    /// How well the document matches.
+    pub score: f64,
+    /// The document's values of the search's sort keys.
+    pub sort_values: Vec<Value>,
+    /// The document's fields.
+    pub source: Value,
+}
+
+struct SortKey {
+    field: String,
+    descending: bool,
+}
+
+/// All documents of `shards` that match a search, ranked, regardless of its page.
+pub fn matching_documents(search: &Value, shards: &[u32]) -> Vec<SearchHit> {
+    let sort_keys = sort_keys(search);
+    let mut hits = Vec::new();
+    for &shard in shards {
+        let documents = (0..document_count(shard)).map(|position| document(shard, position));
+        hits.extend(documents.filter_map(|document| hit(search, &sort_keys, shard, document)));
+    }
+    hits.sort_by(|left, right| rank(&sort_keys, left, right));
+    hits
+}
+
+/// The page of ranked hits that a search requests with `from`, `size` and `search_after`.
+pub fn page(search: &Value, hits: &[SearchHit]) -> Vec<SearchHit> {
+    let sort_keys = sort_keys(search);
+    let search_after = search.get("search_after").and_then(Value::as_array);
+    let parameter = |key: &str, default: u64| {
+        search.get(key).and_then(Value::as_u64).unwrap_or(default) as usize
+    };
+    hits.iter()
+        .filter(|hit| {
+            search_after.is_none_or(|last| {
+                compare_by_keys(&sort_keys, &hit.sort_values, last) == Ordering::Greater
+            })
+        })
+        .skip(parameter("from", 0))
+        .take(parameter("size", DEFAULT_PAGE_SIZE))
+        .cloned()
+        .collect()
+}
+
+/// Compares two values of a field: numbers before texts before missing values, also when falling.
+pub(super) fn compare_values(left: &Value, right: &Value, descending: bool) -> Ordering {
+    let type_rank = |value: &Value| match value {
+        Value::Number(_) => 0,
+        Value::String(_) => 1,
+        _ => 2,
+    };
+    if type_rank(left) != type_rank(right) {
+        return type_rank(left).cmp(&type_rank(right));
+    }
+    let ascending = match (left.as_f64(), right.as_f64()) {
+        (Some(left), Some(right)) => left.total_cmp(&right),
+        _ => left.as_str().cmp(&right.as_str()),
+    };
+    if descending {
+        ascending.reverse()
+    } else {
+        ascending
+    }
+}
+
+fn hit(search: &Value, sort_keys: &[SortKey], shard: u32, document: Document) -> Option<SearchHit> {
+    let everything = json!({"match_all": {}});
+    let query = search.get("query").unwrap_or(&everything);
+    let score = score(query, &document.id, &document.fields)?;
+    let min_score = search.get("min_score");
+    if min_score.is_some_and(|minimum| score < number(minimum)) {
+        return None;
+    }
+    let sort_value = |key: &SortKey| match key.field.as_str() {
+        "_score" => json!(score),
+        field => document.fields.get(field).cloned().unwrap_or(Value::Null),
+    };
+    Some(SearchHit {
+        shard,
+        sort_values: sort_keys.iter().map(sort_value).collect(),
+        id: document.id,
+        score,
+        source: document.fields,
+    })
+}
+
+fn sort_keys(search: &Value) -> Vec<SortKey> {
+    match search.get("sort") {
+        Some(Value::Array(keys)) => keys.iter().map(sort_key).collect(),
+        Some(key) => vec![sort_key(key)],
+        None => Vec::new(),
+    }
+}
+
+fn sort_key(key: &Value) -> SortKey {
+    if let Value::String(field) = key {
+        return SortKey {
+            field: field.clone(),
+            descending: field == "_score",
+        };
+    }
+    let (field, order) = field_and_value(key, "order");
+    SortKey {
+        field: field.to_string(),
+        descending: order == "desc",
+    }
+}
+
+fn compare_by_keys(sort_keys: &[SortKey], left: &[Value], right: &[Value]) -> Ordering {
+    sort_keys
+        .iter()
+        .zip(left.iter().zip(right))
+        .map(|(key, (left, right))| compare_values(left, right, key.descending))
+        .fold(Ordering::Equal, Ordering::then)
+}
+
+fn rank(sort_keys: &[SortKey], left: &SearchHit, right: &SearchHit) -> Ordering {
+    let primary = if sort_keys.is_empty() {
+        right.score.total_cmp(&left.score)
+    } else {
+        compare_by_keys(sort_keys, &left.sort_values, &right.sort_values)
+    };
+    primary
+        .then_with(|| left.shard.cmp(&right.shard))
+        .then_with(|| left.id.cmp(&right.id))
+}
--- /dev/null
+++ b/crates/testkit/src/search/shard.rs
@@ -0,0 +1,52 @@
+//! The response of one shard to a search.
+
+use super::aggregation::aggregate;
+use super::faults::ShardFault;
+use super::ranking::{matching_documents, page, SearchHit};
+use serde_json::{json, Map, Value};
+
+/// The text with which one shard responds to a search, faulty if the search requests it.
+pub fn shard_response(shard: u32, search: &Value) -> String {
+    let response = correct_response(shard, search);
+    match ShardFault::requested_by(search) {
+        Some(fault) => fault.apply(shard, response),
+        None => response.to_string(),
+    }
+}
+
+fn correct_response(shard: u32, search: &Value) -> Value {
+    let hits = matching_documents(search, &[shard]);
+    let page: Vec<Value> = page(search, &hits)
+        .iter()
+        .map(|hit| hit_json(search, hit))
+        .collect();
+    let mut aggregations = Map::new();
+    let requested = search.get("aggs").and_then(Value::as_object);
+    for (name, aggregation) in requested.into_iter().flatten() {
+        aggregations.insert(name.clone(), aggregate(aggregation, &hits));
+    }
+    json!({
+        "took": 1,
+        "timed_out": false,
+        "hits": {"total": {"value": hits.len(), "relation": "eq"}, "hits": page},
+        "aggregations": aggregations,
+    })
+}
+
+fn hit_json(search: &Value, hit: &SearchHit) -> Value {
+    let sorted = search.get("sort").is_some();
+    // With sort keys, scores are not computed.
+    let score = if sorted {
+        Value::Null
+    } else {
+        json!(hit.score)
+    };
+    let mut json = json!({"_id": hit.id, "_score": score});
+    if search.get("_source") != Some(&json!(false)) {
+        json["_source"] = hit.source.clone();
+    }
+    if sorted {
+        json["sort"] = json!(hit.sort_values);
+    }
+    json
+}
