--- /dev/null
+++ b/crates/testkit/src/bin/bench-ledger/load.rs
@@ -0,0 +1,126 @@
+//! Load on one aggregator, and what it costs there.
+
+use crate::error::BenchError;
+use aggregator_testkit::client::{consecutive_shards, Attempt, AttemptOutcome, Connection, Query};
+use aggregator_testkit::installation::{Aggregator, Installation, CLASSES, SHARDS, TENANTS};
+use hdrhistogram::Histogram;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::time::{Duration, Instant};
+
+const CLIENTS: u64 = 32;
+const SHARDS_PER_QUERY: u32 = 4;
+/// Precision of all histograms, in significant digits.
+pub const HISTOGRAM_DIGITS: u8 = 3;
+
+/// How much load the clients make.
+pub struct LoadLevel {
+    /// The name of the level in the output.
+    pub name: &'static str,
+    /// Milliseconds that a client waits between its queries.
+    pub gap_ms: Range<u64>,
+}
+
+/// A tenth of what an aggregator can do, and most of it.
+pub const LOAD_LEVELS: [LoadLevel; 2] = [
+    LoadLevel {
+        name: "light",
+        gap_ms: 20..40,
+    },
+    LoadLevel {
+        name: "heavy",
+        gap_ms: 0..3,
+    },
+];
+
+/// What was measured over one slice of load.
+pub struct Slice {
+    /// Queries that were answered.
+    pub queries: u64,
+    /// Processor time of the aggregator for each of them, in microseconds.
+    pub cpu_us_per_query: f64,
+    /// Latency of the answers in microseconds.
+    pub latency_us: Histogram<u64>,
+}
+
+impl Slice {
+    /// The 99th percentile of the latency in milliseconds.
+    pub fn p99_ms(&self) -> f64 {
+        p99_ms(&self.latency_us)
+    }
+}
+
+/// The 99th percentile, in milliseconds, of latencies in microseconds.
+pub fn p99_ms(latency_us: &Histogram<u64>) -> f64 {
+    latency_us.value_at_quantile(0.99) as f64 / 1000.0
+}
+
+/// Puts load on the first aggregator of an installation for some seconds.
+pub async fn measure_slice(
+    installation: &Installation,
+    seconds: u64,
+    level: &LoadLevel,
+) -> Result<Slice, BenchError> {
+    let aggregator: &Aggregator = &installation.aggregators[0];
+    let cpu_seconds = || aggregator.cpu_seconds().unwrap_or_default();
+    let cpu_seconds_before = cpu_seconds();
+    let deadline = Instant::now() + Duration::from_secs(seconds);
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|client| {
+            let gap_ms = level.gap_ms.clone();
+            tokio::spawn(run_client(aggregator.address, client, gap_ms, deadline))
+        })
+        .collect();
+    let mut latency_us = Histogram::new(HISTOGRAM_DIGITS)?;
+    for client in clients {
+        latency_us.add(client.await??)?;
+    }
+    let queries = latency_us.len();
+    let cpu_us = (cpu_seconds() - cpu_seconds_before) * 1e6;
+    Ok(Slice {
+        queries,
+        cpu_us_per_query: cpu_us / queries.max(1) as f64,
+        latency_us,
+    })
+}
+
+/// Sends queries until `deadline`; the latency of the answered ones in microseconds.
+async fn run_client(
+    address: SocketAddr,
+    client: u64,
+    gap_ms: Range<u64>,
+    deadline: Instant,
+) -> Result<Histogram<u64>, BenchError> {
+    let class = CLASSES[1];
+    let mut random = StdRng::seed_from_u64(client);
+    let mut connection = Connection::new(address);
+    let mut latency_us = Histogram::new(HISTOGRAM_DIGITS)?;
+    let mut number = 0u64;
+    while Instant::now() < deadline {
+        let first_shard = random.random_range(0..SHARDS);
+        let query = Query {
+            class: class.name.into(),
+            tenant: TENANTS[0].into(),
+            shards: consecutive_shards(first_shard, SHARDS_PER_QUERY, SHARDS),
+            text: format!("{:08x}", random.random::<u32>()),
+            idempotency_key: None,
+        };
+        number += 1;
+        let attempt = Attempt {
+            request_id: &format!("b{client}-{number}-{:08x}", random.random::<u32>()),
+            is_retry: false,
+            timeout: class.timeout(),
+            late_tolerance: Duration::ZERO,
+        };
+        let sent_at = Instant::now();
+        let outcome = connection.query(&query, &attempt).await;
+        if let AttemptOutcome::Answered { .. } = outcome {
+            let _ = latency_us.record(sent_at.elapsed().as_micros() as u64);
+        }
+        let pause_ms = random.random_range(gap_ms.clone());
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+    Ok(latency_us)
+}
--- a/crates/testkit/src/bin/demo.rs
+++ b/crates/testkit/src/bin/demo.rs
@@ -1,21 +1,30 @@
-//! `demo`: a whole installation on loopback, to look at and to ask.
+//! `demo`: a whole installation on loopback, to look at and to query.
 
-use aggregator_testkit::client::{Attempt, Connection, Got, Question};
-use aggregator_testkit::installation::{Installation, Plan, CLASSES, SHARDS, TENANTS};
+use aggregator_testkit::cli;
+use aggregator_testkit::client::{consecutive_shards, Attempt, AttemptOutcome, Connection, Query};
+use aggregator_testkit::installation::{
+    Installation, InstallationError, InstallationOptions, CLASSES, SHARDS, TENANTS,
+};
+use aggregator_testkit::leaf::LeafOptions;
+use aggregator_testkit::sync::Counter;
 use clap::Parser;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::io::Write;
 use std::net::SocketAddr;
 use std::process::ExitCode;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
+
+const WORKER_THREADS: usize = 2;
+/// How long each process may take to exit.
+const EXIT_LIMIT: Duration = Duration::from_secs(5);
 
 /// Starts discovery, 12 leaf servers in three zones, three mixers, their ledger and a trickle of
 /// queries, all on loopback, and ends them on Ctrl-C.
 #[derive(Parser)]
-struct Line {
+struct Arguments {
     /// End by itself after so many seconds
     #[arg(long)]
     seconds: Option<u64>,
@@ -23,7 +32,7 @@
     seed: u64,
 }
 
-const LEDGER: &str = "\
+const LEDGER_SETTINGS: &str = "\
 [periods]
 every = 10s
 horizon = 2s
@@ -45,140 +54,126 @@
 allowance = 20
 ";
 
+/// How queries ended.
 #[derive(Default)]
-struct Counts {
-    answered: AtomicU64,
-    refused: AtomicU64,
-    other: AtomicU64,
+struct OutcomeCounters {
+    answered: Counter,
+    rejected: Counter,
+    other: Counter,
+}
+
+fn main() -> ExitCode {
+    let result = cli::block_on(WORKER_THREADS, run(Arguments::parse()));
+    cli::exit_code(result, |error| eprintln!("demo: {error}"))
 }
 
-async fn trickle(mixers: Vec<SocketAddr>, seed: u64, counts: Arc<Counts>) {
+async fn run(arguments: Arguments) -> Result<bool, InstallationError> {
+    let folder = tempfile::tempdir()?;
+    let options = InstallationOptions {
+        seed: arguments.seed,
+        leaf: LeafOptions {
+            service_time: Duration::from_millis(8),
+            capacity: 16,
+        },
+        usage_log: true,
+        gateway: true,
+        ledger_settings: LEDGER_SETTINGS.into(),
+    };
+    let mut installation = Installation::start(folder.path(), &options).await?;
+    installation.ledger.start_settlement()?;
+    let addresses = installation.aggregator_addresses();
+    let counters = Arc::<OutcomeCounters>::default();
+    let queries = tokio::spawn(send_queries(addresses, arguments.seed, counters.clone()));
+    print_introduction(&installation);
+    wait_for_end(arguments.seconds).await?;
+    queries.abort();
+    let aggregators_clean = installation.terminate_aggregators(EXIT_LIMIT);
+    let clean = installation.ledger.terminate_settlement(EXIT_LIMIT) && aggregators_clean;
+    let [answered, rejected, other] =
+        [&counters.answered, &counters.rejected, &counters.other].map(Counter::value);
+    print_line(&format!(
+        "\n{answered} answered, {rejected} refused, {other} otherwise; all ended{}",
+        if clean { "" } else { ", not all by themselves" }
+    ));
+    Ok(clean && answered > 0)
+}
+
+/// Sends random queries to random aggregators, a few a second, until it is aborted.
+async fn send_queries(addresses: Vec<SocketAddr>, seed: u64, counters: Arc<OutcomeCounters>) {
     let mut random = StdRng::seed_from_u64(seed);
-    let mut connections: Vec<Connection> = mixers.into_iter().map(Connection::new).collect();
-    for n in 0u64.. {
+    let mut connections: Vec<Connection> = addresses.into_iter().map(Connection::new).collect();
+    for number in 0u64.. {
         let class = CLASSES[random.random_range(0..CLASSES.len())];
-        let width = random.random_range(2..=6);
-        let first = random.random_range(0..SHARDS);
-        let question = Question {
-            class: class.0.into(),
+        let shard_count = random.random_range(2..=6);
+        let first_shard = random.random_range(0..SHARDS);
+        let query = Query {
+            class: class.name.into(),
             tenant: TENANTS[random.random_range(0..TENANTS.len())].into(),
-            parts: (0..width)
-                .map(|i| ((first + i) % SHARDS, 1.0 / f64::from(width)))
-                .collect(),
+            shards: consecutive_shards(first_shard, shard_count, SHARDS),
             text: format!("{:08x}", random.random::<u32>()),
-            key: None,
+            idempotency_key: None,
         };
-        let id = format!("demo-{n}");
-        let (wait, grace) = (Duration::from_millis(class.2), Duration::ZERO);
         let attempt = Attempt {
-            id: &id,
-            retry: false,
-            wait,
-            grace,
+            request_id: &format!("demo-{number}"),
+            is_retry: false,
+            timeout: class.timeout(),
+            late_tolerance: Duration::ZERO,
         };
-        let at = random.random_range(0..connections.len());
-        let count = match connections[at].ask(&question, &attempt).await {
-            Got::Answer(..) => &counts.answered,
-            Got::Refused(_) => &counts.refused,
-            _ => &counts.other,
+        let index = random.random_range(0..connections.len());
+        let counter = match connections[index].query(&query, &attempt).await {
+            AttemptOutcome::Answered { .. } => &counters.answered,
+            AttemptOutcome::Rejected { .. } => &counters.rejected,
+            _ => &counters.other,
         };
-        count.fetch_add(1, Ordering::Relaxed);
+        counter.increment();
         tokio::time::sleep(Duration::from_millis(random.random_range(20..80))).await;
     }
 }
 
-fn say(text: &str) {
-    // Whoever reads along may have gone.
-    let _ = writeln!(std::io::stdout(), "{text}");
+async fn wait_for_end(seconds: Option<u64>) -> std::io::Result<()> {
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let time_limit = Duration::from_secs(seconds.unwrap_or(u64::MAX / 1000));
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+        () = tokio::time::sleep(time_limit) => {}
+    }
+    Ok(())
 }
 
-async fn run(line: Line) -> std::io::Result<bool> {
-    let folder = tempfile::tempdir()?;
-    let plan = Plan {
-        seed: line.seed,
-        work: Duration::from_millis(8),
-        slots: 16,
-        usage: true,
-        search: true,
-        ledger: LEDGER.into(),
-    };
-    let mut installation = Installation::start(folder.path(), plan).await?;
-    installation.start_settlement()?;
-    let mixers: Vec<SocketAddr> = installation
-        .mixers
-        .iter()
-        .map(|mixer| mixer.address)
-        .collect();
-    let counts = Arc::<Counts>::default();
-    let clients = tokio::spawn(trickle(mixers.clone(), line.seed, counts.clone()));
-    say("discovery, 12 leaf servers in three zones, three mixers and their ledger are up:");
-    for mixer in &installation.mixers {
-        say(&format!(
-            "  mixer {}  http://{}/   counters: http://{}/-/stats",
-            mixer.name, mixer.address, mixer.address
+fn print_introduction(installation: &Installation) {
+    print_line("discovery, 12 leaf servers in three zones, three mixers and their ledger are up:");
+    for aggregator in &installation.aggregators {
+        let (name, address) = (&aggregator.name, aggregator.address);
+        print_line(&format!(
+            "  mixer {name}  http://{address}/   counters: http://{address}/-/stats"
         ));
     }
-    say("\nAsk one yourself:");
-    say(&format!(
+    let first = &installation.aggregators[0];
+    print_line("\nAsk one yourself:");
+    print_line(&format!(
         "  curl -s http://{}/chart-ranking -H 'X-Request-ID: mine-1' -H 'X-Tenant-Id: alpha' \\\n    \
          -H 'X-Timeout: 900m' \\\n    \
          -d '{{\"shards\":[{{\"shard\":3,\"weight\":0.5}},{{\"shard\":9,\"weight\":0.5}}],\"q\":\"c41e77d0\"}}'",
-        mixers[0]
+        first.address
     ));
-    say("\nOr search as an OpenSearch client would:");
-    say(&format!(
+    print_line("\nOr search as an OpenSearch client would:");
+    print_line(&format!(
         "  curl -s http://{}/chart-ranking/_search -H 'X-Tenant-Id: alpha' -H 'Content-Type: application/json' \\\n    \
          -d '{{\"query\":{{\"match\":{{\"title\":\"river\"}}}},\"size\":3}}'",
-        installation.mixers[0].search
-    ));
-    let program = aggregator_testkit::process::beside("query-aggregator")?;
-    say("\nWhat it was used for, by tenant, in periods of 10 s:");
-    let settings = installation.settings.display();
-    say(&format!(
-        "  {} ledger statement --settings {settings}",
-        program.display()
+        first.gateway_address
     ));
-    say("\nCtrl-C ends it all.");
-    let mut interrupt = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::interrupt())?;
-    let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
-    let seconds = line.seconds.unwrap_or(u64::MAX / 1000);
-    tokio::select! {
-        _ = interrupt.recv() => {}
-        _ = terminate.recv() => {}
-        () = tokio::time::sleep(Duration::from_secs(seconds)) => {}
-    }
-    clients.abort();
-    let mut clean = true;
-    for mixer in &mut installation.mixers {
-        clean &= mixer
-            .process
-            .as_mut()
-            .is_some_and(|process| process.end(Duration::from_secs(5)));
-    }
-    clean &= installation
-        .settlement
-        .as_mut()
-        .is_some_and(|process| process.end(Duration::from_secs(5)));
-    let [answered, refused, other] = [&counts.answered, &counts.refused, &counts.other]
-        .map(|count| count.load(Ordering::Relaxed));
-    say(&format!(
-        "\n{answered} answered, {refused} refused, {other} otherwise; all ended{}",
-        if clean { "" } else { ", not all by themselves" }
+    print_line("\nWhat it was used for, by tenant, in periods of 10 s:");
+    let program = installation.program.display();
+    let settings = installation.ledger.settings_file.display();
+    print_line(&format!(
+        "  {program} ledger statement --settings {settings}"
     ));
-    Ok(clean && answered > 0)
+    print_line("\nCtrl-C ends it all.");
 }
 
-fn main() -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build();
-    match runtime.and_then(|runtime| runtime.block_on(run(Line::parse()))) {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::FAILURE,
-        Err(e) => {
-            eprintln!("demo: {e}");
-            ExitCode::FAILURE
-        }
-    }
+fn print_line(text: &str) {
+    // The reader of a pipe may have gone, which is no reason to fail.
+    let _ = writeln!(std::io::stdout(), "{text}");
 }
--- /dev/null
+++ b/crates/testkit/src/bin/prove-ledger/checks.rs
@@ -0,0 +1,209 @@
+//! The comparison of what clients sent with what the ledger states and exports.
+
+use crate::ledger_commands::CORRECTION_MICRO_UNITS;
+use crate::load::Load;
+use crate::proof::Proof;
+use crate::statements::Statements;
+use crate::totals::{total_by_key, TotalKey, Totals, UseCounts};
+use crate::use_attempts::{UseOutcome, UseRecord};
+use aggregator_testkit::receiver::ReceivedDocuments;
+use serde_json::Value;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Differing totals that are printed at most.
+const MAX_SHOWN_DIFFERENCES: usize = 5;
+
+/// All that was collected when clients and ledger had ended.
+pub struct Results<'a> {
+    /// The length of a period.
+    pub period_ms: u64,
+    /// The clients' records.
+    pub uses: Vec<UseRecord>,
+    /// What clients met on their way.
+    pub load: &'a Load,
+    /// What the ledger states.
+    pub statements: Statements,
+    /// The documents that were received.
+    pub received: ReceivedDocuments,
+    /// The names of the documents that the ledger lists.
+    pub listed_documents: BTreeSet<String>,
+    /// The names of the documents in the export's folder.
+    pub files: BTreeSet<String>,
+}
+
+/// Makes all comparisons; `expected_uses` is how many the clients were to make.
+pub fn check_all(proof: &mut Proof, results: &Results, expected_uses: u64) {
+    check_totals(proof, results, expected_uses);
+    check_answers(proof, results);
+    check_retries(proof, results);
+    check_documents(proof, results);
+    check_amounts(proof, results);
+    check_nothing_missing(proof, results);
+}
+
+fn check_totals(proof: &mut Proof, results: &Results, expected_uses: u64) {
+    let client_totals = total_by_key(&results.uses, results.period_ms);
+    let differences = differences(&client_totals, &results.statements.totals);
+    let shown = &differences[..differences.len().min(MAX_SHOWN_DIFFERENCES)];
+    let all_uses_made = results.uses.len() as u64 == expected_uses;
+    proof.check(
+        "totals by tenant, class and period equal what clients sent",
+        differences.is_empty() && !client_totals.is_empty() && all_uses_made,
+        format!(
+            "{} totals over {} statements, {} uses {}",
+            client_totals.len(),
+            results.statements.count,
+            results.uses.len(),
+            shown.join("; ")
+        ),
+    );
+}
+
+/// Describes each total that differs.
+fn differences(clients: &Totals, ledger: &Totals) -> Vec<String> {
+    clients
+        .keys()
+        .chain(ledger.keys())
+        .filter(|key| clients.get(*key) != ledger.get(*key))
+        .map(|key| {
+            let TotalKey {
+                period,
+                tenant,
+                class,
+            } = key;
+            format!(
+                "{:?}: clients {:?}, ledger {:?}",
+                (period, tenant, class),
+                clients.get(key).map(to_array),
+                ledger.get(key).map(to_array)
+            )
+        })
+        .collect()
+}
+
+fn to_array(counts: &UseCounts) -> [i64; 3] {
+    [counts.uses, counts.complete, counts.partial]
+}
+
+fn check_answers(proof: &mut Proof, results: &Results) {
+    let counters = &results.load.counters;
+    let (unanswered, wrong) = (counters.unanswered.value(), counters.wrong.value());
+    proof.check(
+        "every query got one final answer",
+        unanswered == 0 && wrong == 0,
+        format!(
+            "{} tries, {} lost with the killed mixer, {unanswered} unanswered, \
+             {wrong} not as the leaf servers hold, \
+             {} later than told",
+            counters.attempts.value(),
+            counters.lost.value(),
+            counters.late.value()
+        ),
+    );
+}
+
+fn check_retries(proof: &mut Proof, results: &Results) {
+    let counters = &results.load.counters;
+    let retries = counters.attempts.value() - results.uses.len() as u64;
+    let crossed = counters.crossed.value();
+    proof.check(
+        "clients retried within and across mixers",
+        retries > 0 && crossed > 0,
+        format!(
+            "{retries} retries, {crossed} at another mixer, {} after a refusal, {} left early",
+            counters.rejected.value(),
+            counters.abandoned.value()
+        ),
+    );
+}
+
+fn check_documents(proof: &mut Proof, results: &Results) {
+    let received_ids: BTreeSet<String> = results.received.by_id.keys().cloned().collect();
+    let listed = &results.listed_documents;
+    let deliveries = results.deliveries();
+    let conflicting = results.received.conflicting_deliveries;
+    proof.check(
+        "each document is received exactly once, unchanged",
+        *listed == received_ids
+            && *listed == results.files
+            && conflicting == 0
+            && !listed.is_empty()
+            // Unacknowledged deliveries were repeated.
+            && deliveries as usize > listed.len(),
+        format!(
+            "{} documents, {deliveries} offers, {} in the folder, {conflicting} with other bytes",
+            received_ids.len(),
+            results.files.len()
+        ),
+    );
+}
+
+fn check_amounts(proof: &mut Proof, results: &Results) {
+    let documents = results.received.by_id.values();
+    let document_amount: i64 = documents
+        .filter_map(|document| {
+            let document: Value = serde_json::from_slice(&document.body).ok()?;
+            document["amount"].as_i64()
+        })
+        .sum();
+    let statement_amount = results.statements.amount;
+    proof.check(
+        "documents come to the statements and the credit",
+        document_amount == statement_amount + CORRECTION_MICRO_UNITS,
+        format!(
+            "{document_amount} = {statement_amount} - {} micro-units",
+            -CORRECTION_MICRO_UNITS
+        ),
+    );
+}
+
+fn check_nothing_missing(proof: &mut Proof, results: &Results) {
+    let missing = results.statements.missing_members;
+    let lost = results.statements.lost_records;
+    proof.check(
+        "nothing is missing from the statements",
+        missing == 0 && lost == 0,
+        format!("{missing} members missing, {lost} records lost"),
+    );
+}
+
+impl Results<'_> {
+    /// Prints the last line.
+    pub fn print_summary(
+        &self,
+        proof: &Proof,
+        load_time: Duration,
+        total_time: Duration,
+        seed: u64,
+    ) {
+        let answered = self
+            .uses
+            .iter()
+            .filter(|record| matches!(record.outcome, UseOutcome::Complete | UseOutcome::Partial))
+            .count();
+        println!(
+            "{}: {} uses ({answered} answered) in {} tries at {:.0} a second, {} periods, \
+             {} adjustments, {} documents in {} offers, \
+             2 mixer kills, 1 zone lost, 2 settlement kills, seed {seed}, {:.0} s{}",
+            proof.verdict(),
+            self.uses.len(),
+            self.load.counters.attempts.value(),
+            self.uses.len() as f64 / load_time.as_secs_f64(),
+            self.statements.count,
+            self.statements.adjustments,
+            self.received.by_id.len(),
+            self.deliveries(),
+            total_time.as_secs_f64(),
+            proof.failures_suffix()
+        );
+    }
+
+    fn deliveries(&self) -> u32 {
+        self.received
+            .by_id
+            .values()
+            .map(|document| document.deliveries)
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/bin/prove-ledger/faults.rs
@@ -0,0 +1,77 @@
+//! What fails while clients use the aggregators.
+
+use crate::error::ProofError;
+use crate::load::Load;
+use crate::receiver::RestartableReceiver;
+use aggregator_testkit::installation::{now_ms, Installation};
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// The aggregator that is killed.
+const KILLED_AGGREGATOR: usize = 1;
+/// The zone that is lost.
+const LOST_ZONE: usize = 2;
+
+/// Time between the kill of a process and its restart.
+const AGGREGATOR_DOWN_TIME: Duration = Duration::from_millis(300);
+const FIRST_SETTLEMENT_DOWN_TIME: Duration = Duration::from_millis(700);
+const SECOND_SETTLEMENT_DOWN_TIME: Duration = Duration::from_millis(400);
+const RECEIVER_DOWN_TIME: Duration = Duration::from_millis(200);
+/// When a restarted aggregator reads its usage log, or is about to.
+const RECOVERY_DELAY: Duration = Duration::from_millis(15);
+/// How long the zone is lost, in percent of a period.
+const ZONE_LOSS_PERCENT: u64 = 40;
+
+/// Injects all faults, in an order that has each meet the others' aftermath.
+pub async fn inject(
+    installation: &mut Installation,
+    load: &Load,
+    receiver: &mut RestartableReceiver,
+) -> Result<(), ProofError> {
+    let period_ms = load.period_ms;
+    sleep_into_next_period(period_ms, 40).await;
+    kill_aggregator_twice(installation, load).await?;
+    kill_settlement(installation, FIRST_SETTLEMENT_DOWN_TIME).await?;
+    // So late that the zone is lost across the period's end.
+    sleep_into_next_period(period_ms, 85).await;
+    installation.lose_zone(LOST_ZONE);
+    sleep(Duration::from_millis(period_ms * ZONE_LOSS_PERCENT / 100)).await;
+    installation.restore_zone(LOST_ZONE, true).await?;
+    receiver.stop();
+    sleep(RECEIVER_DOWN_TIME).await;
+    receiver.restart().await?;
+    sleep_into_next_period(period_ms, 50).await;
+    kill_settlement(installation, SECOND_SETTLEMENT_DOWN_TIME).await
+}
+
+/// Kills an aggregator, and again while it recovers.
+async fn kill_aggregator_twice(
+    installation: &mut Installation,
+    load: &Load,
+) -> Result<(), ProofError> {
+    load.mark_killed(KILLED_AGGREGATOR);
+    installation.aggregators[KILLED_AGGREGATOR].kill();
+    sleep(AGGREGATOR_DOWN_TIME).await;
+    installation.launch_aggregator(KILLED_AGGREGATOR)?;
+    sleep(RECOVERY_DELAY).await;
+    installation.aggregators[KILLED_AGGREGATOR].kill();
+    installation.start_aggregator(KILLED_AGGREGATOR).await?;
+    Ok(())
+}
+
+async fn kill_settlement(
+    installation: &mut Installation,
+    down_time: Duration,
+) -> Result<(), ProofError> {
+    installation.ledger.kill_settlement();
+    sleep(down_time).await;
+    installation.ledger.start_settlement()?;
+    Ok(())
+}
+
+/// Sleeps until so many percent of the next period have passed.
+async fn sleep_into_next_period(period_ms: u64, percent: u64) {
+    let now_ms = now_ms();
+    let wake_ms = now_ms - now_ms % period_ms + period_ms + period_ms * percent / 100;
+    sleep(Duration::from_millis(wake_ms.saturating_sub(now_ms))).await;
+}
--- /dev/null
+++ b/crates/testkit/src/bin/prove-ledger/ledger_commands.rs
@@ -0,0 +1,121 @@
+//! Checks made with the ledger's own commands.
+
+use crate::error::ProofError;
+use crate::proof::Proof;
+use crate::receiver::RestartableReceiver;
+use crate::StatsFile;
+use aggregator_testkit::installation::{Installation, Ledger};
+use serde_json::Value;
+use std::path::Path;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// The tenant whose statement is corrected, and by how much.
+const CORRECTED_TENANT: &str = "beta";
+pub const CORRECTION_MICRO_UNITS: i64 = -75;
+
+/// How often the receiver is looked at for the statement to correct, and how many times.
+const STATEMENT_POLL_INTERVAL: Duration = Duration::from_millis(100);
+const STATEMENT_POLLS: u32 = 300;
+/// Of the differences that a reconciliation prints, this line from the end is shown.
+const SHOWN_LINE_FROM_END: usize = 3;
+
+/// Corrects a statement that has gone out, which has to become a credit.
+pub async fn check_correction(
+    proof: &mut Proof,
+    ledger: &Ledger,
+    receiver: &RestartableReceiver,
+) -> Result<(), ProofError> {
+    let period = wait_for_statement(receiver).await.unwrap_or_default();
+    let amount = CORRECTION_MICRO_UNITS.to_string();
+    let output = ledger.run([
+        "correct",
+        "--tenant",
+        CORRECTED_TENANT,
+        "--period",
+        &period,
+        "--amount",
+        &amount,
+        "--reason",
+        "double delivery",
+        "--author",
+        "proof",
+        "--id",
+        "first",
+    ])?;
+    proof.check(
+        "a correction after the export becomes a credit",
+        output.success && output.text.contains("credit-first"),
+        output.text.trim(),
+    );
+    Ok(())
+}
+
+/// Waits for the first statement of the tenant to correct; its period.
+async fn wait_for_statement(receiver: &RestartableReceiver) -> Option<String> {
+    for _ in 0..STATEMENT_POLLS {
+        let received = receiver.documents();
+        let statement = received
+            .by_id
+            .values()
+            .filter_map(|document| serde_json::from_slice::<Value>(&document.body).ok())
+            .find(|document| {
+                document["tenant"] == CORRECTED_TENANT && document["kind"] == "statement"
+            });
+        if let Some(statement) = statement {
+            return statement["period"].as_str().map(str::to_string);
+        }
+        sleep(STATEMENT_POLL_INTERVAL).await;
+    }
+    None
+}
+
+/// Reconciles the clients' records with the ledger, use by use.
+pub fn check_reconciliation(
+    proof: &mut Proof,
+    ledger: &Ledger,
+    clients_file: &Path,
+    stats_files: &[StatsFile],
+) -> Result<(), ProofError> {
+    let mut arguments = vec![
+        "reconcile".to_string(),
+        "--clients".into(),
+        clients_file.display().to_string(),
+    ];
+    for file in stats_files {
+        let counters = format!("{}={}", file.aggregator, file.path.display());
+        arguments.extend(["--counters".into(), counters]);
+    }
+    let output = ledger.run(&arguments)?;
+    let last_lines = output.text.lines().rev().take(SHOWN_LINE_FROM_END);
+    let detail = if output.success {
+        "use by use"
+    } else {
+        last_lines.last().unwrap_or_default()
+    };
+    proof.check(
+        "ledger reconcile finds no difference",
+        output.success,
+        detail,
+    );
+    Ok(())
+}
+
+/// Verifies the store, the documents and the aggregators' usage logs.
+pub fn check_verification(
+    proof: &mut Proof,
+    installation: &Installation,
+) -> Result<(), ProofError> {
+    let mut arguments = vec!["verify".to_string()];
+    for aggregator in &installation.aggregators {
+        let directory = aggregator.usage_directory.display().to_string();
+        arguments.extend(["--log".into(), directory]);
+    }
+    let output = installation.ledger.run(&arguments)?;
+    proof.check(
+        "ledger verify finds nothing wrong",
+        output.success,
+        output.text.trim().replace('\n', "; "),
+    );
+    Ok(())
+}
--- /dev/null
+++ b/crates/testkit/src/bin/prove-ledger/receiver.rs
@@ -0,0 +1,46 @@
+//! The receiver of the ledger's documents, which is restarted meanwhile.
+
+use aggregator_testkit::installation::{free_port, own_ip};
+use aggregator_testkit::receiver::{DocumentReceiver, ReceivedDocuments};
+use aggregator_testkit::sync::lock;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+/// A receiver that keeps its address and its documents when it is restarted.
+pub struct RestartableReceiver {
+    /// Where it listens.
+    pub address: SocketAddr,
+    documents: Arc<Mutex<ReceivedDocuments>>,
+    running: Option<DocumentReceiver>,
+}
+
+impl RestartableReceiver {
+    /// Starts a receiver on a free port.
+    pub async fn start() -> io::Result<RestartableReceiver> {
+        let mut receiver = RestartableReceiver {
+            address: free_port(own_ip())?,
+            documents: Arc::default(),
+            running: None,
+        };
+        receiver.restart().await?;
+        Ok(receiver)
+    }
+
+    /// Starts the receiver again after it was stopped.
+    pub async fn restart(&mut self) -> io::Result<()> {
+        let receiver = DocumentReceiver::start(self.address, self.documents.clone()).await?;
+        self.running = Some(receiver);
+        Ok(())
+    }
+
+    /// Stops the receiver; its connections break.
+    pub fn stop(&mut self) {
+        self.running = None;
+    }
+
+    /// The documents received so far.
+    pub fn documents(&self) -> ReceivedDocuments {
+        lock(&self.documents).clone()
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/bin/prove-ledger/statements.rs
@@ -0,0 +1,135 @@
+//! What the ledger states and exports.
+
+use crate::error::ProofError;
+use crate::timestamps::parse_ms;
+use crate::totals::{TotalKey, Totals};
+use aggregator_testkit::installation::Ledger;
+use serde_json::Value;
+use std::collections::BTreeSet;
+use std::fs;
+use std::io;
+use std::path::Path;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// How often the ledger is looked at for its last statement, and how many times.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+const POLLS: u32 = 600;
+
+/// All statements together.
+#[derive(Default)]
+pub struct Statements {
+    /// Number of statements.
+    pub count: usize,
+    /// Uses by period, tenant and class.
+    pub totals: Totals,
+    /// The amount of all of them, in micro-units.
+    pub amount: i64,
+    /// Lines that adjust an earlier period.
+    pub adjustments: usize,
+    /// Records lost up to the last statement; each statement counts them from the start.
+    pub lost_records: i64,
+    /// Members whose records are missing from a statement.
+    pub missing_members: usize,
+}
+
+/// Waits until the period of `last_ms` is settled and all documents are exported; the list of
+/// settled periods.
+pub async fn wait_for_all(ledger: &Ledger, last_ms: u64) -> Result<Vec<Value>, ProofError> {
+    let mut periods = Vec::new();
+    for _ in 0..POLLS {
+        periods = array(ledger.run_json(["periods"])?);
+        let settled_until_ms = periods
+            .last()
+            .and_then(|period| period["end"].as_str())
+            .and_then(parse_ms);
+        let exports = array(list_exports(ledger)?);
+        let all_exported = !exports.is_empty() && exports.iter().all(is_exported);
+        if settled_until_ms.is_some_and(|end_ms| end_ms > last_ms) && all_exported {
+            break;
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+    Ok(periods)
+}
+
+/// Reads the statements of all periods.
+pub fn read_all(ledger: &Ledger, periods: &[Value]) -> Result<Statements, ProofError> {
+    let mut statements = Statements {
+        count: periods.len(),
+        ..Statements::default()
+    };
+    for period in periods {
+        let name = period["period"].as_str().unwrap_or_default();
+        let statement = ledger.run_json(["statement", name])?;
+        statements.add(&statement);
+    }
+    Ok(statements)
+}
+
+/// The names of the documents that the ledger lists as made.
+pub fn listed_documents(ledger: &Ledger) -> Result<BTreeSet<String>, ProofError> {
+    let exports = array(list_exports(ledger)?);
+    let names = exports
+        .iter()
+        .filter_map(|export| Some(export["document"].as_str()?.to_string()));
+    Ok(names.collect())
+}
+
+/// The names of the documents in the export's folder.
+pub fn exported_files(folder: &Path) -> io::Result<BTreeSet<String>> {
+    let names = fs::read_dir(folder)?.filter_map(|file| {
+        let file_name = file.ok()?.file_name();
+        let name = file_name.to_str()?.strip_suffix(".json")?;
+        Some(name.to_string())
+    });
+    Ok(names.collect())
+}
+
+impl Statements {
+    fn add(&mut self, statement: &Value) {
+        self.amount += statement["total"].as_i64().unwrap_or_default();
+        for line in statement["lines"].as_array().into_iter().flatten() {
+            self.add_line(line);
+        }
+        let members = array(statement["members"].clone());
+        self.missing_members += members
+            .iter()
+            .filter(|member| member["missing"] == true)
+            .count();
+        self.lost_records = members
+            .iter()
+            .filter_map(|member| member["lost"].as_i64())
+            .sum();
+    }
+
+    fn add_line(&mut self, line: &Value) {
+        let text = |key: &str| line[key].as_str().unwrap_or_default().to_string();
+        let count = |key: &str| line[key].as_i64().unwrap_or_default();
+        let key = TotalKey {
+            period: text("period"),
+            tenant: text("tenant"),
+            class: text("class"),
+        };
+        let counts = self.totals.entry(key).or_default();
+        counts.uses += count("uses");
+        counts.complete += count("whole");
+        counts.partial += count("partial");
+        self.adjustments += usize::from(line["adjusts"] == true);
+    }
+}
+
+fn list_exports(ledger: &Ledger) -> Result<Value, ProofError> {
+    Ok(ledger.run_json(["export", "--list"])?)
+}
+
+fn is_exported(export: &Value) -> bool {
+    export["posted"] == true && export["in_folder"] == true
+}
+
+fn array(value: Value) -> Vec<Value> {
+    match value {
+        Value::Array(values) => values,
+        _ => Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/bin/prove-opensearch/load.rs
@@ -0,0 +1,243 @@
+//! The load: clients that send each search through the native protocol and the gateway.
+
+use crate::page_check::check_page;
+use crate::random_search::random_search;
+use crate::tally::{ServedOutcome, Tally};
+use aggregator_testkit::client::{
+    consecutive_shards, Attempt, AttemptOutcome, ClientResponse, Connection, Query,
+};
+use aggregator_testkit::http::HOST;
+use aggregator_testkit::installation::{Installation, QueryClass, CLASSES, SHARDS, TENANTS};
+use aggregator_testkit::random;
+use aggregator_testkit::search::{shard_response, ShardFault};
+use aggregator_testkit::sync::lock;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use rand::Rng;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// How much longer than the class's timeout a client waits, to tell late responses from missing
+/// ones.
+const LATE_TOLERANCE: Duration = Duration::from_secs(3);
+
+/// Where one aggregator serves searches.
+#[derive(Clone, Copy)]
+struct AggregatorAddresses {
+    native: SocketAddr,
+    gateway: SocketAddr,
+}
+
+/// What all clients share.
+pub struct Load {
+    seed: u64,
+    aggregators: Vec<AggregatorAddresses>,
+    tally: Mutex<Tally>,
+}
+
+impl Load {
+    /// A load on all aggregators of an installation.
+    pub fn new(installation: &Installation, seed: u64) -> Arc<Load> {
+        let aggregators = installation.aggregators.iter();
+        Arc::new(Load {
+            seed,
+            aggregators: aggregators
+                .map(|aggregator| AggregatorAddresses {
+                    native: aggregator.address,
+                    gateway: aggregator.gateway_address,
+                })
+                .collect(),
+            tally: Mutex::default(),
+        })
+    }
+
+    /// Removes and returns what became of all searches.
+    pub fn take_tally(&self) -> Tally {
+        std::mem::take(&mut *self.tally())
+    }
+
+    fn tally(&self) -> MutexGuard<'_, Tally> {
+        lock(&self.tally)
+    }
+}
+
+/// Starts clients, each of which ends after so many searches.
+pub fn start_clients(load: &Arc<Load>, clients: u64, searches: u64) -> Vec<JoinHandle<()>> {
+    (0..clients)
+        .map(|client| tokio::spawn(run_client(load.clone(), client, searches)))
+        .collect()
+}
+
+async fn run_client(load: Arc<Load>, client: u64, searches: u64) {
+    let mut random = random::stream(load.seed, client + 1);
+    let aggregator = load.aggregators[client as usize % load.aggregators.len()];
+    let mut native = Connection::new(aggregator.native);
+    let mut gateway = Connection::new(aggregator.gateway);
+    for number in 0..searches {
+        let search = random_search(&mut random);
+        let case = SearchCase {
+            id: format!("p{client}-{number}"),
+            fault: ShardFault::requested_by(&search),
+            class: CLASSES[random.random_range(0..CLASSES.len())],
+            tenant: TENANTS[random.random_range(0..TENANTS.len())],
+            search,
+        };
+        if random.random_bool(0.5) {
+            case.send_native(&load, &mut native).await;
+            case.send_to_gateway(&load, &mut gateway).await;
+        } else {
+            case.send_to_gateway(&load, &mut gateway).await;
+            case.send_native(&load, &mut native).await;
+        }
+    }
+}
+
+/// One search, to be sent both ways.
+struct SearchCase {
+    id: String,
+    search: Value,
+    class: QueryClass,
+    tenant: &'static str,
+    fault: Option<ShardFault>,
+}
+
+impl SearchCase {
+    /// Sends the search through the native protocol, unless it requests a fault: the native
+    /// protocol passes on what a shard responds, whatever it is.
+    async fn send_native(&self, load: &Load, connection: &mut Connection) {
+        if self.fault.is_some() {
+            return;
+        }
+        let query = Query {
+            class: self.class.name.into(),
+            tenant: self.tenant.into(),
+            shards: consecutive_shards(0, SHARDS, SHARDS),
+            text: self.search.to_string(),
+            idempotency_key: None,
+        };
+        let attempt = Attempt {
+            request_id: &self.id,
+            is_retry: false,
+            timeout: self.class.timeout(),
+            late_tolerance: LATE_TOLERANCE,
+        };
+        let attempt_outcome = connection.query(&query, &attempt).await;
+        let mut tally = load.tally();
+        let outcome = self.judge_native(attempt_outcome, &mut tally);
+        let counts = tally.native.entry(self.class.name).or_default();
+        counts.add(outcome);
+    }
+
+    fn judge_native(&self, outcome: AttemptOutcome, tally: &mut Tally) -> ServedOutcome {
+        match outcome {
+            AttemptOutcome::Answered { complete, hits } => {
+                let values_match = hits
+                    .iter()
+                    .all(|hit| hit.document == shard_response(hit.shard, &self.search));
+                if !values_match {
+                    let search = &self.search;
+                    tally
+                        .wrong
+                        .push(format!("native: a value is not as it is held: {search}"));
+                }
+                ServedOutcome::answered(complete)
+            }
+            AttemptOutcome::Rejected { .. } => ServedOutcome::Rejected,
+            AttemptOutcome::Failed { .. } => ServedOutcome::Failed,
+            AttemptOutcome::ConnectionLost | AttemptOutcome::TimedOut => {
+                tally.unanswered += 1;
+                ServedOutcome::Unanswered
+            }
+        }
+    }
+
+    /// Sends the search through the gateway.
+    async fn send_to_gateway(&self, load: &Load, connection: &mut Connection) {
+        let request = Request::post(format!("/{}/_search", self.class.name))
+            .header("Host", HOST)
+            .header("Content-Type", "application/json")
+            .header("X-Tenant-Id", self.tenant)
+            .body(Full::new(Bytes::from(self.search.to_string())));
+        let Ok(request) = request else {
+            return;
+        };
+        let time_limit = self.class.timeout();
+        let sent_at = Instant::now();
+        let response = timeout(time_limit + LATE_TOLERANCE, connection.send(request)).await;
+        let late = sent_at.elapsed() > time_limit;
+        let mut tally = load.tally();
+        tally.late += u64::from(late);
+        let outcome = match response {
+            Ok(Some(response)) => self.judge_gateway(&response, &mut tally),
+            Ok(None) | Err(_) => {
+                tally.unanswered += 1;
+                ServedOutcome::Unanswered
+            }
+        };
+        match self.fault {
+            Some(fault) => self.judge_faulty(fault, outcome, &mut tally),
+            None => {
+                let counts = tally.gateway.entry(self.class.name).or_default();
+                counts.add(outcome);
+            }
+        }
+    }
+
+    fn judge_gateway(&self, response: &ClientResponse, tally: &mut Tally) -> ServedOutcome {
+        let search = &self.search;
+        let status = response.status;
+        let body: Value = serde_json::from_slice(&response.body).unwrap_or_default();
+        let error_type = &body["error"]["type"];
+        match status {
+            200 => {
+                match check_page(search, &body) {
+                    Ok(()) => tally.exact_pages += 1,
+                    Err(error) => tally.wrong.push(format!("{error}: {search}")),
+                }
+                ServedOutcome::answered(body["_shards"]["failed"] == 0)
+            }
+            429 => {
+                if response.retry_after.is_none() || error_type != "circuit_breaking_exception" {
+                    tally
+                        .wrong
+                        .push(format!("a refusal without its form: {body}"));
+                }
+                ServedOutcome::Rejected
+            }
+            _ => {
+                if body["status"] != status || error_type != "search_phase_execution_exception" {
+                    tally
+                        .wrong
+                        .push(format!("an error that is none: {status} {body}"));
+                }
+                ServedOutcome::Failed
+            }
+        }
+    }
+
+    /// Judges a search with a fault: one shard of 16 may be missing where the minimum coverage
+    /// allows it, and all never.
+    fn judge_faulty(&self, fault: ShardFault, outcome: ServedOutcome, tally: &mut Tally) {
+        tally.faulty.entry(fault).or_default().add(outcome);
+        let minimum_coverage = self.class.minimum_coverage;
+        let expected = if minimum_coverage == 1.0 || fault == ShardFault::ErrorFromEveryShard {
+            ServedOutcome::Failed
+        } else {
+            ServedOutcome::Partial
+        };
+        if outcome != expected && outcome != ServedOutcome::Rejected {
+            tally.wrong.push(format!(
+                "{}, floor {minimum_coverage}: {} instead of {}: {}",
+                fault.label(),
+                outcome.label(),
+                expected.label(),
+                self.search
+            ));
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/bin/prove-opensearch/page_check.rs
@@ -0,0 +1,158 @@
+//! The comparison of a page of the gateway with the one computed from the documents.
+
+use aggregator_testkit::installation::SHARDS;
+use aggregator_testkit::search::{
+    aggregate, matching_documents, page, SearchHit, ShardFault, FAULTY_SHARD,
+};
+use serde_json::{json, Value};
+
+/// Rounding, relative to the number, that sums over shards may be off by.
+const NUMBER_TOLERANCE: f64 = 1e-9;
+
+/// Why a page is wrong.
+#[derive(Debug, thiserror::Error)]
+pub enum PageError {
+    /// The counts of shards do not add up.
+    #[error("_shards do not add up: {shards}")]
+    ShardCounts {
+        /// The counts.
+        shards: Value,
+    },
+    /// Other shards failed than the one that was to.
+    #[error("failed shards {failed:?} instead of the sick one")]
+    FailedShards {
+        /// The shards that failed.
+        failed: Vec<u32>,
+    },
+    /// The page has no list of hits.
+    #[error("no hits")]
+    NoHits,
+    /// The hits are others, or in another order.
+    #[error("hits {actual:?} instead of {expected:?}")]
+    Hits {
+        /// The ids of the page.
+        actual: Vec<String>,
+        /// The computed ids.
+        expected: Vec<String>,
+    },
+    /// A document's fields are others.
+    #[error("a document is not as it is held")]
+    Source,
+    /// The total number of hits is another.
+    #[error("total {actual} instead of {expected}")]
+    Total {
+        /// The total of the page.
+        actual: Value,
+        /// The computed total.
+        expected: usize,
+    },
+    /// An aggregation is another.
+    #[error("aggregation {name}: {actual} instead of {expected}")]
+    Aggregation {
+        /// The aggregation's name.
+        name: String,
+        /// The aggregation of the page.
+        actual: Value,
+        /// The computed aggregation.
+        expected: Value,
+    },
+}
+
+/// Checks a page of the gateway over the shards that it claims.
+pub fn check_page(search: &Value, body: &Value) -> Result<(), PageError> {
+    let claimed_shards = check_shards(search, body)?;
+    let found = matching_documents(search, &claimed_shards);
+    check_hits(&page(search, &found), body)?;
+    let total = &body["hits"]["total"];
+    if *total != json!({"value": found.len(), "relation": "eq"}) {
+        return Err(PageError::Total {
+            actual: total.clone(),
+            expected: found.len(),
+        });
+    }
+    check_aggregations(search, body, &found)
+}
+
+/// Checks the counts of shards; the shards that the page claims to cover.
+fn check_shards(search: &Value, body: &Value) -> Result<Vec<u32>, PageError> {
+    let shards = &body["_shards"];
+    let failed: Vec<u32> = shards["failures"]
+        .as_array()
+        .into_iter()
+        .flatten()
+        .filter_map(|failure| Some(failure["shard"].as_u64()? as u32))
+        .collect();
+    let claimed: Vec<u32> = (0..SHARDS)
+        .filter(|shard| !failed.contains(shard))
+        .collect();
+    if shards["successful"] != json!(claimed.len()) || shards["total"] != json!(SHARDS) {
+        return Err(PageError::ShardCounts {
+            shards: shards.clone(),
+        });
+    }
+    if ShardFault::requested_by(search).is_some() && failed != [FAULTY_SHARD] {
+        return Err(PageError::FailedShards { failed });
+    }
+    Ok(claimed)
+}
+
+fn check_hits(expected: &[SearchHit], body: &Value) -> Result<(), PageError> {
+    let hits = body["hits"]["hits"].as_array().ok_or(PageError::NoHits)?;
+    let actual_ids: Vec<&str> = hits.iter().filter_map(|hit| hit["_id"].as_str()).collect();
+    let expected_ids: Vec<&str> = expected.iter().map(|hit| hit.id.as_str()).collect();
+    if actual_ids != expected_ids {
+        return Err(PageError::Hits {
+            actual: actual_ids.into_iter().map(str::to_string).collect(),
+            expected: expected_ids.into_iter().map(str::to_string).collect(),
+        });
+    }
+    let sources_match = hits
+        .iter()
+        .zip(expected)
+        .all(|(hit, expected)| hit["_source"] == expected.source);
+    if sources_match {
+        Ok(())
+    } else {
+        Err(PageError::Source)
+    }
+}
+
+fn check_aggregations(search: &Value, body: &Value, found: &[SearchHit]) -> Result<(), PageError> {
+    let requested = search["aggs"].as_object();
+    for (name, aggregation) in requested.into_iter().flatten() {
+        let actual = &body["aggregations"][name];
+        let expected = aggregate(aggregation, found);
+        if !nearly_equal(actual, &expected) {
+            return Err(PageError::Aggregation {
+                name: name.clone(),
+                actual: actual.clone(),
+                expected,
+            });
+        }
+    }
+    Ok(())
+}
+
+/// Whether two values are equal but for the rounding of numbers.
+fn nearly_equal(left: &Value, right: &Value) -> bool {
+    match (left, right) {
+        (Value::Number(left), Value::Number(right)) => {
+            let left = left.as_f64().unwrap_or_default();
+            let right = right.as_f64().unwrap_or_default();
+            (left - right).abs() <= NUMBER_TOLERANCE * left.abs().max(1.0)
+        }
+        (Value::Array(left), Value::Array(right)) => {
+            let mut pairs = left.iter().zip(right);
+            left.len() == right.len() && pairs.all(|(left, right)| nearly_equal(left, right))
+        }
+        (Value::Object(left), Value::Object(right)) => {
+            left.len() == right.len()
+                && left.iter().all(|(key, value)| {
+                    right
+                        .get(key)
+                        .is_some_and(|other| nearly_equal(value, other))
+                })
+        }
+        _ => left == right,
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/bin/prove-opensearch/tally.rs
@@ -0,0 +1,110 @@
+//! What became of all searches.
+
+use aggregator_testkit::search::ShardFault;
+use std::collections::BTreeMap;
+
+/// How a search was served.
+///
+/// Declared in the order of the labels, in which the faulty searches are listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ServedOutcome {
+    /// With an error.
+    Failed,
+    /// With an answer from some shards.
+    Partial,
+    /// With a rejection, to shed load.
+    Rejected,
+    /// Not at all.
+    Unanswered,
+    /// With an answer from all shards.
+    Complete,
+}
+
+impl ServedOutcome {
+    /// All outcomes, in the order in which a class's counts are listed.
+    pub const ALL: [ServedOutcome; 5] = [
+        ServedOutcome::Complete,
+        ServedOutcome::Partial,
+        ServedOutcome::Rejected,
+        ServedOutcome::Failed,
+        ServedOutcome::Unanswered,
+    ];
+
+    /// An answer that is complete or not.
+    pub fn answered(complete: bool) -> ServedOutcome {
+        if complete {
+            ServedOutcome::Complete
+        } else {
+            ServedOutcome::Partial
+        }
+    }
+
+    /// The outcome's name in the output.
+    pub fn label(self) -> &'static str {
+        match self {
+            ServedOutcome::Complete => "whole",
+            ServedOutcome::Partial => "partial",
+            ServedOutcome::Rejected => "refused",
+            ServedOutcome::Failed => "failed",
+            ServedOutcome::Unanswered => "unanswered",
+        }
+    }
+}
+
+/// How many searches ended how.
+#[derive(Clone, Debug, Default)]
+pub struct OutcomeCounts(BTreeMap<ServedOutcome, u64>);
+
+impl OutcomeCounts {
+    /// Counts one search.
+    pub fn add(&mut self, outcome: ServedOutcome) {
+        *self.0.entry(outcome).or_default() += 1;
+    }
+
+    /// Searches with this outcome.
+    pub fn of(&self, outcome: ServedOutcome) -> u64 {
+        self.0.get(&outcome).copied().unwrap_or_default()
+    }
+
+    /// All searches.
+    pub fn total(&self) -> u64 {
+        self.0.values().sum()
+    }
+
+    /// Searches with an answer, complete or not.
+    pub fn answered(&self) -> u64 {
+        self.of(ServedOutcome::Complete) + self.of(ServedOutcome::Partial)
+    }
+
+    /// The outcomes that occurred, with their counts.
+    pub fn iter(&self) -> impl Iterator<Item = (ServedOutcome, u64)> + '_ {
+        self.0.iter().map(|(outcome, count)| (*outcome, *count))
+    }
+}
+
+/// What became of all searches.
+#[derive(Default)]
+pub struct Tally {
+    /// Through the native protocol, by class.
+    pub native: BTreeMap<&'static str, OutcomeCounts>,
+    /// Through the gateway, by class; without those that requested a fault.
+    pub gateway: BTreeMap<&'static str, OutcomeCounts>,
+    /// Through the gateway, by the requested fault.
+    pub faulty: BTreeMap<ShardFault, OutcomeCounts>,
+    /// Pages of the gateway that are exactly as computed.
+    pub exact_pages: u64,
+    /// What was not as it ought to be.
+    pub wrong: Vec<String>,
+    /// Searches without any response.
+    pub unanswered: u64,
+    /// Responses of the gateway later than the class's timeout.
+    pub late: u64,
+}
+
+/// The sum of `count` over all entries.
+pub fn sum<Key>(
+    counts: &BTreeMap<Key, OutcomeCounts>,
+    count: impl Fn(&OutcomeCounts) -> u64,
+) -> u64 {
+    counts.values().map(count).sum()
+}
--- a/crates/testkit/src/client.rs
+++ b/crates/testkit/src/client.rs
@@ -1,10 +1,11 @@
-//! A client of the mixers: asks, gives up in time, comes back when it is refused, and writes down
-//! what it got.
+//! A client of the aggregators: sends queries, times out, and reports how each attempt ended.
 
+use crate::http::HOST;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{handshake, SendRequest};
-use hyper::Request;
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
@@ -13,56 +14,111 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-/// What a client wants to know.
+/// The longest `Retry-After` that a client honours, in seconds.
+const MAX_RETRY_AFTER_S: f64 = 60.0;
+
+/// A shard that a query asks, with its weight in the answer.
+#[derive(Clone, Copy, Debug)]
+pub struct WeightedShard {
+    /// The shard's number.
+    pub shard: u32,
+    /// The shard's weight, of a total of 1.
+    pub weight: f64,
+}
+
+/// `count` consecutive shards of `total`, starting at `first` and wrapping around, of equal weight.
+pub fn consecutive_shards(first: u32, count: u32, total: u32) -> Vec<WeightedShard> {
+    (0..count)
+        .map(|offset| WeightedShard {
+            shard: (first + offset) % total,
+            weight: 1.0 / f64::from(count),
+        })
+        .collect()
+}
+
+/// What a client asks of an aggregator.
 #[derive(Clone, Debug)]
-pub struct Question {
+pub struct Query {
+    /// The name of the query class.
     pub class: String,
+    /// The tenant on whose account the query is.
     pub tenant: String,
-    /// Shards and their weights.
-    pub parts: Vec<(u32, f64)>,
+    /// The shards that the query asks.
+    pub shards: Vec<WeightedShard>,
+    /// The query's text, which leaf servers interpret.
     pub text: String,
     /// The client's own name for this use.
-    pub key: Option<String>,
+    pub idempotency_key: Option<String>,
 }
 
-/// One try of a question.
+/// One attempt at a query.
 #[derive(Clone, Debug)]
 pub struct Attempt<'a> {
-    pub id: &'a str,
-    pub retry: bool,
-    /// How long it tells the mixer that it waits.
-    pub wait: Duration,
-    /// How much longer it does, should the answer be late.
-    pub grace: Duration,
+    /// The attempt's request id.
+    pub request_id: &'a str,
+    /// Whether the query was attempted before.
+    pub is_retry: bool,
+    /// How long the client tells the aggregator that it waits.
+    pub timeout: Duration,
+    /// How much longer it really waits, should the answer be late.
+    pub late_tolerance: Duration,
 }
 
-/// How a try ended for its client.
+/// The value that one shard contributed to an answer.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Got {
-    /// Complete or not, with the shards and their values.
-    Answer(bool, Vec<(u32, String)>),
-    /// With the time after which to come back.
-    Refused(Option<Duration>),
-    /// Any other answer, by its status.
-    Failed(u16),
-    /// No answer: the connection broke or never came up.
-    Lost,
-    /// No answer within the wait.
+pub struct Hit {
+    /// The shard's number.
+    pub shard: u32,
+    /// What the leaf server answered for the shard.
+    pub document: String,
+}
+
+/// How an attempt ended for its client.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AttemptOutcome {
+    /// An answer.
+    Answered {
+        /// Whether the aggregator claims that the answer covers all shards.
+        complete: bool,
+        /// What the shards contributed.
+        hits: Vec<Hit>,
+    },
+    /// The aggregator shed load.
+    Rejected {
+        /// The time after which to retry, if the aggregator named one.
+        retry_after: Option<Duration>,
+    },
+    /// Any other response.
+    Failed {
+        /// The HTTP status.
+        status: u16,
+    },
+    /// No response: the connection broke or never came up.
+    ConnectionLost,
+    /// No response in time.
     TimedOut,
 }
 
-struct Open {
-    send: SendRequest<Full<Bytes>>,
-    task: JoinHandle<()>,
+/// An HTTP response as far as clients look at it.
+#[derive(Clone, Debug)]
+pub struct ClientResponse {
+    /// The HTTP status.
+    pub status: u16,
+    /// The whole body.
+    pub body: Bytes,
+    /// The value of the `Retry-After` header.
+    pub retry_after: Option<Duration>,
 }
 
-/// A status, a body, and when to come back.
-pub type Received = (u16, Bytes, Option<Duration>);
+struct OpenConnection {
+    sender: SendRequest<Full<Bytes>>,
+    task: JoinHandle<()>,
+}
 
-/// One connection to one mixer, opened as it is needed.
+/// One connection to one aggregator, opened when it is needed.
 pub struct Connection {
-    pub mixer: SocketAddr,
-    open: Option<Open>,
+    address: SocketAddr,
+    open: Option<OpenConnection>,
 }
 
 impl Drop for Connection {
@@ -72,106 +128,136 @@
 }
 
 impl Connection {
-    pub fn new(mixer: SocketAddr) -> Connection {
-        Connection { mixer, open: None }
-    }
-
-    /// Turns to another mixer.
-    pub fn turn_to(&mut self, mixer: SocketAddr) {
-        if self.mixer != mixer {
-            self.close();
-            self.mixer = mixer;
+    /// A connection that is not open yet.
+    pub fn new(address: SocketAddr) -> Connection {
+        Connection {
+            address,
+            open: None,
         }
     }
 
-    fn close(&mut self) {
-        if let Some(open) = self.open.take() {
-            open.task.abort();
+    /// Directs further requests to `address`; a connection to another aggregator is closed.
+    pub fn redirect(&mut self, address: SocketAddr) {
+        if self.address != address {
+            self.close();
+            self.address = address;
         }
     }
 
-    /// Asks once. A connection that the mixer has closed before it took anything is opened anew.
-    pub async fn ask(&mut self, question: &Question, attempt: &Attempt<'_>) -> Got {
-        match timeout(
-            attempt.wait + attempt.grace,
-            self.exchange(question, attempt),
-        )
-        .await
-        {
-            Ok(Some((200, body, _))) => answer(&body).unwrap_or(Got::Failed(200)),
-            Ok(Some((429 | 503, _, after))) => Got::Refused(after),
-            Ok(Some((status, ..))) => Got::Failed(status),
+    /// Sends a query once.
+    ///
+    /// A connection that the aggregator closed before the request was sent is opened anew.
+    pub async fn query(&mut self, query: &Query, attempt: &Attempt<'_>) -> AttemptOutcome {
+        let limit = attempt.timeout + attempt.late_tolerance;
+        match timeout(limit, self.send_query(query, attempt)).await {
+            Ok(Some(response)) => classify(&response),
             Ok(None) => {
                 self.close();
-                Got::Lost
+                AttemptOutcome::ConnectionLost
             }
             Err(_) => {
                 self.close();
-                Got::TimedOut
+                AttemptOutcome::TimedOut
             }
         }
     }
 
-    async fn exchange(&mut self, question: &Question, attempt: &Attempt<'_>) -> Option<Received> {
-        let part = |(shard, weight): &(u32, f64)| json!({"shard": shard, "weight": weight});
-        let shards: Vec<Value> = question.parts.iter().map(part).collect();
-        let body = json!({"shards": shards, "q": question.text}).to_string();
-        let mut request = Request::post(format!("/{}", question.class))
-            .header("Host", "mixer")
-            .header("X-Request-ID", attempt.id)
-            .header("X-Tenant-Id", &question.tenant)
-            .header("X-Timeout", format!("{}m", attempt.wait.as_millis()));
-        if let Some(key) = &question.key {
+    /// Sends a request of any kind; `None` if the connection breaks or can't be opened.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Option<ClientResponse> {
+        let sender = self.open_sender().await?;
+        sender.ready().await.ok()?;
+        let response = sender.send_request(request).await.ok()?;
+        let retry_after = retry_after(&response);
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        Some(ClientResponse {
+            status,
+            body,
+            retry_after,
+        })
+    }
+
+    async fn send_query(&mut self, query: &Query, attempt: &Attempt<'_>) -> Option<ClientResponse> {
+        let shards: Vec<Value> = query
+            .shards
+            .iter()
+            .map(|shard| json!({"shard": shard.shard, "weight": shard.weight}))
+            .collect();
+        let body = json!({"shards": shards, "q": query.text}).to_string();
+        let mut request = Request::post(format!("/{}", query.class))
+            .header("Host", HOST)
+            .header("X-Request-ID", attempt.request_id)
+            .header("X-Tenant-Id", &query.tenant)
+            .header("X-Timeout", format!("{}m", attempt.timeout.as_millis()));
+        if let Some(key) = &query.idempotency_key {
             request = request.header("Idempotency-Key", key);
         }
-        if attempt.retry {
+        if attempt.is_retry {
             request = request.header("X-Retried", "1");
         }
         let request = request.body(Full::new(Bytes::from(body))).ok()?;
         self.send(request).await
     }
 
-    /// Sends a request of any kind: the status, the body, and when to come back.
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Option<Received> {
-        if self.open.as_ref().is_none_or(|open| open.send.is_closed()) {
+    async fn open_sender(&mut self) -> Option<&mut SendRequest<Full<Bytes>>> {
+        if self
+            .open
+            .as_ref()
+            .is_none_or(|open| open.sender.is_closed())
+        {
             self.close();
-            let stream = TcpStream::connect(self.mixer).await.ok()?;
+            let stream = TcpStream::connect(self.address).await.ok()?;
             let _ = stream.set_nodelay(true);
-            let (send, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+            let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
             let task = tokio::spawn(async move {
                 let _ = connection.await;
             });
-            self.open = Some(Open { send, task });
+            self.open = Some(OpenConnection { sender, task });
         }
-        let send = &mut self.open.as_mut()?.send;
-        send.ready().await.ok()?;
-        let answer = send.send_request(request).await.ok()?;
-        let after = answer
-            .headers()
-            .get("retry-after")
-            .and_then(|value| value.to_str().ok()?.parse::<f64>().ok());
-        let status = answer.status().as_u16();
-        let body = answer.into_body().collect().await.ok()?.to_bytes();
-        Some((
-            status,
-            body,
-            after.map(|after| Duration::from_secs_f64(after.clamp(0.0, 60.0))),
-        ))
+        Some(&mut self.open.as_mut()?.sender)
+    }
+
+    fn close(&mut self) {
+        if let Some(open) = self.open.take() {
+            open.task.abort();
+        }
+    }
+}
+
+fn retry_after(response: &Response<Incoming>) -> Option<Duration> {
+    let header = response.headers().get("retry-after")?;
+    let seconds: f64 = header.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_secs_f64(
+        seconds.clamp(0.0, MAX_RETRY_AFTER_S),
+    ))
+}
+
+fn classify(response: &ClientResponse) -> AttemptOutcome {
+    match response.status {
+        200 => parse_answer(&response.body).unwrap_or(AttemptOutcome::Failed { status: 200 }),
+        429 | 503 => AttemptOutcome::Rejected {
+            retry_after: response.retry_after,
+        },
+        status => AttemptOutcome::Failed { status },
     }
 }
 
-fn answer(body: &[u8]) -> Option<Got> {
+fn parse_answer(body: &[u8]) -> Option<AttemptOutcome> {
     let body: Value = serde_json::from_slice(body).ok()?;
-    let hit = |hit: &Value| {
-        Some((
-            hit["shard"].as_u64()? as u32,
-            hit["doc"].as_str()?.to_string(),
-        ))
-    };
     let hits = body["hits"]
         .as_array()?
         .iter()
-        .map(hit)
+        .map(parse_hit)
         .collect::<Option<_>>()?;
-    Some(Got::Answer(body["complete"].as_bool()?, hits))
+    Some(AttemptOutcome::Answered {
+        complete: body["complete"].as_bool()?,
+        hits,
+    })
+}
+
+fn parse_hit(hit: &Value) -> Option<Hit> {
+    Some(Hit {
+        shard: hit["shard"].as_u64()? as u32,
+        document: hit["doc"].as_str()?.to_string(),
+    })
 }
--- a/crates/testkit/src/discovery.rs
+++ b/crates/testkit/src/discovery.rs
@@ -1,5 +1,6 @@
-//! Discovery: the list of leaf servers, whole or as a watch.
+//! Discovery: the endpoint list of leaf servers, as a snapshot or as a watch.
 
+use crate::sync::lock;
 use bytes::Bytes;
 use futures_util::stream;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -12,43 +13,46 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::timeout;
 
-/// An empty line comes after so long without a change.
-const ALIVE: Duration = Duration::from_secs(2);
+/// A watch without a change sends an empty line this often.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(2);
+
+type Body = UnsyncBoxBody<Bytes, Infallible>;
 
 #[derive(Default)]
-struct List {
-    /// Each change, in its order; its place counts from 1.
+struct EndpointList {
+    /// All changes in their order; the index of a change counts from 1.
     changes: Vec<Value>,
 }
 
-impl List {
+impl EndpointList {
     fn snapshot(&self) -> Value {
-        let mut last: Vec<&Value> = Vec::new();
+        let mut endpoints: Vec<&Value> = Vec::new();
         for change in &self.changes {
-            last.retain(|line| line["name"] != change["name"]);
+            endpoints.retain(|endpoint| endpoint["name"] != change["name"]);
             if change["status"] != "removed" {
-                last.push(change);
+                endpoints.push(change);
             }
         }
-        json!({"index": self.changes.len(), "snapshot": true, "endpoints": last})
+        json!({"index": self.changes.len(), "snapshot": true, "endpoints": endpoints})
     }
 
-    fn since(&self, index: usize) -> Value {
+    fn delta_since(&self, index: usize) -> Value {
         json!({"index": self.changes.len(), "snapshot": false, "endpoints": self.changes[index..]})
     }
 }
 
-/// Runs until it is dropped.
+/// A discovery server that runs until it is dropped.
 pub struct Discovery {
+    /// Where the server listens.
     pub address: SocketAddr,
-    list: Arc<Mutex<List>>,
+    list: Arc<Mutex<EndpointList>>,
     changed: watch::Sender<usize>,
     task: AbortHandle,
 }
@@ -60,14 +64,16 @@
 }
 
 impl Discovery {
+    /// Starts a server with an empty list on a free port.
+    ///
     /// # Errors
-    /// There is no port.
+    /// No port is free.
     pub async fn start(ip: IpAddr) -> io::Result<Discovery> {
         let listener = TcpListener::bind((ip, 0)).await?;
         let address = listener.local_addr()?;
-        let list = Arc::<Mutex<List>>::default();
-        let (changed, watch) = watch::channel(0);
-        let task = tokio::spawn(serve(listener, list.clone(), watch)).abort_handle();
+        let list = Arc::<Mutex<EndpointList>>::default();
+        let (changed, receiver) = watch::channel(0);
+        let task = tokio::spawn(serve(listener, list.clone(), receiver)).abort_handle();
         Ok(Discovery {
             address,
             list,
@@ -76,23 +82,24 @@
         })
     }
 
-    /// Tells of lines that have changed, all at once.
-    pub fn tell(&self, lines: Vec<Value>) {
-        let mut list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
-        list.changes.extend(lines);
+    /// Publishes changed endpoints, all in one delta.
+    pub fn publish(&self, changes: Vec<Value>) {
+        let mut list = lock(&self.list);
+        list.changes.extend(changes);
         self.changed.send_replace(list.changes.len());
     }
 
-    /// The list as a mixer is given it at its start.
-    pub fn known(&self) -> Value {
-        self.list
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .snapshot()
+    /// The current list, as an aggregator is given it at its start.
+    pub fn snapshot(&self) -> Value {
+        lock(&self.list).snapshot()
     }
 }
 
-async fn serve(listener: TcpListener, list: Arc<Mutex<List>>, changed: watch::Receiver<usize>) {
+async fn serve(
+    listener: TcpListener,
+    list: Arc<Mutex<EndpointList>>,
+    changed: watch::Receiver<usize>,
+) {
     let mut connections = JoinSet::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -100,58 +107,84 @@
         };
         let (list, changed) = (list.clone(), changed.clone());
         connections.spawn(async move {
-            let answer = service_fn(move |request: Request<Incoming>| {
-                let body = body(&request, list.clone(), changed.clone());
+            let service = service_fn(move |request: Request<Incoming>| {
+                let body = response_body(&request, list.clone(), changed.clone());
                 async move { Ok::<_, Infallible>(Response::new(body)) }
             });
-            let serve = hyper::server::conn::http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), answer);
-            let _ = serve.await;
+            let connection = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service);
+            let _ = connection.await;
         });
         while connections.try_join_next().is_some() {}
     }
 }
 
-fn body(
+fn response_body(
     request: &Request<Incoming>,
-    list: Arc<Mutex<List>>,
+    list: Arc<Mutex<EndpointList>>,
     changed: watch::Receiver<usize>,
-) -> UnsyncBoxBody<Bytes, Infallible> {
+) -> Body {
     let query = request.uri().query().unwrap_or_default();
-    let lock = |list: &Arc<Mutex<List>>| {
-        list.lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .snapshot()
-    };
     if !query.contains("watch=1") {
-        return Full::new(Bytes::from(lock(&list).to_string())).boxed_unsync();
+        let snapshot = lock(&list).snapshot().to_string();
+        return Full::new(Bytes::from(snapshot)).boxed_unsync();
     }
-    let from = query
+    let known_index = query
         .split('&')
         .find_map(|pair| pair.strip_prefix("from=")?.parse::<usize>().ok());
-    let lines = stream::unfold(
-        (from, list, changed),
-        |(from, list, mut changed)| async move {
-            let (line, next) = loop {
-                {
-                    let list = list.lock().unwrap_or_else(PoisonError::into_inner);
-                    let now = list.changes.len();
-                    match from {
-                        Some(from) if from == now => {}
-                        Some(from) if from < now => break (list.since(from).to_string(), now),
-                        _ => break (list.snapshot().to_string(), now),
-                    }
-                    changed.mark_unchanged();
-                }
-                match timeout(ALIVE, changed.changed()).await {
-                    Ok(Ok(())) => {}
-                    Ok(Err(_)) => return None,
-                    Err(_) => break (String::new(), from.unwrap_or_default()),
-                }
-            };
-            let frame = Frame::data(Bytes::from(line + "\n"));
-            Some((Ok::<_, Infallible>(frame), (Some(next), list, changed)))
-        },
-    );
+    let watcher = Watcher {
+        known_index,
+        list,
+        changed,
+    };
+    let lines = stream::unfold(watcher, |mut watcher| async move {
+        let line = watcher.next_line().await?;
+        let frame = Frame::data(Bytes::from(line + "\n"));
+        Some((Ok::<_, Infallible>(frame), watcher))
+    });
     BodyExt::boxed_unsync(StreamBody::new(Box::pin(lines)))
 }
+
+/// One client's watch of the list.
+struct Watcher {
+    /// The index up to which the client knows the list, if it knows any of it.
+    known_index: Option<usize>,
+    list: Arc<Mutex<EndpointList>>,
+    changed: watch::Receiver<usize>,
+}
+
+impl Watcher {
+    /// The next line of the watch, empty to keep the connection alive; `None` when discovery ends.
+    async fn next_line(&mut self) -> Option<String> {
+        loop {
+            if let Some(update) = self.pending_update() {
+                return Some(update);
+            }
+            match timeout(KEEP_ALIVE_INTERVAL, self.changed.changed()).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return None,
+                Err(_) => {
+                    self.known_index = Some(self.known_index.unwrap_or_default());
+                    return Some(String::new());
+                }
+            }
+        }
+    }
+
+    fn pending_update(&mut self) -> Option<String> {
+        let list = lock(&self.list);
+        let current_index = list.changes.len();
+        let update = match self.known_index {
+            Some(known) if known == current_index => None,
+            Some(known) if known < current_index => Some(list.delta_since(known)),
+            // The client knows nothing yet, or an index of another run of discovery.
+            _ => Some(list.snapshot()),
+        };
+        if update.is_some() {
+            self.known_index = Some(current_index);
+        } else {
+            self.changed.mark_unchanged();
+        }
+        update.map(|update| update.to_string())
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/installation/aggregator.rs
@@ -0,0 +1,119 @@
+//! One aggregator of an installation: its files and its process.
+
+use super::address::free_port;
+use super::config::{gateway_sections, platform_object, usage_section, PlatformParameters};
+use super::InstallationError;
+use crate::http::get;
+use crate::process::Process;
+use std::fs;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::time::Duration;
+
+/// How often an aggregator that starts is asked whether it is ready, and how many times.
+const READINESS_POLL_INTERVAL: Duration = Duration::from_millis(20);
+const READINESS_POLLS: u32 = 500;
+
+/// An aggregator, running or not.
+pub struct Aggregator {
+    /// Its name.
+    pub name: String,
+    /// Where it serves queries.
+    pub address: SocketAddr,
+    /// Where its OpenSearch gateway is, if the installation has one.
+    pub gateway_address: SocketAddr,
+    /// The directory of its usage log.
+    pub usage_directory: PathBuf,
+    /// Where the settlement collects its usage log.
+    pub(super) collect_address: SocketAddr,
+    platform_file: PathBuf,
+    settings_file: PathBuf,
+    log: PathBuf,
+    process: Option<Process>,
+}
+
+impl Aggregator {
+    /// An aggregator with free ports, whose files are still to be written.
+    pub(super) fn new(folder: &Path, name: String, ip: IpAddr) -> io::Result<Aggregator> {
+        let file = |extension: &str| folder.join(format!("{name}.{extension}"));
+        Ok(Aggregator {
+            address: free_port(ip)?,
+            collect_address: free_port(ip)?,
+            gateway_address: free_port(ip)?,
+            platform_file: file("json"),
+            settings_file: file("ini"),
+            usage_directory: file("usage"),
+            log: file("log"),
+            name,
+            process: None,
+        })
+    }
+
+    /// Writes the platform object.
+    pub(super) fn write_platform_file(&self, parameters: &PlatformParameters) -> io::Result<()> {
+        let object = platform_object(parameters);
+        fs::write(&self.platform_file, format!("{object:#}"))
+    }
+
+    /// Writes the settings.
+    pub(super) fn write_settings(&self, usage_log: bool, gateway: bool) -> io::Result<()> {
+        let mut settings = String::new();
+        if usage_log {
+            settings += &usage_section(&self.usage_directory, self.collect_address);
+        }
+        if gateway {
+            settings += &gateway_sections(self.gateway_address);
+        }
+        fs::write(&self.settings_file, settings)
+    }
+
+    /// Starts the process and does not wait until it is ready.
+    pub(super) fn launch(&mut self, program: &Path) -> io::Result<()> {
+        let mut command = Command::new(program);
+        command
+            .arg("--config")
+            .arg(&self.platform_file)
+            .arg("--settings")
+            .arg(&self.settings_file)
+            .env_remove("BALANCER_CONFIG")
+            .env_remove("QUERY_AGGREGATOR_SETTINGS")
+            .env_remove("QUERY_AGGREGATOR_LOG");
+        self.process = Some(Process::start(&mut command, &self.log)?);
+        Ok(())
+    }
+
+    /// Waits until a started process is ready.
+    pub(super) async fn wait_until_ready(&self) -> Result<(), InstallationError> {
+        for _ in 0..READINESS_POLLS {
+            let response = get(self.address, "/-/ready").await;
+            if response.is_some_and(|response| response.status == 200) {
+                return Ok(());
+            }
+            tokio::time::sleep(READINESS_POLL_INTERVAL).await;
+        }
+        let log = fs::read_to_string(&self.log).unwrap_or_default();
+        Err(InstallationError::AggregatorNotReady {
+            name: self.name.clone(),
+            log: log.trim().to_string(),
+        })
+    }
+
+    /// Kills the process, as a crash does.
+    pub fn kill(&mut self) {
+        self.process = None;
+    }
+
+    /// Requests a graceful shutdown; true if the process exits with success within `limit`.
+    pub fn terminate(&mut self, limit: Duration) -> bool {
+        self.process
+            .as_mut()
+            .is_some_and(|process| process.terminate(limit))
+    }
+
+    /// Seconds of processor time that the process has used.
+    pub fn cpu_seconds(&self) -> Option<f64> {
+        self.process.as_ref()?.cpu_seconds()
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/installation/config.rs
@@ -0,0 +1,115 @@
+//! The texts of an aggregator's files: its platform object and its settings.
+
+use super::layout::{QueryClass, CLASSES, REPLICA_GROUPS, SHARDS, TENANTS, ZONES};
+use serde_json::{json, Value};
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::path::Path;
+
+const NANOS_PER_MS: u64 = 1_000_000;
+
+/// What differs between the platform objects of an installation's aggregators.
+pub(super) struct PlatformParameters<'a> {
+    pub(super) name: &'a str,
+    /// The index of the aggregator's zone.
+    pub(super) zone: usize,
+    pub(super) listen: SocketAddr,
+    pub(super) discovery: SocketAddr,
+    pub(super) seed: u64,
+    /// A snapshot of the endpoint list.
+    pub(super) endpoints: Value,
+}
+
+/// The platform object that an aggregator is started with. Its keys are the platform's.
+pub(super) fn platform_object(parameters: &PlatformParameters) -> Value {
+    json!({
+        "name": parameters.name,
+        "listen": parameters.listen,
+        "discovery": parameters.discovery,
+        "seed": format!("{:016x}", parameters.seed),
+        "limits": {"sockets": 1024},
+        "known": parameters.endpoints,
+        "settings": {
+            "classes": CLASSES.map(|class| class_object(&class)),
+            "orgs": TENANTS.map(|name| json!({"name": name})),
+            "localities": ZONES,
+            "my_zone": parameters.zone,
+            "replicas_of_me": ZONES.len(),
+            "tick_ns": 5 * NANOS_PER_MS,
+            "callers": {"marks_retry": true},
+            "tariffs": {"cross_zone": 0.05},
+            "extra": extra_object(),
+            "limits": limits_object(),
+            "guarantees": {
+                "cold_from": 0.5,
+                "cold_ns": 1000 * NANOS_PER_MS,
+                "fall_multiple": 6.0,
+                "fall_ns": 2000 * NANOS_PER_MS,
+            },
+        }
+    })
+}
+
+fn class_object(class: &QueryClass) -> Value {
+    json!({
+        "name": class.name,
+        "aim_ns": class.latency_objective_ms * NANOS_PER_MS,
+        "give_up_ns": class.timeout_ms * NANOS_PER_MS,
+        "semantics": "read_like",
+        "importance": 1.0,
+        "late_value": 0.3,
+    })
+}
+
+fn extra_object() -> Value {
+    json!({
+        "places": REPLICA_GROUPS,
+        "reach": 2,
+        "ranges": SHARDS,
+        "bundle_max": 8,
+        "class_need": CLASSES.map(|_| 1.0),
+        "least_share": CLASSES.map(|class| class.minimum_coverage),
+        "partial_earns": CLASSES.map(|_| 0.9),
+        "second_step": CLASSES.map(|_| 0),
+    })
+}
+
+fn limits_object() -> Value {
+    json!({
+        "cancelling": true,
+        "may_duplicate": true,
+        "max_attempts": 4,
+        "streams_per_conn": 32,
+        "connect_timeout_ns": 250 * NANOS_PER_MS,
+        "conn_idle_ns": 30_000 * NANOS_PER_MS,
+        "open_cap": 4096,
+        "max_retry_after_ns": 300 * NANOS_PER_MS,
+        "retry_after": true,
+    })
+}
+
+/// The section of an aggregator's settings for its usage log.
+pub(super) fn usage_section(directory: &Path, listen: SocketAddr) -> String {
+    format!(
+        "[usage]\ndirectory = {}\nmark = 100ms\nsegment = 64KiB\nlisten = {listen}\n",
+        directory.display()
+    )
+}
+
+/// The sections of an aggregator's settings for its OpenSearch gateway, with an index for each
+/// class.
+pub(super) fn gateway_sections(listen: SocketAddr) -> String {
+    let mut sections = format!(
+        "\n[opensearch]\nlisten = {listen}\ntenant-by = header-or-network\n\
+         \n[network loopback]\nprefixes = 127.0.0.0/8, ::1\ntenant = delta\n"
+    );
+    for class in CLASSES {
+        let name = class.name;
+        let last_shard = SHARDS - 1;
+        let _ = write!(
+            sections,
+            "\n[index {name}]\nclass = {name}\nshards = 0-{last_shard}\n"
+        );
+    }
+    sections
+}
--- /dev/null
+++ b/crates/testkit/src/installation/ledger.rs
@@ -0,0 +1,121 @@
+//! The ledger of an installation: its settlement process and its commands.
+
+use super::InstallationError;
+use crate::process::Process;
+use serde_json::Value;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::time::Duration;
+
+/// What a command printed, on both of its outputs.
+#[derive(Clone, Debug)]
+pub struct CommandOutput {
+    /// Whether its exit code was 0.
+    pub success: bool,
+    /// The standard output and then the standard error.
+    pub text: String,
+}
+
+/// The ledger's settings, and its settlement process if that runs.
+pub struct Ledger {
+    /// The file of settings.
+    pub settings_file: PathBuf,
+    folder: PathBuf,
+    program: PathBuf,
+    settlement: Option<Process>,
+}
+
+impl Ledger {
+    pub(super) fn new(folder: &Path, program: &Path) -> Ledger {
+        Ledger {
+            settings_file: folder.join("ledger.ini"),
+            folder: folder.into(),
+            program: program.into(),
+            settlement: None,
+        }
+    }
+
+    /// Writes the settings: the store, the members' sections, and further ones.
+    pub(super) fn write_settings(&self, members: &str, further: &str) -> io::Result<()> {
+        let store = self.folder.join("ledger.sqlite");
+        let store = store.display();
+        fs::write(
+            &self.settings_file,
+            format!("[settlement]\nstore = {store}\n\n{members}{further}"),
+        )
+    }
+
+    /// Starts the settlement.
+    ///
+    /// # Errors
+    /// It can't be started.
+    pub fn start_settlement(&mut self) -> io::Result<()> {
+        let log = self.folder.join("ledger.log");
+        self.settlement = Some(Process::start(&mut self.command(["serve"]), &log)?);
+        Ok(())
+    }
+
+    /// Kills the settlement, as a crash does.
+    pub fn kill_settlement(&mut self) {
+        self.settlement = None;
+    }
+
+    /// Requests a graceful shutdown of the settlement; true if it exits with success within
+    /// `limit`.
+    pub fn terminate_settlement(&mut self, limit: Duration) -> bool {
+        self.settlement
+            .as_mut()
+            .is_some_and(|process| process.terminate(limit))
+    }
+
+    /// Runs a command of the ledger.
+    ///
+    /// # Errors
+    /// It can't be started.
+    pub fn run<Argument: AsRef<str>>(
+        &self,
+        arguments: impl IntoIterator<Item = Argument>,
+    ) -> io::Result<CommandOutput> {
+        let output = self.command(arguments).output()?;
+        let standard_output = String::from_utf8_lossy(&output.stdout).into_owned();
+        Ok(CommandOutput {
+            success: output.status.success(),
+            text: standard_output + &String::from_utf8_lossy(&output.stderr),
+        })
+    }
+
+    /// Runs a command of the ledger that prints JSON.
+    ///
+    /// # Errors
+    /// It can't be started or prints no JSON.
+    pub fn run_json<Argument: AsRef<str>>(
+        &self,
+        arguments: impl IntoIterator<Item = Argument>,
+    ) -> Result<Value, InstallationError> {
+        let output = self
+            .command(arguments)
+            .args(["--format", "json"])
+            .output()?;
+        serde_json::from_slice(&output.stdout).map_err(|_| InstallationError::NoJson {
+            stderr: String::from_utf8_lossy(&output.stderr).into_owned(),
+        })
+    }
+
+    fn command<Argument: AsRef<str>>(
+        &self,
+        arguments: impl IntoIterator<Item = Argument>,
+    ) -> Command {
+        let mut command = Command::new(&self.program);
+        command.arg("ledger");
+        for argument in arguments {
+            command.arg(argument.as_ref());
+        }
+        command
+            .arg("--settings")
+            .arg(&self.settings_file)
+            .env_remove("QUERY_AGGREGATOR_LOG");
+        command
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/installation/mod.rs
@@ -0,0 +1,193 @@
+//! A whole installation on loopback: discovery, leaf servers in three zones, real aggregators, and
+//! their ledger.
+
+mod address;
+mod aggregator;
+mod config;
+mod layout;
+mod leaves;
+mod ledger;
+
+pub use address::{free_port, own_ip};
+pub use aggregator::Aggregator;
+pub use layout::{QueryClass, CLASSES, REPLICA_GROUPS, SHARDS, TENANTS, ZONES};
+pub use ledger::{CommandOutput, Ledger};
+
+use crate::discovery::Discovery;
+use crate::leaf::LeafOptions;
+use crate::process::{sibling_program, ProgramError};
+use config::PlatformParameters;
+use leaves::LeafFleet;
+use std::fmt::Write as _;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// The program that aggregators and the ledger's commands run.
+const AGGREGATOR_PROGRAM: &str = "query-aggregator";
+
+/// Why an installation can't be started or used.
+#[derive(Debug, thiserror::Error)]
+pub enum InstallationError {
+    /// The aggregator's program has not been built.
+    #[error(transparent)]
+    Program(#[from] ProgramError),
+    /// An aggregator was started and does not become ready in time.
+    #[error("mixer {name} does not come up: {log}")]
+    AggregatorNotReady {
+        /// The aggregator's name.
+        name: String,
+        /// What it has logged.
+        log: String,
+    },
+    /// A command of the ledger printed something else than JSON.
+    #[error("{stderr}")]
+    NoJson {
+        /// Its standard error.
+        stderr: String,
+    },
+    /// A port, a file or a process can't be had.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+}
+
+/// How an installation is to be.
+#[derive(Clone, Debug)]
+pub struct InstallationOptions {
+    /// The seed of all random numbers.
+    pub seed: u64,
+    /// How the leaf servers work.
+    pub leaf: LeafOptions,
+    /// Whether aggregators keep a usage log.
+    pub usage_log: bool,
+    /// Whether aggregators serve the OpenSearch gateway as well.
+    pub gateway: bool,
+    /// Sections of the ledger's settings besides its store and members.
+    pub ledger_settings: String,
+}
+
+/// A running installation; all of it ends when it is dropped.
+pub struct Installation {
+    /// The aggregators, one a zone.
+    pub aggregators: Vec<Aggregator>,
+    /// The ledger.
+    pub ledger: Ledger,
+    /// The path of the aggregator's program.
+    pub program: PathBuf,
+    discovery: Discovery,
+    leaves: LeafFleet,
+}
+
+impl Installation {
+    /// Starts leaf servers and discovery, writes all files, and starts the aggregators.
+    ///
+    /// # Errors
+    /// Something of it can't be started.
+    pub async fn start(
+        folder: &Path,
+        options: &InstallationOptions,
+    ) -> Result<Installation, InstallationError> {
+        let ip = own_ip();
+        let program = sibling_program(AGGREGATOR_PROGRAM)?;
+        let mut installation = Installation {
+            aggregators: Vec::new(),
+            ledger: Ledger::new(folder, &program),
+            program,
+            discovery: Discovery::start(ip).await?,
+            leaves: LeafFleet::new(ip, options.leaf, options.seed),
+        };
+        for zone in 0..ZONES.len() {
+            installation.restore_zone(zone, false).await?;
+        }
+        let mut members = String::new();
+        for zone in 0..ZONES.len() {
+            let aggregator = Aggregator::new(folder, format!("n{zone}"), ip)?;
+            let (name, collect) = (&aggregator.name, aggregator.collect_address);
+            let _ = write!(members, "[member {name}]\naddress = {collect}\n\n");
+            installation.add_aggregator(aggregator, options).await?;
+        }
+        let ledger = &installation.ledger;
+        ledger.write_settings(&members, &options.ledger_settings)?;
+        Ok(installation)
+    }
+
+    /// Starts an aggregator's process and does not wait until it is ready.
+    ///
+    /// # Errors
+    /// It can't be started.
+    pub fn launch_aggregator(&mut self, index: usize) -> io::Result<()> {
+        self.aggregators[index].launch(&self.program)
+    }
+
+    /// Starts an aggregator, also one that was killed, and waits until it is ready.
+    ///
+    /// # Errors
+    /// It can't be started or does not become ready within 10 s.
+    pub async fn start_aggregator(&mut self, index: usize) -> Result<(), InstallationError> {
+        self.launch_aggregator(index)?;
+        self.aggregators[index].wait_until_ready().await
+    }
+
+    /// Terminates all aggregators, one after the other; true if each exits with success within
+    /// `limit`.
+    pub fn terminate_aggregators(&mut self, limit: Duration) -> bool {
+        let mut clean = true;
+        for aggregator in &mut self.aggregators {
+            clean &= aggregator.terminate(limit);
+        }
+        clean
+    }
+
+    /// Kills the leaf servers of a zone; discovery publishes nothing about it.
+    pub fn lose_zone(&mut self, zone: usize) {
+        self.leaves.stop_zone(zone);
+    }
+
+    /// Starts the leaf servers of a zone, at other addresses than before, and publishes them; those
+    /// that are `cold` are published as just started.
+    ///
+    /// # Errors
+    /// No port is free.
+    pub async fn restore_zone(&mut self, zone: usize, cold: bool) -> io::Result<()> {
+        let changes = self.leaves.start_zone(zone, cold).await?;
+        self.discovery.publish(changes);
+        Ok(())
+    }
+
+    /// Where the aggregators serve queries.
+    pub fn aggregator_addresses(&self) -> Vec<SocketAddr> {
+        self.aggregators
+            .iter()
+            .map(|aggregator| aggregator.address)
+            .collect()
+    }
+
+    /// Adds the aggregator of the next zone and starts it.
+    async fn add_aggregator(
+        &mut self,
+        aggregator: Aggregator,
+        options: &InstallationOptions,
+    ) -> Result<(), InstallationError> {
+        let zone = self.aggregators.len();
+        aggregator.write_platform_file(&PlatformParameters {
+            name: &aggregator.name,
+            zone,
+            listen: aggregator.address,
+            discovery: self.discovery.address,
+            seed: options.seed ^ (zone as u64 + 1),
+            endpoints: self.discovery.snapshot(),
+        })?;
+        aggregator.write_settings(options.usage_log, options.gateway)?;
+        self.aggregators.push(aggregator);
+        self.start_aggregator(zone).await
+    }
+}
+
+/// The current Unix time in milliseconds.
+pub fn now_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis() as u64
+}
--- /dev/null
+++ b/crates/testkit/src/leaf/mod.rs
@@ -0,0 +1,24 @@
+//! A leaf server: answers each part of a query after a while, until it is killed.
+
+mod frame;
+mod server;
+
+pub use server::{LeafOptions, LeafServer};
+
+/// Offset basis and prime of the 64-bit FNV-1a hash.
+const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
+
+/// What a shard answers to a text: anyone can tell whether an answer is what it ought to be. A
+/// text that is a search is searched for.
+pub fn expected_answer(shard: u32, text: &str) -> String {
+    if text.starts_with('{') {
+        let search = serde_json::from_str(text).unwrap_or_default();
+        return crate::search::shard_response(shard, &search);
+    }
+    let bytes = shard.to_le_bytes().into_iter().chain(text.bytes());
+    let hash = bytes.fold(FNV_OFFSET_BASIS, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
+    });
+    format!("{hash:016x}")
+}
--- /dev/null
+++ b/crates/testkit/src/leaf/server.rs
@@ -0,0 +1,167 @@
+//! The sockets of a leaf server and the work on its parts.
+
+use super::expected_answer;
+use super::frame::{self, kind, Part};
+use crate::random;
+use rand::rngs::StdRng;
+use rand::Rng;
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::ops::Range;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, JoinSet};
+
+/// Frames that wait to be written to one connection, at most.
+const MAX_PENDING_FRAMES: usize = 1024;
+/// How much a part's service time varies around the configured one.
+const SERVICE_TIME_FACTORS: Range<f64> = 0.5..1.5;
+
+/// How a leaf server works.
+#[derive(Clone, Copy, Debug)]
+pub struct LeafOptions {
+    /// The mean service time of a part; one takes between half of and one and a half times it.
+    pub service_time: Duration,
+    /// Parts that are worked on at once; further ones are rejected as `busy`.
+    pub capacity: usize,
+}
+
+/// A leaf server that runs until it is dropped; then its connections break at once, as a dead
+/// process's do.
+pub struct LeafServer {
+    /// Where the server listens.
+    pub address: SocketAddr,
+    task: AbortHandle,
+}
+
+impl Drop for LeafServer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl LeafServer {
+    /// Serves on a free port.
+    ///
+    /// # Errors
+    /// No port is free.
+    pub async fn start(ip: IpAddr, options: LeafOptions, seed: u64) -> io::Result<LeafServer> {
+        let listener = TcpListener::bind((ip, 0)).await?;
+        let address = listener.local_addr()?;
+        let task = tokio::spawn(accept(listener, options, seed)).abort_handle();
+        Ok(LeafServer { address, task })
+    }
+}
+
+async fn accept(listener: TcpListener, options: LeafOptions, seed: u64) {
+    let in_flight = Arc::<AtomicUsize>::default();
+    // Ends with this task, so that no connection outlives the server.
+    let mut connections = JoinSet::new();
+    for number in 0u64.. {
+        let Ok((stream, _)) = listener.accept().await else {
+            return;
+        };
+        let random = random::stream(seed, number);
+        connections.spawn(serve(stream, options, random, in_flight.clone()));
+        while connections.try_join_next().is_some() {}
+    }
+}
+
+async fn serve(
+    stream: TcpStream,
+    options: LeafOptions,
+    random: StdRng,
+    in_flight: Arc<AtomicUsize>,
+) {
+    let _ = stream.set_nodelay(true);
+    let (mut reader, writer) = stream.into_split();
+    let (frames, pending_frames) = mpsc::channel::<Vec<u8>>(MAX_PENDING_FRAMES);
+    let mut tasks = JoinSet::new();
+    tasks.spawn(write_frames(writer, pending_frames));
+    let mut connection = LeafConnection {
+        options,
+        random,
+        in_flight,
+        frames,
+        tasks,
+    };
+    while let Some(frame) = frame::read(&mut reader).await {
+        let (kind, payload) = (frame[0], &frame[1..]);
+        if !connection.handle_frame(kind, payload).await {
+            return;
+        }
+        while connection.tasks.try_join_next().is_some() {}
+    }
+}
+
+async fn write_frames(mut writer: OwnedWriteHalf, mut pending_frames: mpsc::Receiver<Vec<u8>>) {
+    while let Some(frame) = pending_frames.recv().await {
+        if writer.write_all(&frame).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// One aggregator's connection to a leaf server.
+struct LeafConnection {
+    options: LeafOptions,
+    random: StdRng,
+    /// Parts that the server works on, over all connections.
+    in_flight: Arc<AtomicUsize>,
+    frames: mpsc::Sender<Vec<u8>>,
+    /// The writer and the parts in flight, which end with the connection.
+    tasks: JoinSet<()>,
+}
+
+impl LeafConnection {
+    /// Handles a frame; false if the connection is to be closed.
+    async fn handle_frame(&mut self, kind: u8, payload: &[u8]) -> bool {
+        match kind {
+            kind::QUERY => {
+                let Some(parts) = frame::parse_parts(payload) else {
+                    self.send(kind::ERROR, b"a call that can't be read").await;
+                    return false;
+                };
+                for part in parts {
+                    self.start_part(part).await;
+                }
+            }
+            // A cancelled part is worked on to its end, as by a server that notices too late.
+            kind::CANCEL => {}
+            kind::HEALTH_CHECK => self.send(kind::HEALTH_CHECK, b"ok").await,
+            kind::LOAD_REPORT => self.send(kind::LOAD_REPORT, b"-").await,
+            _ => return false,
+        }
+        true
+    }
+
+    async fn start_part(&mut self, part: Part) {
+        let factor = self.random.random_range(SERVICE_TIME_FACTORS);
+        let service_time = self.options.service_time.mul_f64(factor);
+        if self.in_flight.fetch_add(1, Ordering::Relaxed) >= self.options.capacity {
+            self.in_flight.fetch_sub(1, Ordering::Relaxed);
+            let rejection = format!("{} busy - -\n", part.id);
+            self.send(kind::ANSWER, rejection.as_bytes()).await;
+            return;
+        }
+        let (frames, in_flight) = (self.frames.clone(), self.in_flight.clone());
+        self.tasks.spawn(async move {
+            tokio::time::sleep(service_time).await;
+            in_flight.fetch_sub(1, Ordering::Relaxed);
+            let value = expected_answer(part.shard, &part.text);
+            let answer = format!("{} ok 1 -\n{value}", part.id);
+            let _ = frames
+                .send(frame::encode(kind::ANSWER, answer.as_bytes()))
+                .await;
+        });
+    }
+
+    async fn send(&self, kind: u8, payload: &[u8]) {
+        let _ = self.frames.send(frame::encode(kind, payload)).await;
+    }
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,11 +1,16 @@
-//! Stand-ins for what a mixer works with, on loopback: leaf servers, discovery, clients, a receiver
-//! of documents; and whole installations of real mixers among them, for demonstrations and proofs.
-//! Written from the protocol's description; never linked into the mixer.
+//! Stand-ins for what an aggregator works with, on loopback: leaf servers, discovery, clients and a
+//! receiver of documents; and whole installations of real aggregators among them, for
+//! demonstrations and proofs. Written from the protocol's description; never linked into the
+//! aggregator.
 
+pub mod cli;
 pub mod client;
 pub mod discovery;
+pub mod http;
 pub mod installation;
 pub mod leaf;
 pub mod process;
+pub mod random;
 pub mod receiver;
 pub mod search;
+pub mod sync;
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -1,14 +1,50 @@
-//! Child processes: each is ended, by its id, when it is dropped.
+//! Child processes: each is killed, by its id, when it is dropped.
 
-use std::fs::File;
+use std::fs::{self, File};
 use std::io;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+/// How often a process that is terminating is looked at.
+const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Ticks in which the kernel reports processor time.
+const CLOCK_TICKS_PER_SECOND: f64 = 100.0;
+/// Places of the user and system times in `/proc/PID/stat`, counted after the command's name.
+const USER_TICKS_FIELD: usize = 11;
+const SYSTEM_TICKS_FIELD: usize = 12;
+
+/// Why a program of the workspace can't be found.
+#[derive(Debug, thiserror::Error)]
+pub enum ProgramError {
+    /// No program of this name lies next to the running one.
+    #[error("{name} has not been built: run cargo build first")]
+    NotBuilt {
+        /// The program's name.
+        name: String,
+    },
+    /// The path of the running program can't be found out.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+}
+
+/// The program of this name that was built along with the running one.
+///
+/// # Errors
+/// It was not built.
+pub fn sibling_program(name: &str) -> Result<PathBuf, ProgramError> {
+    let own_path = std::env::current_exe()?;
+    // Tests run from a folder below that of the programs.
+    let folders = own_path.ancestors().skip(1).take(2);
+    folders
+        .map(|folder| folder.join(name))
+        .find(|path| path.is_file())
+        .ok_or_else(|| ProgramError::NotBuilt { name: name.into() })
+}
+
+/// A running child process.
 pub struct Process {
     child: Child,
-    pub log: PathBuf,
 }
 
 impl Drop for Process {
@@ -18,22 +54,6 @@
     }
 }
 
-/// The program that was built beside this one.
-///
-/// # Errors
-/// It was not built.
-pub fn beside(name: &str) -> io::Result<PathBuf> {
-    let own = std::env::current_exe()?;
-    // Tests run from a folder below.
-    let folders = own.ancestors().skip(1).take(2);
-    let found = folders
-        .map(|folder| folder.join(name))
-        .find(|path| path.is_file());
-    found.ok_or_else(|| {
-        io::Error::other(format!("{name} has not been built: run cargo build first"))
-    })
-}
-
 impl Process {
     /// Starts a command; both of its outputs are appended to a file.
     ///
@@ -46,69 +66,37 @@
             .stdout(file.try_clone()?)
             .stderr(file)
             .spawn()?;
-        Ok(Process {
-            child,
-            log: log.into(),
-        })
-    }
-
-    /// Ends it as a crash does: nothing of it runs again.
-    pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-
-    /// Sends it a signal by name, as in `-TERM`.
-    ///
-    /// # Errors
-    /// There is no such process any more.
-    pub fn signal(&self, signal: &str) -> io::Result<()> {
-        let done = Command::new("kill")
-            .args([signal, &self.child.id().to_string()])
-            .status()?;
-        if done.success() {
-            Ok(())
-        } else {
-            Err(io::Error::other(format!(
-                "process {} is over",
-                self.child.id()
-            )))
-        }
+        Ok(Process { child })
     }
 
-    /// Asks it to end and waits; true if it did within `most`, with success.
-    pub fn end(&mut self, most: Duration) -> bool {
-        let until = Instant::now() + most;
-        let mut asked = self.signal("-TERM").is_ok();
-        while Instant::now() < until {
+    /// Requests a graceful shutdown and waits; true if the process exits with success within
+    /// `limit`.
+    pub fn terminate(&mut self, limit: Duration) -> bool {
+        let deadline = Instant::now() + limit;
+        let mut clean = self.send_terminate_signal();
+        while Instant::now() < deadline {
             match self.child.try_wait() {
-                Ok(Some(status)) => return asked && status.success(),
-                Ok(None) => std::thread::sleep(Duration::from_millis(10)),
-                Err(_) => asked = false,
+                Ok(Some(status)) => return clean && status.success(),
+                Ok(None) => std::thread::sleep(EXIT_POLL_INTERVAL),
+                Err(_) => clean = false,
             }
         }
         false
     }
 
-    pub fn runs(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
+    /// Seconds of processor time that the process has used.
+    pub fn cpu_seconds(&self) -> Option<f64> {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id())).ok()?;
+        // The command's name, in parentheses, may contain spaces.
+        let fields: Vec<&str> = stat.rsplit(')').next()?.split_whitespace().collect();
+        let ticks = |field: usize| fields.get(field)?.parse::<f64>().ok();
+        Some((ticks(USER_TICKS_FIELD)? + ticks(SYSTEM_TICKS_FIELD)?) / CLOCK_TICKS_PER_SECOND)
     }
 
-    /// Seconds of processor time that it has used, and the most memory it held, in KiB.
-    pub fn used(&self) -> Option<(f64, u64)> {
-        let folder = PathBuf::from(format!("/proc/{}", self.child.id()));
-        let stat = std::fs::read_to_string(folder.join("stat")).ok()?;
-        let after = stat.rsplit(')').next()?;
-        let words: Vec<&str> = after.split_whitespace().collect();
-        let ticks = words.get(11)?.parse::<f64>().ok()? + words.get(12)?.parse::<f64>().ok()?;
-        let status = std::fs::read_to_string(folder.join("status")).ok()?;
-        let peak = status
-            .lines()
-            .find_map(|line| line.strip_prefix("VmHWM:"))?;
-        Some((ticks / 100.0, peak.split_whitespace().next()?.parse().ok()?))
+    fn send_terminate_signal(&self) -> bool {
+        Command::new("kill")
+            .args(["-TERM", &self.child.id().to_string()])
+            .status()
+            .is_ok_and(|status| status.success())
     }
 }
--- a/crates/testkit/src/receiver.rs
+++ b/crates/testkit/src/receiver.rs
@@ -1,5 +1,6 @@
 //! A receiver of documents that fails in every way that leaves the sender in doubt.
 
+use crate::sync::lock;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Incoming;
@@ -9,63 +10,92 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::task::{AbortHandle, JoinSet};
 
-/// What the receiver has: each document once, by its id, and how often it was offered.
+/// So many first deliveries of each document are stored and then not acknowledged.
+const UNACKNOWLEDGED_DELIVERIES: u32 = 2;
+/// How long a response is withheld: longer than any sender waits.
+const HANG: Duration = Duration::from_secs(30);
+const LISTEN_BACKLOG: u32 = 64;
+
+/// A document as it was first delivered.
+#[derive(Clone, Debug)]
+pub struct ReceivedDocument {
+    /// The bytes of the first delivery.
+    pub body: Bytes,
+    /// How often the document was delivered.
+    pub deliveries: u32,
+}
+
+/// What a receiver has stored.
 #[derive(Clone, Debug, Default)]
-pub struct Kept {
-    pub documents: BTreeMap<String, (Bytes, u32)>,
-    /// Offers of an id with other bytes than the first time.
-    pub changed: u32,
+pub struct ReceivedDocuments {
+    /// Each document once, by its idempotency key.
+    pub by_id: BTreeMap<String, ReceivedDocument>,
+    /// Deliveries of a known document with other bytes than the first time.
+    pub conflicting_deliveries: u32,
+}
+
+impl ReceivedDocuments {
+    /// Stores a delivery and returns how often this document has been delivered.
+    fn store(&mut self, id: String, body: Bytes) -> u32 {
+        let document = self.by_id.entry(id).or_insert_with(|| ReceivedDocument {
+            body: body.clone(),
+            deliveries: 0,
+        });
+        document.deliveries += 1;
+        self.conflicting_deliveries += u32::from(document.body != body);
+        document.deliveries
+    }
 }
 
-/// Keeps documents until it is dropped; what it keeps outlives it, as a disk would.
-pub struct Receiver {
-    pub address: SocketAddr,
+/// Receives documents until it is dropped; what it stores outlives it, as a disk would.
+///
+/// The first deliveries of each document are stored and then not acknowledged: the connection is
+/// dropped, the response is a 500, or none comes at all.
+pub struct DocumentReceiver {
     task: AbortHandle,
 }
 
-impl Drop for Receiver {
+impl Drop for DocumentReceiver {
     fn drop(&mut self) {
         self.task.abort();
     }
 }
 
-impl Receiver {
-    /// Serves on `address`. If `hostile`, the first offers of each document are stored and then not
-    /// acknowledged: the connection is dropped, the answer is a 500, or none comes at all.
+impl DocumentReceiver {
+    /// Serves on `address`.
     ///
-    /// # Errors The address is taken.
+    /// # Errors
+    /// The address is taken.
     pub async fn start(
         address: SocketAddr,
-        kept: Arc<Mutex<Kept>>,
-        hostile: bool,
-    ) -> io::Result<Receiver> {
+        documents: Arc<Mutex<ReceivedDocuments>>,
+    ) -> io::Result<DocumentReceiver> {
         let socket = TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
         socket.bind(address)?;
-        let listener = socket.listen(64)?;
-        let address = listener.local_addr()?;
-        let task = tokio::spawn(serve(listener, kept, hostile)).abort_handle();
-        Ok(Receiver { address, task })
+        let listener = socket.listen(LISTEN_BACKLOG)?;
+        let task = tokio::spawn(serve(listener, documents)).abort_handle();
+        Ok(DocumentReceiver { task })
     }
 }
 
-async fn serve(listener: TcpListener, kept: Arc<Mutex<Kept>>, hostile: bool) {
+async fn serve(listener: TcpListener, documents: Arc<Mutex<ReceivedDocuments>>) {
     let mut connections = JoinSet::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             return;
         };
-        let kept = kept.clone();
+        let documents = documents.clone();
         connections.spawn(async move {
-            let answer = service_fn(move |request| receive(request, kept.clone(), hostile));
-            let serve = hyper::server::conn::http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), answer);
-            let _ = serve.await;
+            let service = service_fn(move |request| receive(request, documents.clone()));
+            let connection = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service);
+            let _ = connection.await;
         });
         while connections.try_join_next().is_some() {}
     }
@@ -73,21 +103,15 @@
 
 async fn receive(
     request: Request<Incoming>,
-    kept: Arc<Mutex<Kept>>,
-    hostile: bool,
-) -> Result<Response<Empty<Bytes>>, io::Error> {
+    documents: Arc<Mutex<ReceivedDocuments>>,
+) -> io::Result<Response<Empty<Bytes>>> {
     let id = request
         .headers()
         .get("idempotency-key")
         .and_then(|id| id.to_str().ok())
         .map(str::to_string);
-    let status = |status: StatusCode| {
-        let mut response = Response::new(Empty::new());
-        *response.status_mut() = status;
-        Ok(response)
-    };
     let Some(id) = id else {
-        return status(StatusCode::BAD_REQUEST);
+        return Ok(empty_response(StatusCode::BAD_REQUEST));
     };
     let body = request
         .into_body()
@@ -95,26 +119,24 @@
         .await
         .map_err(io::Error::other)?
         .to_bytes();
-    let offers = {
-        let mut kept = kept.lock().unwrap_or_else(PoisonError::into_inner);
-        let (first, offers) = kept
-            .documents
-            .entry(id.clone())
-            .or_insert_with(|| (body.clone(), 0));
-        *offers += 1;
-        let (same, offers) = (*first == body, *offers);
-        kept.changed += u32::from(!same);
-        offers
-    };
-    // Which way it fails first is the document's own, so that every way is met.
-    let way = (id.bytes().map(u32::from).sum::<u32>() + offers) % 3;
-    match (hostile && offers <= 2, way) {
-        (true, 0) => Err(io::Error::other("dropped after storing")),
-        (true, 1) => status(StatusCode::INTERNAL_SERVER_ERROR),
-        (true, _) => {
-            tokio::time::sleep(Duration::from_secs(30)).await;
-            status(StatusCode::OK)
+    let deliveries = lock(&documents).store(id.clone(), body);
+    if deliveries > UNACKNOWLEDGED_DELIVERIES {
+        return Ok(empty_response(StatusCode::OK));
+    }
+    // Depends on the document, so that over several documents every failure is met first.
+    let failure = (id.bytes().map(u32::from).sum::<u32>() + deliveries) % 3;
+    match failure {
+        0 => Err(io::Error::other("dropped after storing")),
+        1 => Ok(empty_response(StatusCode::INTERNAL_SERVER_ERROR)),
+        _ => {
+            tokio::time::sleep(HANG).await;
+            Ok(empty_response(StatusCode::OK))
         }
-        (false, _) => status(StatusCode::OK),
     }
 }
+
+fn empty_response(status: StatusCode) -> Response<Empty<Bytes>> {
+    let mut response = Response::new(Empty::new());
+    *response.status_mut() = status;
+    response
+}
