Share what both proofs begin and end with, type endpoint changes, rename the kit's tests

Cause: both prove-* programs had the same error type, runtime size and verdict texts; changes of the endpoint list were bare JSON; the tests' names said what was proved and not which program ran.

Change: proof.rs in the library has ProofError, run and verdict; EndpointChange and EndpointStatus are turned into the protocol's JSON in one place; prove-ledger's checks are a CheckList. The tests have a ProgramRun with named fields; their arguments and assertions are the same.

| old test name | new test name | | --- | --- | | the_ledger_is_proved_on_a_small_run | prove_ledger_succeeds_on_a_small_run | | the_search_front_is_proved_on_a_small_run | prove_opensearch_succeeds_on_a_small_run | | the_demonstration_prints_a_line_to_ask_and_ends_clean | demo_prints_an_example_request_and_exits_cleanly |

--- a/crates/testkit/src/bin/prove-ledger/proof.rs
+++ b/crates/testkit/src/bin/prove-ledger/check_list.rs
@@ -4,11 +4,11 @@
 
 /// The checks made so far.
 #[derive(Default)]
-pub struct Proof {
+pub struct CheckList {
     failures: Vec<String>,
 }
 
-impl Proof {
+impl CheckList {
     /// Prints a check and records whether it holds.
     pub fn check(&mut self, name: &str, holds: bool, detail: impl Display) {
         println!("{} {name}: {detail}", if holds { "ok  " } else { "FAIL" });
@@ -22,15 +22,6 @@
         self.failures.is_empty()
     }
 
-    /// The first word of the summary.
-    pub fn verdict(&self) -> &'static str {
-        if self.holds() {
-            "proved"
-        } else {
-            "NOT PROVED"
-        }
-    }
-
     /// The end of the summary: the checks that do not hold, if any.
     pub fn failures_suffix(&self) -> String {
         if self.holds() {
--- a/crates/testkit/src/bin/prove-ledger/checks.rs
+++ b/crates/testkit/src/bin/prove-ledger/checks.rs
@@ -1,11 +1,12 @@
 //! The comparison of what clients sent with what the ledger states and exports.
 
+use crate::check_list::CheckList;
 use crate::ledger_commands::CORRECTION_MICRO_UNITS;
 use crate::load::Load;
-use crate::proof::Proof;
 use crate::statements::Statements;
 use crate::totals::{total_by_key, TotalKey, Totals, UseCounts};
 use crate::use_attempts::{UseOutcome, UseRecord};
+use aggregator_testkit::proof;
 use aggregator_testkit::receiver::ReceivedDocuments;
 use serde_json::Value;
 use std::collections::BTreeSet;
@@ -27,27 +28,27 @@
     /// The documents that were received.
     pub received: ReceivedDocuments,
     /// The names of the documents that the ledger lists.
-    pub listed_documents: BTreeSet<String>,
+    pub document_list: BTreeSet<String>,
     /// The names of the documents in the export's folder.
     pub files: BTreeSet<String>,
 }
 
 /// Makes all comparisons; `expected_uses` is how many the clients were to make.
-pub fn check_all(proof: &mut Proof, results: &Results, expected_uses: u64) {
-    check_totals(proof, results, expected_uses);
-    check_answers(proof, results);
-    check_retries(proof, results);
-    check_documents(proof, results);
-    check_amounts(proof, results);
-    check_nothing_missing(proof, results);
+pub fn check_all(checks: &mut CheckList, results: &Results, expected_uses: u64) {
+    check_totals(checks, results, expected_uses);
+    check_answers(checks, results);
+    check_retries(checks, results);
+    check_documents(checks, results);
+    check_amounts(checks, results);
+    check_nothing_missing(checks, results);
 }
 
-fn check_totals(proof: &mut Proof, results: &Results, expected_uses: u64) {
+fn check_totals(checks: &mut CheckList, results: &Results, expected_uses: u64) {
     let client_totals = total_by_key(&results.uses, results.period_ms);
     let differences = differences(&client_totals, &results.statements.totals);
     let shown = &differences[..differences.len().min(MAX_SHOWN_DIFFERENCES)];
     let all_uses_made = results.uses.len() as u64 == expected_uses;
-    proof.check(
+    checks.check(
         "totals by tenant, class and period equal what clients sent",
         differences.is_empty() && !client_totals.is_empty() && all_uses_made,
         format!(
@@ -86,10 +87,10 @@
     [counts.uses, counts.complete, counts.partial]
 }
 
-fn check_answers(proof: &mut Proof, results: &Results) {
+fn check_answers(checks: &mut CheckList, results: &Results) {
     let counters = &results.load.counters;
     let (unanswered, wrong) = (counters.unanswered.value(), counters.wrong.value());
-    proof.check(
+    checks.check(
         "every query got one final answer",
         unanswered == 0 && wrong == 0,
         format!(
@@ -103,11 +104,11 @@
     );
 }
 
-fn check_retries(proof: &mut Proof, results: &Results) {
+fn check_retries(checks: &mut CheckList, results: &Results) {
     let counters = &results.load.counters;
     let retries = counters.attempts.value() - results.uses.len() as u64;
     let crossed = counters.crossed.value();
-    proof.check(
+    checks.check(
         "clients retried within and across mixers",
         retries > 0 && crossed > 0,
         format!(
@@ -118,19 +119,19 @@
     );
 }
 
-fn check_documents(proof: &mut Proof, results: &Results) {
+fn check_documents(checks: &mut CheckList, results: &Results) {
     let received_ids: BTreeSet<String> = results.received.by_id.keys().cloned().collect();
-    let listed = &results.listed_documents;
+    let expected_ids = &results.document_list;
     let deliveries = results.deliveries();
     let conflicting = results.received.conflicting_deliveries;
-    proof.check(
+    checks.check(
         "each document is received exactly once, unchanged",
-        *listed == received_ids
-            && *listed == results.files
+        *expected_ids == received_ids
+            && *expected_ids == results.files
             && conflicting == 0
-            && !listed.is_empty()
+            && !expected_ids.is_empty()
             // Unacknowledged deliveries were repeated.
-            && deliveries as usize > listed.len(),
+            && deliveries as usize > expected_ids.len(),
         format!(
             "{} documents, {deliveries} offers, {} in the folder, {conflicting} with other bytes",
             received_ids.len(),
@@ -139,7 +140,7 @@
     );
 }
 
-fn check_amounts(proof: &mut Proof, results: &Results) {
+fn check_amounts(checks: &mut CheckList, results: &Results) {
     let documents = results.received.by_id.values();
     let document_amount: i64 = documents
         .filter_map(|document| {
@@ -148,7 +149,7 @@
         })
         .sum();
     let statement_amount = results.statements.amount;
-    proof.check(
+    checks.check(
         "documents come to the statements and the credit",
         document_amount == statement_amount + CORRECTION_MICRO_UNITS,
         format!(
@@ -158,10 +159,10 @@
     );
 }
 
-fn check_nothing_missing(proof: &mut Proof, results: &Results) {
+fn check_nothing_missing(checks: &mut CheckList, results: &Results) {
     let missing = results.statements.missing_members;
     let lost = results.statements.lost_records;
-    proof.check(
+    checks.check(
         "nothing is missing from the statements",
         missing == 0 && lost == 0,
         format!("{missing} members missing, {lost} records lost"),
@@ -172,7 +173,7 @@
     /// Prints the last line.
     pub fn print_summary(
         &self,
-        proof: &Proof,
+        checks: &CheckList,
         load_time: Duration,
         total_time: Duration,
         seed: u64,
@@ -186,7 +187,7 @@
             "{}: {} uses ({answered} answered) in {} tries at {:.0} a second, {} periods, \
              {} adjustments, {} documents in {} offers, \
              2 mixer kills, 1 zone lost, 2 settlement kills, seed {seed}, {:.0} s{}",
-            proof.verdict(),
+            proof::verdict(checks.holds()),
             self.uses.len(),
             self.load.counters.attempts.value(),
             self.uses.len() as f64 / load_time.as_secs_f64(),
@@ -195,7 +196,7 @@
             self.received.by_id.len(),
             self.deliveries(),
             total_time.as_secs_f64(),
-            proof.failures_suffix()
+            checks.failures_suffix()
         );
     }
 
--- a/crates/testkit/src/bin/prove-ledger/faults.rs
+++ b/crates/testkit/src/bin/prove-ledger/faults.rs
@@ -1,9 +1,9 @@
 //! What fails while clients use the aggregators.
 
-use crate::error::ProofError;
 use crate::load::Load;
 use crate::receiver::RestartableReceiver;
 use aggregator_testkit::installation::{now_ms, Installation};
+use aggregator_testkit::proof::ProofError;
 use std::time::Duration;
 use tokio::time::sleep;
 
--- a/crates/testkit/src/bin/prove-ledger/ledger_commands.rs
+++ b/crates/testkit/src/bin/prove-ledger/ledger_commands.rs
@@ -1,10 +1,10 @@
 //! Checks made with the ledger's own commands.
 
-use crate::error::ProofError;
-use crate::proof::Proof;
+use crate::check_list::CheckList;
 use crate::receiver::RestartableReceiver;
 use crate::StatsFile;
 use aggregator_testkit::installation::{Installation, Ledger};
+use aggregator_testkit::proof::ProofError;
 use serde_json::Value;
 use std::path::Path;
 use std::time::Duration;
@@ -22,7 +22,7 @@
 
 /// Corrects a statement that has gone out, which has to become a credit.
 pub async fn check_correction(
-    proof: &mut Proof,
+    checks: &mut CheckList,
     ledger: &Ledger,
     receiver: &RestartableReceiver,
 ) -> Result<(), ProofError> {
@@ -43,7 +43,7 @@
         "--id",
         "first",
     ])?;
-    proof.check(
+    checks.check(
         "a correction after the export becomes a credit",
         output.success && output.text.contains("credit-first"),
         output.text.trim(),
@@ -72,7 +72,7 @@
 
 /// Reconciles the clients' records with the ledger, use by use.
 pub fn check_reconciliation(
-    proof: &mut Proof,
+    checks: &mut CheckList,
     ledger: &Ledger,
     clients_file: &Path,
     stats_files: &[StatsFile],
@@ -93,7 +93,7 @@
     } else {
         last_lines.last().unwrap_or_default()
     };
-    proof.check(
+    checks.check(
         "ledger reconcile finds no difference",
         output.success,
         detail,
@@ -103,7 +103,7 @@
 
 /// Verifies the store, the documents and the aggregators' usage logs.
 pub fn check_verification(
-    proof: &mut Proof,
+    checks: &mut CheckList,
     installation: &Installation,
 ) -> Result<(), ProofError> {
     let mut arguments = vec!["verify".to_string()];
@@ -112,7 +112,7 @@
         arguments.extend(["--log".into(), directory]);
     }
     let output = installation.ledger.run(&arguments)?;
-    proof.check(
+    checks.check(
         "ledger verify finds nothing wrong",
         output.success,
         output.text.trim().replace('\n', "; "),
--- a/crates/testkit/src/bin/prove-ledger/main.rs
+++ b/crates/testkit/src/bin/prove-ledger/main.rs
@@ -8,12 +8,11 @@
 //! In the end the clients' own records are compared with the statements and the documents, by code
 //! that shares nothing with the ledger's.
 
+mod check_list;
 mod checks;
-mod error;
 mod faults;
 mod ledger_commands;
 mod load;
-mod proof;
 mod receiver;
 mod settings;
 mod statements;
@@ -21,14 +20,13 @@
 mod totals;
 mod use_attempts;
 
-use aggregator_testkit::cli;
 use aggregator_testkit::http::get;
 use aggregator_testkit::installation::{now_ms, Installation};
+use aggregator_testkit::proof::{self, ProofError};
+use check_list::CheckList;
 use checks::Results;
 use clap::Parser;
-use error::ProofError;
 use load::Load;
-use proof::Proof;
 use receiver::RestartableReceiver;
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -38,7 +36,6 @@
 use tempfile::TempDir;
 use tokio::time::sleep;
 
-const WORKER_THREADS: usize = 3;
 const MIN_PERIOD_SECONDS: u64 = 4;
 /// How long each process may take to exit.
 const EXIT_LIMIT: Duration = Duration::from_secs(10);
@@ -66,8 +63,7 @@
 }
 
 fn main() -> ExitCode {
-    let result = cli::block_on(WORKER_THREADS, run(Arguments::parse()));
-    cli::exit_code(result, |error| println!("NOT PROVED: {error}"))
+    proof::run(run(Arguments::parse()))
 }
 
 async fn run(arguments: Arguments) -> Result<bool, ProofError> {
@@ -85,8 +81,8 @@
     let load = Arc::new(Load::new(addresses, period_seconds, arguments.queries));
     let clients = load::start_clients(&load, arguments.clients, arguments.seed);
     faults::inject(&mut installation, &load, &mut receiver).await?;
-    let mut proof = Proof::default();
-    ledger_commands::check_correction(&mut proof, &installation.ledger, &receiver).await?;
+    let mut checks = CheckList::default();
+    ledger_commands::check_correction(&mut checks, &installation.ledger, &receiver).await?;
     for client in clients {
         client.await?;
     }
@@ -104,22 +100,22 @@
         period_ms: period_seconds * 1000,
         statements: statements::read_all(&installation.ledger, &statements)?,
         received: receiver.documents(),
-        listed_documents: statements::listed_documents(&installation.ledger)?,
+        document_list: statements::document_list(&installation.ledger)?,
         files: statements::exported_files(&documents_folder)?,
         uses,
         load: &load,
     };
-    checks::check_all(&mut proof, &results, arguments.queries);
-    terminate(&mut proof, &mut installation).await;
+    checks::check_all(&mut checks, &results, arguments.queries);
+    terminate(&mut checks, &mut installation).await;
     ledger_commands::check_reconciliation(
-        &mut proof,
+        &mut checks,
         &installation.ledger,
         &clients_file,
         &stats_files,
     )?;
-    ledger_commands::check_verification(&mut proof, &installation)?;
-    results.print_summary(&proof, load_time, started.elapsed(), arguments.seed);
-    Ok(proof.holds())
+    ledger_commands::check_verification(&mut checks, &installation)?;
+    results.print_summary(&checks, load_time, started.elapsed(), arguments.seed);
+    Ok(checks.holds())
 }
 
 fn create_folder(keep: bool) -> std::io::Result<TempDir> {
@@ -156,12 +152,12 @@
 }
 
 /// Ends all processes of the installation, each of which has to exit by itself.
-async fn terminate(proof: &mut Proof, installation: &mut Installation) {
+async fn terminate(checks: &mut CheckList, installation: &mut Installation) {
     for aggregator in &mut installation.aggregators {
         let clean = aggregator.terminate(EXIT_LIMIT);
-        proof.check("a mixer ends by itself", clean, &aggregator.name);
+        checks.check("a mixer ends by itself", clean, &aggregator.name);
     }
     sleep(PAUSE_BEFORE_SETTLEMENT_EXIT).await;
     let clean = installation.ledger.terminate_settlement(EXIT_LIMIT);
-    proof.check("the settlement ends by itself", clean, "SIGTERM");
+    checks.check("the settlement ends by itself", clean, "SIGTERM");
 }
--- a/crates/testkit/src/bin/prove-ledger/statements.rs
+++ b/crates/testkit/src/bin/prove-ledger/statements.rs
@@ -1,9 +1,9 @@
 //! What the ledger states and exports.
 
-use crate::error::ProofError;
 use crate::timestamps::parse_ms;
 use crate::totals::{TotalKey, Totals};
 use aggregator_testkit::installation::Ledger;
+use aggregator_testkit::proof::ProofError;
 use serde_json::Value;
 use std::collections::BTreeSet;
 use std::fs;
@@ -68,7 +68,7 @@
 }
 
 /// The names of the documents that the ledger lists as made.
-pub fn listed_documents(ledger: &Ledger) -> Result<BTreeSet<String>, ProofError> {
+pub fn document_list(ledger: &Ledger) -> Result<BTreeSet<String>, ProofError> {
     let exports = array(list_exports(ledger)?);
     let names = exports
         .iter()
--- a/crates/testkit/src/bin/prove-ledger/totals.rs
+++ b/crates/testkit/src/bin/prove-ledger/totals.rs
@@ -1,9 +1,9 @@
 //! Uses by period, tenant and class, as clients counted them.
 
-use crate::error::ProofError;
 use crate::timestamps::format_ms;
 use crate::use_attempts::{UseOutcome, UseRecord};
 use std::collections::BTreeMap;
+use std::io;
 use std::path::Path;
 
 /// What uses are totalled by.
@@ -50,7 +50,7 @@
 }
 
 /// Writes the uses in the form that the ledger's reconciliation reads.
-pub fn write_csv(path: &Path, uses: &[UseRecord]) -> Result<(), ProofError> {
+pub fn write_csv(path: &Path, uses: &[UseRecord]) -> io::Result<()> {
     let mut writer = csv::Writer::from_path(path)?;
     writer.write_record(["at_ms", "tenant", "class", "outcome", "tries", "key"])?;
     for record in uses {
@@ -63,6 +63,5 @@
             &format!("{:016x}", record.join_key),
         ])?;
     }
-    writer.flush()?;
-    Ok(())
+    writer.flush()
 }
--- a/crates/testkit/src/bin/prove-opensearch/main.rs
+++ b/crates/testkit/src/bin/prove-opensearch/main.rs
@@ -7,25 +7,22 @@
 
 mod api_cases;
 mod api_checks;
-mod error;
 mod load;
 mod page_check;
 mod random_search;
 mod summary;
 mod tally;
 
-use aggregator_testkit::cli;
 use aggregator_testkit::installation::{Installation, InstallationOptions};
 use aggregator_testkit::leaf::LeafOptions;
+use aggregator_testkit::proof::{self, ProofError};
 use clap::Parser;
-use error::ProofError;
 use load::Load;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 use summary::Summary;
 use tokio::time::sleep;
 
-const WORKER_THREADS: usize = 3;
 /// The zone that is lost, and for how long.
 const LOST_ZONE: usize = 2;
 const TIME_BEFORE_ZONE_LOSS: Duration = Duration::from_secs(2);
@@ -46,8 +43,7 @@
 }
 
 fn main() -> ExitCode {
-    let result = cli::block_on(WORKER_THREADS, run(Arguments::parse()));
-    cli::exit_code(result, |error| println!("NOT PROVED: {error}"))
+    proof::run(run(Arguments::parse()))
 }
 
 async fn run(arguments: Arguments) -> Result<bool, ProofError> {
--- a/crates/testkit/src/bin/prove-opensearch/summary.rs
+++ b/crates/testkit/src/bin/prove-opensearch/summary.rs
@@ -2,6 +2,7 @@
 
 use crate::tally::{sum, OutcomeCounts, ServedOutcome, Tally};
 use aggregator_testkit::installation::CLASSES;
+use aggregator_testkit::proof;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -64,7 +65,7 @@
 
     /// Prints the last line.
     pub fn print_last_line(&self, seed: u64, time: Duration) {
-        let verdict = if self.holds() { "proved" } else { "NOT PROVED" };
+        let verdict = proof::verdict(self.holds());
         println!(
             "{verdict}: {} searches through each front, {} answered by the new one and {} by the native one, \
              {} pages exact, {} searches on a sick shard, {} wrong, {} unanswered, \
--- a/crates/testkit/src/discovery.rs
+++ b/crates/testkit/src/discovery.rs
@@ -25,26 +25,84 @@
 
 type Body = UnsyncBoxBody<Bytes, Infallible>;
 
+/// Whether an endpoint is listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndpointStatus {
+    /// It serves.
+    Up,
+    /// It is not on the list any more.
+    Removed,
+}
+
+/// A change of one leaf server's endpoint.
+#[derive(Clone, Debug)]
+pub struct EndpointChange {
+    /// The leaf server's name.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: &'static str,
+    /// Its replica group.
+    pub group: usize,
+    /// Whether it is listed.
+    pub status: EndpointStatus,
+    /// When it started, in Unix milliseconds; 0 if it has long been warm.
+    pub since_ms: u64,
+}
+
+impl EndpointChange {
+    /// The change in the protocol's form.
+    fn to_json(&self) -> Value {
+        json!({
+            "name": self.name,
+            "address": self.address,
+            "zone": self.zone,
+            "type": "m",
+            "group": self.group,
+            "status": match self.status {
+                EndpointStatus::Up => "up",
+                EndpointStatus::Removed => "removed",
+            },
+            "weight": 1.0,
+            "since_ms": self.since_ms,
+        })
+    }
+}
+
 #[derive(Default)]
 struct EndpointList {
     /// All changes in their order; the index of a change counts from 1.
-    changes: Vec<Value>,
+    changes: Vec<EndpointChange>,
 }
 
 impl EndpointList {
     fn snapshot(&self) -> Value {
-        let mut endpoints: Vec<&Value> = Vec::new();
+        let mut endpoints: Vec<&EndpointChange> = Vec::new();
         for change in &self.changes {
-            endpoints.retain(|endpoint| endpoint["name"] != change["name"]);
-            if change["status"] != "removed" {
+            endpoints.retain(|endpoint| endpoint.name != change.name);
+            if change.status != EndpointStatus::Removed {
                 endpoints.push(change);
             }
         }
-        json!({"index": self.changes.len(), "snapshot": true, "endpoints": endpoints})
+        self.update(true, endpoints)
     }
 
     fn delta_since(&self, index: usize) -> Value {
-        json!({"index": self.changes.len(), "snapshot": false, "endpoints": self.changes[index..]})
+        self.update(false, &self.changes[index..])
+    }
+
+    fn update<'a>(
+        &self,
+        is_snapshot: bool,
+        endpoints: impl IntoIterator<Item = &'a EndpointChange>,
+    ) -> Value {
+        let endpoints: Vec<Value> = endpoints.into_iter().map(EndpointChange::to_json).collect();
+        json!({
+            "index": self.changes.len(),
+            "snapshot": is_snapshot,
+            "endpoints": endpoints,
+        })
     }
 }
 
@@ -83,7 +141,7 @@
     }
 
     /// Publishes changed endpoints, all in one delta.
-    pub fn publish(&self, changes: Vec<Value>) {
+    pub fn publish(&self, changes: Vec<EndpointChange>) {
         let mut list = lock(&self.list);
         list.changes.extend(changes);
         self.changed.send_replace(list.changes.len());
--- a/crates/testkit/src/installation/leaves.rs
+++ b/crates/testkit/src/installation/leaves.rs
@@ -2,10 +2,10 @@
 
 use super::layout::{REPLICA_GROUPS, ZONES};
 use super::now_ms;
+use crate::discovery::{EndpointChange, EndpointStatus};
 use crate::leaf::{LeafOptions, LeafServer};
-use serde_json::{json, Value};
 use std::io;
-use std::net::{IpAddr, SocketAddr};
+use std::net::IpAddr;
 
 /// Leaf servers, of which those of a lost zone are not running.
 pub(super) struct LeafFleet {
@@ -52,7 +52,11 @@
     }
 
     /// Starts the leaf servers of a zone at new addresses; the changes of the endpoint list.
-    pub(super) async fn start_zone(&mut self, zone: usize, cold: bool) -> io::Result<Vec<Value>> {
+    pub(super) async fn start_zone(
+        &mut self,
+        zone: usize,
+        cold: bool,
+    ) -> io::Result<Vec<EndpointChange>> {
         let mut changes = Vec::new();
         for (index, replica) in self.replicas.iter_mut().enumerate() {
             if replica.zone != zone {
@@ -62,22 +66,18 @@
             let seed = self.seed ^ (index as u64) << 32 ^ replica.starts;
             let server = LeafServer::start(self.ip, self.options, seed).await?;
             let since_ms = if cold { now_ms() } else { 0 };
-            let change = |start: u64, status: &str, address: SocketAddr| {
-                json!({
-                    "name": format!("s-{index}-{start}"),
-                    "address": address,
-                    "zone": ZONES[zone],
-                    "type": "m",
-                    "group": replica.group,
-                    "status": status,
-                    "weight": 1.0,
-                    "since_ms": since_ms,
-                })
+            let change = |start: u64, status: EndpointStatus| EndpointChange {
+                name: format!("s-{index}-{start}"),
+                address: server.address,
+                zone: ZONES[zone],
+                group: replica.group,
+                status,
+                since_ms,
             };
             if replica.starts > 1 {
-                changes.push(change(replica.starts - 1, "removed", server.address));
+                changes.push(change(replica.starts - 1, EndpointStatus::Removed));
             }
-            changes.push(change(replica.starts, "up", server.address));
+            changes.push(change(replica.starts, EndpointStatus::Up));
             replica.server = Some(server);
         }
         Ok(changes)
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod installation;
 pub mod leaf;
 pub mod process;
+pub mod proof;
 pub mod random;
 pub mod receiver;
 pub mod search;
--- a/crates/testkit/tests/installation.rs
+++ b/crates/testkit/tests/installation.rs
@@ -1,26 +1,37 @@
-//! The demonstration and the proof as they are run, in a smaller form. Both start real mixers,
-//! which `make test` builds first.
+//! The demonstration and the proofs as they are run, in a smaller form. They start real
+//! aggregators, which `make test` builds first.
 
-use std::process::{Command, Output};
+use std::process::Command;
 
-fn run(program: &str, words: &[&str]) -> (bool, String) {
-    let Output {
-        status,
-        stdout,
-        stderr,
-    } = Command::new(program)
-        .args(words)
+/// What a program came to.
+struct ProgramRun {
+    success: bool,
+    /// The standard output and then the standard error.
+    output: String,
+}
+
+impl ProgramRun {
+    fn last_line_starts_with(&self, prefix: &str) -> bool {
+        let last_line = self.output.lines().last();
+        last_line.is_some_and(|line| line.starts_with(prefix))
+    }
+}
+
+fn run(program: &str, arguments: &[&str]) -> ProgramRun {
+    let output = Command::new(program)
+        .args(arguments)
         .output()
-        .expect("it starts");
-    (
-        status.success(),
-        String::from_utf8_lossy(&stdout).into_owned() + &String::from_utf8_lossy(&stderr),
-    )
+        .expect("the program starts");
+    let standard_output = String::from_utf8_lossy(&output.stdout).into_owned();
+    ProgramRun {
+        success: output.status.success(),
+        output: standard_output + &String::from_utf8_lossy(&output.stderr),
+    }
 }
 
 #[test]
-fn the_ledger_is_proved_on_a_small_run() {
-    let words = [
+fn prove_ledger_succeeds_on_a_small_run() {
+    let arguments = [
         "--queries",
         "2500",
         "--clients",
@@ -30,36 +41,33 @@
         "--seed",
         "11",
     ];
-    let (proved, said) = run(env!("CARGO_BIN_EXE_prove-ledger"), &words);
+    let run = run(env!("CARGO_BIN_EXE_prove-ledger"), &arguments);
     assert!(
-        proved
-            && said
-                .lines()
-                .last()
-                .is_some_and(|line| line.starts_with("proved: 2500 uses")),
-        "{said}"
+        run.success && run.last_line_starts_with("proved: 2500 uses"),
+        "{}",
+        run.output
     );
 }
 
 #[test]
-fn the_search_front_is_proved_on_a_small_run() {
-    let words = ["--queries", "600", "--clients", "6", "--seed", "5"];
-    let (proved, said) = run(env!("CARGO_BIN_EXE_prove-opensearch"), &words);
+fn prove_opensearch_succeeds_on_a_small_run() {
+    let arguments = ["--queries", "600", "--clients", "6", "--seed", "5"];
+    let run = run(env!("CARGO_BIN_EXE_prove-opensearch"), &arguments);
     assert!(
-        proved
-            && said
-                .lines()
-                .last()
-                .is_some_and(|line| line.starts_with("proved: ")),
-        "{said}"
+        run.success && run.last_line_starts_with("proved: "),
+        "{}",
+        run.output
     );
 }
 
 #[test]
-fn the_demonstration_prints_a_line_to_ask_and_ends_clean() {
-    let (clean, said) = run(env!("CARGO_BIN_EXE_demo"), &["--seconds", "3"]);
+fn demo_prints_an_example_request_and_exits_cleanly() {
+    let run = run(env!("CARGO_BIN_EXE_demo"), &["--seconds", "3"]);
     assert!(
-        clean && said.contains("curl -s http://127.") && said.contains("all ended\n"),
-        "{said}"
+        run.success
+            && run.output.contains("curl -s http://127.")
+            && run.output.contains("all ended\n"),
+        "{}",
+        run.output
     );
 }
