Collect the results of prove-ledger in one step

Cause: run() shadowed its folder and repeated the period's length. Change: named locals, and the results read the period from the load.

--- a/crates/testkit/src/bin/prove-ledger/checks.rs
+++ b/crates/testkit/src/bin/prove-ledger/checks.rs
@@ -17,8 +17,6 @@
 
 /// All that was collected when clients and ledger had ended.
 pub struct Results<'a> {
-    /// The length of a period.
-    pub period_ms: u64,
     /// The clients' records.
     pub uses: Vec<UseRecord>,
     /// What clients met on their way.
@@ -44,7 +42,7 @@
 }
 
 fn check_totals(checks: &mut CheckList, results: &Results, expected_uses: u64) {
-    let client_totals = total_by_key(&results.uses, results.period_ms);
+    let client_totals = total_by_key(&results.uses, results.load.period_ms);
     let differences = differences(&client_totals, &results.statements.totals);
     let shown = &differences[..differences.len().min(MAX_SHOWN_DIFFERENCES)];
     let all_uses_made = results.uses.len() as u64 == expected_uses;
--- a/crates/testkit/src/bin/prove-ledger/main.rs
+++ b/crates/testkit/src/bin/prove-ledger/main.rs
@@ -67,8 +67,8 @@
 }
 
 async fn run(arguments: Arguments) -> Result<bool, ProofError> {
-    let folder = create_folder(arguments.keep)?;
-    let folder = folder.path();
+    let temporary_folder = create_folder(arguments.keep)?;
+    let folder = temporary_folder.path();
     let started = Instant::now();
     let period_seconds = arguments.period.max(MIN_PERIOD_SECONDS);
     let mut receiver = RestartableReceiver::start().await?;
@@ -90,29 +90,23 @@
     let stats_files = save_stats(&installation, folder).await?;
     // All that was sent belongs to periods up to this one.
     let load_end_ms = now_ms();
-    let statements = statements::wait_for_all(&installation.ledger, load_end_ms).await?;
+    let ledger = &installation.ledger;
+    let periods = statements::wait_for_all(ledger, load_end_ms).await?;
     receiver.stop();
-
-    let uses = load.take_uses();
-    let clients_file = folder.join("clients.csv");
-    totals::write_csv(&clients_file, &uses)?;
     let results = Results {
-        period_ms: period_seconds * 1000,
-        statements: statements::read_all(&installation.ledger, &statements)?,
+        uses: load.take_uses(),
+        load: &load,
+        statements: statements::read_all(ledger, &periods)?,
         received: receiver.documents(),
-        document_list: statements::document_list(&installation.ledger)?,
+        document_list: statements::document_list(ledger)?,
         files: statements::exported_files(&documents_folder)?,
-        uses,
-        load: &load,
     };
+    let clients_file = folder.join("clients.csv");
+    totals::write_csv(&clients_file, &results.uses)?;
     checks::check_all(&mut checks, &results, arguments.queries);
     terminate(&mut checks, &mut installation).await;
-    ledger_commands::check_reconciliation(
-        &mut checks,
-        &installation.ledger,
-        &clients_file,
-        &stats_files,
-    )?;
+    let ledger = &installation.ledger;
+    ledger_commands::check_reconciliation(&mut checks, ledger, &clients_file, &stats_files)?;
     ledger_commands::check_verification(&mut checks, &installation)?;
     results.print_summary(&checks, load_time, started.elapsed(), arguments.seed);
     Ok(checks.holds())
