Type the kit's leaf frames and name its clients' pauses

Change: FrameKind and Frame; an unknown letter closes the connection as before. Attempts are sent in a function of their own, and THINK_TIME_MS and ABANDON_AFTER_MS are named.

--- a/crates/testkit/src/bin/demo.rs
+++ b/crates/testkit/src/bin/demo.rs
@@ -12,12 +12,15 @@
 use rand::{Rng, SeedableRng};
 use std::io::Write;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
 
 const WORKER_THREADS: usize = 2;
+/// Pause between two queries, in milliseconds.
+const THINK_TIME_MS: Range<u64> = 20..80;
 /// How long each process may take to exit.
 const EXIT_LIMIT: Duration = Duration::from_secs(5);
 
@@ -126,7 +129,7 @@
             _ => &counters.other,
         };
         counter.increment();
-        tokio::time::sleep(Duration::from_millis(random.random_range(20..80))).await;
+        tokio::time::sleep(Duration::from_millis(random.random_range(THINK_TIME_MS))).await;
     }
 }
 
--- a/crates/testkit/src/bin/prove-ledger/ledger_commands.rs
+++ b/crates/testkit/src/bin/prove-ledger/ledger_commands.rs
@@ -10,8 +10,9 @@
 use std::time::Duration;
 use tokio::time::sleep;
 
-/// The tenant whose statement is corrected, and by how much.
+/// The tenant whose statement is corrected.
 const CORRECTED_TENANT: &str = "beta";
+/// The amount of the correction.
 pub const CORRECTION_MICRO_UNITS: i64 = -75;
 
 /// How often the receiver is looked at for the statement to correct, and how many times.
--- a/crates/testkit/src/bin/prove-ledger/load.rs
+++ b/crates/testkit/src/bin/prove-ledger/load.rs
@@ -8,6 +8,7 @@
 use rand::rngs::StdRng;
 use rand::Rng;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -19,6 +20,8 @@
 const PERIOD_EDGE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// The first tenants, whose clients send an idempotency key with each use.
 const TENANTS_WITH_KEYS: usize = 2;
+/// Pause of a client between its uses, in milliseconds.
+const THINK_TIME_MS: Range<u64> = 40..160;
 
 /// What clients met on their way.
 #[derive(Default)]
@@ -115,7 +118,7 @@
         if !load.reserve_use() {
             return;
         }
-        sleep(Duration::from_millis(random.random_range(40..160))).await;
+        sleep(Duration::from_millis(random.random_range(THINK_TIME_MS))).await;
         let next_use = random_use(&mut random, client, number);
         load.wait_away_from_period_edge().await;
         let attempts = UseAttempts::new(&load, &mut connection, &mut random, &next_use, home);
--- a/crates/testkit/src/bin/prove-ledger/use_attempts.rs
+++ b/crates/testkit/src/bin/prove-ledger/use_attempts.rs
@@ -8,6 +8,7 @@
 use rand::rngs::StdRng;
 use rand::Rng;
 use std::collections::BTreeSet;
+use std::ops::Range;
 use std::time::{Duration, Instant};
 use tokio::time::{sleep, timeout};
 
@@ -21,6 +22,8 @@
 /// Rounding that a sum of weights may be off by.
 const WEIGHT_TOLERANCE: f64 = 1e-3;
 const ABANDON_PROBABILITY: f64 = 0.01;
+/// How long a client waits that may abandon its attempt, in milliseconds.
+const ABANDON_AFTER_MS: Range<u64> = 1..12;
 const SWITCH_AFTER_REJECTION_PROBABILITY: f64 = 0.5;
 
 /// What a client is about to use the aggregators for.
@@ -180,23 +183,27 @@
             },
         };
         let sent_at = Instant::now();
-        let outcome = if abandons {
-            let patience = Duration::from_millis(self.random.random_range(1..12));
-            let Ok(outcome) = timeout(patience, self.connection.query(query, &attempt)).await
-            else {
-                self.abandon();
-                return None;
-            };
-            outcome
-        } else {
-            self.connection.query(query, &attempt).await
-        };
+        let outcome = self.send(&attempt, abandons).await?;
         if sent_at.elapsed() > remaining {
             self.load.counters.late.increment();
         }
         Some(outcome)
     }
 
+    /// Sends an attempt, whose client may not wait for the answer; `None` if it is abandoned.
+    async fn send(&mut self, attempt: &Attempt<'_>, abandons: bool) -> Option<AttemptOutcome> {
+        let query = &self.current.query;
+        if !abandons {
+            return Some(self.connection.query(query, attempt).await);
+        }
+        let abandon_after = Duration::from_millis(self.random.random_range(ABANDON_AFTER_MS));
+        let outcome = timeout(abandon_after, self.connection.query(query, attempt)).await;
+        if outcome.is_err() {
+            self.abandon();
+        }
+        outcome.ok()
+    }
+
     fn abandon(&mut self) {
         self.load.counters.abandoned.increment();
         *self.connection = Connection::new(self.load.addresses[self.aggregator]);
--- a/crates/testkit/src/leaf/frame.rs
+++ b/crates/testkit/src/leaf/frame.rs
@@ -1,4 +1,4 @@
-//! Frames between aggregators and leaf servers: a length in 4 bytes, a letter, and the rest.
+//! Frames between aggregators and leaf servers: a length in 4 bytes, a letter, and the payload.
 
 use tokio::io::AsyncReadExt;
 use tokio::net::tcp::OwnedReadHalf;
@@ -6,20 +6,55 @@
 /// The longest frame that is accepted, in bytes.
 const MAX_FRAME_BYTES: usize = 1 << 20;
 
-/// Letters of the frames.
-pub(super) mod kind {
+/// What a frame is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum FrameKind {
     /// Parts of queries, from an aggregator.
-    pub const QUERY: u8 = b'Q';
-    /// A part is cancelled.
-    pub const CANCEL: u8 = b'X';
+    Query,
+    /// The cancellation of a part, from an aggregator.
+    Cancel,
     /// A health check and its answer.
-    pub const HEALTH_CHECK: u8 = b'P';
+    HealthCheck,
     /// A request for a load report and its answer.
-    pub const LOAD_REPORT: u8 = b'L';
-    /// The answer to a part.
-    pub const ANSWER: u8 = b'A';
-    /// The aggregator broke the protocol.
-    pub const ERROR: u8 = b'E';
+    LoadReport,
+    /// The answer to a part, from a leaf server.
+    Answer,
+    /// A breach of the protocol, from a leaf server.
+    Error,
+}
+
+impl FrameKind {
+    const ALL: [FrameKind; 6] = [
+        FrameKind::Query,
+        FrameKind::Cancel,
+        FrameKind::HealthCheck,
+        FrameKind::LoadReport,
+        FrameKind::Answer,
+        FrameKind::Error,
+    ];
+
+    fn letter(self) -> u8 {
+        match self {
+            FrameKind::Query => b'Q',
+            FrameKind::Cancel => b'X',
+            FrameKind::HealthCheck => b'P',
+            FrameKind::LoadReport => b'L',
+            FrameKind::Answer => b'A',
+            FrameKind::Error => b'E',
+        }
+    }
+
+    fn from_letter(letter: u8) -> Option<FrameKind> {
+        FrameKind::ALL
+            .into_iter()
+            .find(|kind| kind.letter() == letter)
+    }
+}
+
+/// A frame without its length.
+pub(super) struct Frame {
+    pub(super) kind: FrameKind,
+    pub(super) payload: Vec<u8>,
 }
 
 /// A part of a query, for one shard.
@@ -30,22 +65,23 @@
 }
 
 /// The bytes of a frame.
-pub(super) fn encode(kind: u8, payload: &[u8]) -> Vec<u8> {
+pub(super) fn encode(kind: FrameKind, payload: &[u8]) -> Vec<u8> {
     let mut bytes = ((payload.len() + 1) as u32).to_be_bytes().to_vec();
-    bytes.push(kind);
+    bytes.push(kind.letter());
     bytes.extend_from_slice(payload);
     bytes
 }
 
-/// Reads a frame, its letter first; `None` if there is none or it is malformed.
-pub(super) async fn read(stream: &mut OwnedReadHalf) -> Option<Vec<u8>> {
+/// Reads a frame; `None` if there is none or it is malformed.
+pub(super) async fn read(stream: &mut OwnedReadHalf) -> Option<Frame> {
     let length = stream.read_u32().await.ok()? as usize;
     if length == 0 || length > MAX_FRAME_BYTES {
         return None;
     }
-    let mut frame = vec![0; length];
-    stream.read_exact(&mut frame).await.ok()?;
-    Some(frame)
+    let mut payload = vec![0; length];
+    stream.read_exact(&mut payload).await.ok()?;
+    let kind = FrameKind::from_letter(payload.remove(0))?;
+    Some(Frame { kind, payload })
 }
 
 /// Parses the payload of a query frame; `None` if it is malformed.
@@ -59,7 +95,7 @@
             return None;
         };
         let text_start = line_end + 1;
-        let text_end = text_start + text_length.parse::<usize>().ok()?;
+        let text_end = text_start.checked_add(text_length.parse().ok()?)?;
         let text = payload.get(text_start..text_end)?;
         parts.push(Part {
             id: id.to_string(),
--- a/crates/testkit/src/leaf/server.rs
+++ b/crates/testkit/src/leaf/server.rs
@@ -1,7 +1,7 @@
 //! The sockets of a leaf server and the work on its parts.
 
 use super::expected_answer;
-use super::frame::{self, kind, Part};
+use super::frame::{self, Frame, FrameKind, Part};
 use crate::random;
 use rand::rngs::StdRng;
 use rand::Rng;
@@ -91,8 +91,7 @@
         tasks,
     };
     while let Some(frame) = frame::read(&mut reader).await {
-        let (kind, payload) = (frame[0], &frame[1..]);
-        if !connection.handle_frame(kind, payload).await {
+        if !connection.handle_frame(&frame).await {
             return;
         }
         while connection.tasks.try_join_next().is_some() {}
@@ -120,11 +119,12 @@
 
 impl LeafConnection {
     /// Handles a frame; false if the connection is to be closed.
-    async fn handle_frame(&mut self, kind: u8, payload: &[u8]) -> bool {
-        match kind {
-            kind::QUERY => {
-                let Some(parts) = frame::parse_parts(payload) else {
-                    self.send(kind::ERROR, b"a call that can't be read").await;
+    async fn handle_frame(&mut self, frame: &Frame) -> bool {
+        match frame.kind {
+            FrameKind::Query => {
+                let Some(parts) = frame::parse_parts(&frame.payload) else {
+                    self.send(FrameKind::Error, b"a call that can't be read")
+                        .await;
                     return false;
                 };
                 for part in parts {
@@ -132,10 +132,11 @@
                 }
             }
             // A cancelled part is worked on to its end, as by a server that notices too late.
-            kind::CANCEL => {}
-            kind::HEALTH_CHECK => self.send(kind::HEALTH_CHECK, b"ok").await,
-            kind::LOAD_REPORT => self.send(kind::LOAD_REPORT, b"-").await,
-            _ => return false,
+            FrameKind::Cancel => {}
+            FrameKind::HealthCheck => self.send(FrameKind::HealthCheck, b"ok").await,
+            FrameKind::LoadReport => self.send(FrameKind::LoadReport, b"-").await,
+            // Leaf servers send these and don't receive them.
+            FrameKind::Answer | FrameKind::Error => return false,
         }
         true
     }
@@ -146,7 +147,7 @@
         if self.in_flight.fetch_add(1, Ordering::Relaxed) >= self.options.capacity {
             self.in_flight.fetch_sub(1, Ordering::Relaxed);
             let rejection = format!("{} busy - -\n", part.id);
-            self.send(kind::ANSWER, rejection.as_bytes()).await;
+            self.send(FrameKind::Answer, rejection.as_bytes()).await;
             return;
         }
         let (frames, in_flight) = (self.frames.clone(), self.in_flight.clone());
@@ -156,12 +157,12 @@
             let value = expected_answer(part.shard, &part.text);
             let answer = format!("{} ok 1 -\n{value}", part.id);
             let _ = frames
-                .send(frame::encode(kind::ANSWER, answer.as_bytes()))
+                .send(frame::encode(FrameKind::Answer, answer.as_bytes()))
                 .await;
         });
     }
 
-    async fn send(&self, kind: u8, payload: &[u8]) {
+    async fn send(&self, kind: FrameKind, payload: &[u8]) {
         let _ = self.frames.send(frame::encode(kind, payload)).await;
     }
 }
