--- a/crates/testkit/src/bin/bench-ledger/serving.rs
+++ b/crates/testkit/src/bin/bench-ledger/serving.rs
@@ -113,7 +113,8 @@
     fn print(&self) {
         let level = self.level;
         println!(
-            "{level} load: processor time a query, on to off: {:.3} (median of {} pairs; {:.3} to {:.3}); \
+            "{level} load: processor time a query, on to off: {:.3} \
+             (median of {} pairs; {:.3} to {:.3}); \
              {:.0} us on, {:.0} us off",
             median(&self.cpu_ratios),
             self.cpu_ratios.len(),
@@ -123,7 +124,8 @@
             median(&self.cpu_us_off)
         );
         println!(
-            "{level} load: p99 of the answer, on less off: {:+.2} ms (median of pairs; {:+.2} to {:+.2}); \
+            "{level} load: p99 of the answer, on less off: {:+.2} ms \
+             (median of pairs; {:+.2} to {:+.2}); \
              all together {:.2} ms on, {:.2} ms off",
             median(&self.p99_differences_ms),
             minimum(&self.p99_differences_ms),
--- a/crates/testkit/src/bin/demo.rs
+++ b/crates/testkit/src/bin/demo.rs
@@ -57,6 +57,11 @@
 allowance = 20
 ";
 
+/// The bodies of the requests that are shown as examples.
+const EXAMPLE_QUERY: &str =
+    r#"{"shards":[{"shard":3,"weight":0.5},{"shard":9,"weight":0.5}],"q":"c41e77d0"}"#;
+const EXAMPLE_SEARCH: &str = r#"{"query":{"match":{"title":"river"}},"size":3}"#;
+
 /// How queries ended.
 #[derive(Default)]
 struct OutcomeCounters {
@@ -158,13 +163,14 @@
     print_line(&format!(
         "  curl -s http://{}/chart-ranking -H 'X-Request-ID: mine-1' -H 'X-Tenant-Id: alpha' \\\n    \
          -H 'X-Timeout: 900m' \\\n    \
-         -d '{{\"shards\":[{{\"shard\":3,\"weight\":0.5}},{{\"shard\":9,\"weight\":0.5}}],\"q\":\"c41e77d0\"}}'",
+         -d '{EXAMPLE_QUERY}'",
         first.address
     ));
     print_line("\nOr search as an OpenSearch client would:");
     print_line(&format!(
-        "  curl -s http://{}/chart-ranking/_search -H 'X-Tenant-Id: alpha' -H 'Content-Type: application/json' \\\n    \
-         -d '{{\"query\":{{\"match\":{{\"title\":\"river\"}}}},\"size\":3}}'",
+        "  curl -s http://{}/chart-ranking/_search -H 'X-Tenant-Id: alpha' \
+         -H 'Content-Type: application/json' \\\n    \
+         -d '{EXAMPLE_SEARCH}'",
         first.gateway_address
     ));
     print_line("\nWhat it was used for, by tenant, in periods of 10 s:");
--- a/crates/testkit/src/bin/prove-opensearch/api_cases.rs
+++ b/crates/testkit/src/bin/prove-opensearch/api_cases.rs
@@ -144,7 +144,9 @@
 
 fn multi_search_cases() -> Vec<ApiCase> {
     let searches = format!(
-        "{{\"index\":\"chart-ranking\"}}\n{}\n{{}}\n{{\"quary\":1}}\n{{\"index\":\"none\"}}\n{{}}\n",
+        "{{\"index\":\"chart-ranking\"}}\n{}\n\
+         {{}}\n{{\"quary\":1}}\n\
+         {{\"index\":\"none\"}}\n{{}}\n",
         query()
     );
     vec![
--- a/crates/testkit/src/bin/prove-opensearch/summary.rs
+++ b/crates/testkit/src/bin/prove-opensearch/summary.rs
@@ -67,7 +67,8 @@
     pub fn print_last_line(&self, seed: u64, time: Duration) {
         let verdict = proof::verdict(self.holds());
         println!(
-            "{verdict}: {} searches through each front, {} answered by the new one and {} by the native one, \
+            "{verdict}: {} searches through each front, {} answered by the new one \
+             and {} by the native one, \
              {} pages exact, {} searches on a sick shard, {} wrong, {} unanswered, \
              {} later than their time, 1 zone lost, seed {seed}, {:.0} s",
             sum(&self.tally.gateway, OutcomeCounts::total),
