--- /dev/null
+++ b/crates/testkit/src/leaf/frame.rs
@@ -0,0 +1,108 @@
+//! Frames between aggregators and leaf servers: a length in 4 bytes, a letter, and the payload.
+
+use tokio::io::AsyncReadExt;
+use tokio::net::tcp::OwnedReadHalf;
+
+/// The longest frame that is accepted, in bytes.
+const MAX_FRAME_BYTES: usize = 1 << 20;
+
+/// What a frame is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum FrameKind {
+    /// Parts of queries, from an aggregator.
+    Query,
+    /// The cancellation of a part, from an aggregator.
+    Cancel,
+    /// A health check and its answer.
+    HealthCheck,
+    /// A request for a load report and its answer.
+    LoadReport,
+    /// The answer to a part, from a leaf server.
+    Answer,
+    /// A breach of the protocol, from a leaf server.
+    Error,
+}
+
+impl FrameKind {
+    const ALL: [FrameKind; 6] = [
+        FrameKind::Query,
+        FrameKind::Cancel,
+        FrameKind::HealthCheck,
+        FrameKind::LoadReport,
+        FrameKind::Answer,
+        FrameKind::Error,
+    ];
+
+    fn letter(self) -> u8 {
+        match self {
+            FrameKind::Query => b'Q',
+            FrameKind::Cancel => b'X',
+            FrameKind::HealthCheck => b'P',
+            FrameKind::LoadReport => b'L',
+            FrameKind::Answer => b'A',
+            FrameKind::Error => b'E',
+        }
+    }
+
+    fn from_letter(letter: u8) -> Option<FrameKind> {
+        FrameKind::ALL
+            .into_iter()
+            .find(|kind| kind.letter() == letter)
+    }
+}
+
+/// A frame without its length.
+pub(super) struct Frame {
+    pub(super) kind: FrameKind,
+    pub(super) payload: Vec<u8>,
+}
+
+/// A part of a query, for one shard.
+pub(super) struct Part {
+    pub(super) id: String,
+    pub(super) shard: u32,
+    pub(super) text: String,
+}
+
+/// The bytes of a frame.
+pub(super) fn encode(kind: FrameKind, payload: &[u8]) -> Vec<u8> {
+    let mut bytes = ((payload.len() + 1) as u32).to_be_bytes().to_vec();
+    bytes.push(kind.letter());
+    bytes.extend_from_slice(payload);
+    bytes
+}
+
+/// Reads a frame; `None` if there is none or it is malformed.
+pub(super) async fn read(stream: &mut OwnedReadHalf) -> Option<Frame> {
+    let length = stream.read_u32().await.ok()? as usize;
+    if length == 0 || length > MAX_FRAME_BYTES {
+        return None;
+    }
+    let mut payload = vec![0; length];
+    stream.read_exact(&mut payload).await.ok()?;
+    let kind = FrameKind::from_letter(payload.remove(0))?;
+    Some(Frame { kind, payload })
+}
+
+/// Parses the payload of a query frame; `None` if it is malformed.
+pub(super) fn parse_parts(mut payload: &[u8]) -> Option<Vec<Part>> {
+    let mut parts = Vec::new();
+    while !payload.is_empty() {
+        let line_end = payload.iter().position(|byte| *byte == b'\n')?;
+        let line = std::str::from_utf8(&payload[..line_end]).ok()?;
+        let words: Vec<&str> = line.split(' ').collect();
+        let [id, shard, _, text_length] = words[..] else {
+            return None;
+        };
+        let text_start = line_end + 1;
+        let text_end = text_start.checked_add(text_length.parse().ok()?)?;
+        let text = payload.get(text_start..text_end)?;
+        parts.push(Part {
+            id: id.to_string(),
+            shard: shard.parse().ok()?,
+            text: String::from_utf8(text.to_vec()).ok()?,
+        });
+        payload = &payload[text_end..];
+    }
+    Some(parts)
+}
