--- a/crates/policy/src/state/mod.rs
+++ b/crates/policy/src/state/mod.rs
@@ -16,7 +16,7 @@
 };
 use std::collections::BTreeMap;
 
-/// The decisions of one aggregator: all that it knows. What it decides is in [`crate::policy`].
+/// The decisions of one aggregator: all that it knows. What it decides is in `crate::policy`.
 #[derive(Debug, Default)]
 pub struct Policy {
     /// What the operator has stated.
