Keep the definitions of complete and sufficient with a query's sums; settings is not site

Change: StepSums says whether a step is complete, sufficient or out of reach; completion.rs decides what follows. The engine's field and parameters are called settings and policy_settings.

--- a/crates/core/src/engine/actions.rs
+++ b/crates/core/src/engine/actions.rs
@@ -66,7 +66,7 @@
     }
 
     fn send_gossip(&mut self, to: Option<u32>, bytes: Vec<u8>) {
-        if self.site.gossip_allowed && bytes.len() <= MAX_GOSSIP_BYTES {
+        if self.settings.gossip_allowed && bytes.len() <= MAX_GOSSIP_BYTES {
             self.counters.sent.gossip_messages += 1;
             self.effects.push(Effect::SendGossip { to, bytes });
         } else {
--- a/crates/core/src/engine/attempts.rs
+++ b/crates/core/src/engine/attempts.rs
@@ -94,7 +94,7 @@
         self.counters.sent.attempts += 1;
         self.counters.sent.retries += u64::from(id.number > 0);
         let times_out_at = self.attempt_timeout(now, query, request.until);
-        let max_attempts = self.site.max_attempts;
+        let max_attempts = self.settings.max_attempts;
         let is_allowed = usize::from(id.number) < max_attempts && times_out_at > now;
         if !is_allowed || self.endpoints.get_ready(replica).is_none() {
             return self.on_attempt_not_placed(id, replica, AttemptOutcome::NotSent);
@@ -106,7 +106,7 @@
             attempt: id,
             wire_id,
         };
-        let max_parts_per_call = self.site.max_parts_per_call;
+        let max_parts_per_call = self.settings.max_parts_per_call;
         self.connections
             .queue_attempt(connection, entry, max_parts_per_call);
         self.timers.set(times_out_at, Timer::AttemptTimeout(id));
@@ -124,7 +124,7 @@
 
     fn is_in_other_zone(&self, replica: ReplicaId) -> bool {
         let replica = self.endpoints.get(replica);
-        replica.is_some_and(|replica| replica.zone != self.site.zone)
+        replica.is_some_and(|replica| replica.zone != self.settings.zone)
     }
 
     /// When an attempt times out: never after its query's deadline.
@@ -204,7 +204,7 @@
         let mut outcome = outcome;
         if let Some(connection) = self.connections.get_mut(connection_id) {
             let was_unresponsive = connection.is_unresponsive();
-            let response_timeout = 2 * self.site.connect_timeout;
+            let response_timeout = 2 * self.settings.connect_timeout;
             let may_have_run = connection.cancel_attempt(id, now, response_timeout);
             if !may_have_run && outcome == AttemptOutcome::TimedOut {
                 outcome = AttemptOutcome::NotSent;
--- a/crates/core/src/engine/connections.rs
+++ b/crates/core/src/engine/connections.rs
@@ -182,7 +182,7 @@
     }
 
     fn idle_period(&self) -> Nanos {
-        self.site.idle_timeout / 10 * IDLE_TIMEOUT_TENTHS
+        self.settings.idle_timeout / 10 * IDLE_TIMEOUT_TENTHS
     }
 
     pub(super) fn close_idle_connections(&mut self, now: Nanos, replica: ReplicaId) {
@@ -204,7 +204,7 @@
         wire_id: &str,
     ) -> Option<ConnectionId> {
         let replica = self.endpoints.get(replica_id)?;
-        let max_streams = self.site.max_streams;
+        let max_streams = self.settings.max_streams;
         let mut oldest_first = replica.connections.iter().copied();
         let found = oldest_first.find(|id| {
             let connection = self.connections.get(*id);
@@ -230,7 +230,7 @@
             state: LeafConnection::new(now),
         };
         self.connections.insert(id, connection);
-        let due = now + self.site.connect_timeout;
+        let due = now + self.settings.connect_timeout;
         self.timers.set(due, Timer::ConnectTimeout(id));
         Some(id)
     }
--- a/crates/core/src/engine/frames.rs
+++ b/crates/core/src/engine/frames.rs
@@ -74,7 +74,7 @@
             }
             OutgoingFrame::HealthCheck(_) => {
                 self.counters.sent.health_checks += 1;
-                let load_is_reported = !self.site.load_report_fields.is_empty();
+                let load_is_reported = !self.settings.load_report_fields.is_empty();
                 Some(if load_is_reported {
                     LeafRequest::LoadReport
                 } else {
@@ -183,7 +183,7 @@
     /// The values of a load report, in the order that the settings state. A report that is `-`, or
     /// that lacks one of them, is none.
     pub(super) fn parse_load_report(&self, text: &str) -> LoadReport {
-        let fields = self.site.load_report_fields.iter();
+        let fields = self.settings.load_report_fields.iter();
         let values: Option<LoadReport> = fields.map(|name| find_load_value(text, name)).collect();
         values.unwrap_or_default()
     }
--- a/crates/core/src/engine/health_checks.rs
+++ b/crates/core/src/engine/health_checks.rs
@@ -52,7 +52,7 @@
             connection.queue_health_check(id);
         }
         self.connections.mark_pending(connection_id);
-        let times_out_at = now + self.site.connect_timeout;
+        let times_out_at = now + self.settings.connect_timeout;
         self.timers.set(times_out_at, Timer::HealthCheckTimeout(id));
         let check = HealthCheck {
             replica,
@@ -68,7 +68,7 @@
         replica: ReplicaId,
     ) -> Option<ConnectionId> {
         let state = self.endpoints.get(replica)?.state;
-        if state == ReplicaState::Gone || !self.site.health_checks_allowed {
+        if state == ReplicaState::Gone || !self.settings.health_checks_allowed {
             return None;
         }
         // Health checks carry no wire id.
@@ -104,7 +104,7 @@
         let Some(check) = self.health_checks.remove(id) else {
             return;
         };
-        let times_out_at = check.started_at + self.site.connect_timeout;
+        let times_out_at = check.started_at + self.settings.connect_timeout;
         self.timers
             .cancel(times_out_at, Timer::HealthCheckTimeout(id));
         if let Some(connection) = self.connections.get_mut(check.connection) {
--- a/crates/core/src/engine/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -65,7 +65,7 @@
 
 /// The state of an aggregator.
 pub struct Engine {
-    site: AggregatorSettings,
+    settings: AggregatorSettings,
     policy: Policy,
     /// What the policy has yet to be told.
     events: Vec<Event>,
@@ -91,22 +91,22 @@
     /// it was last held, which may be stale.
     pub fn new(
         now: Nanos,
-        site: AggregatorSettings,
-        settings: Settings,
+        settings: AggregatorSettings,
+        policy_settings: Settings,
         seed: u64,
         known: &EndpointUpdate,
         descriptors: usize,
     ) -> Engine {
-        let list_is_polled = settings.endpoint_list_polled;
+        let list_is_polled = policy_settings.endpoint_list_polled;
         let answer_timeout = if list_is_polled {
             POLLED_LIST_TIMEOUT
         } else {
             PUSHED_LIST_TIMEOUT
         };
         let mut engine = Engine {
-            endpoints: EndpointTable::new(site.zones.clone()),
-            site,
-            policy: Policy::new(settings, seed),
+            endpoints: EndpointTable::new(settings.zones.clone()),
+            settings,
+            policy: Policy::new(policy_settings, seed),
             events: Vec::new(),
             effects: Vec::new(),
             ids: IdAllocator::default(),
--- a/crates/core/src/engine/queries.rs
+++ b/crates/core/src/engine/queries.rs
@@ -175,7 +175,7 @@
         }
         let open_queries = self.queries.len();
         let open_parts = self.queries.count_open_parts();
-        if open_queries + open_parts >= self.site.max_open {
+        if open_queries + open_parts >= self.settings.max_open {
             self.counters.received.over_capacity += 1;
             tracing::info!(open_queries, open_parts, "query rejected: over capacity");
             return self.reject_on_arrival(now, client, arrived, &request);
@@ -212,7 +212,7 @@
         request: &QueryRequest,
     ) {
         self.record_rejection_on_arrival(arrived, request);
-        let retry_after = self.site.retry_after;
+        let retry_after = self.settings.retry_after;
         self.send_reply(now, client, Reply::Rejected { retry_after });
     }
 
--- a/crates/core/src/engine/replies.rs
+++ b/crates/core/src/engine/replies.rs
@@ -68,8 +68,8 @@
     /// whatever the policy requests: a single answer that overstates its coverage is very costly.
     fn compose_answer(&mut self, ended: &EndedQuery, complete: bool) -> Reply {
         let class = usize::from(ended.query.class);
-        let is_complete = covers(ended, &self.site.completeness_thresholds, class);
-        let is_sufficient = covers(ended, &self.site.minimum_coverages, class);
+        let is_complete = covers(ended, &self.settings.completeness_thresholds, class);
+        let is_sufficient = covers(ended, &self.settings.minimum_coverages, class);
         if !is_sufficient || complete && !is_complete {
             let covered = ended.covered_weight();
             tracing::error!(covered, complete, class, "answer overstates its coverage");
--- a/crates/core/src/engine/shutdown.rs
+++ b/crates/core/src/engine/shutdown.rs
@@ -56,7 +56,7 @@
 
     /// The longest that a client of any class waits.
     pub(super) fn longest_client_deadline(&self) -> Nanos {
-        let deadlines = self.site.deadlines.iter();
+        let deadlines = self.settings.deadlines.iter();
         deadlines.max().copied().unwrap_or_default()
     }
 
--- a/crates/core/src/engine/usage_log.rs
+++ b/crates/core/src/engine/usage_log.rs
@@ -84,12 +84,12 @@
     }
 
     fn class_name(&self, class: u16) -> &str {
-        let classes = &self.site.classes;
+        let classes = &self.settings.classes;
         classes.get(usize::from(class)).map_or("", String::as_str)
     }
 
     fn tenant_name(&self, tenant: u32) -> &str {
-        let tenants = &self.site.tenants;
+        let tenants = &self.settings.tenants;
         tenants
             .get(tenant as usize)
             .map_or(ONLY_TENANT, String::as_str)
--- a/crates/policy/src/policy/admission.rs
+++ b/crates/policy/src/policy/admission.rs
@@ -44,7 +44,7 @@
         let is_slow = |index: &usize| self.shortest_wait(&query.parts[*index]) > limit;
         let slow: Vec<usize> = (0..query.parts.len()).filter(is_slow).collect();
         let slow_weight: f64 = slow.iter().map(|index| query.parts[*index].weight).sum();
-        let has_coverage = 1.0 - slow_weight + tuning::COVERAGE_EPSILON >= class.minimum();
+        let has_coverage = 1.0 - slow_weight + REACHABLE_TOLERANCE >= class.minimum();
         if has_coverage && class.takes_partial_answers() {
             for index in slow {
                 query.parts[index].is_dropped = true;
--- a/crates/policy/src/policy/completion.rs
+++ b/crates/policy/src/policy/completion.rs
@@ -31,14 +31,16 @@
         let query = self.queries.take(id);
         let Some(mut query) = query else { return };
         let sums = query.step_sums(|part| self.is_open(part, &query));
-        let is_complete = self.is_complete(&query, &sums);
-        if is_complete || self.is_sufficient(&query, &sums) && self.is_time_to_answer(&query, &sums)
-        {
+        let class = &self.settings.classes[query.class];
+        let is_complete = sums.is_complete(&query, class);
+        let is_sufficient = sums.is_sufficient(&query, class);
+        let is_out_of_reach = sums.is_out_of_reach(&query, class);
+        if is_complete || is_sufficient && self.is_time_to_answer(&query, &sums) {
             return self.answer(query, is_complete);
         }
         let crashes_replicas = crashes_replicas(&query);
         let is_idle = query.attempts().all(|attempt| !attempt.is_out);
-        let is_useless = self.is_lost(&query, &sums) || crashes_replicas && is_idle;
+        let is_useless = is_out_of_reach || crashes_replicas && is_idle;
         if is_useless || self.now >= self.last_useful_moment(&query) {
             return self.give_up(query);
         }
@@ -59,28 +61,6 @@
         has_budget && self.may_repeat(part, query.class) && holders.next().is_some()
     }
 
-    fn is_complete(&self, query: &Query, sums: &StepSums) -> bool {
-        let threshold = self.settings.classes[query.class].completeness_threshold;
-        let has_threshold = sums.answered_weight + tuning::WEIGHT_EPSILON >= threshold;
-        let is_threshold_enough = query.step == 1 && has_threshold;
-        let all_complete = sums.all_answered && query.earlier_steps_complete;
-        sums.has_parts && (is_threshold_enough || all_complete)
-    }
-
-    /// Whether an incomplete answer may be given.
-    fn is_sufficient(&self, query: &Query, sums: &StepSums) -> bool {
-        let minimum = self.settings.classes[query.class].minimum_of_step(query.step);
-        let has_minimum = sums.answered_weight + tuning::WEIGHT_EPSILON >= minimum;
-        sums.answered_weight > 0.0 && has_minimum
-    }
-
-    /// Whether the minimum can't be reached any more.
-    fn is_lost(&self, query: &Query, sums: &StepSums) -> bool {
-        let minimum = self.settings.classes[query.class].minimum_of_step(query.step);
-        let reachable = sums.answered_weight + sums.open_weight + tuning::COVERAGE_EPSILON;
-        sums.has_parts && (!sums.any_open || reachable < minimum)
-    }
-
     /// Whether a sufficient answer goes out: nothing more can come in, or it is just before the
     /// objective, earlier where a second step follows, or the last moment if a late complete answer
     /// earns more.
--- a/crates/policy/src/policy/mod.rs
+++ b/crates/policy/src/policy/mod.rs
@@ -15,6 +15,7 @@
 mod tuning;
 
 use crate::api::*;
+use crate::state::REACHABLE_TOLERANCE;
 use crate::state::{ConnectionUse, InFlightAttempt, Part, Query, RaceWinner, Replica, StepSums};
 use crate::stats::{blend, exponential_backoff, uniform, MajorityVote, TokenBucket};
 use crate::Policy;
--- a/crates/policy/src/policy/tuning.rs
+++ b/crates/policy/src/policy/tuning.rs
@@ -102,7 +102,7 @@
 /// Share of the drain notice to wait before a pushed list, from an agent of our own, is watched.
 pub const WATCH_BACKOFF: Range<f64> = 0.05..0.25;
 
-// Connections, timers and rounding.
+// Connections and timers.
 /// Share of the idle timeout after which a connection has been idle for long.
 pub const LONG_IDLE_SHARE: f64 = 0.04;
 /// Weight of one attempt in the share of attempts lost.
@@ -117,7 +117,3 @@
 pub const SPARE_PERIODS: Nanos = 2;
 /// The timer's period is 1 / this of the shortest objective.
 pub const PERIODS_PER_OBJECTIVE: Nanos = 200;
-/// Rounding error of a sum of weights that must not cost an answer.
-pub const WEIGHT_EPSILON: f64 = 1e-6;
-/// Rounding error of a sum of weights that must not cost a query its chance.
-pub const COVERAGE_EPSILON: f64 = 1e-4;
--- a/crates/policy/src/state/mod.rs
+++ b/crates/policy/src/state/mod.rs
@@ -6,7 +6,7 @@
 mod replica;
 
 pub use part::{Attempt, InFlightAttempt, Part, RaceWinner};
-pub use query::{Query, StepSums};
+pub use query::{Query, StepSums, REACHABLE_TOLERANCE};
 pub use query_table::QueryTable;
 pub use replica::{ConnectionUse, Replica, ReplicaTable};
 
--- a/crates/policy/src/state/query.rs
+++ b/crates/policy/src/state/query.rs
@@ -4,6 +4,11 @@
 use crate::api::{Action, Nanos, QueryClass, QueryReceived, ReplicaId, RequestId};
 use std::collections::BTreeSet;
 
+/// Rounding error of a sum of weights, for an answer that may be given.
+const ANSWERED_TOLERANCE: f64 = 1e-6;
+/// Rounding error of a sum of weights, for what a query may still reach.
+pub const REACHABLE_TOLERANCE: f64 = 1e-4;
+
 /// A query that has not ended.
 #[derive(Debug, Default)]
 pub struct Query {
@@ -59,6 +64,31 @@
     pub open_weight: f64,
 }
 
+impl StepSums {
+    /// Whether the answer would be complete.
+    pub fn is_complete(&self, query: &Query, class: &QueryClass) -> bool {
+        let answered_weight = self.answered_weight + ANSWERED_TOLERANCE;
+        let has_threshold = answered_weight >= class.completeness_threshold;
+        let is_threshold_enough = query.step == 1 && has_threshold;
+        let are_all_complete = self.all_answered && query.earlier_steps_complete;
+        self.has_parts && (is_threshold_enough || are_all_complete)
+    }
+
+    /// Whether an incomplete answer may be given.
+    pub fn is_sufficient(&self, query: &Query, class: &QueryClass) -> bool {
+        let minimum = class.minimum_of_step(query.step);
+        let has_minimum = self.answered_weight + ANSWERED_TOLERANCE >= minimum;
+        self.answered_weight > 0.0 && has_minimum
+    }
+
+    /// Whether the minimum can't be reached any more.
+    pub fn is_out_of_reach(&self, query: &Query, class: &QueryClass) -> bool {
+        let minimum = class.minimum_of_step(query.step);
+        let reachable = self.answered_weight + self.open_weight + REACHABLE_TOLERANCE;
+        self.has_parts && (!self.any_open || reachable < minimum)
+    }
+}
+
 impl Query {
     /// A query that has come in. Its objective is its deadline until it is set.
     pub fn new(received: &QueryReceived, now: Nanos) -> Query {
