Let the demo ask one query and print its answer

Cause: a newcomer had to copy a command to see the installation answer. Result: its test looks for the answer's line.

--- a/crates/testkit/src/bin/demo.rs
+++ b/crates/testkit/src/bin/demo.rs
@@ -62,6 +62,12 @@
     r#"{"shards":[{"shard":3,"weight":0.5},{"shard":9,"weight":0.5}],"q":"c41e77d0"}"#;
 const EXAMPLE_SEARCH: &str = r#"{"query":{"match":{"title":"river"}},"size":3}"#;
 
+/// The query that is sent as an example.
+const EXAMPLE_CLASS: &str = "chart-ranking";
+const EXAMPLE_FIRST_SHARD: u32 = 3;
+const EXAMPLE_SHARDS: u32 = 2;
+const EXAMPLE_TIMEOUT: Duration = Duration::from_millis(900);
+
 /// How queries ended.
 #[derive(Default)]
 struct OutcomeCounters {
@@ -93,6 +99,7 @@
     let counters = Arc::<OutcomeCounters>::default();
     let queries = tokio::spawn(send_queries(addresses, arguments.seed, counters.clone()));
     print_introduction(&installation);
+    print_example_answer(installation.aggregators[0].address).await;
     wait_for_end(arguments.seconds).await?;
     queries.abort();
     let aggregators_clean = installation.terminate_aggregators(EXIT_LIMIT);
@@ -182,6 +189,35 @@
     print_line("\nCtrl-C ends it all.");
 }
 
+/// Sends one query and prints what comes back.
+async fn print_example_answer(address: SocketAddr) {
+    let query = Query {
+        class: EXAMPLE_CLASS.into(),
+        tenant: TENANTS[0].into(),
+        shards: consecutive_shards(EXAMPLE_FIRST_SHARD, EXAMPLE_SHARDS, SHARDS),
+        text: "c41e77d0".into(),
+        idempotency_key: None,
+    };
+    let attempt = Attempt {
+        request_id: "demo-example",
+        is_retry: false,
+        timeout: EXAMPLE_TIMEOUT,
+        late_tolerance: Duration::ZERO,
+    };
+    print_line(&format!(
+        "\nOne query of class {EXAMPLE_CLASS} and its answer:"
+    ));
+    match Connection::new(address).query(&query, &attempt).await {
+        AttemptOutcome::Answered { complete, hits } => {
+            print_line(&format!("  complete: {complete}"));
+            for hit in hits {
+                print_line(&format!("  shard {}: {}", hit.shard, hit.document));
+            }
+        }
+        other => print_line(&format!("  no answer: {other:?}")),
+    }
+}
+
 fn print_line(text: &str) {
     // The reader of a pipe may have gone, which is no reason to fail.
     let _ = writeln!(std::io::stdout(), "{text}");
--- a/crates/testkit/tests/installation.rs
+++ b/crates/testkit/tests/installation.rs
@@ -66,6 +66,9 @@
     assert!(
         run.success
             && run.output.contains("curl -s http://127.")
+            && run
+                .output
+                .contains("One query of class chart-ranking and its answer:\n")
             && run.output.contains("all ended\n"),
         "{}",
         run.output
