Call the count of the policy's records what it is

Cause: held says neither what nor by whom. Change: Policy::retained_records, as the engine's retained_entries. Result: tests of both crates compile; the recorded scenarios pass.

--- a/crates/core/src/engine/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -166,7 +166,7 @@
             + self.health_checks.len()
             + self.timers.len()
             + self.endpoints.len()
-            + self.policy.held()
+            + self.policy.retained_records()
     }
 
     /// What was counted since the start.
--- a/crates/policy/src/state/mod.rs
+++ b/crates/policy/src/state/mod.rs
@@ -135,7 +135,7 @@
     }
 
     /// The number of records held, of every kind that comes and goes.
-    pub fn held(&self) -> usize {
+    pub fn retained_records(&self) -> usize {
         let open = self.queries.record_count() + self.in_flight.len();
         open + self.received.len() + self.client_timeouts.len() + self.replicas.len()
     }
--- a/crates/policy/tests/recorded_decisions.rs
+++ b/crates/policy/tests/recorded_decisions.rs
@@ -336,7 +336,7 @@
             self.react(action);
         }
         self.digest
-            .update(&(self.policy.held() as u64).to_le_bytes());
+            .update(&(self.policy.retained_records() as u64).to_le_bytes());
     }
 
     fn plan(&mut self, at: Nanos, event: Event) -> (Nanos, u64) {
