--- a/crates/aggregator/src/process/mod.rs
+++ b/crates/aggregator/src/process/mod.rs
@@ -102,7 +102,11 @@
         max_open = config.aggregator_settings.max_open,
         "starting"
     );
-    tracing::debug!(settings = ?config.policy_settings, aggregator_settings = ?config.aggregator_settings, "settings in force");
+    tracing::debug!(
+        policy = ?config.policy_settings,
+        aggregator = ?config.aggregator_settings,
+        "settings in force"
+    );
 }
 
 fn start_usage_writer(
--- a/crates/core/tests/endpoint_watch.rs
+++ b/crates/core/tests/endpoint_watch.rs
@@ -15,7 +15,8 @@
 /// Where discovery can be reached, a change is known this long after it at the latest.
 const UPDATE_DEADLINE: Duration = Duration::from_secs(6);
 
-/// Whether a query is rejected for want of leaf servers, which shows that an empty list was applied.
+/// Whether a query is rejected for want of leaf servers, which shows that an empty list was
+/// applied.
 async fn is_rejected(aggregator: std::net::SocketAddr) -> bool {
     let mut client = connect_client(aggregator).await;
     client
--- a/crates/core/tests/sockets.rs
+++ b/crates/core/tests/sockets.rs
@@ -270,7 +270,8 @@
             "{:?}",
             begun.elapsed()
         );
-        // Further bytes do not extend the time, on a new connection or on one that was served before.
+        // Further bytes do not extend the time, on a new connection or on one that was served
+        // before.
         let begun = Instant::now();
         let mut stream = TcpStream::connect(address).await.unwrap();
         stream
--- a/crates/opensearch-gateway/src/settings/schema.rs
+++ b/crates/opensearch-gateway/src/settings/schema.rs
@@ -3,7 +3,8 @@
 
 use ini_config::{Key, Kind, Section};
 
-/// The cluster name that clients are given by default. A published name, kept from earlier versions.
+/// The cluster name that clients are given by default. A published name, kept from earlier
+/// versions.
 pub(super) const DEFAULT_CLUSTER_NAME: &str = "cottonhill";
 /// The header that names the tenant by default.
 pub(super) const DEFAULT_TENANT_HEADER: &str = "X-Tenant-Id";
--- a/crates/opensearch-gateway/tests/merge.rs
+++ b/crates/opensearch-gateway/tests/merge.rs
@@ -142,7 +142,8 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 2000, failure_persistence: None, ..ProptestConfig::default() })]
 
-    /// A merged page is that page of all hits in order, however the hits are spread over the shards.
+    /// A merged page is that page of all hits in order, however the hits are spread over the
+    /// shards.
     #[test]
     fn a_merged_page_equals_the_page_of_all_sorted_hits(
         scores in prop::collection::vec((0u8..4, 0u32..5), 0..60), from in 0u64..30, size in 0u64..30,
--- a/crates/policy/tests/replica_selection.rs
+++ b/crates/policy/tests/replica_selection.rs
@@ -78,7 +78,8 @@
     );
 }
 
-/// Each shard is held by the replicas in its cell and the ones after it, around the end of the ring.
+/// Each shard is held by the replicas in its cell and the ones after it, around the end of the
+/// ring.
 #[test]
 fn a_part_goes_only_to_replicas_whose_cells_hold_its_shard() {
     let ring = Settings {
--- a/crates/simulator-adapter/src/instances.rs
+++ b/crates/simulator-adapter/src/instances.rs
@@ -76,8 +76,8 @@
     }
 }
 
-/// The actions of one policy, or the message of its panic. A policy that has panicked stays in place
-/// until the simulator stops or restarts it.
+/// The actions of one policy, or the message of its panic. A policy that has panicked stays in
+/// place until the simulator stops or restarts it.
 fn run_policy(policy: &mut Policy, now: Nanos, events: &[Event]) -> Result<Vec<Action>, String> {
     let mut actions = Vec::new();
     catch_unwind(AssertUnwindSafe(|| {
--- a/crates/usage-ledger/tests/store/delivery.rs
+++ b/crates/usage-ledger/tests/store/delivery.rs
@@ -102,8 +102,8 @@
     #![proptest_config(ProptestConfig { cases: 60, failure_persistence: None, ..ProptestConfig::default() })]
 
     /// Random records of two members, delivered in random batches, some twice, some only after
-    /// their period was closed; members die and start again, with and without a closing mark, and so
-    /// does the settlement: all statements together come to all records joined at once.
+    /// their period was closed; members die and start again, with and without a closing mark, and
+    /// so does the settlement: all statements together come to all records joined at once.
     #[test]
     fn statements_add_up_to_the_records_in_any_order_of_delivery(
         draws in prop::collection::vec((0i64..3 * PERIOD, 0u64..4, any::<bool>(), 0i32..5, 0u8..8, 0u8..4), 1..60),
