Name the fields of what the usage ledger's store, export and reconciliation return

Cause: Store::statements, periods, verify and sent, export::send and reconcile::with_clients passed tuples, bare texts and positional flags, so that callers had to know the order. Change: StoredStatement, ClosedPeriod, VerificationReport with typed VerificationFaults, Delivery with a public DeliveryError, DifferenceKind, TotalKey and a range of arrivals; Store::sent is now record_delivery. The commands and tests follow; tests compare the same values by field. Two tests are new: the texts of all faults, and a reconciliation of records with clients within a range.

--- a/crates/aggregator/src/cli/ledger/context.rs
+++ b/crates/aggregator/src/cli/ledger/context.rs
@@ -64,7 +64,7 @@
             .parse()
             .map_err(|_| LedgerError::InvalidTime(time.into()))?;
         let start_ms = timestamp.as_millisecond();
-        let stored = store.periods()?.into_iter().map(|(period, _)| period);
+        let stored = store.periods()?.into_iter().map(|closed| closed.period);
         let period = stored
             .into_iter()
             .find(|period| period.start == start_ms)
--- a/crates/aggregator/src/cli/ledger/error.rs
+++ b/crates/aggregator/src/cli/ledger/error.rs
@@ -6,6 +6,7 @@
 use crate::settings::SettingsError;
 use std::io;
 use std::path::PathBuf;
+use usage_ledger::export::DeliveryError;
 use usage_ledger::store;
 
 /// Why a command on the ledger failed.
@@ -65,12 +66,12 @@
     #[error("there is no such statement: see 'query-aggregator ledger periods'")]
     NoSuchStatement,
     /// A receiver has not acknowledged a document in time.
-    #[error("document {document} is not acknowledged: {reason}")]
+    #[error("document {document} is not acknowledged: {source}")]
     NotAcknowledged {
         /// The document's id.
         document: String,
         /// How the last attempt failed.
-        reason: String,
+        source: DeliveryError,
     },
 
     /// A file or folder can't be read.
--- a/crates/aggregator/src/cli/ledger/export.rs
+++ b/crates/aggregator/src/cli/ledger/export.rs
@@ -65,19 +65,18 @@
     deadline: Instant,
 ) -> Result<(), LedgerError> {
     loop {
-        let (in_folder, posted, error) = export::send(target, &document);
-        let now_ms = settlement::now();
-        store.sent(&document.id, in_folder, posted, error.as_deref(), now_ms)?;
-        document.in_folder |= in_folder;
-        document.posted |= posted;
+        let delivery = export::send(target, &document);
+        store.record_delivery(&document.id, &delivery, settlement::now())?;
+        document.in_folder |= delivery.in_folder;
+        document.posted |= delivery.posted;
         document.attempts += 1;
-        let Some(reason) = error else {
+        let Some(source) = delivery.error else {
             return Ok(());
         };
         if Instant::now() >= deadline {
             return Err(LedgerError::NotAcknowledged {
                 document: document.id,
-                reason,
+                source,
             });
         }
         let backoff = export::wait(target.again, document.attempts);
--- a/crates/aggregator/src/cli/ledger/periods.rs
+++ b/crates/aggregator/src/cli/ledger/periods.rs
@@ -4,7 +4,7 @@
 use crate::cli::output::{OutputFormat, Report};
 use serde_json::{json, Value};
 use usage_ledger::rate::Counts;
-use usage_ledger::store::Statement;
+use usage_ledger::store::{Statement, StoredStatement};
 
 const COLUMNS: [&str; 9] = [
     "period",
@@ -25,13 +25,14 @@
 pub fn run(context: &LedgerContext, format: OutputFormat) -> Result<(), LedgerError> {
     let store = context.existing_store()?;
     let mut report = Report::new(&COLUMNS);
-    for (statement, hash, _) in store.statements()? {
-        report.push(row(&statement, &hash));
+    for stored in store.statements()? {
+        report.push(row(&stored));
     }
     Ok(report.print(format)?)
 }
 
-fn row(statement: &Statement, hash: &str) -> Vec<Value> {
+fn row(stored: &StoredStatement) -> Vec<Value> {
+    let statement = &stored.statement;
     let missing: Vec<&str> = statement
         .members
         .iter()
@@ -47,7 +48,7 @@
         json!(sum(statement, false, |counts| counts.ambiguous)),
         json!(missing.join(" ")),
         json!(statement.total),
-        json!(hash[..SHORT_HASH_LENGTH]),
+        json!(stored.hash[..SHORT_HASH_LENGTH]),
     ]
 }
 
--- a/crates/aggregator/src/cli/ledger/reconcile.rs
+++ b/crates/aggregator/src/cli/ledger/reconcile.rs
@@ -71,7 +71,7 @@
         path: path.into(),
         source,
     })?;
-    let all_times = (i64::MIN, i64::MAX);
+    let all_times = i64::MIN..i64::MAX;
     let calendar = &context.settings.calendar;
     let reconciled = reconcile::with_clients(store, calendar, context.bounds(), all_times, &uses)?;
     Ok(reconciled)
@@ -86,17 +86,16 @@
     format: OutputFormat,
 ) -> Result<(), LedgerError> {
     let mut totals = Report::new(&TOTAL_COLUMNS);
-    for ((period, tenant, class), pair) in &reconciled.totals {
-        let equal = pair.ledger == pair.client && pair.ledger_answered == pair.client_answered;
+    for (key, pair) in &reconciled.totals {
         totals.push(vec![
-            json!(period),
-            json!(tenant),
-            json!(class),
+            json!(key.period),
+            json!(key.tenant),
+            json!(key.class),
             json!(pair.ledger),
             json!(pair.client),
             json!(pair.ledger_answered),
             json!(pair.client_answered),
-            json!(equal),
+            json!(pair.is_equal()),
         ]);
     }
     totals.print(format)?;
@@ -106,7 +105,7 @@
     let mut differences = Report::new(&DIFFERENCE_COLUMNS);
     for difference in &reconciled.differences {
         differences.push(vec![
-            json!(difference.what),
+            json!(difference.kind.to_string()),
             json!(difference.tenant),
             json!(difference.class),
             json!(difference.at),
--- a/crates/aggregator/src/cli/ledger/statement.rs
+++ b/crates/aggregator/src/cli/ledger/statement.rs
@@ -38,8 +38,8 @@
 
 fn find(context: &LedgerContext, period: Option<&str>) -> Result<Statement, LedgerError> {
     let store = context.existing_store()?;
-    let statements = store.statements()?;
-    let mut statements = statements.into_iter().map(|(statement, ..)| statement);
+    let stored = store.statements()?;
+    let mut statements = stored.into_iter().map(|stored| stored.statement);
     let found = match period {
         Some(time) => {
             let name = context.period_starting_at(&store, time)?.name();
--- a/crates/aggregator/src/cli/ledger/verify.rs
+++ b/crates/aggregator/src/cli/ledger/verify.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use usage_ledger::log::{self, Segment};
+use usage_ledger::store::VerificationFault;
 
 /// The arguments of `ledger verify`.
 #[derive(clap::Args)]
@@ -24,7 +25,20 @@
     entries: u64,
     /// Statements, documents and periods of the store.
     ledger_items: u64,
-    faults: Vec<String>,
+    faults: Vec<Fault>,
+}
+
+/// Something in a usage log or in the store that is not as it should be.
+#[derive(Debug, thiserror::Error)]
+enum Fault {
+    #[error("{segment}: its header can't be read, at offset 0")]
+    UnreadableHeader { segment: String },
+    #[error("{segment}: damaged from offset {from} to {to}")]
+    DamagedBytes { segment: String, from: u64, to: u64 },
+    #[error("{segment}: half a record at its end, from offset {offset}")]
+    TruncatedRecord { segment: String, offset: usize },
+    #[error(transparent)]
+    Store(#[from] VerificationFault),
 }
 
 /// Checks the logs and, if one is named or no log is, the store; any fault is an error.
@@ -65,8 +79,8 @@
         let entries_start = match log::header(bytes) {
             Some((_, start)) => start,
             None => {
-                self.faults
-                    .push(format!("{name}: its header can't be read, at offset 0"));
+                let segment = name.clone();
+                self.faults.push(Fault::UnreadableHeader { segment });
                 log::MAGIC.len()
             }
         };
@@ -74,25 +88,28 @@
         for item in &read.items {
             match item {
                 log::Item::Entry(_) => self.entries += 1,
-                log::Item::Damage(from, to) => self
-                    .faults
-                    .push(format!("{name}: damaged from offset {from} to {to}")),
+                log::Item::Damage(from, to) => self.faults.push(Fault::DamagedBytes {
+                    segment: name.clone(),
+                    from: *from,
+                    to: *to,
+                }),
             }
         }
         // The last segment may be in the middle of a write.
         if read.end < bytes.len() && !is_last {
-            let offset = read.end;
-            self.faults.push(format!(
-                "{name}: half a record at its end, from offset {offset}"
-            ));
+            self.faults.push(Fault::TruncatedRecord {
+                segment: name,
+                offset: read.end,
+            });
         }
         self.segments += 1;
     }
 
     fn check_store(&mut self, context: &LedgerContext) -> Result<(), LedgerError> {
-        let (checked, faults) = context.existing_store()?.verify(context.bounds())?;
-        self.ledger_items = checked;
-        self.faults.extend(faults);
+        let report = context.existing_store()?.verify(context.bounds())?;
+        self.ledger_items = report.checked;
+        let faults = report.faults.into_iter();
+        self.faults.extend(faults.map(Fault::Store));
         Ok(())
     }
 
--- a/crates/usage-ledger/src/export.rs
+++ b/crates/usage-ledger/src/export.rs
@@ -18,7 +18,7 @@
 
 /// Why a document was not delivered.
 #[derive(Debug, thiserror::Error)]
-enum DeliveryError {
+pub enum DeliveryError {
     /// It can't be written to the folder.
     #[error("{0}")]
     Folder(#[from] io::Error),
@@ -30,6 +30,30 @@
     Transport(#[from] ureq::Error),
 }
 
+/// What one attempt to send a document came to.
+#[derive(Debug, Default)]
+pub struct Delivery {
+    /// The attempt has put it into the folder.
+    pub in_folder: bool,
+    /// The receiver has acknowledged it to this attempt.
+    pub posted: bool,
+    /// The first failure; `None` if the document is now wherever it should be.
+    pub error: Option<DeliveryError>,
+}
+
+impl Delivery {
+    /// Takes the result for one target. True if the document is there now.
+    fn record_result(&mut self, result: Result<(), DeliveryError>) -> bool {
+        match result {
+            Ok(()) => true,
+            Err(error) => {
+                self.error.get_or_insert(error);
+                false
+            }
+        }
+    }
+}
+
 /// Puts a document into a folder: completely or not at all, and once.
 ///
 /// # Errors
@@ -74,20 +98,14 @@
     again * 2u32.pow(doublings)
 }
 
-/// Sends one document to each target that it has not reached yet. Returns whether it is in the
-/// folder by this attempt, whether it was posted by it, and the first error.
-pub fn send(target: &ExportTarget, document: &OutgoingDocument) -> (bool, bool, Option<String>) {
-    let folder = match &target.folder {
-        Some(folder) if !document.in_folder => Some(to_folder(folder, document)),
-        _ => None,
-    };
-    let posted = match &target.url {
-        Some(url) if !document.posted => Some(post(url, target.timeout, document)),
-        _ => None,
-    };
-    let succeeded = |sent: &Option<Result<(), DeliveryError>>| matches!(sent, Some(Ok(())));
-    let (in_folder, is_posted) = (succeeded(&folder), succeeded(&posted));
-    let attempts = [folder, posted].into_iter().flatten();
-    let error = attempts.filter_map(Result::err).next();
-    (in_folder, is_posted, error.map(|error| error.to_string()))
+/// Sends one document to each target that it has not reached yet.
+pub fn send(target: &ExportTarget, document: &OutgoingDocument) -> Delivery {
+    let mut delivery = Delivery::default();
+    if let Some(folder) = target.folder.as_ref().filter(|_| !document.in_folder) {
+        delivery.in_folder = delivery.record_result(to_folder(folder, document));
+    }
+    if let Some(url) = target.url.as_ref().filter(|_| !document.posted) {
+        delivery.posted = delivery.record_result(post(url, target.timeout, document));
+    }
+    delivery
 }
--- a/crates/usage-ledger/src/reconcile.rs
+++ b/crates/usage-ledger/src/reconcile.rs
@@ -6,6 +6,8 @@
 use crate::store::{Error, Store};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
+use std::ops::Range;
 
 /// One logical request as a client recorded it: a row of its file.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -24,11 +26,32 @@
     pub key: String,
 }
 
+/// How the two sides differ on one logical request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DifferenceKind {
+    /// No client has recorded it.
+    OnlyInLedger,
+    /// The ledger does not have it.
+    OnlyAtClient,
+    /// Both have it, with different outcomes.
+    OutcomeDiffers,
+}
+
+impl fmt::Display for DifferenceKind {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            DifferenceKind::OnlyInLedger => "only the ledger has it",
+            DifferenceKind::OnlyAtClient => "only the client has it",
+            DifferenceKind::OutcomeDiffers => "ended otherwise",
+        })
+    }
+}
+
 /// What only one side has, or what differs.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Difference {
-    /// The kind of difference, for people to read.
-    pub what: &'static str,
+    /// How the sides differ.
+    pub kind: DifferenceKind,
     /// The tenant's name.
     pub tenant: String,
     /// The class's name.
@@ -43,8 +66,19 @@
     pub client: String,
 }
 
+/// What a total counts: the logical requests of one tenant and class in one period.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TotalKey {
+    /// The period's name.
+    pub period: String,
+    /// The tenant's name.
+    pub tenant: String,
+    /// The class's name.
+    pub class: String,
+}
+
 /// Logical requests of one tenant and class in one period, on both sides.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Pair {
     /// All that the ledger has.
     pub ledger: u64,
@@ -57,16 +91,17 @@
 }
 
 impl Pair {
-    fn is_equal(&self) -> bool {
+    /// Whether both sides have as many requests, and as many answered ones.
+    pub fn is_equal(&self) -> bool {
         self.ledger == self.client && self.ledger_answered == self.client_answered
     }
 }
 
 /// The result of a reconciliation.
-#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Reconciled {
     /// By period, tenant and class.
-    pub totals: BTreeMap<(String, String, String), Pair>,
+    pub totals: BTreeMap<TotalKey, Pair>,
     /// All differences between single requests.
     pub differences: Vec<Difference>,
 }
@@ -110,8 +145,8 @@
     unmatched: BTreeMap<RequestKey, VecDeque<LogicalRequest>>,
 }
 
-/// Joins all records that arrived in `from..until`, in Unix milliseconds, and compares the logical
-/// requests with the clients' ones, one by one.
+/// Joins all records that arrived in a range of Unix milliseconds, and compares the logical
+/// requests with those that clients sent in it, one by one.
 ///
 /// # Errors
 /// The store can't be read.
@@ -119,7 +154,7 @@
     store: &Store,
     calendar: &Calendar,
     bounds: Bounds,
-    (from, until): (i64, i64),
+    arrivals: Range<i64>,
     clients: &[ClientUse],
 ) -> Result<Reconciled, Error> {
     let mut reconciliation = Reconciliation {
@@ -139,13 +174,13 @@
         reconciliation.add_ledger_request(key, request);
     };
     let mut joiner = Joiner::new(bounds.skew, bounds.horizon);
-    for record in store.records(from, until)? {
+    for record in store.records(arrivals.start, arrivals.end)? {
         joiner.push(record, &mut add);
     }
     joiner.finish(&mut add);
     let clients = clients.iter();
     let mut clients: Vec<&ClientUse> = clients
-        .filter(|client| (from..until).contains(&client.at_ms))
+        .filter(|client| arrivals.contains(&client.at_ms))
         .collect();
     clients.sort_by_key(|client| client.at_ms);
     Ok(reconciliation.match_clients(&clients))
@@ -153,8 +188,11 @@
 
 impl Reconciliation<'_> {
     fn total(&mut self, at: i64, key: &RequestKey) -> &mut Pair {
-        let period = self.calendar.at(at).name();
-        let total = (period, key.tenant.clone(), key.class.clone());
+        let total = TotalKey {
+            period: self.calendar.at(at).name(),
+            tenant: key.tenant.clone(),
+            class: key.class.clone(),
+        };
         self.reconciled.totals.entry(total).or_default()
     }
 
@@ -176,7 +214,7 @@
         for (key, requests) in std::mem::take(&mut self.unmatched) {
             for request in requests {
                 self.add_difference(
-                    "only the ledger has it",
+                    DifferenceKind::OnlyInLedger,
                     &key,
                     request.first().at,
                     Some(outcome_name(request.outcome)),
@@ -199,25 +237,25 @@
         total.client_answered += u64::from(answered);
         let request = self.unmatched.get_mut(&key).and_then(VecDeque::pop_front);
         let ledger = request.map(|request| outcome_name(request.outcome));
-        let what = match ledger {
-            None => "only the client has it",
-            Some(ledger) if is_answered(ledger) != answered => "ended otherwise",
-            Some(ledger) if answered && ledger != client.outcome => "ended otherwise",
+        let kind = match ledger {
+            None => DifferenceKind::OnlyAtClient,
+            Some(ledger) if is_answered(ledger) != answered => DifferenceKind::OutcomeDiffers,
+            Some(ledger) if answered && ledger != client.outcome => DifferenceKind::OutcomeDiffers,
             Some(_) => return,
         };
-        self.add_difference(what, &key, client.at_ms, ledger, Some(&client.outcome));
+        self.add_difference(kind, &key, client.at_ms, ledger, Some(&client.outcome));
     }
 
     fn add_difference(
         &mut self,
-        what: &'static str,
+        kind: DifferenceKind,
         key: &RequestKey,
         at: i64,
         ledger: Option<&str>,
         client: Option<&str>,
     ) {
         self.reconciled.differences.push(Difference {
-            what,
+            kind,
             tenant: key.tenant.clone(),
             class: key.class.clone(),
             at: stamp(at),
--- a/crates/usage-ledger/src/settlement/exporter.rs
+++ b/crates/usage-ledger/src/settlement/exporter.rs
@@ -90,9 +90,9 @@
     document: &OutgoingDocument,
     retry_at: &mut HashMap<String, Instant>,
 ) -> Result<(), Error> {
-    let (in_folder, posted, error) = export::send(target, document);
-    store.sent(&document.id, in_folder, posted, error.as_deref(), now())?;
-    let Some(error) = error else {
+    let delivery = export::send(target, document);
+    store.record_delivery(&document.id, &delivery, now())?;
+    let Some(error) = delivery.error else {
         retry_at.remove(&document.id);
         return Ok(());
     };
@@ -100,7 +100,7 @@
     tracing::warn!(
         document = document.id,
         attempts,
-        error,
+        error = error.to_string(),
         "document not acknowledged"
     );
     let pause = export::wait(target.again, attempts);
--- a/crates/usage-ledger/src/store/mod.rs
+++ b/crates/usage-ledger/src/store/mod.rs
@@ -32,7 +32,8 @@
 pub use closing::Terms;
 pub use error::Error;
 pub use ingest::Ingested;
-pub use queries::Standing;
+pub use queries::{ClosedPeriod, Standing, StoredStatement};
+pub use verification::{VerificationFault, VerificationReport};
 
 use self::error::Result;
 use rusqlite::{params, Connection, Transaction, TransactionBehavior};
--- a/crates/usage-ledger/src/store/outbox.rs
+++ b/crates/usage-ledger/src/store/outbox.rs
@@ -5,6 +5,7 @@
 
 use super::{digest, Result, Store};
 use crate::document::{Document, OutgoingDocument};
+use crate::export::Delivery;
 use rusqlite::{params, Connection};
 
 impl Store {
@@ -31,24 +32,27 @@
         Ok(documents.collect::<rusqlite::Result<_>>()?)
     }
 
-    /// Notes an attempt to send a document: whether it put it into the folder, whether it posted
-    /// it, and why it failed.
+    /// Stores what an attempt at `now_ms`, in Unix milliseconds, to send a document came to.
     ///
     /// # Errors
     /// The store can't be written.
-    pub fn sent(
+    pub fn record_delivery(
         &self,
-        id: &str,
-        folder: bool,
-        posted: bool,
-        error: Option<&str>,
-        now: i64,
+        document_id: &str,
+        delivery: &Delivery,
+        now_ms: i64,
     ) -> Result<()> {
-        let time_if = |done: bool| done.then_some(now);
+        let time_if = |done: bool| done.then_some(now_ms);
+        let error = delivery.error.as_ref().map(ToString::to_string);
         self.db.execute(
             "UPDATE outbox SET folder = coalesce(folder, ?), posted = coalesce(posted, ?), error = ?,
                attempts = attempts + 1 WHERE id = ?",
-            params![time_if(folder), time_if(posted), error, id],
+            params![
+                time_if(delivery.in_folder),
+                time_if(delivery.posted),
+                error,
+                document_id
+            ],
         )?;
         Ok(())
     }
--- a/crates/usage-ledger/src/store/queries.rs
+++ b/crates/usage-ledger/src/store/queries.rs
@@ -30,6 +30,26 @@
     pub damaged: i64,
 }
 
+/// A statement as it is stored.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoredStatement {
+    /// What its text says.
+    pub statement: Statement,
+    /// SHA-256 of the text in hexadecimal, as it was when the period closed.
+    pub hash: String,
+    /// The statement as JSON.
+    pub body: String,
+}
+
+/// A period that was closed, or that records made which arrived before the last close.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClosedPeriod {
+    /// When it starts and ends.
+    pub period: Period,
+    /// Late records have changed it: it is settled again when the next one closes.
+    pub late_records_pending: bool,
+}
+
 impl Store {
     /// The names of members, tenants and classes by their numbers.
     ///
@@ -124,11 +144,11 @@
         Ok(first_arrival.map(|at| calendar.at(at)))
     }
 
-    /// Statements, oldest first, each with its hash and its text.
+    /// All statements, oldest first.
     ///
     /// # Errors
     /// The store can't be read.
-    pub fn statements(&self) -> Result<Vec<(Statement, String, String)>> {
+    pub fn statements(&self) -> Result<Vec<StoredStatement>> {
         let select = "SELECT body, hash FROM statement ORDER BY period";
         let mut select = self.db.prepare(select)?;
         let rows = select.query_map([], |row| {
@@ -136,16 +156,20 @@
         })?;
         rows.map(|row| {
             let (body, hash) = row?;
-            Ok((serde_json::from_str(&body)?, hash, body))
+            Ok(StoredStatement {
+                statement: serde_json::from_str(&body)?,
+                hash,
+                body,
+            })
         })
         .collect()
     }
 
-    /// The closed periods, each with whether late records wait to be settled.
+    /// The closed periods, oldest first.
     ///
     /// # Errors
     /// The store can't be read.
-    pub fn periods(&self) -> Result<Vec<(Period, bool)>> {
+    pub fn periods(&self) -> Result<Vec<ClosedPeriod>> {
         let select = "SELECT start, end, dirty FROM period ORDER BY start";
         let mut select = self.db.prepare(select)?;
         let periods = select.query_map([], |row| {
@@ -153,7 +177,10 @@
                 start: row.get(0)?,
                 end: row.get(1)?,
             };
-            Ok((period, row.get(2)?))
+            Ok(ClosedPeriod {
+                period,
+                late_records_pending: row.get(2)?,
+            })
         })?;
         Ok(periods.collect::<rusqlite::Result<_>>()?)
     }
--- a/crates/usage-ledger/src/store/verification.rs
+++ b/crates/usage-ledger/src/store/verification.rs
@@ -9,62 +9,125 @@
 use crate::statement::Statement;
 use std::collections::HashMap;
 
+/// What SQLite's integrity check says of an intact file.
+const INTACT: &str = "ok";
+
+/// What a verification has come to.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct VerificationReport {
+    /// Statements, documents and periods that were checked.
+    pub checked: u64,
+    /// What is wrong.
+    pub faults: Vec<VerificationFault>,
+}
+
+/// Something in the store that is not as it was made, or does not add up.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum VerificationFault {
+    /// SQLite finds its file damaged.
+    #[error("the file is damaged: {finding}")]
+    DamagedFile {
+        /// What SQLite says of it.
+        finding: String,
+    },
+    /// The text of a statement does not have the hash that is stored with it.
+    #[error("statement {period}: its text is not what was hashed")]
+    StatementChanged {
+        /// The statement's period.
+        period: String,
+    },
+    /// A statement does not name the hash of the one before it.
+    #[error("statement {period}: does not follow the one before it")]
+    ChainBroken {
+        /// The statement's period.
+        period: String,
+    },
+    /// The lines and corrections of a statement, or its tenants' amounts, are not its total.
+    #[error("statement {period}: its lines come to {sum}, its total is {total}")]
+    WrongTotal {
+        /// The statement's period.
+        period: String,
+        /// The sum of lines and corrections, in micro-units.
+        sum: i64,
+        /// The total that the statement names, in micro-units.
+        total: i64,
+    },
+    /// The text of a document does not have the hash that is stored with it.
+    #[error("document {id}: its text is not what was hashed")]
+    DocumentChanged {
+        /// The document's id.
+        id: String,
+    },
+    /// The statements together have not counted what the records come to.
+    #[error(
+        "period {period}: {tenant:?} {class:?}: statements differ from the records by {uses} uses"
+    )]
+    RecordsDiffer {
+        /// The period's name.
+        period: String,
+        /// The tenant's name; `None` if its number has none.
+        tenant: Option<String>,
+        /// The class's name; `None` if its number has none.
+        class: Option<String>,
+        /// Logical requests of the records, less those of the statements.
+        uses: i64,
+    },
+}
+
 /// A verification under way.
 struct Verification<'a> {
     store: &'a Store,
-    /// Statements, documents and periods that were checked.
-    checked: u64,
-    /// What is wrong, a line each, for people to read.
-    findings: Vec<String>,
+    report: VerificationReport,
 }
 
 impl Store {
     /// Checks the chain of statements, that lines add up to totals, that statements and documents
     /// are as they were made, and that the statements together come to what the records do.
     ///
-    /// Returns how many statements, documents and periods were checked, and what is wrong.
-    ///
     /// # Errors
     /// The store can't be read.
-    pub fn verify(&self, bounds: Bounds) -> Result<(u64, Vec<String>)> {
+    pub fn verify(&self, bounds: Bounds) -> Result<VerificationReport> {
         let mut verification = Verification {
             store: self,
-            checked: 0,
-            findings: Vec::new(),
+            report: VerificationReport::default(),
         };
         verification.check_file()?;
         verification.check_statements()?;
         verification.check_documents()?;
         verification.check_periods(bounds)?;
-        Ok((verification.checked, verification.findings))
+        Ok(verification.report)
     }
 }
 
 impl Verification<'_> {
+    fn add_fault(&mut self, fault: VerificationFault) {
+        self.report.faults.push(fault);
+    }
+
     fn check_file(&mut self) -> Result<()> {
         let check = "PRAGMA integrity_check";
-        let result: String = self.store.db.query_row(check, [], |row| row.get(0))?;
-        if result != "ok" {
-            self.findings.push(format!("the file is damaged: {result}"));
+        let finding: String = self.store.db.query_row(check, [], |row| row.get(0))?;
+        if finding != INTACT {
+            self.add_fault(VerificationFault::DamagedFile { finding });
         }
         Ok(())
     }
 
     fn check_statements(&mut self) -> Result<()> {
         let mut previous = String::new();
-        for (statement, hash, body) in self.store.statements()? {
-            let name = &statement.period;
-            if digest(body.as_bytes()) != hash {
-                let finding = format!("statement {name}: its text is not what was hashed");
-                self.findings.push(finding);
+        for stored in self.store.statements()? {
+            let statement = &stored.statement;
+            if digest(stored.body.as_bytes()) != stored.hash {
+                let period = statement.period.clone();
+                self.add_fault(VerificationFault::StatementChanged { period });
             }
             if statement.previous != previous {
-                let finding = format!("statement {name}: does not follow the one before it");
-                self.findings.push(finding);
+                let period = statement.period.clone();
+                self.add_fault(VerificationFault::ChainBroken { period });
             }
-            self.check_total(&statement);
-            previous = hash;
-            self.checked += 1;
+            self.check_total(statement);
+            previous = stored.hash;
+            self.report.checked += 1;
         }
         Ok(())
     }
@@ -75,10 +138,11 @@
         let tenants: i64 = statement.tenants.iter().map(|tenant| tenant.amount).sum();
         let sum = lines + corrections;
         if sum != statement.total || tenants != statement.total {
-            self.findings.push(format!(
-                "statement {}: its lines come to {sum}, its total is {}",
-                statement.period, statement.total
-            ));
+            self.add_fault(VerificationFault::WrongTotal {
+                period: statement.period.clone(),
+                sum,
+                total: statement.total,
+            });
         }
     }
 
@@ -91,20 +155,19 @@
             let body: String = row.get(1)?;
             let hash: String = row.get(2)?;
             if digest(body.as_bytes()) != hash {
-                let finding = format!("document {id}: its text is not what was hashed");
-                self.findings.push(finding);
+                self.add_fault(VerificationFault::DocumentChanged { id });
             }
-            self.checked += 1;
+            self.report.checked += 1;
         }
         Ok(())
     }
 
     fn check_periods(&mut self, bounds: Bounds) -> Result<()> {
         let names = self.store.names()?;
-        for (period, dirty) in self.store.periods()? {
-            if !dirty {
-                self.check_period(period, bounds, &names)?;
-                self.checked += 1;
+        for closed in self.store.periods()? {
+            if !closed.late_records_pending {
+                self.check_period(closed.period, bounds, &names)?;
+                self.report.checked += 1;
             }
         }
         Ok(())
@@ -119,12 +182,12 @@
         let settled = carry_over::settle(&self.store.db, period, bounds)?;
         let stated = lines::stated(&self.store.db, period)?;
         for (key, counts) in adjustments(&settled.lines, &stated.lines) {
-            let (tenant, class) = (names.get(&key.tenant), names.get(&key.class));
-            self.findings.push(format!(
-                "period {}: {tenant:?} {class:?}: statements differ from the records by {} uses",
-                period.name(),
-                counts.uses
-            ));
+            self.add_fault(VerificationFault::RecordsDiffer {
+                period: period.name(),
+                tenant: names.get(&key.tenant).cloned(),
+                class: names.get(&key.class).cloned(),
+                uses: counts.uses,
+            });
         }
         Ok(())
     }
--- a/crates/usage-ledger/tests/compatibility.rs
+++ b/crates/usage-ledger/tests/compatibility.rs
@@ -11,7 +11,7 @@
 use usage_ledger::period::{Calendar, Every, Period};
 use usage_ledger::settings::{self, Ledger, Price, UsageLog};
 use usage_ledger::settle::Bounds;
-use usage_ledger::store::{CorrectionLine, Store, Terms};
+use usage_ledger::store::{CorrectionLine, Store, Terms, VerificationReport};
 use usage_ledger::wire::entry::What;
 use usage_ledger::wire::{self, Batch, Class, Entry, Header, Mark, Record};
 use usage_ledger::writer::{self, FileSystem, Names};
@@ -188,7 +188,7 @@
         now: 1_100_000,
     };
     store.close(PERIOD, &terms).unwrap();
-    store.statements().unwrap().pop().unwrap().2
+    store.statements().unwrap().pop().unwrap().body
 }
 
 fn records() -> Batch {
@@ -329,7 +329,11 @@
         ]
     );
     assert_eq!(close(&mut store), one_line(STATEMENT));
-    assert_eq!(store.verify(BOUNDS).unwrap(), (3, vec![]));
+    let verified = VerificationReport {
+        checked: 3,
+        faults: vec![],
+    };
+    assert_eq!(store.verify(BOUNDS).unwrap(), verified);
     // What the present version makes of the same batch is the same: it knows all of it.
     let calendar = Calendar(Every::Ms(1000));
     let ingested = store.ingest("n0", &records(), &calendar, BOUNDS).unwrap();
--- a/crates/usage-ledger/tests/settlement.rs
+++ b/crates/usage-ledger/tests/settlement.rs
@@ -135,7 +135,7 @@
         let statements = Store::open(&self.store).unwrap().statements().unwrap();
         statements
             .into_iter()
-            .map(|(statement, ..)| statement)
+            .map(|stored| stored.statement)
             .collect()
     }
 
--- a/crates/usage-ledger/tests/store/delivery.rs
+++ b/crates/usage-ledger/tests/store/delivery.rs
@@ -79,8 +79,8 @@
 /// What all statements have counted.
 fn stated(harness: &StoreHarness) -> Counts {
     let mut stated = Counts::default();
-    for (statement, ..) in harness.store.statements().unwrap() {
-        for line in &statement.lines {
+    for stored in harness.store.statements().unwrap() {
+        for line in &stored.statement.lines {
             stated += line.counts;
         }
     }
--- a/crates/usage-ledger/tests/store/documents.rs
+++ b/crates/usage-ledger/tests/store/documents.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 use usage_ledger::document::Document;
-use usage_ledger::export;
+use usage_ledger::export::{self, Delivery};
 use usage_ledger::settings::ExportTarget;
 use usage_ledger::store::CorrectionLine;
 use usage_ledger::wire::entry::What;
@@ -35,7 +35,7 @@
         .correct(&correction("late", -4), period(0), FIRST)
         .unwrap()
         .unwrap();
-    let (_, hash, _) = harness.store.statements().unwrap().remove(0);
+    let hash = harness.store.statements().unwrap().remove(0).hash;
     assert_eq!(
         (
             credit.kind.as_str(),
@@ -68,6 +68,16 @@
     harness.assert_verified();
 }
 
+/// The attempt has put the document into the folder, has posted nothing, and has not failed.
+fn assert_only_in_folder(delivery: &Delivery) {
+    let Delivery {
+        in_folder,
+        posted,
+        error,
+    } = delivery;
+    assert!(*in_folder && !posted && error.is_none(), "{delivery:?}");
+}
+
 /// Killed between close and export, and between an export and its note: the same document goes out
 /// again.
 #[test]
@@ -87,7 +97,7 @@
         again: Duration::from_millis(1),
     };
     let waiting = harness.store.outbox(true, false).unwrap();
-    assert_eq!(export::send(&to, &waiting[0]), (true, false, None));
+    assert_only_in_folder(&export::send(&to, &waiting[0]));
     let bytes =
         |folder: &Path| std::fs::read(folder.join(format!("{}.json", waiting[0].id))).unwrap();
     let first = bytes(folder.path());
@@ -95,10 +105,11 @@
     harness.restart();
     let again = harness.store.outbox(true, false).unwrap();
     assert_eq!(again, waiting);
-    assert_eq!(export::send(&to, &again[0]), (true, false, None));
+    let delivery = export::send(&to, &again[0]);
+    assert_only_in_folder(&delivery);
     harness
         .store
-        .sent(&again[0].id, true, false, None, FIRST)
+        .record_delivery(&again[0].id, &delivery, FIRST)
         .unwrap();
     assert_eq!(
         (
--- a/crates/usage-ledger/tests/store/harness.rs
+++ b/crates/usage-ledger/tests/store/harness.rs
@@ -82,8 +82,8 @@
     }
 
     pub fn assert_verified(&self) {
-        let (checked, wrong) = self.store.verify(BOUNDS).unwrap();
-        assert!(checked > 0 && wrong.is_empty(), "{wrong:?}");
+        let report = self.store.verify(BOUNDS).unwrap();
+        assert!(report.checked > 0 && report.faults.is_empty(), "{report:?}");
     }
 }
 
--- a/crates/usage-ledger/tests/store/main.rs
+++ b/crates/usage-ledger/tests/store/main.rs
@@ -6,4 +6,5 @@
 mod documents;
 mod harness;
 mod ingest;
+mod reconciliation;
 mod verification;
--- /dev/null
+++ b/crates/usage-ledger/tests/store/reconciliation.rs
@@ -0,0 +1,116 @@
+//! Reconciliation of the records with what clients have recorded.
+
+use crate::harness::{
+    batch, calendar, complete_record, period, rejected, StoreHarness, BOUNDS, FIRST, PERIOD,
+};
+use usage_ledger::reconcile::{with_clients, ClientUse, DifferenceKind, Pair, TotalKey};
+use usage_ledger::wire::entry::What;
+
+fn client_use(at_ms: i64, outcome: &str, key: u64) -> ClientUse {
+    ClientUse {
+        at_ms,
+        tenant: "t".into(),
+        class: "c".into(),
+        outcome: outcome.into(),
+        tries: 1,
+        key: format!("{key:016x}"),
+    }
+}
+
+#[test]
+fn totals_and_single_requests_are_compared_within_the_range() {
+    let mut harness = StoreHarness::new();
+    let records = vec![
+        What::Record(complete_record(1, FIRST, 2)),
+        What::Record(complete_record(2, FIRST + 10, 4)),
+        rejected(3, FIRST + 20, 6),
+        What::Record(complete_record(4, FIRST + PERIOD, 8)),
+        What::Record(complete_record(5, FIRST + 2 * PERIOD, 10)),
+    ];
+    harness.ingest("n0", &batch(1, records));
+    let clients = [
+        client_use(FIRST + 2 * PERIOD, "whole", 10),
+        client_use(FIRST + PERIOD + 1, "whole", 12),
+        client_use(FIRST + 20, "whole", 6),
+        client_use(FIRST, "whole", 2),
+    ];
+    let range = FIRST..FIRST + 2 * PERIOD;
+    let reconciled = with_clients(&harness.store, &calendar(), BOUNDS, range, &clients).unwrap();
+    let total = |n, pair| {
+        let key = TotalKey {
+            period: period(n).name(),
+            tenant: "t".into(),
+            class: "c".into(),
+        };
+        (key, pair)
+    };
+    let totals = [
+        total(
+            0,
+            Pair {
+                ledger: 3,
+                client: 2,
+                ledger_answered: 2,
+                client_answered: 2,
+            },
+        ),
+        total(
+            1,
+            Pair {
+                ledger: 1,
+                client: 1,
+                ledger_answered: 1,
+                client_answered: 1,
+            },
+        ),
+    ];
+    assert_eq!(reconciled.totals, totals.into());
+    assert_eq!(reconciled.unequal(), 1);
+    let differences: Vec<_> = reconciled
+        .differences
+        .iter()
+        .map(|difference| {
+            let outcomes = (difference.ledger.as_str(), difference.client.as_str());
+            (difference.kind, difference.key.as_str(), outcomes)
+        })
+        .collect();
+    assert_eq!(
+        differences,
+        [
+            (
+                DifferenceKind::OutcomeDiffers,
+                "0000000000000006",
+                ("refused", "whole")
+            ),
+            (
+                DifferenceKind::OnlyAtClient,
+                "000000000000000c",
+                ("", "whole")
+            ),
+            (
+                DifferenceKind::OnlyInLedger,
+                "0000000000000004",
+                ("whole", "")
+            ),
+            (
+                DifferenceKind::OnlyInLedger,
+                "0000000000000008",
+                ("whole", "")
+            ),
+        ]
+    );
+    let texts: Vec<String> = reconciled
+        .differences
+        .iter()
+        .map(|difference| difference.kind.to_string())
+        .collect();
+    assert_eq!(
+        texts,
+        [
+            "ended otherwise",
+            "only the client has it",
+            "only the ledger has it",
+            "only the ledger has it"
+        ]
+    );
+}
--- a/crates/usage-ledger/tests/store/verification.rs
+++ b/crates/usage-ledger/tests/store/verification.rs
@@ -1,7 +1,7 @@
 //! Verification of a store that was tampered with, and of its version.
 
 use crate::harness::{batch, complete_record, StoreHarness, BOUNDS, FIRST};
-use usage_ledger::store::Store;
+use usage_ledger::store::{Store, VerificationFault};
 use usage_ledger::wire::entry::What;
 
 #[test]
@@ -38,10 +38,10 @@
             .unwrap()
             .execute(sql, [])
             .unwrap();
-        let (_, wrong) = harness.store.verify(BOUNDS).unwrap();
+        let faults = harness.store.verify(BOUNDS).unwrap().faults;
         assert!(
-            wrong.iter().any(|line| line.contains(found)),
-            "{sql}: {wrong:?}"
+            faults.iter().any(|fault| fault.to_string().contains(found)),
+            "{sql}: {faults:?}"
         );
     }
     let harness = StoreHarness::new();
@@ -55,3 +55,38 @@
         .to_string()
         .contains("later program"));
 }
+
+#[test]
+fn faults_are_reported_in_the_published_words() {
+    let period = || "P".to_string();
+    let faults = [
+        VerificationFault::DamagedFile {
+            finding: "page 3 is never used".into(),
+        },
+        VerificationFault::StatementChanged { period: period() },
+        VerificationFault::ChainBroken { period: period() },
+        VerificationFault::WrongTotal {
+            period: period(),
+            sum: 10,
+            total: 11,
+        },
+        VerificationFault::DocumentChanged { id: "D".into() },
+        VerificationFault::RecordsDiffer {
+            period: period(),
+            tenant: Some("t".into()),
+            class: None,
+            uses: -1,
+        },
+    ];
+    assert_eq!(
+        faults.map(|fault| fault.to_string()),
+        [
+            "the file is damaged: page 3 is never used",
+            "statement P: its text is not what was hashed",
+            "statement P: does not follow the one before it",
+            "statement P: its lines come to 10, its total is 11",
+            "document D: its text is not what was hashed",
+            "period P: Some(\"t\") None: statements differ from the records by -1 uses",
+        ]
+    );
+}
