--- a/crates/aggregator/src/settings/log.rs
+++ b/crates/aggregator/src/settings/log.rs
@@ -6,33 +6,30 @@
 use tracing_subscriber::filter::Targets;
 
 /// The section as the settings file has it.
-pub const SECTION: Section = Section {
-    name: "log",
-    named: false,
-    keys: &[
-        Key {
-            name: "level",
-            kind: Kind::Choice(&["error", "warn", "info", "debug", "trace"]),
-            default: Some("info"),
-            live: true,
-            doc: "The least level that is logged. QUERY_AGGREGATOR_LOG in the environment goes before it.",
-        },
-        Key {
-            name: "targets",
-            kind: Kind::Text,
-            default: Some(""),
-            live: true,
-            doc: "Levels of single targets, as in aggregator_core::engine=debug,usage_ledger=warn.",
-        },
-        Key {
-            name: "format",
-            kind: Kind::Choice(&["text", "json"]),
-            default: Some("text"),
-            live: false,
-            doc: "One line of text, or one JSON object, for each event.",
-        },
+pub const SECTION: Section = Section::new(
+    "log",
+    &[
+        Key::live(
+            "level",
+            Kind::Choice(&["error", "warn", "info", "debug", "trace"]),
+            Some("info"),
+            "The least level that is logged. \
+             QUERY_AGGREGATOR_LOG in the environment goes before it.",
+        ),
+        Key::live(
+            "targets",
+            Kind::Text,
+            Some(""),
+            "Levels of single targets, as in aggregator_core::engine=debug,usage_ledger=warn.",
+        ),
+        Key::new(
+            "format",
+            Kind::Choice(&["text", "json"]),
+            Some("text"),
+            "One line of text, or one JSON object, for each event.",
+        ),
     ],
-};
+);
 
 /// The section alone: enough to look up its defaults.
 const SCHEMA: Schema = Schema(&[SECTION]);
--- a/crates/ini-config/src/schema.rs
+++ b/crates/ini-config/src/schema.rs
@@ -17,6 +17,37 @@
     pub doc: &'static str,
 }
 
+impl Key {
+    /// A key whose change takes effect at the next start.
+    pub const fn new(
+        name: &'static str,
+        kind: Kind,
+        default: Option<&'static str>,
+        doc: &'static str,
+    ) -> Key {
+        Key {
+            name,
+            kind,
+            default,
+            live: false,
+            doc,
+        }
+    }
+
+    /// A key whose change takes effect on SIGHUP.
+    pub const fn live(
+        name: &'static str,
+        kind: Kind,
+        default: Option<&'static str>,
+        doc: &'static str,
+    ) -> Key {
+        Key {
+            live: true,
+            ..Key::new(name, kind, default, doc)
+        }
+    }
+}
+
 /// One section; a named one may appear several times, as `[kind NAME]`.
 #[derive(Clone, Copy, Debug)]
 pub struct Section {
@@ -29,6 +60,24 @@
 }
 
 impl Section {
+    /// A section that stands once, as `[NAME]`.
+    pub const fn new(name: &'static str, keys: &'static [Key]) -> Section {
+        Section {
+            name,
+            named: false,
+            keys,
+        }
+    }
+
+    /// A section that may stand several times, as `[name NAME]`.
+    pub const fn named(name: &'static str, keys: &'static [Key]) -> Section {
+        Section {
+            name,
+            named: true,
+            keys,
+        }
+    }
+
     pub(crate) fn key(&self, name: &str) -> Option<&'static Key> {
         self.keys.iter().find(|key| key.name == name)
     }
--- a/crates/ini-config/tests/settings.rs
+++ b/crates/ini-config/tests/settings.rs
@@ -5,40 +5,20 @@
 };
 use std::time::Duration;
 
-const fn key(name: &'static str, kind: Kind, default: Option<&'static str>, live: bool) -> Key {
-    Key {
-        name,
-        kind,
-        default,
-        live,
-        doc: "",
-    }
-}
-
 const SCHEMA: Schema = Schema(&[
-    Section {
-        name: "log",
-        named: false,
-        keys: &[
-            key("directory", Kind::Text, None, false),
-            key("flush", Kind::Time, Some("250ms"), true),
-            key("segment", Kind::Bytes, Some("8MiB"), false),
-            key("queue", Kind::Count(1, 100), Some("10"), false),
-            key(
-                "format",
-                Kind::Choice(&["json", "text"]),
-                Some("text"),
-                false,
-            ),
-            key("colour", Kind::Flag, Some("no"), false),
-            key("every", Kind::TimeOr(&["daily", "monthly"]), None, false),
+    Section::new(
+        "log",
+        &[
+            Key::new("directory", Kind::Text, None, ""),
+            Key::live("flush", Kind::Time, Some("250ms"), ""),
+            Key::new("segment", Kind::Bytes, Some("8MiB"), ""),
+            Key::new("queue", Kind::Count(1, 100), Some("10"), ""),
+            Key::new("format", Kind::Choice(&["json", "text"]), Some("text"), ""),
+            Key::new("colour", Kind::Flag, Some("no"), ""),
+            Key::new("every", Kind::TimeOr(&["daily", "monthly"]), None, ""),
         ],
-    },
-    Section {
-        name: "member",
-        named: true,
-        keys: &[key("address", Kind::Address, None, true)],
-    },
+    ),
+    Section::named("member", &[Key::live("address", Kind::Address, None, "")]),
 ]);
 
 fn problems(text: &str) -> Vec<String> {
