Name the usage log writer's methods and the core's usage records by their results

Cause: offer, watch, stall_bound, note_lost, note_late and finish of the Writer, and crossed and keyed of the core's UsageRecord, did not say what they do or count. Change: try_enqueue, written, max_reply_delay, count_lost_record, count_unrecorded_reply and close; cross_zone_attempts and has_client_key, which usage_recorder.rs maps to the wire's names at the edge. Result: cargo test, clippy over all targets and cargo doc pass; the wire, SQLite columns, settings and log lines keep their names.

--- a/crates/aggregator/src/usage_recorder.rs
+++ b/crates/aggregator/src/usage_recorder.rs
@@ -18,9 +18,9 @@
 
 impl UsageRecorder for UsageLogRecorder {
     fn record(&mut self, usage: UsageRecord) -> bool {
-        let accepted = self.writer.offer(What::Record(wire_record(usage)));
+        let accepted = self.writer.try_enqueue(What::Record(wire_record(usage)));
         if !accepted {
-            self.writer.note_lost();
+            self.writer.count_lost_record();
         }
         accepted
     }
@@ -29,26 +29,27 @@
     fn record_watermark(&mut self, mark: UsageWatermark) {
         let complete_ms = mark.complete / NANOS_PER_MS;
         self.writer
-            .offer(writer::mark(mark.sequence, complete_ms, mark.end));
+            .try_enqueue(writer::mark(mark.sequence, complete_ms, mark.end));
     }
 
     fn written(&self) -> watch::Receiver<u64> {
-        self.writer.watch()
+        self.writer.written()
     }
 
     fn max_reply_delay(&self) -> Duration {
-        self.writer.stall_bound()
+        self.writer.max_reply_delay()
     }
 
     fn note_unrecorded_reply(&mut self) {
-        self.writer.note_late();
+        self.writer.count_unrecorded_reply();
     }
 
     fn close(&mut self) {
-        self.writer.finish();
+        self.writer.close();
     }
 }
 
+/// The record under the published names of the wire format.
 fn wire_record(usage: UsageRecord) -> Record {
     let (outcome, share) = match usage.outcome {
         Outcome::Complete => (WireOutcome::Whole, 0),
@@ -66,9 +67,9 @@
         share,
         parts: usage.parts,
         attempts: usage.attempts,
-        crossed: usage.crossed,
+        crossed: usage.cross_zone_attempts,
         repeat: usage.is_retry,
         key: usage.key,
-        keyed: usage.keyed,
+        keyed: usage.has_client_key,
     }
 }
--- a/crates/core/src/engine/usage.rs
+++ b/crates/core/src/engine/usage.rs
@@ -97,13 +97,13 @@
     /// The number of attempts at its parts.
     pub attempts: u32,
     /// Of the attempts, those to replicas in other zones.
-    pub crossed: u32,
+    pub cross_zone_attempts: u32,
     /// The client marked it as a retry.
     pub is_retry: bool,
     /// Joins it with the other tries of the same use.
     pub key: JoinKey,
     /// The key is one that the client gave.
-    pub keyed: bool,
+    pub has_client_key: bool,
 }
 
 /// Every query that arrived before `complete` and has ended is recorded with a sequence up to
--- a/crates/core/src/engine/usage_log.rs
+++ b/crates/core/src/engine/usage_log.rs
@@ -124,10 +124,10 @@
             outcome,
             parts: parts.len() as u32,
             attempts: total(|part| part.attempts),
-            crossed: total(|part| part.cross_zone_attempts),
+            cross_zone_attempts: total(|part| part.cross_zone_attempts),
             is_retry: query.is_retry,
             key: query.join_key,
-            keyed: usage::is_client_key(query.join_key),
+            has_client_key: usage::is_client_key(query.join_key),
         });
     }
 
@@ -146,10 +146,10 @@
             outcome: Outcome::Rejected,
             parts: request.parts.len() as u32,
             attempts: 0,
-            crossed: 0,
+            cross_zone_attempts: 0,
             is_retry: request.is_retry,
             key,
-            keyed: usage::is_client_key(key),
+            has_client_key: usage::is_client_key(key),
         });
     }
 
--- a/crates/core/tests/pending_replies.rs
+++ b/crates/core/tests/pending_replies.rs
@@ -44,10 +44,10 @@
         outcome: Outcome::Complete,
         parts: 1,
         attempts: 1,
-        crossed: 0,
+        cross_zone_attempts: 0,
         is_retry: false,
         key: 2,
-        keyed: false,
+        has_client_key: false,
     }
 }
 
--- a/crates/core/tests/usage.rs
+++ b/crates/core/tests/usage.rs
@@ -170,7 +170,7 @@
         "parts in any order"
     );
     assert_eq!((keys[0], keys[2]), (keys[1], key_of_client("lookup", "k")));
-    assert!(is_client_key(keys[2]) && !is_client_key(keys[0]) && harness.records[2].keyed);
+    assert!(is_client_key(keys[2]) && !is_client_key(keys[0]) && harness.records[2].has_client_key);
     let others = [
         key_of_query("report", parts.into_iter(), b"text"),
         key_of_query("lookup", parts.into_iter(), b"test"),
--- a/crates/usage-ledger/src/writer/mod.rs
+++ b/crates/usage-ledger/src/writer/mod.rs
@@ -24,10 +24,10 @@
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
-/// How long [`Writer::finish`] waits for the thread.
-const FINISH_TIMEOUT: Duration = Duration::from_secs(2);
-/// Interval at which [`Writer::finish`] looks whether the thread has ended.
-const FINISH_POLL_INTERVAL: Duration = Duration::from_millis(1);
+/// How long [`Writer::close`] waits for the thread.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Interval at which [`Writer::close`] looks whether the thread has ended.
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(1);
 /// Nanoseconds in a millisecond.
 const NANOSECONDS_PER_MS: u64 = 1_000_000;
 
@@ -98,7 +98,7 @@
     queue: Option<SyncSender<Entry>>,
     written: watch::Receiver<u64>,
     counts: Arc<Counts>,
-    stall: Duration,
+    max_reply_delay: Duration,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -153,7 +153,7 @@
         queue: Some(queue),
         written,
         counts,
-        stall: settings.stall,
+        max_reply_delay: settings.stall,
         thread: Some(thread),
     })
 }
@@ -197,7 +197,7 @@
 
 impl Writer {
     /// Queues an entry without waiting; false if the queue is full.
-    pub fn offer(&mut self, what: What) -> bool {
+    pub fn try_enqueue(&mut self, what: What) -> bool {
         let entry = Entry { what: Some(what) };
         self.queue
             .as_ref()
@@ -210,17 +210,17 @@
     }
 
     /// The sequence number up to which nothing is left to wait for.
-    pub fn watch(&self) -> watch::Receiver<u64> {
+    pub fn written(&self) -> watch::Receiver<u64> {
         self.written.clone()
     }
 
-    /// How long an answer may wait for its record.
-    pub fn stall_bound(&self) -> Duration {
-        self.stall
+    /// The longest that a reply waits for its record.
+    pub fn max_reply_delay(&self) -> Duration {
+        self.max_reply_delay
     }
 
     /// Counts a record that could not be queued.
-    pub fn note_lost(&self) {
+    pub fn count_lost_record(&self) {
         let lost = self.counts.lost.fetch_add(1, Ordering::Relaxed) + 1;
         if lost.is_power_of_two() {
             tracing::error!(lost, "usage records lost: the log takes none");
@@ -228,7 +228,7 @@
     }
 
     /// Counts an answer that left before its record was written.
-    pub fn note_late(&self) {
+    pub fn count_unrecorded_reply(&self) {
         let late = self.counts.late.fetch_add(1, Ordering::Relaxed) + 1;
         if late.is_power_of_two() {
             tracing::warn!(
@@ -239,14 +239,14 @@
     }
 
     /// Ends the writer once all queued entries are written, or after a bounded time.
-    pub fn finish(&mut self) {
+    pub fn close(&mut self) {
         self.queue = None;
         let Some(thread) = self.thread.take() else {
             return;
         };
-        let deadline = Instant::now() + FINISH_TIMEOUT;
+        let deadline = Instant::now() + CLOSE_TIMEOUT;
         while !thread.is_finished() && Instant::now() < deadline {
-            std::thread::sleep(FINISH_POLL_INTERVAL);
+            std::thread::sleep(CLOSE_POLL_INTERVAL);
         }
         if thread.is_finished() {
             let _ = thread.join();
--- a/crates/usage-ledger/tests/compatibility.rs
+++ b/crates/usage-ledger/tests/compatibility.rs
@@ -106,9 +106,9 @@
         tenants: vec!["t".into()],
     };
     let mut writer = writer::start_on(FileSystem, &settings, names, 7_000_000).unwrap();
-    assert!(writer.offer(What::Record(segment_record())));
-    assert!(writer.offer(writer::mark(1, 2000, true)));
-    writer.finish();
+    assert!(writer.try_enqueue(What::Record(segment_record())));
+    assert!(writer.try_enqueue(writer::mark(1, 2000, true)));
+    writer.close();
     let segments = log::segments(folder.path()).unwrap();
     assert_eq!(segments.len(), 1);
     assert_eq!(
--- a/crates/usage-ledger/tests/log/harness.rs
+++ b/crates/usage-ledger/tests/log/harness.rs
@@ -44,9 +44,9 @@
 
 /// Writes records one after another, each waited for, so that none finds the queue full.
 pub fn write(writer: &mut Writer, sequences: std::ops::RangeInclusive<u64>) {
-    let mut written = writer.watch();
+    let mut written = writer.written();
     for sequence in sequences {
-        assert!(writer.offer(record(sequence)));
+        assert!(writer.try_enqueue(record(sequence)));
         let runtime = tokio::runtime::Builder::new_current_thread()
             .build()
             .unwrap();
@@ -63,7 +63,7 @@
     )
     .unwrap();
     write(&mut writer, 1..=records);
-    writer.finish();
+    writer.close();
 }
 
 /// All that a follower finds.
--- a/crates/usage-ledger/tests/log/reading.rs
+++ b/crates/usage-ledger/tests/log/reading.rs
@@ -21,7 +21,7 @@
         let mut again =
             writer::start_on(FileSystem, &settings(folder.path(), 1 << 20), names(), 0).unwrap();
         write(&mut again, 1..=2);
-        again.finish();
+        again.close();
         let found = follow(folder.path(), Position::default(), 100);
         if length >= start {
             let old = found.sequences_of(segment.incarnation);
@@ -52,7 +52,7 @@
     let mut again =
         writer::start_on(FileSystem, &settings(folder.path(), 1 << 20), names(), 0).unwrap();
     write(&mut again, 1..=1);
-    again.finish();
+    again.close();
     for at in start..complete.len() {
         for bit in [0x01, 0x80] {
             let mut bytes = complete.clone();
--- a/crates/usage-ledger/tests/log/writing.rs
+++ b/crates/usage-ledger/tests/log/writing.rs
@@ -37,7 +37,7 @@
     full.store(false, Ordering::SeqCst);
     std::thread::sleep(Duration::from_millis(120));
     write(&mut writer, 10..=12);
-    writer.finish();
+    writer.close();
     assert_eq!(
         (
             writer.counts().lost.load(Ordering::SeqCst),
@@ -73,13 +73,13 @@
     )
     .unwrap();
     let taken = (1..=3000)
-        .filter(|sequence| writer.offer(record(*sequence)))
+        .filter(|sequence| writer.try_enqueue(record(*sequence)))
         .count() as u64;
     // The queue, and the batch that the writer has in hand.
     assert!((64..=64 + 1024).contains(&taken), "{taken}");
-    assert_eq!(*writer.watch().borrow(), 0, "none is reported as written");
+    assert_eq!(*writer.written().borrow(), 0, "none is reported as written");
     drop(release);
-    writer.finish();
+    writer.close();
     let found = follow(folder.path(), Position::default(), 4096);
     assert_eq!(
         found.records.len() as u64,
@@ -114,5 +114,5 @@
     std::thread::sleep(Duration::from_millis(120));
     write(&mut writer, 1001..=1003);
     assert_eq!(writer.counts().lost.load(Ordering::SeqCst), lost);
-    writer.finish();
+    writer.close();
 }
--- a/crates/usage-ledger/tests/settlement.rs
+++ b/crates/usage-ledger/tests/settlement.rs
@@ -63,7 +63,7 @@
         key: sequence * 2,
         ..writer::record(sequence, at as u64, Outcome::Whole, 0)
     };
-    assert!(writer.offer(What::Record(record)));
+    assert!(writer.try_enqueue(What::Record(record)));
 }
 
 /// The service under test, with a store and an export folder in one directory.
@@ -170,7 +170,7 @@
     wait_for("records", || collected(500));
     assert!(service.statements().is_empty());
     let complete = PERIOD_START + 2 * PERIOD_MS;
-    assert!(writer.offer(writer::mark(500, complete as u64, false)));
+    assert!(writer.try_enqueue(writer::mark(500, complete as u64, false)));
     wait_for("statement", || !service.statements().is_empty());
     let statement = service.statements().remove(0);
     assert_eq!(
@@ -187,7 +187,7 @@
         log::segments(&log_directory).unwrap().len() == 1
     });
     service.stop();
-    writer.finish();
+    writer.close();
 }
 
 #[test]
@@ -214,6 +214,6 @@
     wait_for("records of n1", || collected("n1") == 1);
     service.stop();
     for writer in &mut writers {
-        writer.finish();
+        writer.close();
     }
 }
