Test truncated frames on idle leaf connections

Change: five socket tests: cut off by the idle close, by the leaf server's own close, left incomplete, and with an idempotent and a non-idempotent part sent just behind it.

--- /dev/null
+++ b/crates/core/tests/truncated_frames.rs
@@ -0,0 +1,131 @@
+//! Truncated frames on loopback sockets: a leaf server that sends the beginning of a frame on an
+//! idle connection, just as that connection is closed or gets the next call.
+
+mod support;
+
+use support::engine_harness::SETTINGS;
+use support::socket_harness::{
+    connect_client, query_request, read_response, run_scenario, LeafServerConnection,
+    SocketHarness, HANG_TIMEOUT,
+};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout, Duration, Instant};
+
+/// The beginning of a result of 64 bytes.
+const TRUNCATED_FRAME: &[u8] = b"\0\0\0\x40Aother";
+/// The aggregator closes a connection after nine tenths of `limits.conn_idle_ns`.
+const IDLE_CLOSE: Duration = Duration::from_secs(27);
+/// How long the rest of a frame may take.
+const FRAME_TIMEOUT: Duration = Duration::from_millis(100);
+/// Less than that.
+const SHORT_PAUSE: Duration = Duration::from_millis(50);
+
+async fn send_query(client: &mut TcpStream, name: &str) {
+    let request = query_request(name, "");
+    client.write_all(request.as_bytes()).await.unwrap();
+}
+
+/// A client with its first response, and the idle connection that its query went to.
+async fn served_client(harness: &SocketHarness) -> (TcpStream, LeafServerConnection) {
+    let mut client = connect_client(harness.aggregator).await;
+    send_query(&mut client, "first").await;
+    let mut leaf = LeafServerConnection::accept(&harness.leaf).await;
+    let call = leaf.next_call().await;
+    leaf.send_result(&call.id).await;
+    let response = read_response(&mut client).await;
+    assert!(response.body.contains("first.3"), "{response:?}");
+    (client, leaf)
+}
+
+/// Expects that the aggregator has closed a connection without sending anything more on it.
+async fn expect_closed(leaf: &mut LeafServerConnection) {
+    let frame = timeout(HANG_TIMEOUT, leaf.next_frame()).await;
+    assert_eq!(frame.expect("closed"), None);
+}
+
+/// Expects that the next query is answered by way of a new connection.
+async fn expect_answer_on_new_connection(harness: &SocketHarness, client: &mut TcpStream) {
+    send_query(client, "second").await;
+    let mut leaf = LeafServerConnection::accept(&harness.leaf).await;
+    let call = leaf.next_call().await;
+    assert_eq!(call.id, "second.3");
+    leaf.send_result(&call.id).await;
+    let response = read_response(client).await;
+    assert!(response.body.contains("second.3"), "{response:?}");
+}
+
+#[test]
+fn a_frame_cut_off_by_the_idle_close_leaves_the_next_query_unharmed() {
+    run_scenario(SETTINGS, 100, |harness| async move {
+        let (mut client, mut leaf) = served_client(&harness).await;
+        sleep(IDLE_CLOSE - SHORT_PAUSE).await;
+        leaf.stream.write_all(TRUNCATED_FRAME).await.unwrap();
+        let begun = Instant::now();
+        expect_closed(&mut leaf).await;
+        assert!(begun.elapsed() < FRAME_TIMEOUT, "{:?}", begun.elapsed());
+        expect_answer_on_new_connection(&harness, &mut client).await;
+    });
+}
+
+#[test]
+fn a_frame_that_stays_incomplete_closes_its_idle_connection() {
+    run_scenario(SETTINGS, 100, |harness| async move {
+        let (mut client, mut leaf) = served_client(&harness).await;
+        leaf.stream.write_all(TRUNCATED_FRAME).await.unwrap();
+        let begun = Instant::now();
+        expect_closed(&mut leaf).await;
+        assert!(begun.elapsed() < 2 * FRAME_TIMEOUT, "{:?}", begun.elapsed());
+        expect_answer_on_new_connection(&harness, &mut client).await;
+    });
+}
+
+#[test]
+fn a_frame_cut_off_by_the_leaf_server_leaves_the_next_query_unharmed() {
+    run_scenario(SETTINGS, 100, |harness| async move {
+        let (mut client, mut leaf) = served_client(&harness).await;
+        leaf.stream.write_all(TRUNCATED_FRAME).await.unwrap();
+        drop(leaf);
+        sleep(SHORT_PAUSE).await;
+        expect_answer_on_new_connection(&harness, &mut client).await;
+    });
+}
+
+#[test]
+fn an_idempotent_part_sent_behind_a_truncated_frame_is_retried_and_answered() {
+    run_scenario(SETTINGS, 100, |harness| async move {
+        let (mut client, mut leaf) = served_client(&harness).await;
+        leaf.stream.write_all(TRUNCATED_FRAME).await.unwrap();
+        sleep(SHORT_PAUSE).await;
+        send_query(&mut client, "behind").await;
+        assert_eq!(leaf.next_call().await.id, "behind.3");
+        let mut next = LeafServerConnection::accept(&harness.leaf).await;
+        let retry = next.next_call().await;
+        assert_eq!(retry.id, "behind.3");
+        next.send_result(&retry.id).await;
+        let response = read_response(&mut client).await;
+        assert!(response.body.contains("behind.3"), "{response:?}");
+        expect_closed(&mut leaf).await;
+    });
+}
+
+#[test]
+fn a_non_idempotent_part_sent_behind_a_truncated_frame_is_sent_once() {
+    let settings = SETTINGS.replace(
+        "classes.1.semantics=read_like",
+        "classes.1.semantics=non_idempotent",
+    );
+    run_scenario(&settings, 100, |harness| async move {
+        let (mut client, mut leaf) = served_client(&harness).await;
+        leaf.stream.write_all(TRUNCATED_FRAME).await.unwrap();
+        sleep(SHORT_PAUSE).await;
+        send_query(&mut client, "behind").await;
+        assert_eq!(leaf.next_call().await.id, "behind.3");
+        let response = read_response(&mut client).await;
+        assert!(response.head.starts_with("HTTP/1.1 50"), "{response:?}");
+        expect_closed(&mut leaf).await;
+        let another = timeout(Duration::from_secs(20), harness.leaf.accept()).await;
+        assert!(another.is_err(), "the part may have run");
+        expect_answer_on_new_connection(&harness, &mut client).await;
+    });
+}
