Test the parts per call and the share of descriptors for leaf connections

Change: three tests: a call holds at most bundle_max parts, a part of a later batch does not join a call that waits for its connection, and 500 replicas get at most 409 connections of 1,024 descriptors.

--- a/crates/core/tests/reducer/connections.rs
+++ b/crates/core/tests/reducer/connections.rs
@@ -1,7 +1,17 @@
 //! Connections to leaf servers: when they are opened, reused and closed.
 
 use crate::sent_parts;
-use crate::support::engine_harness::EngineHarness;
+use crate::support::engine_harness::{EngineHarness, SETTINGS};
+use aggregator_core::protocol::leaf::LeafRequest;
+
+/// The number of parts of each call that was sent, in order.
+fn parts_per_call(harness: &EngineHarness) -> Vec<usize> {
+    let calls = harness.frames.iter().filter_map(|sent| match &sent.frame {
+        LeafRequest::Call(parts) => Some(parts.len()),
+        _ => None,
+    });
+    calls.collect()
+}
 
 #[test]
 fn parts_of_one_batch_share_a_connection_and_later_ones_reuse_it() {
@@ -83,3 +93,37 @@
     harness.advance(3_000);
     assert!(harness.connections.is_empty());
 }
+
+#[test]
+fn a_call_holds_no_more_parts_than_allowed() {
+    let settings = format!("{SETTINGS}extra.bundle_max=3\n");
+    let mut harness = EngineHarness::with_settings(&settings, 1);
+    harness.send_query(1, &[0.25; 4]);
+    harness.open_all_connections();
+    assert_eq!(parts_per_call(&harness), [3, 1]);
+}
+
+#[test]
+fn a_part_of_a_later_batch_does_not_join_a_call_that_waits() {
+    let settings = format!("{SETTINGS}extra.bundle_max=3\n");
+    let mut harness = EngineHarness::with_settings(&settings, 1);
+    harness.send_query(1, &[0.5, 0.5]);
+    harness.send_query(1, &[1.0]);
+    assert!(harness.frames.is_empty(), "both wait for the connection");
+    harness.open_all_connections();
+    assert_eq!(parts_per_call(&harness), [2, 1]);
+}
+
+/// The rest of the descriptors is for clients, the watch and the process itself.
+#[test]
+fn connections_to_leaf_servers_use_no_more_than_their_share_of_the_descriptors() {
+    const MAX_CONNECTIONS: usize = 409;
+    let settings = SETTINGS.replace("open_cap=60", "open_cap=9999");
+    let mut harness = EngineHarness::with_settings(&settings, 500);
+    let mut most = 0;
+    for _ in 0..600 {
+        harness.send_query(1, &[1.0]);
+        most = most.max(harness.connections.len());
+    }
+    assert_eq!(most, MAX_CONNECTIONS, "of 1,024 descriptors 40 percent");
+}
