Test readiness while discovery is down and after its return

Change: four socket tests: ready at once with a cached list while discovery refuses or is silent, and, without one, within 10 s of the start where discovery returns after 8 s, pushed and polled. run_scenario_with_cached starts an aggregator without a cached list.

--- /dev/null
+++ b/crates/core/tests/readiness.rs
@@ -0,0 +1,99 @@
+//! The readiness check on loopback sockets, while discovery can't be reached and after its return.
+
+mod support;
+
+use support::engine_harness::SETTINGS;
+use support::socket_harness::{
+    connect_client, endpoint, query_request, read_response, run_scenario, run_scenario_with_cached,
+    snapshot, CachedList, LeafServerConnection, SocketHarness, WatchConnection,
+};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::time::{sleep, timeout_at, Duration, Instant};
+
+/// How long discovery can't be reached.
+const OUTAGE: Duration = Duration::from_secs(8);
+/// When a process that was restarted is ready at the latest.
+const READY_DEADLINE: Duration = Duration::from_secs(10);
+
+async fn is_ready(harness: &SocketHarness) -> bool {
+    let mut client = connect_client(harness.aggregator).await;
+    let request = b"GET /-/ready HTTP/1.1\r\nConnection: close\r\n\r\n";
+    client.write_all(request).await.unwrap();
+    let response = read_response(&mut client).await;
+    response.head.starts_with("HTTP/1.1 200")
+}
+
+async fn expect_answer(harness: &SocketHarness) {
+    let mut client = connect_client(harness.aggregator).await;
+    let request = query_request("cached", "");
+    client.write_all(request.as_bytes()).await.unwrap();
+    let mut leaf = LeafServerConnection::accept(&harness.leaf).await;
+    let call = leaf.next_call().await;
+    leaf.send_result(&call.id).await;
+    let response = read_response(&mut client).await;
+    assert!(response.body.contains("cached.3"), "{response:?}");
+}
+
+/// Ends every watch without a response until the outage is over.
+async fn refuse_watches_until(discovery: &TcpListener, end: Instant) {
+    while let Ok(accepted) = timeout_at(end, discovery.accept()).await {
+        drop(accepted.unwrap());
+    }
+}
+
+/// Expects that an aggregator without a cached list is ready in time after an outage of discovery.
+fn expect_ready_after_outage(settings: &str) {
+    run_scenario_with_cached(CachedList::Empty, settings, 100, |harness| async move {
+        let started = Instant::now();
+        refuse_watches_until(&harness.discovery, started + OUTAGE).await;
+        assert!(!is_ready(&harness).await, "no endpoint is known");
+        let mut watch = WatchConnection::accept(&harness.discovery).await;
+        watch.send_head().await;
+        let leaf = harness.leaf.local_addr().unwrap();
+        let list = snapshot(9, &[endpoint(leaf, "up")]);
+        watch.send_chunk(&format!("{list}\n")).await;
+        while !is_ready(&harness).await {
+            sleep(Duration::from_millis(1)).await;
+            assert!(started.elapsed() < READY_DEADLINE, "not ready in time");
+        }
+        assert!(
+            started.elapsed() < READY_DEADLINE,
+            "{:?}",
+            started.elapsed()
+        );
+    });
+}
+
+#[test]
+fn ready_at_once_with_a_cached_list_while_discovery_refuses_connections() {
+    run_scenario(SETTINGS, 100, |mut harness| async move {
+        let elsewhere = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        drop(std::mem::replace(&mut harness.discovery, elsewhere));
+        let started = Instant::now();
+        assert!(is_ready(&harness).await);
+        assert!(started.elapsed() < Duration::from_secs(1));
+        expect_answer(&harness).await;
+    });
+}
+
+#[test]
+fn ready_at_once_with_a_cached_list_while_discovery_is_silent() {
+    run_scenario(SETTINGS, 100, |harness| async move {
+        let started = Instant::now();
+        assert!(is_ready(&harness).await);
+        assert!(started.elapsed() < Duration::from_secs(1));
+        expect_answer(&harness).await;
+    });
+}
+
+#[test]
+fn ready_soon_after_discovery_returns_where_the_list_is_pushed() {
+    expect_ready_after_outage(SETTINGS);
+}
+
+#[test]
+fn ready_soon_after_discovery_returns_where_the_list_is_polled() {
+    let polled = "discovery=on_request\nguarantees.ask_within_ns=1000000000\n";
+    expect_ready_after_outage(&format!("{SETTINGS}{polled}"));
+}
--- a/crates/core/tests/support/socket_harness.rs
+++ b/crates/core/tests/support/socket_harness.rs
@@ -58,12 +58,31 @@
     serde_json::json!({"index": index, "snapshot": true, "endpoints": endpoints})
 }
 
+/// The cached endpoint list that an aggregator is started with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CachedList {
+    /// The leaf server of the harness.
+    OneEndpoint,
+    /// Nothing.
+    Empty,
+}
+
 /// Runs `scenario` with an aggregator that was started with one leaf server on its list. The clock
 /// stands still while anyone has something to do, and else advances to the next timer.
 pub fn run_scenario<F: Future<Output = ()>>(
     settings: &str,
     descriptors: usize,
     scenario: impl FnOnce(SocketHarness) -> F,
+) {
+    run_scenario_with_cached(CachedList::OneEndpoint, settings, descriptors, scenario);
+}
+
+/// The same with another cached list.
+pub fn run_scenario_with_cached<F: Future<Output = ()>>(
+    cached: CachedList,
+    settings: &str,
+    descriptors: usize,
+    scenario: impl FnOnce(SocketHarness) -> F,
 ) {
     let mut runtime = tokio::runtime::Builder::new_current_thread();
     let runtime = runtime.enable_all().start_paused(true).build().unwrap();
@@ -80,8 +99,11 @@
             ..NameTables::default()
         };
         let clock = Clock::start();
-        let initial_list =
-            serde_json::from_value(snapshot(2, &[endpoint(leaf_address, "up")])).unwrap();
+        let endpoints = match cached {
+            CachedList::OneEndpoint => vec![endpoint(leaf_address, "up")],
+            CachedList::Empty => Vec::new(),
+        };
+        let initial_list = serde_json::from_value(snapshot(2, &endpoints)).unwrap();
         let engine = Engine::new(
             clock.now(),
             aggregator_settings,
