Test incomplete requests at a shutdown and at an eviction

Change: four socket tests: its end within the drain period is answered; after it, or after an eviction, the end is neither forwarded nor reset; a first request that is incomplete at a shutdown ends with the stream's end. A first request completed after that end is not tested.

--- /dev/null
+++ b/crates/core/tests/incomplete_requests.rs
@@ -0,0 +1,133 @@
+//! Requests on loopback sockets that are incomplete when their connection is closed: at a shutdown,
+//! and where a client is evicted for a new one.
+
+mod support;
+
+use aggregator_core::net::OperatorSignal;
+use support::engine_harness::SETTINGS;
+use support::socket_harness::{
+    connect_client, query_request, read_response, run_scenario, LeafServerConnection,
+    SocketHarness, HANG_TIMEOUT,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout, Duration};
+
+/// Capacity for 45 clients.
+const DESCRIPTORS: usize = 100;
+const CLIENT_CAPACITY: usize = 45;
+
+async fn answer_query(leaf: &mut LeafServerConnection, client: &mut TcpStream, name: &str) {
+    let request = query_request(name, "");
+    client.write_all(request.as_bytes()).await.unwrap();
+    let call = leaf.next_call().await;
+    leaf.send_result(&call.id).await;
+    let response = read_response(client).await;
+    assert!(response.head.starts_with("HTTP/1.1 200"), "{response:?}");
+}
+
+/// A client with its first response, and the leaf server's connection.
+async fn served_client(harness: &SocketHarness) -> (TcpStream, LeafServerConnection) {
+    let mut client = connect_client(harness.aggregator).await;
+    let request = query_request("first", "");
+    client.write_all(request.as_bytes()).await.unwrap();
+    let mut leaf = LeafServerConnection::accept(&harness.leaf).await;
+    let call = leaf.next_call().await;
+    leaf.send_result(&call.id).await;
+    read_response(&mut client).await;
+    (client, leaf)
+}
+
+/// Sends the first half of a request and returns the other.
+async fn send_first_half(client: &mut TcpStream) -> String {
+    let request = query_request("half", "");
+    let (first, rest) = request.split_at(request.len() / 2);
+    client.write_all(first.as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(10)).await;
+    rest.to_string()
+}
+
+/// Expects the end of the stream, and no reset.
+async fn expect_clean_close(client: &mut TcpStream) {
+    let end = timeout(HANG_TIMEOUT, client.read(&mut [0])).await;
+    let end = end.expect("an end").map_err(|error| error.kind());
+    assert_eq!(end, Ok(0));
+    assert!(client.take_error().unwrap().is_none(), "reset");
+}
+
+async fn expect_no_frame(leaf: &mut LeafServerConnection) {
+    let frame = timeout(Duration::from_secs(20), leaf.next_frame()).await;
+    assert!(matches!(frame, Err(_) | Ok(None)), "{frame:?}");
+}
+
+/// Expects that a connection is closed, and that the rest of a request that crosses the close is
+/// neither forwarded nor reset.
+async fn expect_rest_discarded(client: &mut TcpStream, rest: &str) {
+    expect_clean_close(client).await;
+    client.write_all(rest.as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(100)).await;
+    expect_clean_close(client).await;
+}
+
+async fn shut_down(harness: &SocketHarness) {
+    let shutdown = OperatorSignal::Shutdown;
+    harness.signals.send(shutdown).await.unwrap();
+}
+
+#[test]
+fn a_request_completed_after_the_drain_period_is_neither_forwarded_nor_reset() {
+    run_scenario(SETTINGS, DESCRIPTORS, |harness| async move {
+        let (mut client, mut leaf) = served_client(&harness).await;
+        let rest = send_first_half(&mut client).await;
+        shut_down(&harness).await;
+        expect_rest_discarded(&mut client, &rest).await;
+        drop(client);
+        let ended = timeout(HANG_TIMEOUT, harness.served).await;
+        assert!(ended.expect("the aggregator ends").unwrap().is_ok());
+        expect_no_frame(&mut leaf).await;
+    });
+}
+
+#[test]
+fn a_request_completed_within_the_drain_period_is_answered() {
+    run_scenario(SETTINGS, DESCRIPTORS, |harness| async move {
+        let (mut client, mut leaf) = served_client(&harness).await;
+        let rest = send_first_half(&mut client).await;
+        shut_down(&harness).await;
+        sleep(Duration::from_millis(500)).await;
+        client.write_all(rest.as_bytes()).await.unwrap();
+        let call = leaf.next_call().await;
+        assert_eq!(call.id, "half.3");
+        leaf.send_result(&call.id).await;
+        let response = read_response(&mut client).await;
+        assert!(response.body.contains("half.3"), "{response:?}");
+    });
+}
+
+#[test]
+fn an_incomplete_first_request_at_a_shutdown_ends_without_a_reset() {
+    run_scenario(SETTINGS, DESCRIPTORS, |harness| async move {
+        let mut client = connect_client(harness.aggregator).await;
+        send_first_half(&mut client).await;
+        shut_down(&harness).await;
+        expect_clean_close(&mut client).await;
+        let connection = timeout(Duration::from_secs(20), harness.leaf.accept()).await;
+        assert!(connection.is_err(), "nothing is forwarded");
+    });
+}
+
+#[test]
+fn a_request_completed_after_its_client_is_evicted_is_neither_forwarded_nor_reset() {
+    run_scenario(SETTINGS, DESCRIPTORS, |harness| async move {
+        let (mut client, mut leaf) = served_client(&harness).await;
+        let rest = send_first_half(&mut client).await;
+        let mut others = Vec::new();
+        for number in 0..CLIENT_CAPACITY {
+            let mut other = connect_client(harness.aggregator).await;
+            answer_query(&mut leaf, &mut other, &format!("other-{number}")).await;
+            others.push(other);
+        }
+        expect_rest_discarded(&mut client, &rest).await;
+        expect_no_frame(&mut leaf).await;
+    });
+}
