--- a/crates/aggregator/tests/reload.rs
+++ b/crates/aggregator/tests/reload.rs
@@ -1,5 +1,5 @@
 //! The program as operators run it: reload by SIGHUP with a valid and an invalid configuration, and
-//! graceful shutdown after both.
+//! graceful shutdown after both. It stays one process throughout.
 
 mod support {
     pub mod aggregator_process;
@@ -50,3 +50,27 @@
     program.signal("-TERM", "served all").await;
     assert!(program.wait_for_exit());
 }
+
+/// The ids of all child processes of a process.
+#[cfg(target_os = "linux")]
+fn child_processes(id: u32) -> String {
+    let threads = std::fs::read_dir(format!("/proc/{id}/task")).unwrap();
+    let children = threads.map(|thread| thread.unwrap().path().join("children"));
+    children
+        .map(|children| std::fs::read_to_string(children).unwrap())
+        .collect()
+}
+
+#[cfg(target_os = "linux")]
+#[tokio::test]
+async fn the_aggregator_is_one_process_before_and_after_a_reload() {
+    let discovery = Discovery::start().await;
+    let mut program = AggregatorProcess::start("one-process", &config(&discovery));
+    let _first_watch = discovery.accept_watch().await;
+    assert_eq!(child_processes(program.id()), "");
+    program.signal("-HUP", "read again").await;
+    let _second_watch = discovery.accept_watch().await;
+    assert_eq!(child_processes(program.id()), "");
+    program.signal("-TERM", "served all").await;
+    assert!(program.wait_for_exit());
+}
--- a/crates/aggregator/tests/support/aggregator_process.rs
+++ b/crates/aggregator/tests/support/aggregator_process.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// The process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Replaces the configuration file; the program does not read it before it gets a signal.
     pub fn write_config(&self, config: &str) {
         fs::write(&self.config_path, config).unwrap();
@@ -45,7 +50,7 @@
 
     /// Sends a signal, then reads the log up to a line that contains `expected_log`.
     pub async fn signal(&mut self, signal: &str, expected_log: &str) {
-        let pid = self.child.id().to_string();
+        let pid = self.id().to_string();
         assert!(Command::new("kill")
             .args([signal, &pid])
             .status()
