Test the fields of endpoint lists, their updates and groups in the adapter

Cause: reading the kind of an update, or the group or start time of an entry, at another offset broke no test: all their neighbors were zero or had no effect. Change: four tests send lists and records whose fields differ, and see by the attempts that the kind of an update, an entry's cell and start time, and a request's group are read.

--- a/crates/simulator-adapter/tests/support/batch.rs
+++ b/crates/simulator-adapter/tests/support/batch.rs
@@ -1,9 +1,10 @@
 //! Builds batches byte by byte, apart from the code under test.
 
 const RECORD_LENGTH: usize = 56;
-const CLOCK: u64 = 8_411_201_424;
+/// The time of every batch, in nanoseconds.
+pub const CLOCK: u64 = 8_411_201_424;
 const CLIENT_TIMEOUT_NS: u64 = 3_000_000_000;
-/// The request's group, which joins a query and its parts.
+/// The group of requests where a test has one query at a time.
 const GROUP: f32 = 4.0;
 /// The shard of a request that is a query and not a part.
 const NO_SHARD: f32 = -1.0;
@@ -14,6 +15,22 @@
 extra.least_share=1.0\nextra.partial_earns=0.9\nextra.second_step=0\nreplicas_of_me=1\ntick_ns=5000000\n\
 limits.retry_after=true\nlimits.max_retry_after_ns=7\nnever.heard.of=this\n";
 
+/// Codes of updates of the endpoint list.
+pub const DELTA: u8 = 0;
+pub const SNAPSHOT: u8 = 1;
+pub const CACHED: u8 = 2;
+pub const UNAVAILABLE: u8 = 3;
+
+/// One replica of an endpoint list, which is ready.
+#[derive(Clone, Copy)]
+pub struct Endpoint {
+    pub cell: u16,
+    pub address: [u8; 6],
+    pub zone: u16,
+    /// When it started, in nanoseconds.
+    pub started: u64,
+}
+
 /// A batch while it is built.
 pub struct Batch {
     number: u32,
@@ -61,34 +78,53 @@
     }
 
     /// Sends an endpoint list with one replica, which is ready.
-    pub fn endpoint_list(mut self, number: u32, address: &[u8; 6]) -> Batch {
+    pub fn endpoint_list(self, number: u32, address: &[u8; 6]) -> Batch {
+        let endpoint = Endpoint {
+            cell: 0,
+            address: *address,
+            zone: 0,
+            started: 0,
+        };
+        self.endpoint_list_of(number, &[endpoint])
+    }
+
+    /// Sends an endpoint list.
+    pub fn endpoint_list_of(mut self, number: u32, endpoints: &[Endpoint]) -> Batch {
         let offset = self.tail.len() as u32;
-        let entry = [
-            &[0, 0],
-            &address[..],
-            &[0, 0],
-            &1f32.to_le_bytes(),
-            &[0; 8],
-            &[0, 0],
-            &[1],
-        ];
-        self.tail.extend(entry.concat());
+        for endpoint in endpoints {
+            let entry = [
+                &endpoint.cell.to_le_bytes(),
+                &endpoint.address[..],
+                &endpoint.zone.to_le_bytes(),
+                &1f32.to_le_bytes(),
+                &endpoint.started.to_le_bytes(),
+                &[0, 0],
+                &[1],
+            ];
+            self.tail.extend(entry.concat());
+        }
         self.record(&[
             &[3],
             &number.to_le_bytes(),
             &offset.to_le_bytes(),
-            &1u32.to_le_bytes(),
+            &(endpoints.len() as u32).to_le_bytes(),
         ])
     }
 
     /// Tells an instance that an endpoint list is in force.
     pub fn endpoints_updated(self, instance: u16, list: u32) -> Batch {
+        self.endpoints_updated_as(instance, list, CACHED)
+    }
+
+    /// Tells an instance of an update of the endpoint list, of this kind.
+    pub fn endpoints_updated_as(self, instance: u16, list: u32, kind: u8) -> Batch {
         self.record(&[
             &[8],
             &instance.to_le_bytes(),
             &list.to_le_bytes(),
-            &[0; 8],
-            &[2],
+            &[9; 8],
+            &[kind],
+            &[9; 8],
         ])
     }
 
@@ -99,15 +135,30 @@
 
     /// Sends an instance a query.
     pub fn query(self, instance: u16, id: u64) -> Batch {
-        self.request(instance, id, NO_SHARD)
+        self.query_in_group(instance, id, GROUP)
+    }
+
+    /// Sends an instance a query; the group joins it and its parts.
+    pub fn query_in_group(self, instance: u16, id: u64, group: f32) -> Batch {
+        self.request(instance, id, NO_SHARD, group)
     }
 
     /// Sends an instance a part of its query.
     pub fn part(self, instance: u16, id: u64, shard: f32) -> Batch {
-        self.request(instance, id, shard)
+        self.request(instance, id, shard, GROUP)
+    }
+
+    /// Sends an instance a part on shard 0, of the query in this group.
+    pub fn part_in_group(self, instance: u16, id: u64, group: f32) -> Batch {
+        self.request(instance, id, 0.0, group)
+    }
+
+    /// Tells an instance that the client of a query has disconnected.
+    pub fn client_disconnected(self, instance: u16, id: u64) -> Batch {
+        self.record(&[&[10], &instance.to_le_bytes(), &id.to_le_bytes()])
     }
 
-    fn request(self, instance: u16, id: u64, shard: f32) -> Batch {
+    fn request(self, instance: u16, id: u64, shard: f32, group: f32) -> Batch {
         self.record(&[
             &[7],
             &instance.to_le_bytes(),
@@ -116,7 +167,7 @@
             &CLIENT_TIMEOUT_NS.to_le_bytes(),
             &[0; 8],
             &[0; 2],
-            &GROUP.to_le_bytes(),
+            &group.to_le_bytes(),
             &[0; 12],
             &[0],
             &1f32.to_le_bytes(),
--- a/crates/simulator-adapter/tests/wire.rs
+++ b/crates/simulator-adapter/tests/wire.rs
@@ -5,13 +5,20 @@
     pub mod batch;
 }
 
-use support::adapter::{error_line, replies, run};
-use support::batch::{Batch, SETTINGS};
+use std::collections::BTreeSet;
+use support::adapter::{error_line, replies, run, ReplyRecord};
+use support::batch::{Batch, Endpoint, CACHED, CLOCK, DELTA, SETTINGS, SNAPSHOT, UNAVAILABLE};
 
 /// Codes of records in a reply.
 const SEND_ATTEMPT: u8 = 1;
 const SET_TIMER: u8 = 5;
 
+/// Offsets of an attempt's part and replica.
+const ATTEMPT_PART: usize = 3;
+const ATTEMPT_REPLICA: usize = 11;
+/// Bytes of a replica.
+const REPLICA_LENGTH: usize = 6;
+
 /// The offset of the record count in the header of a batch.
 const RECORD_COUNT: usize = 16;
 
@@ -121,3 +128,112 @@
     assert!(error_with("least_share=1.0", "least_share=NaN").contains("extra.least_share"));
     assert!(error_with("read_like", "whatever").contains("classes.0.semantics"));
 }
+
+/// Two replicas with different addresses, in different cells and zones.
+const FIRST: Endpoint = Endpoint {
+    cell: 0x0001,
+    address: [0x11, 0x12, 0x13, 0x14, 0x15, 0x16],
+    zone: 0x2122,
+    started: 0,
+};
+const SECOND: Endpoint = Endpoint {
+    cell: 0x0000,
+    address: [0x31, 0x32, 0x33, 0x34, 0x35, 0x36],
+    zone: 0x4142,
+    started: 0,
+};
+
+/// The replicas that a reply sends attempts to, each with its part.
+fn attempts(reply: &[ReplyRecord]) -> Vec<(u8, [u8; REPLICA_LENGTH])> {
+    let attempts = reply.iter().filter(|record| record[0] == SEND_ATTEMPT);
+    let replica = |record: &ReplyRecord| {
+        let end = ATTEMPT_REPLICA + REPLICA_LENGTH;
+        record[ATTEMPT_REPLICA..end].try_into().unwrap()
+    };
+    attempts
+        .map(|record| (record[ATTEMPT_PART], replica(record)))
+        .collect()
+}
+
+/// Sends a query with a part on shard 0 for each id.
+fn query_with_parts(batch: Batch, parts: std::ops::Range<u64>) -> Batch {
+    let batch = batch.query(0, 7);
+    parts.fold(batch, |batch, part| batch.part(0, part, 0.0))
+}
+
+/// The replicas that are in use after a list with `FIRST` and this update to one with `SECOND`.
+fn replicas_after(kind: u8) -> BTreeSet<[u8; REPLICA_LENGTH]> {
+    let batch = Batch::new(1)
+        .start(0, SETTINGS)
+        .endpoint_list_of(1, &[FIRST])
+        .endpoint_list_of(2, &[SECOND])
+        .endpoints_updated_as(0, 1, SNAPSHOT)
+        .endpoints_updated_as(0, 2, kind);
+    let output = run(&query_with_parts(batch, 10..40).to_bytes());
+    assert!(output.status.success());
+    let attempts = attempts(&replies(&output)[0]);
+    attempts.into_iter().map(|(_, replica)| replica).collect()
+}
+
+#[test]
+fn each_kind_of_endpoint_update_has_its_effect_on_earlier_endpoints() {
+    let (first, second) = (FIRST.address, SECOND.address);
+    assert_eq!(replicas_after(DELTA), BTreeSet::from([first, second]));
+    assert_eq!(replicas_after(SNAPSHOT), BTreeSet::from([second]));
+    assert_eq!(replicas_after(CACHED), BTreeSet::from([second]));
+    assert_eq!(replicas_after(UNAVAILABLE), BTreeSet::from([first]));
+}
+
+#[test]
+fn a_part_goes_to_the_replica_in_the_cell_that_holds_its_shard() {
+    let settings = SETTINGS.replace("places=1", "places=2");
+    let batch = Batch::new(1)
+        .start(0, &settings)
+        .endpoint_list_of(1, &[FIRST, SECOND])
+        .endpoints_updated(0, 1)
+        .query(0, 7)
+        .part(0, 10, 0.0)
+        .part(0, 11, 1.0);
+    let output = run(&batch.to_bytes());
+    let mut attempts = attempts(&replies(&output)[0]);
+    attempts.sort_unstable();
+    assert_eq!(attempts, [(10, SECOND.address), (11, FIRST.address)]);
+}
+
+/// A replica is warming up for 5 s after its start, and gets few parts until then.
+#[test]
+fn the_start_time_of_a_replica_decides_whether_it_is_warming_up() {
+    const PARTS: usize = 30;
+    const SECOND_NS: u64 = 1_000_000_000;
+    let settings = format!(
+        "{SETTINGS}guarantees.cold_from=0.5\nguarantees.cold_ns=5000000000\n\
+guarantees.fall_multiple=2\nguarantees.fall_ns=1000000000\n"
+    );
+    let attempts_where_started = |started: u64| {
+        let endpoint = Endpoint { started, ..SECOND };
+        let batch = Batch::new(1)
+            .start(0, &settings)
+            .endpoint_list_of(1, &[endpoint])
+            .endpoints_updated(0, 1);
+        let output = run(&query_with_parts(batch, 10..10 + PARTS as u64).to_bytes());
+        attempts(&replies(&output)[0]).len()
+    };
+    assert!(attempts_where_started(CLOCK - SECOND_NS) < PARTS);
+    assert_eq!(attempts_where_started(CLOCK - 6 * SECOND_NS), PARTS);
+}
+
+#[test]
+fn a_part_belongs_to_the_query_of_its_group() {
+    let batch = Batch::new(1)
+        .start(0, SETTINGS)
+        .endpoint_list_of(1, &[SECOND])
+        .endpoints_updated(0, 1)
+        .query_in_group(0, 7, 4.0)
+        .query_in_group(0, 8, 5.0)
+        .client_disconnected(0, 7)
+        .part_in_group(0, 10, 4.0)
+        .part_in_group(0, 11, 5.0);
+    let output = run(&batch.to_bytes());
+    let attempts = attempts(&replies(&output)[0]);
+    assert_eq!(attempts, [(11, SECOND.address)], "nobody waits for part 10");
+}
