Test the watch after a reload and behind a response without lines

Change: two socket tests: the third watch after a reload comes within 4 s, and each watch that stays silent after its head is replaced within 6 s. The 2 s that a drain's notice asks for are not tested.

--- a/crates/core/tests/endpoint_watch.rs
+++ b/crates/core/tests/endpoint_watch.rs
@@ -190,3 +190,41 @@
         );
     });
 }
+
+/// After a reload, a change is known 4 s later.
+#[test]
+fn a_reload_reaches_discovery_in_time_though_the_first_watches_are_not_answered() {
+    const RELOAD_DEADLINE: Duration = Duration::from_secs(4);
+    run_scenario(SETTINGS, 100, |harness| async move {
+        let _old = WatchConnection::accept(&harness.discovery).await;
+        let next = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let at = addresses(next.local_addr().unwrap());
+        let reload = OperatorSignal::Reload(Some(at));
+        harness.signals.send(reload).await.unwrap();
+        let reloaded = Instant::now();
+        let _unanswered = WatchConnection::accept(&next).await;
+        let _unanswered_again = WatchConnection::accept(&next).await;
+        let mut third = WatchConnection::accept(&next).await;
+        let elapsed = reloaded.elapsed();
+        assert!(elapsed < RELOAD_DEADLINE, "{elapsed:?}");
+        third.send_head().await;
+        third.send_chunk(&format!("{}\n", snapshot(9, &[]))).await;
+        assert!(is_rejected(harness.aggregator).await, "the list is empty");
+    });
+}
+
+/// Each line of a response is due within the heartbeat's time, the first one too.
+#[test]
+fn a_watch_that_stays_silent_after_its_head_is_replaced() {
+    run_scenario(SETTINGS, 100, |harness| async move {
+        let mut before = Instant::now();
+        for _ in 0..10 {
+            let mut silent = WatchConnection::accept(&harness.discovery).await;
+            let elapsed = before.elapsed();
+            assert!(elapsed < UPDATE_DEADLINE, "{elapsed:?}");
+            before = Instant::now();
+            silent.send_head().await;
+            let _ = silent.stream.read(&mut [0]).await;
+        }
+    });
+}
