Test that a part behind a stuck frame is not sent for a client that has gone

Change: an engine test with one part in a stuck frame and one queued behind it: after the disconnect only a cancellation of the first goes out.

--- a/crates/core/tests/reducer/attempts.rs
+++ b/crates/core/tests/reducer/attempts.rs
@@ -236,3 +236,26 @@
         "the one that was in flight has failed"
     );
 }
+
+#[test]
+fn a_part_queued_behind_a_stuck_frame_is_not_sent_once_its_client_has_disconnected() {
+    let mut harness = EngineHarness::new(1);
+    harness.writes_are_stuck = true;
+    let client = harness.send_query(1, &[0.5, 0.5]);
+    harness.open_all_connections();
+    assert_eq!(harness.frames.len(), 1, "the other is in the queue");
+    let LeafRequest::Call(stuck) = harness.frames[0].frame.clone() else {
+        panic!("no call: {:?}", harness.frames);
+    };
+    harness.advance(300);
+    harness.disconnected.insert(client);
+    harness.apply(Input::ClientDisconnected { client });
+    let connection = harness.first_connection();
+    let inputs = vec![Input::FrameWritten { connection }];
+    let written = frames_of_batch(&mut harness, inputs);
+    let cancellation = Effect::WriteFrame {
+        connection,
+        frame: LeafRequest::Cancel(stuck[0].id.clone()),
+    };
+    assert_eq!(written, [cancellation]);
+}
