Create the store before the settlement's test and service both open it

Cause: the test opened a store that did not exist at the same moment as the service; turning on the write-ahead log then fails with 'database is locked' in one of them, and the test waited for records in vain. Change: the harness creates the store first. Nothing that the tests look for has changed.

--- a/crates/usage-ledger/tests/settlement.rs
+++ b/crates/usage-ledger/tests/settlement.rs
@@ -116,6 +116,8 @@
             .build()
             .unwrap();
         let store = directory.join("ledger.sqlite");
+        // Two processes can't create a store at the same time: it is there before both open it.
+        drop(Store::open(&store).unwrap());
         let (signals, receiver) = mpsc::channel(1);
         let serve = runtime.spawn(settlement::serve(store.clone(), settings, receiver));
         Service {
