Let the usage log report where it is collected, so that tests bind a port once

Cause: the settlement's tests took a free port, released it and bound it again later. Change: collect::listen returns the address it listens on, and Writer::collection_address reports it; the tests listen on port 0 through the same writer::start as before and ask for the address. Likely cause, not proven: test and service open a new store at the same time. It is not mended here.

--- a/crates/usage-ledger/src/collect.rs
+++ b/crates/usage-ledger/src/collect.rs
@@ -134,14 +134,16 @@
     }
 }
 
-/// Offers a log for collection, on a thread of its own that ends with the process.
+/// Offers a log for collection, on a thread of its own that ends with the process. Returns the
+/// address that it listens on: with a port that the system has chosen where `address` has port 0.
 ///
 /// # Errors
 /// The address can't be listened on.
-pub fn listen(address: SocketAddr, directory: PathBuf) -> Result<(), ListenError> {
+pub fn listen(address: SocketAddr, directory: PathBuf) -> Result<SocketAddr, ListenError> {
     let listener = std::net::TcpListener::bind(address)
         .map_err(|source| ListenError::Bind { address, source })?;
     listener.set_nonblocking(true)?;
+    let bound_address = listener.local_addr()?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
@@ -152,7 +154,7 @@
                 tracing::error!(error = error.to_string(), "usage collection ended");
             }
         })?;
-    Ok(())
+    Ok(bound_address)
 }
 
 async fn serve(listener: std::net::TcpListener, directory: PathBuf) -> Result<(), ServeError> {
--- a/crates/usage-ledger/src/writer/mod.rs
+++ b/crates/usage-ledger/src/writer/mod.rs
@@ -16,6 +16,7 @@
 use crate::wire::{entry::What, Class, Entry, Header, Mark, Outcome, Record};
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{sync_channel, SyncSender};
@@ -99,6 +100,7 @@
     written: watch::Receiver<u64>,
     counts: Arc<Counts>,
     max_reply_delay: Duration,
+    collection_address: Option<SocketAddr>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -110,9 +112,10 @@
 /// # Errors
 /// The directory can't be used, another aggregator uses it, or the address can't be listened on.
 pub fn start(settings: &UsageLog, names: Names, now: u64) -> Result<Writer, StartError> {
-    let writer = start_on(FileSystem, settings, names, now)?;
+    let mut writer = start_on(FileSystem, settings, names, now)?;
     if let Some(address) = settings.listen {
-        crate::collect::listen(address, settings.directory.clone())?;
+        let bound_address = crate::collect::listen(address, settings.directory.clone())?;
+        writer.collection_address = Some(bound_address);
     }
     Ok(writer)
 }
@@ -154,6 +157,7 @@
         written,
         counts,
         max_reply_delay: settings.stall,
+        collection_address: None,
         thread: Some(thread),
     })
 }
@@ -219,6 +223,11 @@
         self.max_reply_delay
     }
 
+    /// The address at which the log is offered for collection; `None` if it is not.
+    pub fn collection_address(&self) -> Option<SocketAddr> {
+        self.collection_address
+    }
+
     /// Counts a record that could not be queued.
     pub fn count_lost_record(&self) {
         let lost = self.counts.lost.fetch_add(1, Ordering::Relaxed) + 1;
--- a/crates/usage-ledger/tests/settlement.rs
+++ b/crates/usage-ledger/tests/settlement.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fs;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 use tokio::runtime::Runtime;
@@ -33,13 +33,8 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
-/// An aggregator's usage log, offered for collection.
-fn start_log(directory: &Path, address: SocketAddr, name: &str) -> Writer {
+/// An aggregator's usage log, offered for collection at a port that the system chooses.
+fn start_log(directory: &Path, name: &str) -> Writer {
     let settings = UsageLog {
         directory: directory.into(),
         segment_bytes: 4096,
@@ -47,7 +42,7 @@
         queue: 1024,
         stall: Duration::from_millis(5),
         mark: Duration::from_millis(100),
-        listen: Some(address),
+        listen: Some((Ipv4Addr::LOCALHOST, 0).into()),
     };
     let names = Names {
         mixer: name.into(),
@@ -58,6 +53,13 @@
     writer::start(&settings, names, 1_000_000_000).unwrap()
 }
 
+/// Where a log is offered for collection.
+fn address_of(writer: &Writer) -> SocketAddr {
+    let address = writer.collection_address().unwrap();
+    assert!(address.ip().is_loopback() && address.port() != 0);
+    address
+}
+
 fn write_record(writer: &mut Writer, sequence: u64, at: i64) {
     let record = Record {
         key: sequence * 2,
@@ -157,9 +159,8 @@
 fn records_are_collected_settled_exported_and_acknowledged() {
     let folder = tempfile::tempdir().unwrap();
     let log_directory = folder.path().join("log");
-    let address = free_address();
-    let mut writer = start_log(&log_directory, address, "n0");
-    let settings = ledger_settings(folder.path(), &[("n0", address)]);
+    let mut writer = start_log(&log_directory, "n0");
+    let settings = ledger_settings(folder.path(), &[("n0", address_of(&writer))]);
     let service = Service::start(folder.path(), settings);
     for sequence in 1..=500 {
         write_record(&mut writer, sequence, PERIOD_START + sequence as i64);
@@ -193,11 +194,11 @@
 #[test]
 fn members_that_a_reload_adds_are_followed_and_a_log_of_another_name_is_not_taken() {
     let folder = tempfile::tempdir().unwrap();
-    let (first, second) = (free_address(), free_address());
     let mut writers = [
-        start_log(&folder.path().join("log-0"), first, "n0"),
-        start_log(&folder.path().join("log-1"), second, "n1"),
+        start_log(&folder.path().join("log-0"), "n0"),
+        start_log(&folder.path().join("log-1"), "n1"),
     ];
+    let [first, second] = writers.each_ref().map(address_of);
     for writer in &mut writers {
         write_record(writer, 1, PERIOD_START);
     }
