--- a/crates/core/tests/sockets.rs
+++ b/crates/core/tests/sockets.rs
@@ -8,7 +8,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use support::engine_harness::SETTINGS;
-use support::socket_harness::{addresses, query_request, HttpResponse};
+use support::socket_harness::{addresses, query_request, read_response};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -131,26 +131,6 @@
     });
 }
 
-/// Reads one response.
-async fn read_response(stream: &mut TcpStream) -> HttpResponse {
-    let mut head = Vec::new();
-    while !head.ends_with(b"\r\n\r\n") {
-        head.push(stream.read_u8().await.expect("a response"));
-    }
-    let head = String::from_utf8(head).unwrap();
-    let length = head
-        .split("Content-Length: ")
-        .nth(1)
-        .unwrap()
-        .split('\r')
-        .next()
-        .unwrap();
-    let mut body = vec![0; length.parse().unwrap()];
-    stream.read_exact(&mut body).await.unwrap();
-    let body = String::from_utf8(body).unwrap();
-    HttpResponse { head, body }
-}
-
 /// Waits until the aggregator has an endpoint list; a paused clock has to advance for that.
 async fn wait_until_ready(address: SocketAddr, poll_interval: Duration) {
     loop {
