--- a/crates/policy/src/policy/completion.rs
+++ b/crates/policy/src/policy/completion.rs
@@ -46,7 +46,7 @@
         }
         let waited = (self.now - query.step_started) as f64 > self.hedging_delay(self.objective);
         if !crashes_replicas || waited {
-            self.advance_attempts(&mut query, sums.is_mostly_answered);
+            self.advance_attempts(&mut query);
         }
         self.queries.put_back(query);
     }
--- a/crates/policy/src/policy/hedging.rs
+++ b/crates/policy/src/policy/hedging.rs
@@ -7,7 +7,9 @@
 
 impl Policy {
     /// Judges lateness, and sends again what failed or has been out too long.
-    pub(super) fn advance_attempts(&mut self, query: &mut Query, is_mostly_answered: bool) {
+    pub(super) fn advance_attempts(&mut self, query: &mut Query) {
+        let sums = query.step_counts();
+        let is_mostly_answered = 2 * sums.answered >= sums.wanted;
         let late_after = tuning::LATE_SHARE * self.settings.step_objective(query.class);
         let is_late = (self.now - query.step_started) as f64 > late_after;
         for index in 0..query.parts.len() {
@@ -23,8 +25,8 @@
             }
             if !part.has_attempt_out() {
                 self.retry(query, index);
-            } else {
-                self.hedge(query, index, is_mostly_answered);
+            } else if self.should_hedge(query, &query.parts[index], is_mostly_answered) {
+                self.hedge(query, index);
             }
         }
     }
@@ -39,30 +41,32 @@
         }
     }
 
-    /// Sends a second attempt if the last one is slow, the rest of the query or its replica's silence
-    /// confirms that, and another replica is likely to be faster.
-    fn hedge(&mut self, query: &mut Query, index: usize, is_confirmed: bool) {
-        let last = query.parts[index].attempts.last().cloned();
-        let Some(last) = last else { return };
+    /// Whether the last attempt is slow, the rest of the query or its replica's silence confirms
+    /// that, and another replica is likely to be faster.
+    fn should_hedge(&mut self, query: &Query, part: &Part, is_confirmed: bool) -> bool {
+        let last = part.attempts.last();
+        let Some(last) = last else { return false };
         let age = (self.now - last.sent) as f64;
         let replica = self.replicas.get(last.replica);
         let is_silent = replica.is_none_or(|replica| replica.last_seen <= last.sent);
         let is_slow = age > self.hedging_delay(self.settings.step_objective(query.class));
         if !is_slow || !(is_confirmed || is_silent) {
-            return;
-        }
-        let is_worthwhile = self.has_faster_replica(&query.parts[index], age) && self.may_hedge();
-        if is_worthwhile && self.send_attempt(query, index) {
-            self.record_failure(last.replica, last.sent);
+            return false;
         }
-    }
-
-    fn has_faster_replica(&mut self, part: &Part, age: f64) -> bool {
         let other = self.select_replica(part);
         let other = other.and_then(|id| self.replicas.get(id));
         let Some(other) = other else { return false };
         let calls = other.open_calls(self.now, self.settings.parts_per_call());
-        self.smoothed_latency(other) * (calls + 1.0) < age
+        let expected = self.smoothed_latency(other) * (calls + 1.0);
+        expected < age && self.may_hedge()
+    }
+
+    fn hedge(&mut self, query: &mut Query, index: usize) {
+        let last = query.parts[index].attempts.last().cloned();
+        let Some(last) = last else { return };
+        if self.send_attempt(query, index) {
+            self.record_failure(last.replica, last.sent);
+        }
     }
 
     fn may_hedge(&self) -> bool {
--- a/crates/policy/src/state/query.rs
+++ b/crates/policy/src/state/query.rs
@@ -40,6 +40,15 @@
     pub parts: Vec<Part>,
 }
 
+/// Counts of the parts of the running step.
+#[derive(Clone, Copy, Debug)]
+pub struct StepCounts {
+    /// The parts that are not dropped.
+    pub wanted: usize,
+    /// Those of them that are answered.
+    pub answered: usize,
+}
+
 /// Sums over the parts of the running step; weights are shares of the step's weight.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StepSums {
@@ -53,8 +62,6 @@
     pub any_open: bool,
     /// Weight of the parts that may still be answered.
     pub open_weight: f64,
-    /// At least half of the parts that are not dropped are answered.
-    pub is_mostly_answered: bool,
 }
 
 impl StepSums {
@@ -135,13 +142,23 @@
         }
     }
 
+    /// Counts of the parts of the running step, without those dropped.
+    pub fn step_counts(&self) -> StepCounts {
+        let wanted = self.step_parts().filter(|part| !part.is_dropped);
+        let answered = wanted.clone().filter(|part| part.is_answered);
+        StepCounts {
+            wanted: wanted.count(),
+            answered: answered.count(),
+        }
+    }
+
     /// Sums over the parts of the running step, of which some are open.
     pub fn step_sums(&self, is_open: impl Fn(&Part) -> bool) -> StepSums {
         let answered = self.step_parts().filter(|part| part.is_answered);
-        let kept = self.step_parts().filter(|part| !part.is_dropped);
-        let kept_answered = kept.clone().filter(|part| part.is_answered);
-        let open = kept.clone().filter(|part| !part.is_answered);
-        let open = open.filter(|part| is_open(part));
+        let wanted = self
+            .step_parts()
+            .filter(|part| !part.is_answered && !part.is_dropped);
+        let open = wanted.filter(|part| is_open(part));
         let open: Vec<f64> = open.map(|part| part.weight).collect();
         StepSums {
             has_parts: self.step_parts().next().is_some(),
@@ -149,7 +166,6 @@
             answered_weight: answered.map(|part| part.weight).sum(),
             any_open: !open.is_empty(),
             open_weight: open.iter().sum(),
-            is_mostly_answered: 2 * kept_answered.count() >= kept.count(),
         }
     }
 
