Log each request read, why each client connection ends, and what a process leaves behind

Operators' incident: between `shutdown requested` and `served all that was taken` the log said nothing, and nothing named a request. Each request that was read is counted until it is answered; the last line of a process says how many are left.

--- a/crates/core/src/engine/attempts.rs
+++ b/crates/core/src/engine/attempts.rs
@@ -4,7 +4,7 @@
 use super::ids::ConnectionId;
 use super::leaf_connection::{AttemptId, CallEntry};
 use super::timers::Timer;
-use super::Engine;
+use super::{Engine, MILLISECOND};
 use crate::api::{AttemptEnded, AttemptOutcome, Event, LoadReport, Nanos, ReplicaId, RequestId};
 use bytes::Bytes;
 use std::collections::BTreeMap;
@@ -110,6 +110,14 @@
         self.connections
             .queue_attempt(connection, entry, max_parts_per_call);
         self.timers.set(times_out_at, Timer::AttemptTimeout(id));
+        tracing::debug!(
+            part = id.part,
+            attempt = id.number,
+            replica = replica.0,
+            shard,
+            times_out_in_ms = times_out_at.saturating_sub(now) / MILLISECOND,
+            "attempt queued"
+        );
         let attempt = Attempt {
             replica,
             connection,
--- a/crates/core/src/engine/queries.rs
+++ b/crates/core/src/engine/queries.rs
@@ -19,7 +19,7 @@
 #[derive(Debug)]
 pub(super) struct Query {
     /// The client's name for it.
-    name: Rc<str>,
+    pub(super) name: Rc<str>,
     pub(super) client: ClientId,
     pub(super) class: u16,
     pub(super) tenant: u32,
@@ -177,14 +177,25 @@
         let open_parts = self.queries.count_open_parts();
         if open_queries + open_parts >= self.settings.max_open {
             self.counters.received.over_capacity += 1;
-            tracing::info!(open_queries, open_parts, "query rejected: over capacity");
+            tracing::info!(
+                client,
+                name = request.name,
+                open_queries,
+                open_parts,
+                "query rejected: over capacity"
+            );
             return self.reject_on_arrival(now, client, arrived, &request);
         }
         let client_timeout = self.remaining_client_timeout(now, arrived, request.timeout);
         if client_timeout == 0 {
             self.counters.received.too_late += 1;
             let timeout_ms = request.timeout / MILLISECOND;
-            tracing::info!(timeout_ms, "query rejected: no time left");
+            tracing::info!(
+                client,
+                name = request.name,
+                timeout_ms,
+                "query rejected: no time left"
+            );
             return self.reject_on_arrival(now, client, arrived, &request);
         }
         self.admit_query(now, client, arrived, client_timeout, request);
--- a/crates/core/src/engine/replies.rs
+++ b/crates/core/src/engine/replies.rs
@@ -34,7 +34,8 @@
     /// admitted is to be answered before its client gives up.
     pub(super) fn on_reply_deadline(&mut self, now: Nanos, id: RequestId) {
         self.counters.faults.reply_deadline += 1;
-        tracing::error!(id, "query still open at its reply deadline");
+        let name = self.queries.get(id).map(|query| &*query.name);
+        tracing::error!(id, name, "query still open at its reply deadline");
         self.events.push(Event::ClientDisconnected { id });
         self.fail_query(now, id);
     }
@@ -111,6 +112,7 @@
     let time_left = ended.query.deadline.saturating_sub(now);
     tracing::debug!(
         id,
+        name = &*ended.query.name,
         class = ended.query.class,
         time_left_ms = time_left / MILLISECOND,
         attempts = attempts.join(" "),
--- a/crates/core/src/engine/shutdown.rs
+++ b/crates/core/src/engine/shutdown.rs
@@ -54,6 +54,12 @@
             .set(now + until_deadline, Timer::ShutdownDeadline);
     }
 
+    fn log_shutdown_state(&self, state: &str) {
+        let clients = self.clients.len();
+        let open_queries = self.queries.len();
+        tracing::info!(clients, open_queries, "{state}");
+    }
+
     /// The longest that a client of any class waits.
     pub(super) fn longest_client_deadline(&self) -> Nanos {
         let deadlines = self.settings.deadlines.iter();
@@ -61,6 +67,7 @@
     }
 
     pub(super) fn on_drain_period_ended(&mut self) {
+        self.log_shutdown_state("drain period ended");
         self.shutdown.drain_period_ended = true;
         self.effects.push(Effect::StopListening);
         let idle_clients = self.clients.without_query();
@@ -70,6 +77,7 @@
 
     /// Fails the queries that are still open: a kill may follow.
     pub(super) fn on_shutdown_deadline(&mut self, now: Nanos) {
+        self.log_shutdown_state("shutdown deadline");
         for query in self.queries.open_ids() {
             self.on_reply_deadline(now, query);
         }
--- a/crates/core/src/net/client_connection.rs
+++ b/crates/core/src/net/client_connection.rs
@@ -3,9 +3,10 @@
 use super::pipelined_requests::{DecodedRequest, PipelinedRequests, ReceivedRequest};
 use super::read_message::read_message;
 use super::shared::Shared;
+use crate::api::Nanos;
 use crate::engine::{ClientId, Input};
 use crate::protocol::http::{RequestError, Response, ServerCodec};
-use crate::protocol::query::{parse_request, render_reply, Reply};
+use crate::protocol::query::{parse_request, render_reply, ClientRequest, Reply};
 use futures_util::{SinkExt, StreamExt};
 use std::io;
 use tokio::io::AsyncWriteExt;
@@ -41,11 +42,28 @@
 }
 
 /// How a connection ended.
+#[derive(Debug)]
 enum Ending {
     /// The client has closed it.
     Disconnected,
     /// This side closes it, after a response or before any.
-    Closed { responded: bool },
+    Closed {
+        responded: bool,
+        reason: CloseReason,
+    },
+}
+
+/// Why this side closes a connection.
+#[derive(Clone, Copy, Debug)]
+enum CloseReason {
+    /// The engine has asked for it while no request was open.
+    Requested,
+    /// Its last response was sent: the client or the engine wanted no other request on it.
+    LastResponse,
+    /// It was new, and no request came.
+    Silent,
+    /// The event loop has ended.
+    Stopped,
 }
 
 /// What arrives on an idle connection.
@@ -53,8 +71,8 @@
     Received(DecodedRequest),
     /// The client has closed the connection.
     Disconnected,
-    /// The connection is to be closed: it is new and silent, or the engine has asked for it.
-    Close,
+    /// The connection is to be closed.
+    Close(CloseReason),
 }
 
 impl NextRequest {
@@ -96,15 +114,19 @@
         client,
         framed,
         commands,
+        requests_read: 0,
+        responses_sent: 0,
     };
     let ending = connection.serve_requests().await;
     // Nothing is sent to it any more; only its place is still taken.
     let disconnected = Input::ClientDisconnected { client };
     let _ = shared.inputs.send(disconnected).await;
-    match ending {
-        Ok(Ending::Closed { responded: true }) => connection.linger().await,
-        Ok(_) => {}
-        Err(error) => tracing::debug!(client, "client connection: {error}"),
+    connection.log_end(&ending);
+    if let Ok(Ending::Closed {
+        responded: true, ..
+    }) = ending
+    {
+        connection.linger().await;
     }
     shared.buffers.recover(connection.framed);
     shared.clients.borrow_mut().remove(&client);
@@ -116,6 +138,8 @@
     client: ClientId,
     framed: Framed<TcpStream, ServerCodec>,
     commands: mpsc::Receiver<ClientCommand>,
+    requests_read: u64,
+    responses_sent: u64,
 }
 
 impl ClientConnection<'_> {
@@ -123,28 +147,29 @@
     async fn serve_requests(&mut self) -> io::Result<Ending> {
         let mut pipeline = PipelinedRequests::default();
         let mut opened = Some(Instant::now());
-        let mut responded = false;
         let mut closing = false;
         loop {
             let received = match pipeline.pop() {
                 Some(received) => received,
-                None if closing => return Ok(Ending::Closed { responded }),
+                None if closing => return Ok(self.close(CloseReason::LastResponse)),
                 None => match self.next_request(opened.take()).await? {
-                    NextRequest::Received(request) => ReceivedRequest {
-                        arrived: self.shared.clock.now(),
-                        request,
-                    },
+                    NextRequest::Received(request) => self.received(request),
                     NextRequest::Disconnected => return Ok(Ending::Disconnected),
-                    NextRequest::Close => return Ok(Ending::Closed { responded }),
+                    NextRequest::Close(reason) => return Ok(self.close(reason)),
                 },
             };
-            let Some(keep_alive) = self.submit(received).await else {
-                return Ok(Ending::Closed { responded });
+            let ReceivedRequest {
+                arrived,
+                request,
+                open,
+            } = received;
+            let Some(keep_alive) = self.submit(arrived, request).await else {
+                return Ok(self.close(CloseReason::Stopped));
             };
             let (reply, close) = match self.wait_for_reply(&mut pipeline).await? {
                 ReplyWait::Reply { reply, close } => (reply, close),
                 ReplyWait::Disconnected => return Ok(Ending::Disconnected),
-                ReplyWait::Stopped => return Ok(Ending::Closed { responded }),
+                ReplyWait::Stopped => return Ok(self.close(CloseReason::Stopped)),
             };
             if close && !closing {
                 // What has been read is served; what arrives from now on is not.
@@ -153,22 +178,68 @@
             }
             let is_last = !keep_alive || closing && pipeline.is_empty();
             self.respond(render_reply(&reply, is_last)).await?;
-            responded = true;
+            drop(open);
             if is_last {
-                return Ok(Ending::Closed { responded });
+                return Ok(self.close(CloseReason::LastResponse));
+            }
+        }
+    }
+
+    fn close(&self, reason: CloseReason) -> Ending {
+        Ending::Closed {
+            responded: self.responses_sent > 0,
+            reason,
+        }
+    }
+
+    /// Notes a request whose last byte was read just now.
+    fn received(&mut self, request: DecodedRequest) -> ReceivedRequest {
+        self.requests_read += 1;
+        ReceivedRequest {
+            arrived: self.shared.clock.now(),
+            request,
+            open: self.shared.open_requests.open(),
+        }
+    }
+
+    /// Logs how the connection has ended. A client that has gone is owed nothing; any other
+    /// request that was read has to have its response.
+    fn log_end(&self, ending: &io::Result<Ending>) {
+        let client = self.client;
+        let requests = self.requests_read;
+        let responses = self.responses_sent;
+        match ending {
+            Ok(Ending::Closed { reason, .. }) if requests > responses => tracing::error!(
+                client,
+                requests,
+                responses,
+                ?reason,
+                "client connection closed with a request unanswered"
+            ),
+            Ok(ending) => tracing::debug!(
+                client,
+                requests,
+                responses,
+                ?ending,
+                "client connection ended"
+            ),
+            Err(error) => {
+                tracing::debug!(client, requests, responses, "client connection: {error}")
             }
         }
     }
 
     /// Hands a request to the engine. Returns whether the connection may serve another one after
     /// it, or none if the engine is gone.
-    async fn submit(&self, received: ReceivedRequest) -> Option<bool> {
-        let ReceivedRequest { arrived, request } = received;
+    async fn submit(&self, arrived: Nanos, request: DecodedRequest) -> Option<bool> {
         let keep_alive = request.as_ref().is_ok_and(|request| request.keep_alive);
         let request = request.and_then(|request| parse_request(&request, &self.shared.names));
         // A client that sends invalid requests sends another as soon as it has its response: not
         // on this connection.
         let keep_alive = keep_alive && request.is_ok();
+        if let Ok(ClientRequest::Query(query)) = &request {
+            tracing::debug!(client = self.client, name = query.name, "request read");
+        }
         let input = Input::RequestReceived {
             client: self.client,
             arrived,
@@ -194,7 +265,8 @@
                 },
                 next = self.framed.next() => match next {
                     Some(request) => {
-                        if !pipeline.push(self.shared.clock.now(), request?) {
+                        let received = self.received(request?);
+                        if !pipeline.push(received) {
                             self.framed.codec_mut().discard_input();
                         }
                     }
@@ -217,7 +289,7 @@
                         self.framed.codec_mut().discard_input();
                         return Ok(NextRequest::Received(Err(REQUEST_TOO_SLOW)));
                     }
-                    Err(_) if opened.is_some() => return Ok(NextRequest::Close),
+                    Err(_) if opened.is_some() => return Ok(NextRequest::Close(CloseReason::Silent)),
                     // The socket was no longer readable: no request has begun.
                     Err(_) => begun = None,
                 },
@@ -226,11 +298,12 @@
                     // place that others need.
                     Some(ClientCommand::Close) => {
                         let read = timeout(Duration::ZERO, self.framed.next()).await;
-                        return read.map_or(Ok(NextRequest::Close), NextRequest::from_read);
+                        let close = NextRequest::Close(CloseReason::Requested);
+                        return read.map_or(Ok(close), NextRequest::from_read);
                     }
                     // No request is waiting, so no reply is due.
                     Some(ClientCommand::Reply { .. }) => {}
-                    None => return Ok(NextRequest::Close),
+                    None => return Ok(NextRequest::Close(CloseReason::Stopped)),
                 },
             }
         }
@@ -243,9 +316,11 @@
 
     async fn respond(&mut self, response: Response) -> io::Result<()> {
         match timeout(WRITE_TIMEOUT, self.framed.send(response)).await {
-            Ok(sent) => sent,
-            Err(_) => Err(io::ErrorKind::TimedOut.into()),
+            Ok(sent) => sent?,
+            Err(_) => return Err(io::ErrorKind::TimedOut.into()),
         }
+        self.responses_sent += 1;
+        Ok(())
     }
 
     /// Shuts the writing side down and reads on until the client has closed its own. Closing with
--- a/crates/core/src/net/driver.rs
+++ b/crates/core/src/net/driver.rs
@@ -220,5 +220,21 @@
             }
         };
         let _ = timeout(FINAL_FLUSH_TIMEOUT, all_clients_closed).await;
+        self.log_end();
+    }
+
+    /// Logs what the process leaves behind. Nothing may be left that was read and not answered.
+    fn log_end(&self) {
+        let connections = self.shared.clients.borrow().len();
+        let unanswered = self.shared.open_requests.count();
+        if unanswered > 0 {
+            tracing::error!(
+                connections,
+                unanswered,
+                "process ends with requests unanswered"
+            );
+        } else {
+            tracing::info!(connections, unanswered, "process ends");
+        }
     }
 }
--- a/crates/core/src/net/internal_client.rs
+++ b/crates/core/src/net/internal_client.rs
@@ -72,6 +72,8 @@
             client,
         };
         connected.send(Input::ClientConnected { client }).await;
+        tracing::debug!(client, name = query.name, "request read");
+        let _open = self.shared.open_requests.open();
         let request = Ok(ClientRequest::Query(query));
         connected
             .send(Input::RequestReceived {
--- a/crates/core/src/net/mod.rs
+++ b/crates/core/src/net/mod.rs
@@ -13,6 +13,7 @@
 mod internal_client;
 mod leaf_connection;
 mod listener;
+mod open_requests;
 pub mod pending_replies;
 mod pipelined_requests;
 mod read_message;
--- a/crates/core/src/net/pipelined_requests.rs
+++ b/crates/core/src/net/pipelined_requests.rs
@@ -1,5 +1,6 @@
 //! Requests that a client has sent ahead of the replies to the ones before.
 
+use super::open_requests::OpenRequest;
 use crate::api::Nanos;
 use crate::protocol::http::{Request, RequestError, MAX_BODY_BYTES};
 use std::collections::VecDeque;
@@ -21,6 +22,8 @@
 pub(super) struct ReceivedRequest {
     pub(super) arrived: Nanos,
     pub(super) request: DecodedRequest,
+    /// Held until it is answered.
+    pub(super) open: OpenRequest,
 }
 
 /// The pipelined requests of one connection, in order.
@@ -33,18 +36,15 @@
 impl PipelinedRequests {
     /// Appends a request. If that exceeds a limit it is replaced by an error, and false is
     /// returned: nothing more may be read.
-    pub(super) fn push(&mut self, arrived: Nanos, request: DecodedRequest) -> bool {
-        self.body_bytes += body_length(&request);
+    pub(super) fn push(&mut self, mut received: ReceivedRequest) -> bool {
+        self.body_bytes += body_length(&received.request);
         let is_full =
             self.requests.len() >= MAX_REQUESTS || self.body_bytes > MAX_BUFFERED_BODY_BYTES;
-        let is_rejected = request.is_ok() && is_full;
-        let request = if is_rejected {
-            Err(TOO_MANY_REQUESTS)
-        } else {
-            request
-        };
-        self.requests
-            .push_back(ReceivedRequest { arrived, request });
+        let is_rejected = received.request.is_ok() && is_full;
+        if is_rejected {
+            received.request = Err(TOO_MANY_REQUESTS);
+        }
+        self.requests.push_back(received);
         !is_rejected
     }
 
--- a/crates/core/src/net/shared.rs
+++ b/crates/core/src/net/shared.rs
@@ -2,6 +2,7 @@
 
 use super::buffer_pool::BufferPool;
 use super::client_connection::ClientCommand;
+use super::open_requests::OpenRequests;
 use super::Clock;
 use crate::engine::{ClientId, Input};
 use crate::protocol::query::NameTables;
@@ -21,6 +22,8 @@
     pub(super) clients: Rc<RefCell<HashMap<ClientId, mpsc::Sender<ClientCommand>>>>,
     /// Notified whenever a client's connection has ended: there may be capacity for another.
     pub(super) client_ended: Rc<Notify>,
+    /// The requests that were read and are not answered yet.
+    pub(super) open_requests: OpenRequests,
     /// The number of connections that only wait for their client to close.
     pub(super) lingering: Rc<Cell<usize>>,
     /// Notified when a lingering connection has to make place for a new one.
@@ -39,6 +42,7 @@
             inputs,
             clients: Rc::default(),
             client_ended: Rc::default(),
+            open_requests: OpenRequests::default(),
             lingering: Rc::default(),
             capacity_needed: Rc::default(),
             names: Rc::new(names),
