--- a/crates/core/tests/reducer/main.rs
+++ b/crates/core/tests/reducer/main.rs
@@ -6,6 +6,7 @@
 mod endpoints;
 mod queries;
 mod shutdown;
+mod shutdown_deadlines;
 #[path = "../support/mod.rs"]
 mod support;
 
--- a/crates/testkit/src/bin/prove-ledger/settings.rs
+++ b/crates/testkit/src/bin/prove-ledger/settings.rs
@@ -9,15 +9,14 @@
 
 /// The installation that the proof is made on.
 pub fn installation_options(seed: u64, ledger_settings: String) -> InstallationOptions {
+    let leaf = LeafOptions {
+        service_time: Duration::from_millis(9),
+        capacity: 3,
+    };
     InstallationOptions {
-        seed,
-        leaf: LeafOptions {
-            service_time: Duration::from_millis(9),
-            capacity: 3,
-        },
         usage_log: true,
-        gateway: false,
         ledger_settings,
+        ..InstallationOptions::new(seed, leaf)
     }
 }
 
--- a/crates/testkit/src/bin/prove-opensearch/main.rs
+++ b/crates/testkit/src/bin/prove-opensearch/main.rs
@@ -77,14 +77,12 @@
 }
 
 fn installation_options(seed: u64) -> InstallationOptions {
+    let leaf = LeafOptions {
+        service_time: Duration::from_millis(4),
+        capacity: 64,
+    };
     InstallationOptions {
-        seed,
-        leaf: LeafOptions {
-            service_time: Duration::from_millis(4),
-            capacity: 64,
-        },
-        usage_log: false,
         gateway: true,
-        ledger_settings: String::new(),
+        ..InstallationOptions::new(seed, leaf)
     }
 }
--- /dev/null
+++ b/crates/testkit/src/bin/prove-shutdown/main.rs
@@ -0,0 +1,163 @@
+//! `prove-shutdown`: that a graceful shutdown answers every request that was read.
+//!
+//! Real aggregators are shut down under load, again and again, for client deadlines on both sides
+//! of every phase of a shutdown. Leaf servers hang, answer late or answer at once; clients ask
+//! again at once, pause, rest until they are closed, or stop in the middle of a request; processes
+//! are held up for a moment; SIGKILL follows at the earliest moment that the platform allows. A
+//! request is lost if its aggregator has logged that it was read, and its client has no response
+//! although it has stayed.
+
+mod client;
+mod judge;
+mod round;
+mod table;
+
+use aggregator_testkit::installation::{Installation, InstallationOptions};
+use aggregator_testkit::leaf::LeafOptions;
+use aggregator_testkit::proof::{self, ProofError};
+use clap::Parser;
+use judge::Rules;
+use round::{KillPolicy, RoundOptions};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+use table::{Row, Table};
+
+/// What the aggregators log: shutdown phases, and each request that was read.
+const LOG_FILTER: &str = "info,aggregator_core::net=debug";
+/// Parts that a leaf server works on at once; enough for any load of this program.
+const LEAF_CAPACITY: usize = 10_000;
+
+/// Shuts aggregators down under load; the last line is a summary, and the exit code 0 only if no
+/// request is lost.
+#[derive(Parser)]
+struct Arguments {
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Client deadlines in milliseconds
+    #[arg(
+        long,
+        value_delimiter = ',',
+        default_value = "100,300,500,700,760,1500,2000"
+    )]
+    deadlines: Vec<u64>,
+    /// Shutdowns of all three aggregators for each deadline and kind of leaf server
+    #[arg(long, default_value_t = 2)]
+    rounds: u64,
+    /// Clients of each aggregator at once
+    #[arg(long, default_value_t = 24)]
+    clients: u64,
+    /// Send no SIGKILL: the processes may take as long as they need
+    #[arg(long)]
+    no_kill: bool,
+    /// Milliseconds after which the end of a connection counts as no crossing of the request on it:
+    /// such a request is lost even if the log doesn't name it
+    #[arg(long)]
+    crossing_limit: Option<u64>,
+    /// Keep a usage log
+    #[arg(long)]
+    usage_log: bool,
+    /// The aggregators' program, in place of the one built along with this one
+    #[arg(long)]
+    program: Option<PathBuf>,
+}
+
+/// How the leaf servers work in a scenario.
+#[derive(Clone, Copy)]
+enum LeafSpeed {
+    /// They never answer.
+    Hanging,
+    /// They answer after about half of the clients' deadline.
+    Slow,
+    /// They answer at once.
+    Fast,
+}
+
+impl LeafSpeed {
+    const ALL: [LeafSpeed; 3] = [LeafSpeed::Hanging, LeafSpeed::Slow, LeafSpeed::Fast];
+
+    fn name(self) -> &'static str {
+        match self {
+            LeafSpeed::Hanging => "hanging",
+            LeafSpeed::Slow => "slow",
+            LeafSpeed::Fast => "fast",
+        }
+    }
+
+    fn service_time(self, deadline: Duration) -> Duration {
+        match self {
+            LeafSpeed::Hanging => Duration::from_secs(3600),
+            LeafSpeed::Slow => deadline / 2,
+            LeafSpeed::Fast => Duration::from_millis(4),
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    proof::run(run(Arguments::parse()))
+}
+
+async fn run(arguments: Arguments) -> Result<bool, ProofError> {
+    let mut table = Table::default();
+    table.print_head();
+    for deadline_ms in &arguments.deadlines {
+        for speed in LeafSpeed::ALL {
+            let deadline = Duration::from_millis(*deadline_ms);
+            let row = run_scenario(&arguments, deadline, speed).await?;
+            table.push(row);
+        }
+    }
+    table.print_summary(arguments.seed);
+    Ok(table.holds())
+}
+
+/// All rounds for one deadline and one kind of leaf server.
+async fn run_scenario(
+    arguments: &Arguments,
+    deadline: Duration,
+    speed: LeafSpeed,
+) -> Result<Row, ProofError> {
+    let folder = tempfile::tempdir()?;
+    let mut installation = start(arguments, folder.path(), deadline, speed).await?;
+    let options = RoundOptions {
+        deadline,
+        clients: arguments.clients,
+        kill: if arguments.no_kill {
+            KillPolicy::Never
+        } else {
+            KillPolicy::AtTheEarliest
+        },
+    };
+    let rules = Rules {
+        crossing_limit: arguments.crossing_limit.map(Duration::from_millis),
+    };
+    let mut row = Row::new(deadline, speed.name());
+    for number in 0..arguments.rounds {
+        let seed = arguments.seed ^ number << 16 ^ (deadline.as_millis() as u64) << 32;
+        for shutdown in round::run(&mut installation, options, seed).await? {
+            row.add(&judge::judge(&shutdown, rules));
+        }
+    }
+    row.print();
+    Ok(row)
+}
+
+async fn start(
+    arguments: &Arguments,
+    folder: &Path,
+    deadline: Duration,
+    speed: LeafSpeed,
+) -> Result<Installation, ProofError> {
+    let leaf = LeafOptions {
+        service_time: speed.service_time(deadline),
+        capacity: LEAF_CAPACITY,
+    };
+    let options = InstallationOptions {
+        usage_log: arguments.usage_log,
+        client_timeout: Some(deadline),
+        log_filter: Some(LOG_FILTER.into()),
+        program: arguments.program.clone(),
+        ..InstallationOptions::new(arguments.seed, leaf)
+    };
+    Ok(Installation::start(folder, &options).await?)
+}
--- a/crates/testkit/src/installation/config.rs
+++ b/crates/testkit/src/installation/config.rs
@@ -5,6 +5,7 @@
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 
 const NANOS_PER_MS: u64 = 1_000_000;
 
@@ -18,6 +19,8 @@
     pub(super) seed: u64,
     /// A snapshot of the endpoint list.
     pub(super) endpoints: Value,
+    /// How long clients of all classes wait, where it is not the class's own time.
+    pub(super) client_timeout: Option<Duration>,
 }
 
 /// The platform object that an aggregator is started with. Its keys are the platform's.
@@ -30,7 +33,7 @@
         "limits": {"sockets": 1024},
         "known": parameters.endpoints,
         "settings": {
-            "classes": CLASSES.map(|class| class_object(&class)),
+            "classes": CLASSES.map(|class| class_object(&class, parameters.client_timeout)),
             "orgs": TENANTS.map(|name| json!({"name": name})),
             "localities": ZONES,
             "my_zone": parameters.zone,
@@ -50,11 +53,13 @@
     })
 }
 
-fn class_object(class: &QueryClass) -> Value {
+fn class_object(class: &QueryClass, client_timeout: Option<Duration>) -> Value {
+    let timeout_ms = client_timeout.map_or(class.timeout_ms, |timeout| timeout.as_millis() as u64);
+    let latency_objective_ms = class.latency_objective_ms.min(timeout_ms / 2);
     json!({
         "name": class.name,
-        "aim_ns": class.latency_objective_ms * NANOS_PER_MS,
-        "give_up_ns": class.timeout_ms * NANOS_PER_MS,
+        "aim_ns": latency_objective_ms * NANOS_PER_MS,
+        "give_up_ns": timeout_ms * NANOS_PER_MS,
         "semantics": "read_like",
         "importance": 1.0,
         "late_value": 0.3,
--- a/crates/testkit/src/installation/mod.rs
+++ b/crates/testkit/src/installation/mod.rs
@@ -65,6 +65,28 @@
     pub gateway: bool,
     /// Sections of the ledger's settings besides its store and members.
     pub ledger_settings: String,
+    /// How long clients of all classes wait, where it is not the class's own time.
+    pub client_timeout: Option<Duration>,
+    /// What the aggregators log, where it is not the default.
+    pub log_filter: Option<String>,
+    /// The aggregators' program, where it is not the one that was built along with this one.
+    pub program: Option<PathBuf>,
+}
+
+impl InstallationOptions {
+    /// Leaf servers like this, and nothing besides the native frontend.
+    pub fn new(seed: u64, leaf: LeafOptions) -> InstallationOptions {
+        InstallationOptions {
+            seed,
+            leaf,
+            usage_log: false,
+            gateway: false,
+            ledger_settings: String::new(),
+            client_timeout: None,
+            log_filter: None,
+            program: None,
+        }
+    }
 }
 
 /// A running installation; all of it ends when it is dropped.
@@ -75,6 +97,7 @@
     pub ledger: Ledger,
     /// The path of the aggregator's program.
     pub program: PathBuf,
+    log_filter: Option<String>,
     discovery: Discovery,
     leaves: LeafFleet,
 }
@@ -89,11 +112,15 @@
         options: &InstallationOptions,
     ) -> Result<Installation, InstallationError> {
         let ip = own_ip();
-        let program = sibling_program(AGGREGATOR_PROGRAM)?;
+        let program = match &options.program {
+            Some(program) => program.clone(),
+            None => sibling_program(AGGREGATOR_PROGRAM)?,
+        };
         let mut installation = Installation {
             aggregators: Vec::new(),
             ledger: Ledger::new(folder, &program),
             program,
+            log_filter: options.log_filter.clone(),
             discovery: Discovery::start(ip).await?,
             leaves: LeafFleet::new(ip, options.leaf, options.seed),
         };
@@ -117,7 +144,7 @@
     /// # Errors
     /// It can't be started.
     pub fn launch_aggregator(&mut self, index: usize) -> io::Result<()> {
-        self.aggregators[index].launch(&self.program)
+        self.aggregators[index].launch(&self.program, self.log_filter.as_deref())
     }
 
     /// Starts an aggregator, also one that was killed, and waits until it is ready.
@@ -177,6 +204,7 @@
             discovery: self.discovery.address,
             seed: options.seed ^ (zone as u64 + 1),
             endpoints: self.discovery.snapshot(),
+            client_timeout: options.client_timeout,
         })?;
         aggregator.write_settings(options.usage_log, options.gateway)?;
         self.aggregators.push(aggregator);
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -3,7 +3,7 @@
 use std::fs::{self, File};
 use std::io;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
 /// How often a process that is terminating is looked at.
@@ -42,6 +42,31 @@
         .ok_or_else(|| ProgramError::NotBuilt { name: name.into() })
 }
 
+/// A signal that operators or a fault send to a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// Requests a graceful shutdown.
+    Terminate,
+    /// Ends the process at once.
+    Kill,
+    /// Holds the process up.
+    Stop,
+    /// Lets a process that is held up go on.
+    Continue,
+}
+
+impl Signal {
+    /// The option of `kill` that sends it.
+    fn option(self) -> &'static str {
+        match self {
+            Signal::Terminate => "-TERM",
+            Signal::Kill => "-KILL",
+            Signal::Stop => "-STOP",
+            Signal::Continue => "-CONT",
+        }
+    }
+}
+
 /// A running child process.
 pub struct Process {
     child: Child,
@@ -73,7 +98,7 @@
     /// `limit`.
     pub fn terminate(&mut self, limit: Duration) -> bool {
         let deadline = Instant::now() + limit;
-        let mut clean = self.send_terminate_signal();
+        let mut clean = self.send_signal(Signal::Terminate);
         while Instant::now() < deadline {
             match self.child.try_wait() {
                 Ok(Some(status)) => return clean && status.success(),
@@ -93,10 +118,16 @@
         Some((ticks(USER_TICKS_FIELD)? + ticks(SYSTEM_TICKS_FIELD)?) / CLOCK_TICKS_PER_SECOND)
     }
 
-    fn send_terminate_signal(&self) -> bool {
+    /// Sends a signal; false if that is not possible.
+    pub fn send_signal(&self, signal: Signal) -> bool {
         Command::new("kill")
-            .args(["-TERM", &self.child.id().to_string()])
+            .args([signal.option(), &self.child.id().to_string()])
             .status()
             .is_ok_and(|status| status.success())
     }
+
+    /// How the process has exited; `None` while it runs.
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok()?
+    }
 }
--- a/crates/testkit/tests/installation.rs
+++ b/crates/testkit/tests/installation.rs
@@ -74,3 +74,26 @@
         run.output
     );
 }
+
+/// Without SIGKILL, so that a machine with other work only delays the processes: what was read has
+/// to be answered however long that takes.
+#[test]
+fn prove_shutdown_loses_no_request_that_was_read() {
+    let arguments = [
+        "--deadlines",
+        "100,700,1500",
+        "--rounds",
+        "1",
+        "--clients",
+        "16",
+        "--no-kill",
+        "--seed",
+        "3",
+    ];
+    let run = run(env!("CARGO_BIN_EXE_prove-shutdown"), &arguments);
+    assert!(
+        run.success && run.last_line_starts_with("proved: "),
+        "{}",
+        run.output
+    );
+}
