Exit only after every client's connection and every frontend has reported its end

At the shutdown deadline the engine forgot its clients and exited, while their connections were open and still read: a request read then went to a queue that nobody emptied, and hung until the process ended, 0.5 s later. With deadlines up to 0.75 s that moment is the one in which idle connections are closed. Now the engine exits once each connection has said that it has ended and each frontend that it has stopped, or at the exit deadline, and answers what is queued then. The listener tells the engine of each connection before it is served, and a failed accept no longer ends the draining of its backlog.

--- a/crates/core/src/engine/clients.rs
+++ b/crates/core/src/engine/clients.rs
@@ -76,10 +76,6 @@
         self.clients.remove(&client)
     }
 
-    pub(super) fn clear(&mut self) {
-        self.clients.clear();
-    }
-
     /// Notes that a client waits for a query.
     pub(super) fn set_query(&mut self, client: ClientId, query: RequestId) {
         if let Some(client) = self.get_mut(client) {
--- a/crates/core/src/engine/effect.rs
+++ b/crates/core/src/engine/effect.rs
@@ -66,6 +66,11 @@
     RecordUsage(UsageRecord),
     /// Record up to when the usage log is complete.
     RecordWatermark(UsageWatermark),
-    /// Everything that was admitted has been answered: the process may exit.
-    Exit(Box<Counters>),
+    /// The process exits: everything that was read has been answered.
+    Exit {
+        /// What was counted since the start.
+        counters: Box<Counters>,
+        /// By when the process ends, whether or not all connections have ended.
+        deadline: Nanos,
+    },
 }
--- a/crates/core/src/engine/input.rs
+++ b/crates/core/src/engine/input.rs
@@ -10,6 +10,10 @@
 /// One thing that happened outside the engine.
 #[derive(Debug)]
 pub enum Input {
+    /// A frontend has started, which may hand over requests from now on.
+    FrontendStarted,
+    /// A frontend accepts no more clients, and has handed over all that it has accepted.
+    FrontendStopped,
     /// A client has connected.
     ClientConnected {
         /// The client.
--- a/crates/core/src/engine/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -186,6 +186,8 @@
 
     fn handle(&mut self, now: Nanos, input: Input) {
         match input {
+            Input::FrontendStarted => self.on_frontend_started(),
+            Input::FrontendStopped => self.on_frontend_stopped(),
             Input::ClientConnected { client } => self.on_client_connected(now, client),
             Input::RequestReceived {
                 client,
--- a/crates/core/src/engine/queries.rs
+++ b/crates/core/src/engine/queries.rs
@@ -205,12 +205,10 @@
     fn remaining_client_timeout(&self, now: Nanos, arrived: Nanos, timeout: Nanos) -> Nanos {
         let spent = now.saturating_sub(arrived) + CLIENT_TIMEOUT_MARGIN;
         let remaining = timeout.saturating_sub(spent);
-        match self.shutdown.requested_at() {
-            // What arrives during the drain period must have ended before a kill can follow.
-            Some(requested_at) => {
-                let shutdown_deadline = requested_at + self.longest_client_deadline();
-                remaining.min(shutdown_deadline.saturating_sub(now))
-            }
+        match self.shutdown.answer_deadline() {
+            // Nothing waits for an answer any more that only a process that goes on could give.
+            Some(_) if self.shutdown.has_exited() => 0,
+            Some(answer_deadline) => remaining.min(answer_deadline.saturating_sub(now)),
             None => remaining,
         }
     }
--- a/crates/core/src/engine/shutdown.rs
+++ b/crates/core/src/engine/shutdown.rs
@@ -1,8 +1,14 @@
 //! Graceful shutdown.
 //!
 //! During the drain period everything goes on, since clients learn of the shutdown with a delay.
-//! Then no more clients are accepted and idle ones are closed; the process exits once every query
-//! is answered and every client is gone, and at the latest at the shutdown deadline.
+//! Then listening stops and idle clients are closed; open queries go on. From the answer deadline
+//! on, what is still open has failed, and what still arrives is rejected at once.
+//!
+//! The process exits once nothing is left that could need an answer: every frontend has reported
+//! that it has stopped, every client's connection that it has ended, and no query is open. Until
+//! then the engine goes on, however long it has known of no open query: a request may be on its
+//! way from a connection that is still read. Only at the exit deadline it exits without these
+//! reports.
 
 use super::effect::Effect;
 use super::timers::Timer;
@@ -13,22 +19,48 @@
 /// theirs, for 0.7 s after SIGTERM.
 const DRAIN_PERIOD: Nanos = 750 * MILLISECOND;
 
+/// How long after the answer deadline the process exits: less than what is left before it may be
+/// killed.
+const EXIT_PERIOD: Nanos = 500 * MILLISECOND;
+
+/// When the phases of a shutdown end.
+#[derive(Clone, Copy, Debug)]
+struct Schedule {
+    drain_period_ends: Nanos,
+    answer_deadline: Nanos,
+    exit_deadline: Nanos,
+}
+
+impl Schedule {
+    fn new(requested_at: Nanos, longest_client_deadline: Nanos) -> Schedule {
+        let answer_deadline = requested_at + DRAIN_PERIOD.max(longest_client_deadline);
+        Schedule {
+            drain_period_ends: requested_at + DRAIN_PERIOD,
+            answer_deadline,
+            exit_deadline: answer_deadline + EXIT_PERIOD,
+        }
+    }
+}
+
 /// How far a graceful shutdown has come.
 #[derive(Debug, Default)]
 pub(super) struct ShutdownState {
-    requested_at: Option<Nanos>,
+    /// None while no shutdown was requested.
+    schedule: Option<Schedule>,
     drain_period_ended: bool,
+    /// Frontends that may still hand over a request.
+    running_frontends: usize,
     exited: bool,
 }
 
 impl ShutdownState {
     pub(super) fn is_requested(&self) -> bool {
-        self.requested_at.is_some()
+        self.schedule.is_some()
     }
 
-    /// When the shutdown was requested.
-    pub(super) fn requested_at(&self) -> Option<Nanos> {
-        self.requested_at
+    /// By when every query has to be answered; none while no shutdown was requested.
+    pub(super) fn answer_deadline(&self) -> Option<Nanos> {
+        self.schedule.map(|schedule| schedule.answer_deadline)
     }
 
     /// No more clients are accepted, and each connection is closed after its reply.
@@ -47,25 +79,31 @@
         if self.shutdown.is_requested() {
             return;
         }
-        self.shutdown.requested_at = Some(now);
-        let until_deadline = DRAIN_PERIOD.max(self.longest_client_deadline());
-        self.timers.set(now + DRAIN_PERIOD, Timer::DrainPeriodEnded);
+        let schedule = Schedule::new(now, self.longest_client_deadline());
         self.timers
-            .set(now + until_deadline, Timer::ShutdownDeadline);
-    }
-
-    fn log_shutdown_state(&self, state: &str) {
-        let clients = self.clients.len();
-        let open_queries = self.queries.len();
-        tracing::info!(clients, open_queries, "{state}");
+            .set(schedule.drain_period_ends, Timer::DrainPeriodEnded);
+        self.timers
+            .set(schedule.answer_deadline, Timer::AnswerDeadline);
+        self.timers.set(schedule.exit_deadline, Timer::ExitDeadline);
+        self.shutdown.schedule = Some(schedule);
     }
 
     /// The longest that a client of any class waits.
-    pub(super) fn longest_client_deadline(&self) -> Nanos {
+    fn longest_client_deadline(&self) -> Nanos {
         let deadlines = self.settings.deadlines.iter();
         deadlines.max().copied().unwrap_or_default()
     }
 
+    pub(super) fn on_frontend_started(&mut self) {
+        self.shutdown.running_frontends += 1;
+    }
+
+    pub(super) fn on_frontend_stopped(&mut self) {
+        let running = &mut self.shutdown.running_frontends;
+        *running = running.saturating_sub(1);
+        tracing::debug!(running, "frontend stopped");
+    }
+
     pub(super) fn on_drain_period_ended(&mut self) {
         self.log_shutdown_state("drain period ended");
         self.shutdown.drain_period_ended = true;
@@ -76,24 +114,49 @@
     }
 
     /// Fails the queries that are still open: a kill may follow.
-    pub(super) fn on_shutdown_deadline(&mut self, now: Nanos) {
-        self.log_shutdown_state("shutdown deadline");
+    pub(super) fn on_answer_deadline(&mut self, now: Nanos) {
+        self.log_shutdown_state("answer deadline");
         for query in self.queries.open_ids() {
             self.on_reply_deadline(now, query);
         }
-        self.clients.clear();
     }
 
-    /// Requests the exit of the process once every query that was admitted is answered and every
-    /// client's connection has ended.
+    /// Exits although something has not ended: a client does not read, or does not close.
+    pub(super) fn on_exit_deadline(&mut self) {
+        if !self.shutdown.exited {
+            self.log_shutdown_state("exit deadline");
+            self.exit();
+        }
+    }
+
+    /// Requests the exit of the process once nothing is left that could need an answer.
     pub(super) fn maybe_exit(&mut self) {
-        let all_done = self.queries.is_empty() && self.clients.is_empty();
-        if !self.shutdown.drain_period_ended || self.shutdown.exited || !all_done {
-            return;
+        let nothing_left = self.queries.is_empty()
+            && self.clients.is_empty()
+            && self.shutdown.running_frontends == 0;
+        if self.shutdown.drain_period_ended && !self.shutdown.exited && nothing_left {
+            self.record_final_watermark();
+            self.exit();
         }
+    }
+
+    fn exit(&mut self) {
+        let Some(schedule) = self.shutdown.schedule else {
+            return;
+        };
         self.shutdown.exited = true;
-        self.record_final_watermark();
-        let counters = Box::new(self.counters.clone());
-        self.effects.push(Effect::Exit(counters));
+        self.effects.push(Effect::Exit {
+            counters: Box::new(self.counters.clone()),
+            deadline: schedule.exit_deadline,
+        });
+    }
+
+    fn log_shutdown_state(&self, state: &str) {
+        tracing::info!(
+            clients = self.clients.len(),
+            open_queries = self.queries.len(),
+            running_frontends = self.shutdown.running_frontends,
+            "{state}"
+        );
     }
 }
--- a/crates/core/src/engine/timers.rs
+++ b/crates/core/src/engine/timers.rs
@@ -26,8 +26,10 @@
     UsageWatermark,
     /// The drain period is over.
     DrainPeriodEnded,
+    /// During a shutdown, every query has to be answered.
+    AnswerDeadline,
     /// A graceful shutdown has to be complete.
-    ShutdownDeadline,
+    ExitDeadline,
 }
 
 /// The timers that are set, by the time at which they are due.
@@ -82,7 +84,8 @@
             Timer::ReplyDeadline(query) => self.on_reply_deadline(now, query),
             Timer::UsageWatermark => self.record_watermark(now),
             Timer::DrainPeriodEnded => self.on_drain_period_ended(),
-            Timer::ShutdownDeadline => self.on_shutdown_deadline(now),
+            Timer::AnswerDeadline => self.on_answer_deadline(now),
+            Timer::ExitDeadline => self.on_exit_deadline(),
         }
     }
 }
--- a/crates/core/src/net/client_connection.rs
+++ b/crates/core/src/net/client_connection.rs
@@ -95,7 +95,7 @@
     Stopped,
 }
 
-/// Serves a client until either side ends the connection.
+/// Serves a client, of which the engine knows, until either side ends the connection.
 pub(super) async fn run(
     shared: Shared,
     client: ClientId,
@@ -107,8 +107,6 @@
     let framed = shared
         .buffers
         .frame::<Response, _, _>(stream, ServerCodec::default());
-    let connected = Input::ClientConnected { client };
-    let _ = shared.inputs.send(connected).await;
     let mut connection = ClientConnection {
         shared: &shared,
         client,
--- a/crates/core/src/net/driver.rs
+++ b/crates/core/src/net/driver.rs
@@ -7,16 +7,13 @@
 use super::pending_replies::{OutgoingReply, PendingReplies};
 use super::shared::Shared;
 use super::Addresses;
+use crate::api::Nanos;
 use crate::engine::counters::Counters;
 use crate::engine::{ClientId, ConnectionId, Effect, Input};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use tokio::task::AbortHandle;
-use tokio::time::{timeout, Duration, Instant};
-
-/// How long the last responses may take to be sent, and their clients to close: less than what is
-/// left after the longest deadline before the process may be killed.
-const FINAL_FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
+use tokio::time::{timeout_at, Duration, Instant};
 
 /// Everything that effects act on.
 pub(super) struct Driver {
@@ -27,7 +24,8 @@
     watch: Option<AbortHandle>,
     /// Present if usage is recorded.
     pending_replies: Option<PendingReplies>,
-    exited: bool,
+    /// By when the process ends, once the engine has asked for the exit.
+    exit_deadline: Option<Instant>,
 }
 
 impl Driver {
@@ -44,13 +42,13 @@
             discovery,
             watch: None,
             pending_replies,
-            exited: false,
+            exit_deadline: None,
         }
     }
 
-    /// Whether the engine has asked for the exit.
-    pub(super) fn has_exited(&self) -> bool {
-        self.exited
+    /// By when the process ends; none while the engine has not asked for the exit.
+    pub(super) fn exit_deadline(&self) -> Option<Instant> {
+        self.exit_deadline
     }
 
     /// Uses new addresses: for gossip at once, for the endpoint list with the next watch.
@@ -112,7 +110,7 @@
             Effect::StopListening => {
                 self.shared.listening_stopped.send_replace(true);
             }
-            Effect::Exit(counters) => self.exit(&counters),
+            Effect::Exit { counters, deadline } => self.exit(&counters, deadline),
         }
     }
 
@@ -135,10 +133,10 @@
         }
     }
 
-    fn exit(&mut self, counters: &Counters) {
+    fn exit(&mut self, counters: &Counters, deadline: Nanos) {
         let counters = serde_json::to_string(counters).unwrap_or_default();
         tracing::info!(counters, "served all that was taken");
-        self.exited = true;
+        self.exit_deadline = Some(self.shared.clock.instant(deadline));
     }
 
     fn send_or_hold(&mut self, outgoing: OutgoingReply) {
@@ -204,8 +202,9 @@
         }
     }
 
-    /// Closes the usage log, sends the replies that are left, and waits for the clients to close.
-    pub(super) async fn shut_down(&mut self) {
+    /// Closes the usage log, sends the replies that are left, and waits until `deadline` for the
+    /// clients to close.
+    pub(super) async fn shut_down(&mut self, deadline: Instant) {
         let last_replies = self
             .pending_replies
             .as_mut()
@@ -219,7 +218,7 @@
                 self.shared.client_ended.notified().await;
             }
         };
-        let _ = timeout(FINAL_FLUSH_TIMEOUT, all_clients_closed).await;
+        let _ = timeout_at(deadline, all_clients_closed).await;
         self.log_end();
     }
 
--- a/crates/core/src/net/event_loop.rs
+++ b/crates/core/src/net/event_loop.rs
@@ -3,6 +3,7 @@
 use super::driver::Driver;
 use super::gossip::GossipSocket;
 use super::pending_replies::PendingReplies;
+use super::running_frontend::RunningFrontend;
 use super::shared::Shared;
 use super::{listener, Addresses, Clock, Extensions, InternalClient, OperatorSignal};
 use crate::api::Nanos;
@@ -37,11 +38,13 @@
     };
     tokio::task::spawn_local(listener::accept_connections(
         shared.clone(),
+        RunningFrontend::start(&shared).await,
         listener,
         engine.max_clients(),
     ));
     for start_frontend in extensions.frontends {
-        start_frontend(InternalClient::new(shared.clone()));
+        let running = RunningFrontend::start(&shared).await;
+        start_frontend(InternalClient::new(shared.clone(), running));
     }
     let pending_replies = extensions.recorder.map(PendingReplies::new);
     let mut event_loop = EventLoop {
@@ -51,8 +54,9 @@
         clock,
         engine,
     };
-    event_loop.run().await;
-    event_loop.driver.shut_down().await;
+    let exit_deadline = event_loop.run().await;
+    event_loop.answer_queued_inputs();
+    event_loop.driver.shut_down(exit_deadline).await;
     Ok(())
 }
 
@@ -65,9 +69,13 @@
 }
 
 impl EventLoop {
-    async fn run(&mut self) {
+    /// Runs until the engine asks for the exit; returns by when the process ends.
+    async fn run(&mut self) -> Instant {
         self.apply(self.clock.now(), Input::BatchEnded);
-        while !self.driver.has_exited() {
+        loop {
+            if let Some(exit_deadline) = self.driver.exit_deadline() {
+                return exit_deadline;
+            }
             let due = self.next_due();
             tokio::select! {
                 biased;
@@ -85,6 +93,15 @@
         }
     }
 
+    /// Lets the engine answer what was read before the exit, and takes no more.
+    fn answer_queued_inputs(&mut self) {
+        self.queued_inputs.close();
+        let now = self.clock.now();
+        while let Ok(input) = self.queued_inputs.try_recv() {
+            self.apply(now, input);
+        }
+    }
+
     /// When the next timer is due. One timer serves the engine and the pending replies, as setting
     /// another for each batch costs more than the work that it starts.
     fn next_due(&self) -> Option<Instant> {
--- a/crates/core/src/net/internal_client.rs
+++ b/crates/core/src/net/internal_client.rs
@@ -2,6 +2,7 @@
 //! the native protocol.
 
 use super::client_connection::ClientCommand;
+use super::running_frontend::RunningFrontend;
 use super::shared::Shared;
 use super::MAX_QUEUED_COMMANDS;
 use crate::api::Nanos;
@@ -12,9 +13,13 @@
 
 /// Sends queries to the engine, each as a client of its own. Only for tasks of the aggregator's
 /// `LocalSet`.
+///
+/// A frontend holds a clone while it accepts connections or serves any: once the last one is
+/// dropped the frontend has stopped, and the process may exit.
 #[derive(Clone)]
 pub struct InternalClient {
     shared: Shared,
+    _running: Rc<RunningFrontend>,
 }
 
 /// A client that is connected while its one query is open. Dropped before the reply, it has
@@ -34,21 +39,18 @@
     fn drop(&mut self) {
         self.shared.clients.borrow_mut().remove(&self.client);
         self.shared.client_ended.notify_one();
-        let inputs = self.shared.inputs.clone();
-        let disconnected = Input::ClientDisconnected {
+        self.shared.send_detached(Input::ClientDisconnected {
             client: self.client,
-        };
-        if let Err(mpsc::error::TrySendError::Full(disconnected)) = inputs.try_send(disconnected) {
-            tokio::task::spawn_local(async move {
-                let _ = inputs.send(disconnected).await;
-            });
-        }
+        });
     }
 }
 
 impl InternalClient {
-    pub(super) fn new(shared: Shared) -> InternalClient {
-        InternalClient { shared }
+    pub(super) fn new(shared: Shared, running: RunningFrontend) -> InternalClient {
+        InternalClient {
+            shared,
+            _running: Rc::new(running),
+        }
     }
 
     /// The names of classes and tenants, and the bounds of a query.
--- a/crates/core/src/net/listener.rs
+++ b/crates/core/src/net/listener.rs
@@ -1,12 +1,15 @@
 //! Accepts the connections of clients.
 
 use super::client_connection;
+use super::running_frontend::RunningFrontend;
 use super::shared::Shared;
 use super::MAX_QUEUED_COMMANDS;
-use futures_util::FutureExt;
+use crate::engine::Input;
+use std::io;
+use std::net::SocketAddr;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::time::{sleep, Duration};
+use tokio::time::{sleep, timeout, Duration};
 
 /// The pause after a failed accept, which means that no descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -16,24 +19,41 @@
 /// servers need.
 const MAX_EXCESS_CONNECTIONS: usize = 16;
 
+/// How long nothing has come in before the listener closes: in that time the system has reported
+/// every connection that was waiting to be accepted.
+const BACKLOG_QUIET_TIME: Duration = Duration::from_millis(5);
+
 /// Accepts connections until the engine stops it, and then the ones that are already waiting: a
 /// listener that closes would reset them.
 pub(super) async fn accept_connections(
     shared: Shared,
+    running: RunningFrontend,
     listener: TcpListener,
     max_connections: usize,
 ) {
     let mut stopped = shared.listening_stopped.subscribe();
-    tokio::select! {
-        () = accept_forever(&shared, &listener, max_connections) => {}
-        _ = stopped.wait_for(|stopped| *stopped) => {}
+    loop {
+        tokio::select! {
+            biased;
+            _ = stopped.wait_for(|stopped| *stopped) => break,
+            stream = accept_next(&shared, &listener, max_connections) => {
+                serve_connection(&shared, stream).await;
+            }
+        }
     }
-    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        spawn_connection(&shared, stream);
+    let mut accepted = 0;
+    while let Some((stream, _)) = accept_waiting(&listener).await {
+        serve_connection(&shared, stream).await;
+        accepted += 1;
     }
+    drop(listener);
+    tracing::info!(accepted, "listening stopped");
+    // The engine knows all connections that were accepted.
+    drop(running);
 }
 
-async fn accept_forever(shared: &Shared, listener: &TcpListener, max_connections: usize) {
+/// Accepts a connection once there is capacity for it.
+async fn accept_next(shared: &Shared, listener: &TcpListener, max_connections: usize) -> TcpStream {
     loop {
         let is_full = shared.clients.borrow().len() >= max_connections;
         if is_full && shared.lingering.get() > 0 {
@@ -43,19 +63,36 @@
             shared.client_ended.notified().await;
         }
         match listener.accept().await {
-            Ok((stream, _)) => spawn_connection(shared, stream),
-            Err(error) => {
-                tracing::warn!("accept: {error}");
-                sleep(ACCEPT_RETRY_DELAY).await;
-            }
+            Ok((stream, _)) => return stream,
+            Err(error) => pause_after_error(&error).await,
+        }
+    }
+}
+
+/// Accepts a connection that is waiting to be accepted, before its listener closes; none once no
+/// more are. A failed accept ends nothing: the connection that failed is gone, others still wait.
+pub async fn accept_waiting(listener: &TcpListener) -> Option<(TcpStream, SocketAddr)> {
+    loop {
+        match timeout(BACKLOG_QUIET_TIME, listener.accept()).await {
+            Ok(Ok(accepted)) => return Some(accepted),
+            Ok(Err(error)) => pause_after_error(&error).await,
+            Err(_) => return None,
         }
     }
 }
 
-fn spawn_connection(shared: &Shared, stream: TcpStream) {
+async fn pause_after_error(error: &io::Error) {
+    tracing::warn!("accept: {error}");
+    sleep(ACCEPT_RETRY_DELAY).await;
+}
+
+/// Announces a connection to the engine and serves it.
+async fn serve_connection(shared: &Shared, stream: TcpStream) {
     let client = shared.next_client_id();
     let (commands, queued_commands) = mpsc::channel(MAX_QUEUED_COMMANDS);
     shared.clients.borrow_mut().insert(client, commands);
+    let connected = Input::ClientConnected { client };
+    let _ = shared.inputs.send(connected).await;
     tokio::task::spawn_local(client_connection::run(
         shared.clone(),
         client,
--- a/crates/core/src/net/mod.rs
+++ b/crates/core/src/net/mod.rs
@@ -17,6 +17,7 @@
 pub mod pending_replies;
 mod pipelined_requests;
 mod read_message;
+mod running_frontend;
 mod shared;
 mod usage_recorder;
 
--- a/crates/core/src/net/shared.rs
+++ b/crates/core/src/net/shared.rs
@@ -51,6 +51,16 @@
         }
     }
 
+    /// Sends an input from where nothing can be awaited.
+    pub(super) fn send_detached(&self, input: Input) {
+        if let Err(mpsc::error::TrySendError::Full(input)) = self.inputs.try_send(input) {
+            let inputs = self.inputs.clone();
+            tokio::task::spawn_local(async move {
+                let _ = inputs.send(input).await;
+            });
+        }
+    }
+
     /// An id for a new client; ids are never reused.
     pub(super) fn next_client_id(&self) -> ClientId {
         self.last_client.set(self.last_client.get() + 1);
--- a/crates/core/tests/support/engine_harness.rs
+++ b/crates/core/tests/support/engine_harness.rs
@@ -162,7 +162,7 @@
             }
             Effect::SendGossip { .. } => {}
             Effect::StopListening => self.is_listening = false,
-            Effect::Exit(_) => self.has_exited = true,
+            Effect::Exit { .. } => self.has_exited = true,
         }
     }
 
