Let the phases of a shutdown follow from the earliest kill instead of fixed lengths

The drain period took 0.75 s and the exit up to 0.5 s more, whatever the deadlines: with a longest deadline under 0.55 s SIGKILL came first, and from the deadline to 0.75 s every query was rejected at once, in a loop for clients that ask again. Deadlines over 3 s, which count as 3 s, were waited for in full. Now queries are answered 0.2 s and the process has exited 0.05 s before the earliest kill, and the drain period takes 0.5 s: new connections come for 0.4 s.

--- a/crates/core/src/engine/shutdown.rs
+++ b/crates/core/src/engine/shutdown.rs
@@ -1,8 +1,13 @@
 //! Graceful shutdown.
 //!
-//! During the drain period everything goes on, since clients learn of the shutdown with a delay.
-//! Then listening stops and idle clients are closed; open queries go on. From the answer deadline
-//! on, what is still open has failed, and what still arrives is rejected at once.
+//! During the drain period everything goes on, since clients learn of the shutdown with a delay;
+//! each reply asks its client to close the connection. Then listening stops and idle clients are
+//! closed; open queries go on. From the answer deadline on, what is still open has failed, and
+//! what still arrives is rejected at once.
+//!
+//! The ends of the phases follow from the moment at which the platform may kill the process, which
+//! depends on the longest deadline in the settings. No phase has a length of its own that could
+//! reach past that moment.
 //!
 //! The process exits once nothing is left that could need an answer: every frontend has reported
 //! that it has stopped, every client's connection that it has ended, and no query is open. Until
@@ -15,13 +20,20 @@
 use super::{Engine, MILLISECOND};
 use crate::api::Nanos;
 
-/// How long all goes on after a shutdown was requested: clients still open connections, and use
-/// theirs, for 0.7 s after SIGTERM.
-const DRAIN_PERIOD: Nanos = 750 * MILLISECOND;
+/// How long all goes on after a shutdown was requested: new connections keep coming for 0.4 s.
+const DRAIN_PERIOD: Nanos = 500 * MILLISECOND;
+
+/// The earliest kill comes this long after the longest deadline, of which no more than
+/// `MAX_COUNTED_DEADLINE` counts.
+const KILL_GRACE: Nanos = 700 * MILLISECOND;
+const MAX_COUNTED_DEADLINE: Nanos = 3_000 * MILLISECOND;
+
+/// How long before the earliest kill every query is answered. A process may be held up for 150 ms
+/// between reading its clock and writing.
+const ANSWER_MARGIN: Nanos = 200 * MILLISECOND;
 
-/// How long after the answer deadline the process exits: less than what is left before it may be
-/// killed.
-const EXIT_PERIOD: Nanos = 500 * MILLISECOND;
+/// How long before the earliest kill the process exits.
+const EXIT_MARGIN: Nanos = 50 * MILLISECOND;
 
 /// When the phases of a shutdown end.
 #[derive(Clone, Copy, Debug)]
@@ -33,11 +45,12 @@
 
 impl Schedule {
     fn new(requested_at: Nanos, longest_client_deadline: Nanos) -> Schedule {
-        let answer_deadline = requested_at + DRAIN_PERIOD.max(longest_client_deadline);
+        let counted_deadline = longest_client_deadline.min(MAX_COUNTED_DEADLINE);
+        let earliest_kill = requested_at + counted_deadline + KILL_GRACE;
         Schedule {
             drain_period_ends: requested_at + DRAIN_PERIOD,
-            answer_deadline,
-            exit_deadline: answer_deadline + EXIT_PERIOD,
+            answer_deadline: earliest_kill - ANSWER_MARGIN,
+            exit_deadline: earliest_kill - EXIT_MARGIN,
         }
     }
 }
@@ -63,7 +76,7 @@
         self.schedule.map(|schedule| schedule.answer_deadline)
     }
 
-    /// No more clients are accepted, and each connection is closed after its reply.
+    /// No more clients are accepted, and idle ones are closed.
     pub(super) fn is_drain_period_over(&self) -> bool {
         self.drain_period_ended
     }
