--- a/crates/core/src/engine/clients.rs
+++ b/crates/core/src/engine/clients.rs
@@ -191,7 +191,7 @@
         };
         client.query = None;
         client.idle_since = now;
-        let close = self.shutdown.is_drain_period_over() || client.close_requested;
+        let close = self.shutdown.is_requested() || client.close_requested;
         self.effects.push(Effect::SendReply {
             client: client_id,
             reply,
--- a/crates/core/tests/reducer/shutdown.rs
+++ b/crates/core/tests/reducer/shutdown.rs
@@ -32,6 +32,21 @@
     assert!(harness.has_exited);
 }
 
+/// A client that asks again at once would else have a request on its way when its connection is
+/// closed.
+#[test]
+fn each_reply_of_a_shutdown_asks_its_client_to_close() {
+    let mut harness = EngineHarness::new(1);
+    let client = harness.send_query(1, &[1.0]);
+    harness.open_all_connections();
+    harness.apply(Input::ShutdownRequested);
+    harness.respond_to_all();
+    assert!(is_complete(harness.last_reply(client)));
+    harness.advance(AFTER_DRAIN_PERIOD_MS);
+    assert!(harness.has_exited);
+    assert!(harness.closed_clients.is_empty(), "it has closed before");
+}
+
 #[test]
 fn a_client_accepted_while_the_listener_closes_does_not_delay_the_exit() {
     let mut harness = EngineHarness::new(1);
