--- a/crates/core/src/net/internal_client.rs
+++ b/crates/core/src/net/internal_client.rs
@@ -2,6 +2,7 @@
 //! the native protocol.
 
 use super::client_connection::ClientCommand;
+use super::open_requests::OpenRequest;
 use super::running_frontend::RunningFrontend;
 use super::shared::Shared;
 use super::MAX_QUEUED_COMMANDS;
@@ -63,6 +64,11 @@
         self.shared.clock.now()
     }
 
+    /// Counts a request of the frontend as open for as long as the returned value is held.
+    pub fn open_request(&self) -> OpenRequest {
+        self.shared.open_requests.open()
+    }
+
     /// Sends a query that arrived at this time and waits for its reply. Dropping the future cancels
     /// the query.
     pub async fn send_query(&self, arrived: Nanos, query: Query) -> Reply {
@@ -74,8 +80,7 @@
             client,
         };
         connected.send(Input::ClientConnected { client }).await;
-        tracing::debug!(client, name = query.name, "request read");
-        let _open = self.shared.open_requests.open();
+        let _open = self.open_request();
         let request = Ok(ClientRequest::Query(query));
         connected
             .send(Input::RequestReceived {
--- a/crates/core/src/net/open_requests.rs
+++ b/crates/core/src/net/open_requests.rs
@@ -23,7 +23,7 @@
 /// A request that was read. It is open until this is dropped: once its response is written, or its
 /// client has gone.
 #[derive(Debug)]
-pub(super) struct OpenRequest(OpenRequests);
+pub struct OpenRequest(OpenRequests);
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
--- a/crates/opensearch-gateway/src/server/http.rs
+++ b/crates/opensearch-gateway/src/server/http.rs
@@ -35,7 +35,10 @@
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let received_at_ns = gateway.aggregator.now();
+    let _open = gateway.aggregator.open_request();
     let (parts, body) = request.into_parts();
+    let name = header_text(&parts.headers, X_OPAQUE_ID);
+    tracing::debug!(address = %peer.address, name, "request read");
     let options = ResponseOptions {
         omit_body: parts.method == Method::HEAD,
         accepts_gzip: header_text(&parts.headers, ACCEPT_ENCODING.as_str())
--- a/crates/testkit/src/bin/prove-shutdown/client.rs
+++ b/crates/testkit/src/bin/prove-shutdown/client.rs
@@ -14,6 +14,8 @@
 
 /// Shards of each query.
 const SHARDS_PER_QUERY: u32 = 3;
+/// Searches of one request: more than the gateway runs at the same time.
+const SEARCHES_PER_REQUEST: usize = 12;
 /// Pause before a client connects again whose connection was refused.
 const RECONNECT_DELAY: Duration = Duration::from_millis(20);
 /// The pause of a client that does not ask again at once.
@@ -30,12 +32,15 @@
     Resting,
     /// It sends half a request, and stays.
     Stuck,
+    /// It sends many searches in one request to the OpenSearch gateway, and asks again at once.
+    Searching,
 }
 
 impl Habit {
     /// The habit of the client with this number: most are eager.
     pub fn of(number: u64) -> Habit {
         match number % 8 {
+            4 => Habit::Searching,
             5 => Habit::Paced,
             6 => Habit::Resting,
             7 => Habit::Stuck,
@@ -80,7 +85,10 @@
 /// What all clients of an aggregator have in common.
 #[derive(Clone)]
 pub struct ClientOptions {
+    /// Where the native frontend listens.
     pub address: SocketAddr,
+    /// Where the OpenSearch gateway listens.
+    pub gateway_address: SocketAddr,
     /// The time that each request states.
     pub deadline: Duration,
     /// The time after which a client stops waiting.
@@ -123,8 +131,12 @@
 
     /// Asks until no new connection may be made.
     pub async fn run(mut self) -> Vec<RequestRecord> {
+        let address = match self.habit {
+            Habit::Searching => self.options.gateway_address,
+            _ => self.options.address,
+        };
         while *self.options.phase.borrow() == Phase::Serving {
-            match TcpStream::connect(self.options.address).await {
+            match TcpStream::connect(address).await {
                 Ok(stream) => self.use_connection(stream).await,
                 Err(_) => sleep(RECONNECT_DELAY).await,
             }
@@ -140,7 +152,7 @@
         }
         while self.ask(&mut stream).await {
             match self.habit {
-                Habit::Eager | Habit::Stuck => {}
+                Habit::Eager | Habit::Stuck | Habit::Searching => {}
                 Habit::Paced => {
                     let pause = Duration::from_millis(self.random.random_range(PAUSES_MS));
                     if timeout(pause, wait_for_end(&mut stream)).await.is_ok() {
@@ -155,7 +167,10 @@
     /// Sends a request and waits for its response; false if the connection is of no more use.
     async fn ask(&mut self, stream: &mut TcpStream) -> bool {
         let name = format!("{:016x}", self.random.random::<u64>());
-        let request = self.render(&name);
+        let request = match self.habit {
+            Habit::Searching => self.render_searches(&name),
+            _ => self.render(&name),
+        };
         if stream.write_all(request.as_bytes()).await.is_err() {
             return false;
         }
@@ -186,6 +201,17 @@
         }
     }
 
+    fn render_searches(&mut self, name: &str) -> String {
+        let class = CLASSES[self.random.random_range(0..CLASSES.len())].name;
+        let search = json!({"query": {"match_all": {}}}).to_string();
+        let body = format!("{{}}\n{search}\n").repeat(SEARCHES_PER_REQUEST);
+        let length = body.len();
+        format!(
+            "POST /{class}/_msearch HTTP/1.1\r\nHost: mixer\r\nX-Opaque-Id: {name}\r\n\
+             Content-Type: application/x-ndjson\r\nContent-Length: {length}\r\n\r\n{body}"
+        )
+    }
+
     fn render(&mut self, name: &str) -> String {
         let class = CLASSES[self.random.random_range(0..CLASSES.len())].name;
         let tenant = TENANTS[self.random.random_range(0..TENANTS.len())];
--- a/crates/testkit/src/bin/prove-shutdown/main.rs
+++ b/crates/testkit/src/bin/prove-shutdown/main.rs
@@ -2,7 +2,8 @@
 //!
 //! Real aggregators are shut down under load, again and again, for client deadlines on both sides
 //! of every phase of a shutdown. Leaf servers hang, answer late or answer at once; clients ask
-//! again at once, pause, rest until they are closed, or stop in the middle of a request; processes
+//! again at once, pause, rest until they are closed, stop in the middle of a request, or send many
+//! searches at once to the OpenSearch gateway; processes
 //! are held up for a moment; SIGKILL follows at the earliest moment that the platform allows. A
 //! request is lost if its aggregator has logged that it was read, and its client has no response
 //! although it has stayed.
@@ -24,7 +25,7 @@
 use table::{Row, Table};
 
 /// What the aggregators log: shutdown phases, and each request that was read.
-const LOG_FILTER: &str = "info,aggregator_core::net=debug";
+const LOG_FILTER: &str = "info,aggregator_core::net=debug,opensearch_gateway=debug";
 /// Parts that a leaf server works on at once; enough for any load of this program.
 const LEAF_CAPACITY: usize = 10_000;
 
@@ -154,6 +155,7 @@
     };
     let options = InstallationOptions {
         usage_log: arguments.usage_log,
+        gateway: true,
         client_timeout: Some(deadline),
         log_filter: Some(LOG_FILTER.into()),
         program: arguments.program.clone(),
