Send the replies that wait for the usage log before a shutdown can be killed

A reply could wait for a stalled usage log up to the setting `stall`, and the exit closed the log, which blocks the only thread for up to 2 s, before it sent the replies that were left. Now no reply waits from the answer deadline on, and the log is closed last.

--- a/crates/core/src/engine/effect.rs
+++ b/crates/core/src/engine/effect.rs
@@ -66,6 +66,8 @@
     RecordUsage(UsageRecord),
     /// Record up to when the usage log is complete.
     RecordWatermark(UsageWatermark),
+    /// Let no reply wait for its usage record any more.
+    ReleaseReplies,
     /// The process exits: everything that was read has been answered.
     Exit {
         /// What was counted since the start.
--- a/crates/core/src/engine/shutdown.rs
+++ b/crates/core/src/engine/shutdown.rs
@@ -129,6 +129,7 @@
     /// Fails the queries that are still open: a kill may follow.
     pub(super) fn on_answer_deadline(&mut self, now: Nanos) {
         self.log_shutdown_state("answer deadline");
+        self.effects.push(Effect::ReleaseReplies);
         for query in self.queries.open_ids() {
             self.on_reply_deadline(now, query);
         }
--- a/crates/core/src/net/driver.rs
+++ b/crates/core/src/net/driver.rs
@@ -110,6 +110,7 @@
             Effect::StopListening => {
                 self.shared.listening_stopped.send_replace(true);
             }
+            Effect::ReleaseReplies => self.release_replies(),
             Effect::Exit { counters, deadline } => self.exit(&counters, deadline),
         }
     }
@@ -191,6 +192,14 @@
         }
     }
 
+    /// Sends every reply from now on without waiting for its record.
+    fn release_replies(&mut self) {
+        if let Some(pending_replies) = &mut self.pending_replies {
+            pending_replies.stop_holding();
+        }
+        self.send_ready_replies();
+    }
+
     /// Sends the replies whose records are written, or that have waited long enough.
     pub(super) fn send_ready_replies(&mut self) {
         while let Some(outgoing) = self
@@ -202,23 +211,19 @@
         }
     }
 
-    /// Closes the usage log, sends the replies that are left, and waits until `deadline` for the
-    /// clients to close.
+    /// Waits until `deadline` for the clients to close, then closes the usage log. It comes last,
+    /// since nothing else goes on while a stalled disk is waited for.
     pub(super) async fn shut_down(&mut self, deadline: Instant) {
-        let last_replies = self
-            .pending_replies
-            .as_mut()
-            .map(PendingReplies::close)
-            .unwrap_or_default();
-        for outgoing in last_replies {
-            self.send_reply(outgoing);
-        }
+        self.release_replies();
         let all_clients_closed = async {
             while !self.shared.clients.borrow().is_empty() {
                 self.shared.client_ended.notified().await;
             }
         };
         let _ = timeout_at(deadline, all_clients_closed).await;
+        if let Some(pending_replies) = &mut self.pending_replies {
+            pending_replies.close();
+        }
         self.log_end();
     }
 
--- a/crates/core/src/net/pending_replies.rs
+++ b/crates/core/src/net/pending_replies.rs
@@ -40,6 +40,8 @@
     /// How far the log was when a reply was last sent without its record. Until the log advances,
     /// no reply waits.
     stalled_at: Option<u64>,
+    /// Replies are still kept until their records are written.
+    holds_replies: bool,
 }
 
 impl PendingReplies {
@@ -54,6 +56,7 @@
             pending: VecDeque::new(),
             latest_record: None,
             stalled_at: None,
+            holds_replies: true,
         }
     }
 
@@ -72,7 +75,7 @@
     pub fn hold(&mut self, outgoing: OutgoingReply) -> Option<OutgoingReply> {
         let written = *self.written.borrow();
         match self.latest_record.take() {
-            Some(sequence) if written < sequence && self.stalled_at == Some(written) => {
+            Some(sequence) if written < sequence && !self.may_wait(written) => {
                 self.recorder.note_unrecorded_reply();
                 Some(outgoing)
             }
@@ -88,6 +91,24 @@
         }
     }
 
+    /// Whether a reply may wait for its record, with the log written so far.
+    fn may_wait(&self, written: u64) -> bool {
+        self.holds_replies && self.stalled_at != Some(written)
+    }
+
+    /// Lets every reply go at once from now on, also those that are pending.
+    pub fn stop_holding(&mut self) {
+        self.holds_replies = false;
+        self.expire_pending();
+    }
+
+    fn expire_pending(&mut self) {
+        let now = Instant::now();
+        for pending in &mut self.pending {
+            pending.deadline = now;
+        }
+    }
+
     /// Lets a client's connection close with its reply, if that is still pending.
     pub fn close_client(&mut self, client: ClientId) {
         for pending in &mut self.pending {
@@ -109,10 +130,7 @@
         }
         if self.written.changed().await.is_err() {
             // The writer is gone: there is nothing to wait for.
-            let now = Instant::now();
-            for pending in &mut self.pending {
-                pending.deadline = now;
-            }
+            self.expire_pending();
         }
     }
 
@@ -130,12 +148,8 @@
         self.pending.pop_front().map(|pending| pending.outgoing)
     }
 
-    /// Writes what is queued, then returns every pending reply.
-    pub fn close(&mut self) -> Vec<OutgoingReply> {
+    /// Writes what is queued, which may take long: no reply may be waiting any more.
+    pub fn close(&mut self) {
         self.recorder.close();
-        self.pending
-            .drain(..)
-            .map(|pending| pending.outgoing)
-            .collect()
     }
 }
--- /dev/null
+++ b/crates/core/tests/stalled_usage_log.rs
@@ -0,0 +1,82 @@
+//! A graceful shutdown while the usage log takes nothing: no reply may wait for it past the moment
+//! at which the process may be killed.
+
+mod support;
+
+use aggregator_core::engine::usage::{UsageRecord, UsageWatermark};
+use aggregator_core::net::{Extensions, OperatorSignal, UsageRecorder};
+use std::cell::Cell;
+use std::rc::Rc;
+use support::engine_harness::SETTINGS;
+use support::socket_harness::{
+    connect_client, query_request, read_response, run_scenario_with_extensions, CachedList,
+    LeafServerConnection, HANG_TIMEOUT,
+};
+use tokio::io::AsyncWriteExt;
+use tokio::sync::watch;
+use tokio::time::{timeout, Duration, Instant};
+
+/// When a kill may follow SIGTERM with the deadlines of the settings, less the time for which a
+/// process may be held up.
+const LATEST_ANSWER: Duration = Duration::from_millis(3_700 - 150);
+
+/// A usage log that never writes, and that replies wait for as long as they may.
+struct StalledRecorder {
+    written: watch::Sender<u64>,
+    is_closed: Rc<Cell<bool>>,
+}
+
+impl UsageRecorder for StalledRecorder {
+    fn record(&mut self, _: UsageRecord) -> bool {
+        true
+    }
+    fn record_watermark(&mut self, _: UsageWatermark) {}
+    fn written(&self) -> watch::Receiver<u64> {
+        self.written.subscribe()
+    }
+    fn max_reply_delay(&self) -> Duration {
+        Duration::from_secs(60)
+    }
+    fn note_unrecorded_reply(&mut self) {}
+    /// Closing a stalled log takes long, and blocks everything else.
+    fn close(&mut self) {
+        self.is_closed.set(true);
+    }
+}
+
+#[test]
+fn a_reply_does_not_wait_for_a_stalled_log_until_the_process_may_be_killed() {
+    let is_closed = Rc::<Cell<bool>>::default();
+    let recorder = StalledRecorder {
+        written: watch::channel(0).0,
+        is_closed: is_closed.clone(),
+    };
+    let extensions = Extensions {
+        recorder: Some(Box::new(recorder)),
+        ..Extensions::default()
+    };
+    let cached = CachedList::OneEndpoint;
+    run_scenario_with_extensions(cached, SETTINGS, 100, extensions, |harness| async move {
+        let mut client = connect_client(harness.aggregator).await;
+        let request = query_request("held", "");
+        client.write_all(request.as_bytes()).await.unwrap();
+        let mut leaf = LeafServerConnection::accept(&harness.leaf).await;
+        let id = leaf.next_call().await.id;
+        leaf.send_result(&id).await;
+        let requested_at = Instant::now();
+        let shutdown = OperatorSignal::Shutdown;
+        harness.signals.send(shutdown).await.unwrap();
+        let response = read_response(&mut client).await;
+        assert!(response.body.contains("held.3"), "{response:?}");
+        let answered_after = requested_at.elapsed();
+        assert!(answered_after <= LATEST_ANSWER, "{answered_after:?}");
+        assert!(
+            !is_closed.get(),
+            "the reply waited until the log was closed"
+        );
+        drop(client);
+        let served = timeout(HANG_TIMEOUT, harness.served).await;
+        assert!(served.expect("the aggregator ends").unwrap().is_ok());
+        assert!(is_closed.get(), "the log is closed at the end");
+    });
+}
--- a/crates/core/tests/support/socket_harness.rs
+++ b/crates/core/tests/support/socket_harness.rs
@@ -3,7 +3,7 @@
 
 use aggregator_core::config::{parse_aggregator_settings, parse_policy_settings};
 use aggregator_core::engine::Engine;
-use aggregator_core::net::{self, Addresses, Clock, OperatorSignal};
+use aggregator_core::net::{self, Addresses, Clock, Extensions, OperatorSignal};
 use aggregator_core::protocol::query::NameTables;
 use std::future::Future;
 use std::io;
@@ -18,6 +18,9 @@
 /// anything to do, so this costs no real time.
 pub const HANG_TIMEOUT: Duration = Duration::from_secs(120);
 
+/// How often usage watermarks are recorded, in nanoseconds.
+const USAGE_WATERMARK_INTERVAL: u64 = 1_000_000_000;
+
 /// A running aggregator, and the sockets of the processes that it speaks to.
 pub struct SocketHarness {
     /// Where the aggregator accepts clients.
@@ -83,6 +86,18 @@
     settings: &str,
     descriptors: usize,
     scenario: impl FnOnce(SocketHarness) -> F,
+) {
+    let extensions = Extensions::default();
+    run_scenario_with_extensions(cached, settings, descriptors, extensions, scenario);
+}
+
+/// The same with a usage recorder or frontends. With a recorder, the engine records usage.
+pub fn run_scenario_with_extensions<F: Future<Output = ()>>(
+    cached: CachedList,
+    settings: &str,
+    descriptors: usize,
+    extensions: Extensions,
+    scenario: impl FnOnce(SocketHarness) -> F,
 ) {
     let mut runtime = tokio::runtime::Builder::new_current_thread();
     let runtime = runtime.enable_all().start_paused(true).build().unwrap();
@@ -104,7 +119,7 @@
             CachedList::Empty => Vec::new(),
         };
         let initial_list = serde_json::from_value(snapshot(2, &endpoints)).unwrap();
-        let engine = Engine::new(
+        let mut engine = Engine::new(
             clock.now(),
             aggregator_settings,
             policy_settings,
@@ -112,6 +127,9 @@
             &initial_list,
             descriptors,
         );
+        if extensions.recorder.is_some() {
+            engine.record_usage(USAGE_WATERMARK_INTERVAL);
+        }
         let (signals, received_signals) = mpsc::channel(1);
         let served = tokio::task::spawn_local(net::serve(
             engine,
@@ -120,7 +138,7 @@
             clients,
             addresses(discovery_address),
             received_signals,
-            Default::default(),
+            extensions,
         ));
         scenario(SocketHarness {
             aggregator,
