Let the OpenSearch gateway close and drain its connections like the native frontend

Same class as the incident: its listener closed over connections that waited to be accepted, its keep-alive connections were closed under the next request, and the process could exit between two searches of one request.

--- a/crates/core/src/engine/effect.rs
+++ b/crates/core/src/engine/effect.rs
@@ -60,6 +60,9 @@
         /// The first answer has to come within this time.
         answer_within: Nanos,
     },
+    /// A shutdown has begun: let frontends of other protocols close each connection after its
+    /// response.
+    StartDraining,
     /// Accept no more clients.
     StopListening,
     /// Record a query that has ended. This precedes its reply, which waits for the record.
--- a/crates/core/src/engine/shutdown.rs
+++ b/crates/core/src/engine/shutdown.rs
@@ -99,6 +99,7 @@
             .set(schedule.answer_deadline, Timer::AnswerDeadline);
         self.timers.set(schedule.exit_deadline, Timer::ExitDeadline);
         self.shutdown.schedule = Some(schedule);
+        self.effects.push(Effect::StartDraining);
     }
 
     /// The longest that a client of any class waits.
--- a/crates/core/src/net/driver.rs
+++ b/crates/core/src/net/driver.rs
@@ -5,7 +5,7 @@
 use super::gossip::GossipSocket;
 use super::leaf_connection::{self, LeafConnectionHandle};
 use super::pending_replies::{OutgoingReply, PendingReplies};
-use super::shared::Shared;
+use super::shared::{ServingPhase, Shared};
 use super::Addresses;
 use crate::api::Nanos;
 use crate::engine::counters::Counters;
@@ -107,8 +107,11 @@
                 from,
                 answer_within,
             } => self.start_watch(watch, from, Duration::from_nanos(answer_within)),
+            Effect::StartDraining => {
+                self.shared.phase.send_replace(ServingPhase::Draining);
+            }
             Effect::StopListening => {
-                self.shared.listening_stopped.send_replace(true);
+                self.shared.phase.send_replace(ServingPhase::Stopped);
             }
             Effect::ReleaseReplies => self.release_replies(),
             Effect::Exit { counters, deadline } => self.exit(&counters, deadline),
--- a/crates/core/src/net/internal_client.rs
+++ b/crates/core/src/net/internal_client.rs
@@ -4,7 +4,7 @@
 use super::client_connection::ClientCommand;
 use super::open_requests::OpenRequest;
 use super::running_frontend::RunningFrontend;
-use super::shared::Shared;
+use super::shared::{ServingPhase, Shared};
 use super::MAX_QUEUED_COMMANDS;
 use crate::api::Nanos;
 use crate::engine::{ClientId, Input};
@@ -101,7 +101,11 @@
 
     /// Returns once the aggregator accepts no more connections: it is about to exit.
     pub async fn stopped(&self) {
-        let mut stopped = self.shared.listening_stopped.subscribe();
-        let _ = stopped.wait_for(|stopped| *stopped).await;
+        self.shared.listening_stopped().await;
+    }
+
+    /// Whether a shutdown has begun: each response asks its client to close the connection.
+    pub fn is_draining(&self) -> bool {
+        *self.shared.phase.borrow() >= ServingPhase::Draining
     }
 }
--- a/crates/core/src/net/listener.rs
+++ b/crates/core/src/net/listener.rs
@@ -31,11 +31,10 @@
     listener: TcpListener,
     max_connections: usize,
 ) {
-    let mut stopped = shared.listening_stopped.subscribe();
     loop {
         tokio::select! {
             biased;
-            _ = stopped.wait_for(|stopped| *stopped) => break,
+            () = shared.listening_stopped() => break,
             stream = accept_next(&shared, &listener, max_connections) => {
                 serve_connection(&shared, stream).await;
             }
--- a/crates/core/src/net/mod.rs
+++ b/crates/core/src/net/mod.rs
@@ -24,6 +24,7 @@
 pub use clock::Clock;
 pub use event_loop::serve;
 pub use internal_client::InternalClient;
+pub use listener::accept_waiting;
 pub use open_requests::OpenRequest;
 pub use usage_recorder::UsageRecorder;
 
--- a/crates/core/src/net/shared.rs
+++ b/crates/core/src/net/shared.rs
@@ -11,6 +11,17 @@
 use std::rc::Rc;
 use tokio::sync::{mpsc, watch, Notify};
 
+/// What a frontend does with connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum ServingPhase {
+    /// It accepts them, and keeps them open.
+    Running,
+    /// It accepts them, and closes each after its response.
+    Draining,
+    /// It accepts no more, and closes those that are idle.
+    Stopped,
+}
+
 /// What the task of each connection holds. All clones refer to the same state.
 #[derive(Clone)]
 pub(super) struct Shared {
@@ -30,8 +41,8 @@
     pub(super) capacity_needed: Rc<Notify>,
     pub(super) names: Rc<NameTables>,
     last_client: Rc<Cell<ClientId>>,
-    /// Set once no more connections are accepted.
-    pub(super) listening_stopped: Rc<watch::Sender<bool>>,
+    /// How far the process has come on its way to its end.
+    pub(super) phase: Rc<watch::Sender<ServingPhase>>,
 }
 
 impl Shared {
@@ -47,7 +58,7 @@
             capacity_needed: Rc::default(),
             names: Rc::new(names),
             last_client: Rc::default(),
-            listening_stopped: Rc::new(watch::channel(false).0),
+            phase: Rc::new(watch::channel(ServingPhase::Running).0),
         }
     }
 
@@ -61,6 +72,14 @@
         }
     }
 
+    /// Returns once no more connections are accepted.
+    pub(super) async fn listening_stopped(&self) {
+        let mut phase = self.phase.subscribe();
+        let _ = phase
+            .wait_for(|phase| *phase == ServingPhase::Stopped)
+            .await;
+    }
+
     /// An id for a new client; ids are never reused.
     pub(super) fn next_client_id(&self) -> ClientId {
         self.last_client.set(self.last_client.get() + 1);
--- a/crates/core/tests/support/engine_harness.rs
+++ b/crates/core/tests/support/engine_harness.rs
@@ -160,7 +160,7 @@
                 self.watch_starts.push(self.now);
                 self.last_watch = watch;
             }
-            Effect::SendGossip { .. } | Effect::ReleaseReplies => {}
+            Effect::SendGossip { .. } | Effect::StartDraining | Effect::ReleaseReplies => {}
             Effect::StopListening => self.is_listening = false,
             Effect::Exit { .. } => self.has_exited = true,
         }
--- a/crates/opensearch-gateway/src/server/connection.rs
+++ b/crates/opensearch-gateway/src/server/connection.rs
@@ -4,7 +4,7 @@
 use super::http;
 use crate::settings::GatewaySettings;
 use crate::tls::{self, ReloadableTls};
-use aggregator_core::net::InternalClient;
+use aggregator_core::net::{accept_waiting, InternalClient};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, timeout};
 
 /// Pause after a failed accept, which is usually a lack of file descriptors.
@@ -37,37 +37,60 @@
     tokio::task::spawn_local(accept_connections(gateway, tls, listener));
 }
 
-/// Accepts connections, as many at once as the settings allow; more wait unaccepted.
+/// Accepts connections, as many at once as the settings allow; more wait unaccepted. Those that
+/// wait when the aggregator stops are served as well: a listener that closes would reset them.
 async fn accept_connections(
     gateway: Rc<Gateway>,
     tls: Option<Rc<ReloadableTls>>,
     listener: TcpListener,
 ) {
-    let connection_permits = Arc::new(Semaphore::new(gateway.settings.max_connections));
+    let permits = Arc::new(Semaphore::new(gateway.settings.max_connections));
     loop {
-        let Ok(permit) = connection_permits.clone().acquire_owned().await else {
-            return;
+        let (permit, (stream, peer)) = tokio::select! {
+            accepted = accept_next(&permits, &listener) => accepted,
+            () = gateway.aggregator.stopped() => break,
         };
-        let (stream, peer) = tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok(accepted) => accepted,
-                Err(error) => {
-                    tracing::warn!(%error, "cannot accept a connection");
-                    sleep(ACCEPT_RETRY_DELAY).await;
-                    continue;
-                }
-            },
-            () = gateway.aggregator.stopped() => return,
-        };
-        let gateway = gateway.clone();
-        let tls = tls.clone();
-        tokio::task::spawn_local(async move {
-            serve_tcp(gateway, tls.as_deref(), stream, peer).await;
-            drop(permit);
-        });
+        spawn_connection(&gateway, &tls, stream, peer, permit);
+    }
+    while let Some((stream, peer)) = accept_waiting(&listener).await {
+        spawn_connection(&gateway, &tls, stream, peer, None);
+    }
+}
+
+/// Accepts a connection once the settings allow one more.
+async fn accept_next(
+    permits: &Arc<Semaphore>,
+    listener: &TcpListener,
+) -> (Option<OwnedSemaphorePermit>, (TcpStream, SocketAddr)) {
+    // The semaphore is never closed, so there always is a permit in the end.
+    let permit = permits.clone().acquire_owned().await.ok();
+    loop {
+        match listener.accept().await {
+            Ok(accepted) => return (permit, accepted),
+            Err(error) => {
+                tracing::warn!(%error, "cannot accept a connection");
+                sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
     }
 }
 
+/// Serves a connection, and holds its permit until it has ended.
+fn spawn_connection(
+    gateway: &Rc<Gateway>,
+    tls: &Option<Rc<ReloadableTls>>,
+    stream: TcpStream,
+    peer: SocketAddr,
+    permit: Option<OwnedSemaphorePermit>,
+) {
+    let gateway = gateway.clone();
+    let tls = tls.clone();
+    tokio::task::spawn_local(async move {
+        serve_tcp(gateway, tls.as_deref(), stream, peer).await;
+        drop(permit);
+    });
+}
+
 async fn serve_tcp(
     gateway: Rc<Gateway>,
     tls: Option<&ReloadableTls>,
--- a/crates/opensearch-gateway/src/server/http.rs
+++ b/crates/opensearch-gateway/src/server/http.rs
@@ -10,7 +10,9 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{HeaderValue, ACCEPT_ENCODING, CONTENT_ENCODING, CONTENT_TYPE, RETRY_AFTER};
+use hyper::header::{
+    HeaderValue, ACCEPT_ENCODING, CONNECTION, CONTENT_ENCODING, CONTENT_TYPE, RETRY_AFTER,
+};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode};
 use std::rc::Rc;
@@ -34,8 +36,9 @@
     peer: Peer,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    let received_at_ns = gateway.aggregator.now();
-    let _open = gateway.aggregator.open_request();
+    let aggregator = gateway.aggregator.clone();
+    let received_at_ns = aggregator.now();
+    let _open = aggregator.open_request();
     let (parts, body) = request.into_parts();
     let name = header_text(&parts.headers, X_OPAQUE_ID);
     tracing::debug!(address = %peer.address, name, "request read");
@@ -48,10 +51,13 @@
         Ok(body) => success_response(body, options),
         Err(error) => error_response(&error, options),
     };
+    let headers = response.headers_mut();
     if let Some(opaque_id) = parts.headers.get(X_OPAQUE_ID) {
-        let headers = response.headers_mut();
         headers.insert(X_OPAQUE_ID, opaque_id.clone());
     }
+    if aggregator.is_draining() {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     response
 }
 
