Tell the policy by when a shutdown needs every answer, so that long queries end with what is in

Open queries with deadlines past the earliest kill were failed at the shutdown's end, whatever had come in; the policy went on waiting for their objective. It now moves their deadlines, and answers in part where the class allows that. The engine's counter of queries open at their reply deadline stays 0.

--- a/crates/core/src/engine/queries.rs
+++ b/crates/core/src/engine/queries.rs
@@ -115,8 +115,13 @@
         self.queries.len() + self.parts.len() + self.names.len()
     }
 
-    pub(super) fn open_ids(&self) -> Vec<RequestId> {
-        self.queries.keys().copied().collect()
+    /// Moves the deadlines that are later than `latest` there; returns each query with its former
+    /// deadline.
+    fn shorten_deadlines(&mut self, latest: Nanos) -> Vec<(RequestId, Nanos)> {
+        let queries = self.queries.iter_mut();
+        let late = queries.filter(|(_, query)| query.deadline > latest);
+        late.map(|(id, query)| (*id, std::mem::replace(&mut query.deadline, latest)))
+            .collect()
     }
 
     fn has_name(&self, name: &str) -> bool {
@@ -213,6 +218,15 @@
         }
     }
 
+    /// Has every open query end by `latest`.
+    pub(super) fn shorten_deadlines(&mut self, latest: Nanos) {
+        for (id, former_deadline) in self.queries.shorten_deadlines(latest) {
+            let timer = Timer::ReplyDeadline(id);
+            self.timers.cancel(former_deadline, timer);
+            self.timers.set(latest, timer);
+        }
+    }
+
     fn reject_on_arrival(
         &mut self,
         now: Nanos,
--- a/crates/core/src/engine/shutdown.rs
+++ b/crates/core/src/engine/shutdown.rs
@@ -2,8 +2,8 @@
 //!
 //! During the drain period everything goes on, since clients learn of the shutdown with a delay;
 //! each reply asks its client to close the connection. Then listening stops and idle clients are
-//! closed; open queries go on. From the answer deadline on, what is still open has failed, and
-//! what still arrives is rejected at once.
+//! closed; open queries go on, but all have ended by the answer deadline. What still arrives after
+//! it is rejected at once.
 //!
 //! The ends of the phases follow from the moment at which the platform may kill the process, which
 //! depends on the longest deadline in the settings. No phase has a length of its own that could
@@ -18,7 +18,7 @@
 use super::effect::Effect;
 use super::timers::Timer;
 use super::{Engine, MILLISECOND};
-use crate::api::Nanos;
+use crate::api::{Event, Nanos};
 
 /// How long all goes on after a shutdown was requested: new connections keep coming for 0.4 s.
 const DRAIN_PERIOD: Nanos = 500 * MILLISECOND;
@@ -99,6 +99,10 @@
             .set(schedule.answer_deadline, Timer::AnswerDeadline);
         self.timers.set(schedule.exit_deadline, Timer::ExitDeadline);
         self.shutdown.schedule = Some(schedule);
+        self.shorten_deadlines(schedule.answer_deadline);
+        self.events.push(Event::ShutdownRequested {
+            answer_by: schedule.answer_deadline,
+        });
         self.effects.push(Effect::StartDraining);
     }
 
@@ -127,13 +131,11 @@
             .extend(idle_clients.map(|client| Effect::CloseClient { client }));
     }
 
-    /// Fails the queries that are still open: a kill may follow.
-    pub(super) fn on_answer_deadline(&mut self, now: Nanos) {
+    /// No query is open any more, as each had this as its deadline at the latest; replies to them
+    /// wait for nothing.
+    pub(super) fn on_answer_deadline(&mut self) {
         self.log_shutdown_state("answer deadline");
         self.effects.push(Effect::ReleaseReplies);
-        for query in self.queries.open_ids() {
-            self.on_reply_deadline(now, query);
-        }
     }
 
     /// Exits although something has not ended: a client does not read, or does not close.
--- a/crates/core/src/engine/timers.rs
+++ b/crates/core/src/engine/timers.rs
@@ -84,7 +84,7 @@
             Timer::ReplyDeadline(query) => self.on_reply_deadline(now, query),
             Timer::UsageWatermark => self.record_watermark(now),
             Timer::DrainPeriodEnded => self.on_drain_period_ended(),
-            Timer::AnswerDeadline => self.on_answer_deadline(now),
+            Timer::AnswerDeadline => self.on_answer_deadline(),
             Timer::ExitDeadline => self.on_exit_deadline(),
         }
     }
--- a/crates/core/tests/reducer/shutdown_deadlines.rs
+++ b/crates/core/tests/reducer/shutdown_deadlines.rs
@@ -3,6 +3,7 @@
 
 use crate::support::engine_harness::{EngineHarness, MS, SETTINGS, START};
 use aggregator_core::engine::Input;
+use aggregator_core::protocol::leaf::PartStatus;
 use aggregator_core::protocol::query::Reply;
 
 /// The longest deadline that delays a kill, and what comes on top of it, in milliseconds.
@@ -19,13 +20,17 @@
 
 const DEADLINES_MS: [u64; 10] = [20, 100, 300, 500, 700, 760, 1500, 3000, 6000, 60_000];
 
-/// A harness whose clients of both classes wait this long.
-fn harness_with_deadline(deadline_ms: u64) -> EngineHarness {
+/// Settings in which clients of both classes wait this long.
+fn settings_with_deadline(deadline_ms: u64) -> String {
     let deadline = format!("give_up_ns={}", deadline_ms * 1_000_000);
-    let settings = SETTINGS
+    SETTINGS
         .replace("give_up_ns=5000000000", &deadline)
-        .replace("give_up_ns=6000000000", &deadline);
-    EngineHarness::with_settings(&settings, 1)
+        .replace("give_up_ns=6000000000", &deadline)
+}
+
+/// A harness whose clients of both classes wait this long.
+fn harness_with_deadline(deadline_ms: u64) -> EngineHarness {
+    EngineHarness::with_settings(&settings_with_deadline(deadline_ms), 1)
 }
 
 /// When a kill may follow SIGTERM at the earliest.
@@ -153,3 +158,32 @@
     harness.apply(Input::FrontendStopped);
     assert!(harness.has_exited);
 }
+
+#[test]
+fn a_query_that_was_open_before_the_shutdown_ends_in_time_with_what_is_in() {
+    for (second_result, expects_partial) in [(false, true), (true, false)] {
+        let deadline_ms = 60_000;
+        // The objective lies after the kill, too.
+        let settings =
+            settings_with_deadline(deadline_ms).replace("aim_ns=2000000000", "aim_ns=20000000000");
+        let mut harness = EngineHarness::with_settings(&settings, 1);
+        harness.closes_are_pending = true;
+        let client = harness.connect_client();
+        harness.send_query_from(client, 0, &[0.7, 0.3], deadline_ms);
+        harness.open_all_connections();
+        let connection = harness.first_connection();
+        harness.respond_to_oldest(connection, PartStatus::Ok);
+        harness.apply(Input::ShutdownRequested);
+        if second_result {
+            harness.respond_to_oldest(connection, PartStatus::Ok);
+        }
+        advance_to(&mut harness, earliest_kill_ms(deadline_ms) - HELD_UP_MS);
+        let reply = harness.last_reply(client);
+        let Some(Reply::Answer { complete, hits }) = reply else {
+            panic!("no answer: {reply:?}");
+        };
+        assert_eq!(*complete, !expects_partial);
+        assert_eq!(hits.len(), if expects_partial { 1 } else { 2 });
+        assert_eq!(harness.engine.counters().faults.reply_deadline, 0);
+    }
+}
--- a/crates/policy/src/api/event.rs
+++ b/crates/policy/src/api/event.rs
@@ -156,6 +156,11 @@
         /// The query.
         id: RequestId,
     },
+    /// The process is about to end: every query that is open has to end by then.
+    ShutdownRequested {
+        /// The latest time for an answer.
+        answer_by: Nanos,
+    },
     /// A timer set by [`super::Action::SetTimer`] has fired.
     TimerFired {
         /// The timer's token.
--- a/crates/policy/src/policy/completion.rs
+++ b/crates/policy/src/policy/completion.rs
@@ -118,6 +118,16 @@
         self.discard(open);
     }
 
+    /// Has every open query end by then, with the answer that it has reached, if that is enough.
+    pub(super) fn shorten_deadlines(&mut self, answer_by: Nanos) {
+        for id in self.queries.ids() {
+            if let Some(mut query) = self.queries.take(id) {
+                query.shorten_deadline(answer_by);
+                self.queries.put_back(query);
+            }
+        }
+    }
+
     pub(super) fn on_client_disconnected(&mut self, id: RequestId) {
         let query = self.queries.take(id);
         let Some(query) = query else { return };
--- a/crates/policy/src/policy/mod.rs
+++ b/crates/policy/src/policy/mod.rs
@@ -58,6 +58,7 @@
                 new_queries.remove(id);
                 self.on_client_disconnected(*id);
             }
+            Event::ShutdownRequested { answer_by } => self.shorten_deadlines(*answer_by),
             Event::TimerFired { .. } | Event::GossipReceived { .. } => {}
         }
     }
--- a/crates/policy/src/state/query.rs
+++ b/crates/policy/src/state/query.rs
@@ -134,6 +134,12 @@
         replicas.len()
     }
 
+    /// Moves the deadline to an earlier time, and the latency objective with it.
+    pub fn shorten_deadline(&mut self, deadline: Nanos) {
+        self.deadline = self.deadline.min(deadline);
+        self.objective = self.objective.min(self.deadline);
+    }
+
     /// Sets the latency objective, unless it has passed.
     pub fn set_objective(&mut self, objective: Nanos) {
         self.arrived_late = objective <= self.arrived;
--- a/crates/policy/tests/completion.rs
+++ b/crates/policy/tests/completion.rs
@@ -4,7 +4,7 @@
 
 use aggregator_policy::api::*;
 use support::{
-    all_attempts_ended, class, final_actions, sent_attempts, settings, PolicyHarness, MS,
+    all_attempts_ended, class, final_actions, sent_attempts, settings, PolicyHarness, MS, START,
 };
 
 #[test]
@@ -86,6 +86,22 @@
     assert_eq!(final_actions(&harness.run_timers(1910, 1995)), ["partial"]);
 }
 
+#[test]
+fn a_shutdown_has_open_queries_end_in_time_with_what_is_in() {
+    const REQUESTED_MS: u64 = 200;
+    const ANSWER_BY_MS: u64 = 1500;
+    for (minimum_coverage, end) in [(0.6, "partial"), (1.0, "rejected")] {
+        let mut harness = PolicyHarness::new(settings(vec![class(2000, minimum_coverage)]), 3);
+        let (id, actions) = harness.query(0, 0, &[0.7, 0.3]);
+        let replica = sent_attempts(&actions)[0].1;
+        harness.end_attempt(100, id + 1, 0, replica, AttemptOutcome::Success);
+        let answer_by = START + ANSWER_BY_MS * MS;
+        harness.handle_at(REQUESTED_MS, &[Event::ShutdownRequested { answer_by }]);
+        let ended = harness.run_timers(REQUESTED_MS, ANSWER_BY_MS - 1);
+        assert_eq!(final_actions(&ended), [end]);
+    }
+}
+
 #[test]
 fn complete_answer_is_sent_at_once_and_other_attempts_are_cancelled() {
     let mut kind = class(2000, 1.0);
