--- a/crates/testkit/src/bin/prove-shutdown/client.rs
+++ b/crates/testkit/src/bin/prove-shutdown/client.rs
@@ -68,6 +68,8 @@
 pub struct RequestRecord {
     /// Its `X-Request-ID`.
     pub name: String,
+    /// What its client does between requests.
+    pub habit: Habit,
     pub sent_at: Instant,
     pub ended_at: Instant,
     pub outcome: Outcome,
@@ -186,6 +188,7 @@
         };
         self.records.push(RequestRecord {
             name,
+            habit: self.habit,
             sent_at,
             ended_at: Instant::now(),
             outcome,
--- a/crates/testkit/src/bin/prove-shutdown/judge.rs
+++ b/crates/testkit/src/bin/prove-shutdown/judge.rs
@@ -24,8 +24,9 @@
 pub struct Verdict {
     pub requests: usize,
     pub answered: usize,
-    /// Requests that crossed the end of their connection unread; their clients ask elsewhere.
-    pub crossed: usize,
+    /// Requests that crossed the end of their connection unread, a line for each; their clients
+    /// ask elsewhere.
+    pub crossings: Vec<String>,
     /// One line for each lost request, and for a process that did not end as it should.
     pub breaches: Vec<String>,
     pub lost: usize,
@@ -51,7 +52,9 @@
                 verdict.lost += 1;
                 verdict.breaches.push(describe(shutdown, request));
             }
-            Outcome::ConnectionEnded | Outcome::TimedOut => verdict.crossed += 1,
+            Outcome::ConnectionEnded | Outcome::TimedOut => {
+                verdict.crossings.push(describe(shutdown, request));
+            }
         }
     }
     verdict.breaches.extend(fault_of_end(shutdown));
@@ -90,9 +93,10 @@
         after.as_secs_f64() - before.as_secs_f64()
     };
     format!(
-        "{}: {} sent {:.3} s, {:?} {:.3} s after SIGTERM; the process ended {:.3} s after it{}{}",
+        "{}: {} ({:?}) sent {:.3} s, {:?} {:.3} s after SIGTERM; the process ended {:.3} s after it{}{}",
         shutdown.aggregator,
         request.name,
+        request.habit,
         since_request(request.sent_at),
         request.outcome,
         since_request(request.ended_at),
--- a/crates/testkit/src/bin/prove-shutdown/table.rs
+++ b/crates/testkit/src/bin/prove-shutdown/table.rs
@@ -4,8 +4,8 @@
 use aggregator_testkit::proof;
 use std::time::Duration;
 
-/// The most breaches that are printed of one scenario.
-const MAX_PRINTED_BREACHES: usize = 6;
+/// The most lost requests, and the most crossings, that are printed of one scenario.
+const MAX_PRINTED_LINES: usize = 6;
 
 /// The results of one deadline and one kind of leaf server.
 pub struct Row {
@@ -19,6 +19,7 @@
     killed: usize,
     longest: Duration,
     breaches: Vec<String>,
+    crossings: Vec<String>,
 }
 
 impl Row {
@@ -34,6 +35,7 @@
             killed: 0,
             longest: Duration::ZERO,
             breaches: Vec::new(),
+            crossings: Vec::new(),
         }
     }
 
@@ -41,7 +43,8 @@
         self.shutdowns += 1;
         self.requests += verdict.requests;
         self.answered += verdict.answered;
-        self.crossed += verdict.crossed;
+        self.crossed += verdict.crossings.len();
+        self.crossings.extend(verdict.crossings.iter().cloned());
         self.lost += verdict.lost;
         self.killed += usize::from(verdict.was_killed);
         self.longest = self.longest.max(verdict.duration);
@@ -61,8 +64,11 @@
             self.killed,
             self.longest.as_secs_f64(),
         );
-        for breach in self.breaches.iter().take(MAX_PRINTED_BREACHES) {
-            println!("    {breach}");
+        for breach in self.breaches.iter().take(MAX_PRINTED_LINES) {
+            println!("    lost: {breach}");
+        }
+        for crossing in self.crossings.iter().take(MAX_PRINTED_LINES) {
+            println!("    crossed: {crossing}");
         }
     }
 }
