--- a/crates/core/tests/incomplete_requests.rs
+++ b/crates/core/tests/incomplete_requests.rs
@@ -10,7 +10,7 @@
     SocketHarness, HANG_TIMEOUT,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout, Duration};
 
 /// Capacity for 45 clients.
@@ -131,3 +131,61 @@
         expect_no_frame(&mut leaf).await;
     });
 }
+
+/// When the drain period is over, and a moment later, after SIGTERM.
+const DRAIN_PERIOD: Duration = Duration::from_millis(500);
+const ON_ITS_WAY: Duration = Duration::from_millis(50);
+
+/// Sends the rest of a request a moment after the drain period, and expects its answer.
+async fn expect_answer_after_drain_period(
+    client: &mut TcpStream,
+    leaf: &TcpListener,
+    name: &str,
+    rest: &str,
+) {
+    sleep(DRAIN_PERIOD + ON_ITS_WAY).await;
+    client.write_all(rest.as_bytes()).await.unwrap();
+    let mut leaf = LeafServerConnection::accept(leaf).await;
+    let call = leaf.next_call().await;
+    leaf.send_result(&call.id).await;
+    let response = read_response(client).await;
+    assert!(
+        response.body.contains(&format!("{name}.3")) && response.head.contains("Connection: close"),
+        "{response:?}"
+    );
+}
+
+#[test]
+fn the_first_request_of_a_connection_accepted_just_before_a_shutdown_closes_it_is_answered() {
+    run_scenario(SETTINGS, DESCRIPTORS, |harness| async move {
+        let mut client = connect_client(harness.aggregator).await;
+        shut_down(&harness).await;
+        let request = query_request("first", "");
+        expect_answer_after_drain_period(&mut client, &harness.leaf, "first", &request).await;
+    });
+}
+
+#[test]
+fn a_request_that_is_half_read_when_a_shutdown_closes_its_connection_is_answered() {
+    run_scenario(SETTINGS, DESCRIPTORS, |harness| async move {
+        let mut client = connect_client(harness.aggregator).await;
+        let rest = send_first_half(&mut client).await;
+        shut_down(&harness).await;
+        expect_answer_after_drain_period(&mut client, &harness.leaf, "half", &rest).await;
+    });
+}
+
+#[test]
+fn a_first_request_that_crosses_the_close_of_its_connection_is_not_reset() {
+    run_scenario(SETTINGS, DESCRIPTORS, |harness| async move {
+        let mut at_shutdown = connect_client(harness.aggregator).await;
+        shut_down(&harness).await;
+        let request = query_request("crossing", "");
+        expect_rest_discarded(&mut at_shutdown, &request).await;
+    });
+    run_scenario(SETTINGS, DESCRIPTORS, |harness| async move {
+        let mut silent = connect_client(harness.aggregator).await;
+        let request = query_request("crossing", "");
+        expect_rest_discarded(&mut silent, &request).await;
+    });
+}
