Wait for a first or half-read request when a shutdown closes its connection, and never reset it

A connection that was accepted just before the end of the drain period was closed before its first request could arrive, and one that had never been answered was closed without a half-close, so that what crossed the close was reset (open point C9).

--- a/crates/core/src/engine/clients.rs
+++ b/crates/core/src/engine/clients.rs
@@ -134,7 +134,7 @@
         if self.shutdown.is_drain_period_over() {
             // It was accepted while the listener closed: without a request it would delay the
             // exit.
-            self.effects.push(Effect::CloseClient { client });
+            self.effects.push(Effect::DrainClient { client });
             return;
         }
         let evicted = self.clients.pick_evictions(now, client).into_iter();
--- a/crates/core/src/engine/effect.rs
+++ b/crates/core/src/engine/effect.rs
@@ -25,6 +25,11 @@
         /// The client.
         client: ClientId,
     },
+    /// Close a client's connection once no request is on its way: the process ends.
+    DrainClient {
+        /// The client.
+        client: ClientId,
+    },
     /// Connect to a leaf server.
     OpenConnection {
         /// The connection.
--- a/crates/core/src/engine/shutdown.rs
+++ b/crates/core/src/engine/shutdown.rs
@@ -128,7 +128,7 @@
         self.effects.push(Effect::StopListening);
         let idle_clients = self.clients.without_query();
         self.effects
-            .extend(idle_clients.map(|client| Effect::CloseClient { client }));
+            .extend(idle_clients.map(|client| Effect::DrainClient { client }));
     }
 
     /// No query is open any more, as each had this as its deadline at the latest; replies to them
--- a/crates/core/src/net/client_connection.rs
+++ b/crates/core/src/net/client_connection.rs
@@ -20,6 +20,9 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
 /// A client that does not read its response within this time is disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a connection that drains waits for the rest of a request, or for the first one, which
+/// follows a new connection at once. Short enough to answer it before the process may be killed.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(100);
 /// How long input is still read and discarded after the last response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -39,6 +42,8 @@
     },
     /// Close the connection, unless the engine is about to get a request from it.
     Close,
+    /// The same during a shutdown, when a request that is on its way is waited for.
+    Drain,
 }
 
 /// How a connection ended.
@@ -46,11 +51,8 @@
 enum Ending {
     /// The client has closed it.
     Disconnected,
-    /// This side closes it, after a response or before any.
-    Closed {
-        responded: bool,
-        reason: CloseReason,
-    },
+    /// This side closes it.
+    Closed(CloseReason),
 }
 
 /// Why this side closes a connection.
@@ -120,10 +122,7 @@
     let disconnected = Input::ClientDisconnected { client };
     let _ = shared.inputs.send(disconnected).await;
     connection.log_end(&ending);
-    if let Ok(Ending::Closed {
-        responded: true, ..
-    }) = ending
-    {
+    if let Ok(Ending::Closed(_)) = ending {
         connection.linger().await;
     }
     shared.buffers.recover(connection.framed);
@@ -149,11 +148,11 @@
         loop {
             let received = match pipeline.pop() {
                 Some(received) => received,
-                None if closing => return Ok(self.close(CloseReason::LastResponse)),
+                None if closing => return Ok(Ending::Closed(CloseReason::LastResponse)),
                 None => match self.next_request(opened.take()).await? {
                     NextRequest::Received(request) => self.received(request),
                     NextRequest::Disconnected => return Ok(Ending::Disconnected),
-                    NextRequest::Close(reason) => return Ok(self.close(reason)),
+                    NextRequest::Close(reason) => return Ok(Ending::Closed(reason)),
                 },
             };
             let ReceivedRequest {
@@ -162,12 +161,12 @@
                 open,
             } = received;
             let Some(keep_alive) = self.submit(arrived, request).await else {
-                return Ok(self.close(CloseReason::Stopped));
+                return Ok(Ending::Closed(CloseReason::Stopped));
             };
             let (reply, close) = match self.wait_for_reply(&mut pipeline).await? {
                 ReplyWait::Reply { reply, close } => (reply, close),
                 ReplyWait::Disconnected => return Ok(Ending::Disconnected),
-                ReplyWait::Stopped => return Ok(self.close(CloseReason::Stopped)),
+                ReplyWait::Stopped => return Ok(Ending::Closed(CloseReason::Stopped)),
             };
             if close && !closing {
                 // What has been read is served; what arrives from now on is not.
@@ -178,18 +177,11 @@
             self.respond(render_reply(&reply, is_last)).await?;
             drop(open);
             if is_last {
-                return Ok(self.close(CloseReason::LastResponse));
+                return Ok(Ending::Closed(CloseReason::LastResponse));
             }
         }
     }
 
-    fn close(&self, reason: CloseReason) -> Ending {
-        Ending::Closed {
-            responded: self.responses_sent > 0,
-            reason,
-        }
-    }
-
     /// Notes a request whose last byte was read just now.
     fn received(&mut self, request: DecodedRequest) -> ReceivedRequest {
         self.requests_read += 1;
@@ -207,7 +199,7 @@
         let requests = self.requests_read;
         let responses = self.responses_sent;
         match ending {
-            Ok(Ending::Closed { reason, .. }) if requests > responses => tracing::error!(
+            Ok(Ending::Closed(reason)) if requests > responses => tracing::error!(
                 client,
                 requests,
                 responses,
@@ -258,7 +250,7 @@
                         return Ok(ReplyWait::Reply { reply, close });
                     }
                     // The request has crossed this command and is served; its reply will close.
-                    Some(ClientCommand::Close) => {}
+                    Some(ClientCommand::Close | ClientCommand::Drain) => {}
                     None => return Ok(ReplyWait::Stopped),
                 },
                 next = self.framed.next() => match next {
@@ -294,10 +286,11 @@
                 command = self.commands.recv() => match command {
                     // A complete request that is here is served; half of one has no right to a
                     // place that others need.
-                    Some(ClientCommand::Close) => {
-                        let read = timeout(Duration::ZERO, self.framed.next()).await;
-                        let close = NextRequest::Close(CloseReason::Requested);
-                        return read.map_or(Ok(close), NextRequest::from_read);
+                    Some(ClientCommand::Close) => return self.last_request(Duration::ZERO).await,
+                    Some(ClientCommand::Drain) => {
+                        let is_expected = opened.is_some() || self.in_request();
+                        let time_limit = if is_expected { DRAIN_TIMEOUT } else { Duration::ZERO };
+                        return self.last_request(time_limit).await;
                     }
                     // No request is waiting, so no reply is due.
                     Some(ClientCommand::Reply { .. }) => {}
@@ -307,6 +300,13 @@
         }
     }
 
+    /// Reads one more request if it is complete within this time; the connection is closed else.
+    async fn last_request(&mut self, time_limit: Duration) -> io::Result<NextRequest> {
+        let read = timeout(time_limit, self.framed.next()).await;
+        let close = NextRequest::Close(CloseReason::Requested);
+        read.map_or(Ok(close), NextRequest::from_read)
+    }
+
     /// Whether part of a request has been read.
     fn in_request(&self) -> bool {
         self.framed.codec().in_request() || !self.framed.read_buffer().is_empty()
@@ -324,7 +324,7 @@
     /// Shuts the writing side down and reads on until the client has closed its own. Closing with
     /// unread bytes, or while some are on their way, would reset the connection, and the reset can
     /// overtake the last response. What is read is discarded: the client sees that the end of the
-    /// connection has crossed it.
+    /// connection has crossed it, also where it is the first request.
     async fn linger(&mut self) {
         self.framed.codec_mut().discard_input();
         let _ = self.framed.get_mut().shutdown().await;
--- a/crates/core/src/net/driver.rs
+++ b/crates/core/src/net/driver.rs
@@ -76,7 +76,8 @@
                 reply,
                 close,
             }),
-            Effect::CloseClient { client } => self.close_client(client),
+            Effect::CloseClient { client } => self.close_client(client, ClientCommand::Close),
+            Effect::DrainClient { client } => self.close_client(client, ClientCommand::Drain),
             Effect::RecordUsage(usage) => {
                 if let Some(pending_replies) = &mut self.pending_replies {
                     pending_replies.record(usage);
@@ -163,11 +164,11 @@
         self.send_command(client, ClientCommand::Reply { reply, close });
     }
 
-    fn close_client(&mut self, client: ClientId) {
+    fn close_client(&mut self, client: ClientId, command: ClientCommand) {
         if let Some(pending_replies) = &mut self.pending_replies {
             pending_replies.close_client(client);
         }
-        self.send_command(client, ClientCommand::Close);
+        self.send_command(client, command);
     }
 
     fn send_command(&self, client: ClientId, command: ClientCommand) {
--- a/crates/core/src/net/internal_client.rs
+++ b/crates/core/src/net/internal_client.rs
@@ -93,7 +93,7 @@
             match queued_commands.recv().await {
                 Some(ClientCommand::Reply { reply, .. }) => return *reply,
                 // The query has crossed this command and is served.
-                Some(ClientCommand::Close) => {}
+                Some(ClientCommand::Close | ClientCommand::Drain) => {}
                 None => return Reply::Failed,
             }
         }
--- a/crates/core/tests/support/engine_harness.rs
+++ b/crates/core/tests/support/engine_harness.rs
@@ -143,7 +143,7 @@
                 reply,
                 close,
             } => self.carry_out_reply(client, reply, close),
-            Effect::CloseClient { client } => {
+            Effect::CloseClient { client } | Effect::DrainClient { client } => {
                 self.closed_clients.push(client);
                 self.disconnect_closed(client);
             }
