Keep the gateway's connections open for a moment after listening has stopped

A new connection was closed before its first request could arrive, as on the native frontend. prove-shutdown names when each connection was established, and keeps its files on request.

--- a/crates/opensearch-gateway/src/server/connection.rs
+++ b/crates/opensearch-gateway/src/server/connection.rs
@@ -20,6 +20,9 @@
 
 /// Pause after a failed accept, which is usually a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// How long connections stay open after listening has stopped: the first request follows a new
+/// connection at once. Each response closes its connection by then.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum duration of a TLS handshake.
 const TLS_HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum size of a connection's read buffer, and so of a request's head.
@@ -127,6 +130,12 @@
     }
 }
 
+/// Returns once a connection is to be closed, as the aggregator stops.
+async fn drain(aggregator: &InternalClient) {
+    aggregator.stopped().await;
+    sleep(DRAIN_TIMEOUT).await;
+}
+
 async fn serve_http<S>(gateway: Rc<Gateway>, stream: S, peer: Peer)
 where
     S: AsyncRead + AsyncWrite + Unpin + 'static,
@@ -143,7 +152,7 @@
     let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = gateway.aggregator.stopped() => {
+        () = drain(&gateway.aggregator) => {
             // The request in flight is answered before the connection closes.
             connection.as_mut().graceful_shutdown();
             connection.await
--- a/crates/testkit/src/bin/prove-shutdown/client.rs
+++ b/crates/testkit/src/bin/prove-shutdown/client.rs
@@ -70,6 +70,8 @@
     pub name: String,
     /// What its client does between requests.
     pub habit: Habit,
+    /// When its connection was established.
+    pub connected_at: Instant,
     pub sent_at: Instant,
     pub ended_at: Instant,
     pub outcome: Outcome,
@@ -149,10 +151,11 @@
     /// Asks on one connection until it ends.
     async fn use_connection(&mut self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
+        let connected_at = Instant::now();
         if self.habit == Habit::Stuck {
             return self.send_half_a_request(&mut stream).await;
         }
-        while self.ask(&mut stream).await {
+        while self.ask(&mut stream, connected_at).await {
             match self.habit {
                 Habit::Eager | Habit::Stuck | Habit::Searching => {}
                 Habit::Paced => {
@@ -167,7 +170,7 @@
     }
 
     /// Sends a request and waits for its response; false if the connection is of no more use.
-    async fn ask(&mut self, stream: &mut TcpStream) -> bool {
+    async fn ask(&mut self, stream: &mut TcpStream, connected_at: Instant) -> bool {
         let name = format!("{:016x}", self.random.random::<u64>());
         let request = match self.habit {
             Habit::Searching => self.render_searches(&name),
@@ -189,6 +192,7 @@
         self.records.push(RequestRecord {
             name,
             habit: self.habit,
+            connected_at,
             sent_at,
             ended_at: Instant::now(),
             outcome,
--- a/crates/testkit/src/bin/prove-shutdown/judge.rs
+++ b/crates/testkit/src/bin/prove-shutdown/judge.rs
@@ -93,10 +93,11 @@
         after.as_secs_f64() - before.as_secs_f64()
     };
     format!(
-        "{}: {} ({:?}) sent {:.3} s, {:?} {:.3} s after SIGTERM; the process ended {:.3} s after it{}{}",
+        "{}: {} ({:?}) connected {:.3} s, sent {:.3} s, {:?} {:.3} s after SIGTERM; the process ended {:.3} s after it{}{}",
         shutdown.aggregator,
         request.name,
         request.habit,
+        since_request(request.connected_at),
         since_request(request.sent_at),
         request.outcome,
         since_request(request.ended_at),
--- a/crates/testkit/src/bin/prove-shutdown/main.rs
+++ b/crates/testkit/src/bin/prove-shutdown/main.rs
@@ -58,6 +58,9 @@
     /// Keep a usage log
     #[arg(long)]
     usage_log: bool,
+    /// Keep the folders with all logs, and print their names
+    #[arg(long)]
+    keep: bool,
     /// The aggregators' program, in place of the one built along with this one
     #[arg(long)]
     program: Option<PathBuf>,
@@ -118,7 +121,11 @@
     deadline: Duration,
     speed: LeafSpeed,
 ) -> Result<Row, ProofError> {
-    let folder = tempfile::tempdir()?;
+    let mut folder = tempfile::tempdir()?;
+    if arguments.keep {
+        folder.disable_cleanup(true);
+        println!("files are kept in {}", folder.path().display());
+    }
     let mut installation = start(arguments, folder.path(), deadline, speed).await?;
     let options = RoundOptions {
         deadline,
