Reject what is read after the exit deadline at once, and wait for its response to be written

Once the engine had exited, a request that was still read was closed with no answer, and a query of the OpenSearch gateway hung. Both are rejected: nothing of them was forwarded. At the end the process waits for open requests of all frontends, 20 ms at least. Only a forced exit meets this.

--- a/crates/core/src/net/client_connection.rs
+++ b/crates/core/src/net/client_connection.rs
@@ -161,6 +161,8 @@
                 open,
             } = received;
             let Some(keep_alive) = self.submit(arrived, request).await else {
+                self.respond(render_reply(&Reply::REJECTED_UNSEEN, true))
+                    .await?;
                 return Ok(Ending::Closed(CloseReason::Stopped));
             };
             let (reply, close) = match self.wait_for_reply(&mut pipeline).await? {
@@ -220,7 +222,7 @@
     }
 
     /// Hands a request to the engine. Returns whether the connection may serve another one after
-    /// it, or none if the engine is gone.
+    /// it, or none if the engine is gone and nothing of the request was forwarded.
     async fn submit(&self, arrived: Nanos, request: DecodedRequest) -> Option<bool> {
         let keep_alive = request.as_ref().is_ok_and(|request| request.keep_alive);
         let request = request.and_then(|request| parse_request(&request, &self.shared.names));
--- a/crates/core/src/net/driver.rs
+++ b/crates/core/src/net/driver.rs
@@ -15,6 +15,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::{timeout_at, Duration, Instant};
 
+/// How long replies that are sent only at the exit deadline may take to be written.
+const LAST_WRITES_TIMEOUT: Duration = Duration::from_millis(20);
+
 /// Everything that effects act on.
 pub(super) struct Driver {
     shared: Shared,
@@ -219,18 +222,24 @@
     /// since nothing else goes on while a stalled disk is waited for.
     pub(super) async fn shut_down(&mut self, deadline: Instant) {
         self.release_replies();
-        let all_clients_closed = async {
-            while !self.shared.clients.borrow().is_empty() {
+        let all_ended = async {
+            while self.has_open_clients() {
                 self.shared.client_ended.notified().await;
             }
         };
-        let _ = timeout_at(deadline, all_clients_closed).await;
+        let last_writes = Instant::now() + LAST_WRITES_TIMEOUT;
+        let _ = timeout_at(deadline.max(last_writes), all_ended).await;
         if let Some(pending_replies) = &mut self.pending_replies {
             pending_replies.close();
         }
         self.log_end();
     }
 
+    /// Whether a client's connection, or a request of any frontend, has not ended.
+    fn has_open_clients(&self) -> bool {
+        !self.shared.clients.borrow().is_empty() || self.shared.open_requests.count() > 0
+    }
+
     /// Logs what the process leaves behind. Nothing may be left that was read and not answered.
     fn log_end(&self) {
         let connections = self.shared.clients.borrow().len();
--- a/crates/core/src/net/internal_client.rs
+++ b/crates/core/src/net/internal_client.rs
@@ -31,8 +31,9 @@
 }
 
 impl ConnectedClient {
-    async fn send(&self, input: Input) {
-        let _ = self.shared.inputs.send(input).await;
+    /// Sends an input; false if the engine is gone.
+    async fn send(&self, input: Input) -> bool {
+        self.shared.inputs.send(input).await.is_ok()
     }
 }
 
@@ -79,16 +80,16 @@
             shared: self.shared.clone(),
             client,
         };
-        connected.send(Input::ClientConnected { client }).await;
-        let _open = self.open_request();
         let request = Ok(ClientRequest::Query(query));
-        connected
-            .send(Input::RequestReceived {
-                client,
-                arrived,
-                request,
-            })
-            .await;
+        let received = Input::RequestReceived {
+            client,
+            arrived,
+            request,
+        };
+        let is_connected = connected.send(Input::ClientConnected { client }).await;
+        if !is_connected || !connected.send(received).await {
+            return Reply::REJECTED_UNSEEN;
+        }
         loop {
             match queued_commands.recv().await {
                 Some(ClientCommand::Reply { reply, .. }) => return *reply,
--- a/crates/core/src/net/open_requests.rs
+++ b/crates/core/src/net/open_requests.rs
@@ -2,21 +2,33 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use tokio::sync::Notify;
 
 /// Counts the open requests of a process. All clones refer to the same count.
-#[derive(Clone, Debug, Default)]
-pub(super) struct OpenRequests(Rc<Cell<usize>>);
+#[derive(Clone, Debug)]
+pub(super) struct OpenRequests {
+    count: Rc<Cell<usize>>,
+    request_ended: Rc<Notify>,
+}
 
 impl OpenRequests {
+    /// No requests yet; notifies `request_ended` whenever one ends.
+    pub(super) fn new(request_ended: Rc<Notify>) -> OpenRequests {
+        OpenRequests {
+            count: Rc::default(),
+            request_ended,
+        }
+    }
+
     /// Counts a request that was read.
     pub(super) fn open(&self) -> OpenRequest {
-        self.0.set(self.0.get() + 1);
+        self.count.set(self.count.get() + 1);
         OpenRequest(self.clone())
     }
 
     /// The number of requests that are open.
     pub(super) fn count(&self) -> usize {
-        self.0.get()
+        self.count.get()
     }
 }
 
@@ -27,7 +39,8 @@
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
-        let count = &self.0 .0;
-        count.set(count.get() - 1);
+        let open_requests = &self.0;
+        open_requests.count.set(open_requests.count.get() - 1);
+        open_requests.request_ended.notify_one();
     }
 }
--- a/crates/core/src/net/shared.rs
+++ b/crates/core/src/net/shared.rs
@@ -31,7 +31,8 @@
     pub(super) inputs: mpsc::Sender<Input>,
     /// The open client connections, and the internal clients.
     pub(super) clients: Rc<RefCell<HashMap<ClientId, mpsc::Sender<ClientCommand>>>>,
-    /// Notified whenever a client's connection has ended: there may be capacity for another.
+    /// Notified whenever a client's connection or a request has ended: there may be capacity for
+    /// another connection, or nothing left to wait for.
     pub(super) client_ended: Rc<Notify>,
     /// The requests that were read and are not answered yet.
     pub(super) open_requests: OpenRequests,
@@ -47,13 +48,14 @@
 
 impl Shared {
     pub(super) fn new(clock: Clock, names: NameTables, inputs: mpsc::Sender<Input>) -> Shared {
+        let client_ended = Rc::<Notify>::default();
         Shared {
             clock,
             buffers: BufferPool::default(),
             inputs,
             clients: Rc::default(),
-            client_ended: Rc::default(),
-            open_requests: OpenRequests::default(),
+            open_requests: OpenRequests::new(client_ended.clone()),
+            client_ended,
             lingering: Rc::default(),
             capacity_needed: Rc::default(),
             names: Rc::new(names),
--- a/crates/core/src/protocol/query/mod.rs
+++ b/crates/core/src/protocol/query/mod.rs
@@ -104,3 +104,8 @@
     /// The request was invalid.
     InvalidRequest(RequestError),
 }
+
+impl Reply {
+    /// The reply to a query that came too late for any decision.
+    pub const REJECTED_UNSEEN: Reply = Reply::Rejected { retry_after: None };
+}
--- a/crates/core/tests/frontends.rs
+++ b/crates/core/tests/frontends.rs
@@ -5,22 +5,30 @@
 use aggregator_core::net::{Extensions, InternalClient, OperatorSignal, StartFrontend};
 use aggregator_core::protocol::query::Reply;
 use std::cell::RefCell;
+use std::io;
 use std::rc::Rc;
 use support::engine_harness::{query, SETTINGS};
 use support::socket_harness::{
     run_scenario_with_extensions, CachedList, LeafServerConnection, HANG_TIMEOUT,
 };
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout, Duration};
 
 /// How long a request takes between two of its queries.
 const BETWEEN_QUERIES: Duration = Duration::from_millis(200);
+/// From the moment at which listening stops to the one just after the exit deadline, with the
+/// deadlines of the settings.
+const UNTIL_AFTER_EXIT_DEADLINE: Duration = Duration::from_millis(3_151);
 
-/// A frontend with one request, whose query follows only after listening has stopped.
-fn frontend_with_late_query(reply: Rc<RefCell<Option<Reply>>>) -> StartFrontend {
+type SharedReply = Rc<RefCell<Option<Reply>>>;
+
+/// A frontend with one request, whose query follows so long after listening has stopped.
+fn frontend_with_late_query(delay: Duration, reply: SharedReply) -> StartFrontend {
     Box::new(move |aggregator: InternalClient| {
         tokio::task::spawn_local(async move {
+            let _open = aggregator.open_request();
             aggregator.stopped().await;
-            sleep(BETWEEN_QUERIES).await;
+            sleep(delay).await;
             let late_query = query("late", 1, &[1.0], 1000);
             let received = aggregator.send_query(aggregator.now(), late_query).await;
             *reply.borrow_mut() = Some(received);
@@ -28,13 +36,23 @@
     })
 }
 
+fn extensions_with(frontend: StartFrontend) -> Extensions {
+    Extensions {
+        frontends: vec![frontend],
+        ..Extensions::default()
+    }
+}
+
+async fn expect_exit(served: JoinHandle<io::Result<()>>) {
+    let served = timeout(HANG_TIMEOUT, served).await;
+    assert!(served.expect("the aggregator ends").unwrap().is_ok());
+}
+
 #[test]
 fn the_process_goes_on_until_a_frontend_has_served_what_it_has_accepted() {
-    let reply = Rc::<RefCell<Option<Reply>>>::default();
-    let extensions = Extensions {
-        frontends: vec![frontend_with_late_query(reply.clone())],
-        ..Extensions::default()
-    };
+    let reply = SharedReply::default();
+    let frontend = frontend_with_late_query(BETWEEN_QUERIES, reply.clone());
+    let extensions = extensions_with(frontend);
     let cached = CachedList::OneEndpoint;
     run_scenario_with_extensions(cached, SETTINGS, 100, extensions, |harness| async move {
         let shutdown = OperatorSignal::Shutdown;
@@ -42,10 +60,24 @@
         let mut leaf = LeafServerConnection::accept(&harness.leaf).await;
         let id = leaf.next_call().await.id;
         leaf.send_result(&id).await;
-        let served = timeout(HANG_TIMEOUT, harness.served).await;
-        assert!(served.expect("the aggregator ends").unwrap().is_ok());
+        expect_exit(harness.served).await;
         let reply = reply.borrow();
         let is_answered = matches!(*reply, Some(Reply::Answer { complete: true, .. }));
         assert!(is_answered, "{reply:?}");
     });
 }
+
+#[test]
+fn a_query_that_comes_after_the_exit_deadline_is_rejected_at_once() {
+    let reply = SharedReply::default();
+    let frontend = frontend_with_late_query(UNTIL_AFTER_EXIT_DEADLINE, reply.clone());
+    let extensions = extensions_with(frontend);
+    let cached = CachedList::OneEndpoint;
+    run_scenario_with_extensions(cached, SETTINGS, 100, extensions, |harness| async move {
+        let shutdown = OperatorSignal::Shutdown;
+        harness.signals.send(shutdown).await.unwrap();
+        expect_exit(harness.served).await;
+        let reply = reply.borrow();
+        assert_eq!(*reply, Some(Reply::Rejected { retry_after: None }));
+    });
+}
