--- a/crates/core/tests/crossing_events.rs
+++ b/crates/core/tests/crossing_events.rs
@@ -4,26 +4,16 @@
 
 mod support;
 
-use aggregator_core::net::OperatorSignal;
 use std::io;
 use support::engine_harness::SETTINGS;
 use support::socket_harness::{
-    connect_client, query_request, read_response, run_scenario, HttpResponse, LeafServerConnection,
-    ReceivedCall, SocketHarness, WatchConnection, HANG_TIMEOUT,
+    connect_client, expect_clean_close, query_request, read_response, run_scenario, served_client,
+    HttpResponse, LeafServerConnection, ReceivedCall, WatchConnection, HANG_TIMEOUT,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, Duration, Instant};
 
-/// The end of a connection as its client sees it: everything was read, and nothing was reset.
-async fn expect_clean_close(stream: &mut TcpStream) {
-    let end = timeout(HANG_TIMEOUT, stream.read(&mut [0]))
-        .await
-        .expect("an end");
-    assert_eq!(end.map_err(|e| e.kind()), Ok(0));
-    assert!(stream.take_error().unwrap().is_none(), "reset");
-}
-
 /// All frames to a leaf server from now on, until none has arrived for a while.
 async fn remaining_frames(leaf: &mut LeafServerConnection) -> Vec<String> {
     let mut frames = Vec::new();
@@ -142,32 +132,11 @@
     });
 }
 
-/// A client that was served once and is idle; the connection to the leaf server stays open.
-async fn served_client(harness: &SocketHarness, name: &str) -> (TcpStream, LeafServerConnection) {
-    let mut client = connect_client(harness.aggregator).await;
-    client
-        .write_all(query_request(name, "").as_bytes())
-        .await
-        .unwrap();
-    let mut leaf = LeafServerConnection::accept(&harness.leaf).await;
-    let id = leaf.next_call().await.id;
-    leaf.send_result(&id).await;
-    assert!(read_response(&mut client)
-        .await
-        .head
-        .starts_with("HTTP/1.1 200"));
-    (client, leaf)
-}
-
 #[test]
 fn a_request_that_crosses_the_shutdown_of_its_connection_is_neither_forwarded_nor_reset() {
     run_scenario(SETTINGS, 100, |harness| async move {
         let (mut client, mut leaf) = served_client(&harness, "d1").await;
-        harness
-            .signals
-            .send(OperatorSignal::Shutdown)
-            .await
-            .unwrap();
+        harness.request_shutdown().await;
         expect_clean_close(&mut client).await;
         client
             .write_all(query_request("d2", "").as_bytes())
@@ -176,11 +145,7 @@
         sleep(Duration::from_millis(100)).await;
         expect_clean_close(&mut client).await;
         drop(client);
-        let ended = timeout(HANG_TIMEOUT, harness.served)
-            .await
-            .expect("the aggregator ends")
-            .unwrap();
-        assert!(ended.is_ok());
+        harness.expect_exit().await;
         assert_eq!(
             remaining_frames(&mut leaf).await,
             [""; 0],
@@ -197,11 +162,7 @@
         client.write_all(both.as_bytes()).await.unwrap();
         let mut leaf = LeafServerConnection::accept(&harness.leaf).await;
         let first = leaf.next_call().await.id;
-        harness
-            .signals
-            .send(OperatorSignal::Shutdown)
-            .await
-            .unwrap();
+        harness.request_shutdown().await;
         sleep(Duration::from_millis(1000)).await;
         assert!(
             TcpStream::connect(harness.aggregator).await.is_err(),
@@ -223,11 +184,7 @@
         );
         expect_clean_close(&mut client).await;
         drop(client);
-        assert!(timeout(HANG_TIMEOUT, harness.served)
-            .await
-            .expect("the aggregator ends")
-            .unwrap()
-            .is_ok());
+        harness.expect_exit().await;
         assert_eq!(remaining_frames(&mut leaf).await, [""; 0]);
     });
 }
@@ -243,19 +200,11 @@
             .unwrap();
         sleep(Duration::from_millis(10)).await;
         let signalled = Instant::now();
-        harness
-            .signals
-            .send(OperatorSignal::Shutdown)
-            .await
-            .unwrap();
+        harness.request_shutdown().await;
         // Neither client ever closes its side.
         let HttpResponse { head, .. } = read_response(&mut client).await;
         assert!(head.starts_with("HTTP/1.1 50"), "{head}");
-        assert!(timeout(HANG_TIMEOUT, harness.served)
-            .await
-            .expect("the aggregator ends")
-            .unwrap()
-            .is_ok());
+        harness.expect_exit().await;
         // The longest deadline is 6 s, which counts as 3 s, and a kill may follow 0.7 s later.
         assert!(
             signalled.elapsed() < Duration::from_millis(3_700),
@@ -286,11 +235,7 @@
         let mut leaf = LeafServerConnection::accept(&harness.leaf).await;
         let first = leaf.next_call().await.id;
         assert_eq!(first, "g0.3");
-        harness
-            .signals
-            .send(OperatorSignal::Shutdown)
-            .await
-            .unwrap();
+        harness.request_shutdown().await;
         let leaf = tokio::task::spawn_local(async move {
             sleep(Duration::from_millis(1000)).await;
             leaf.send_result(&first).await;
@@ -306,11 +251,7 @@
             );
         }
         drop(clients);
-        assert!(timeout(HANG_TIMEOUT, harness.served)
-            .await
-            .expect("the aggregator ends")
-            .unwrap()
-            .is_ok());
+        harness.expect_exit().await;
         leaf.await.unwrap();
     });
 }
--- a/crates/core/tests/frontends.rs
+++ b/crates/core/tests/frontends.rs
@@ -2,17 +2,13 @@
 
 mod support;
 
-use aggregator_core::net::{Extensions, InternalClient, OperatorSignal, StartFrontend};
+use aggregator_core::net::{Extensions, InternalClient, StartFrontend};
 use aggregator_core::protocol::query::Reply;
 use std::cell::RefCell;
-use std::io;
 use std::rc::Rc;
 use support::engine_harness::{query, SETTINGS};
-use support::socket_harness::{
-    run_scenario_with_extensions, CachedList, LeafServerConnection, HANG_TIMEOUT,
-};
-use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout, Duration};
+use support::socket_harness::{run_scenario_with_extensions, CachedList, LeafServerConnection};
+use tokio::time::{sleep, Duration};
 
 /// How long a request takes between two of its queries.
 const BETWEEN_QUERIES: Duration = Duration::from_millis(200);
@@ -43,11 +39,6 @@
     }
 }
 
-async fn expect_exit(served: JoinHandle<io::Result<()>>) {
-    let served = timeout(HANG_TIMEOUT, served).await;
-    assert!(served.expect("the aggregator ends").unwrap().is_ok());
-}
-
 #[test]
 fn the_process_goes_on_until_a_frontend_has_served_what_it_has_accepted() {
     let reply = SharedReply::default();
@@ -55,12 +46,11 @@
     let extensions = extensions_with(frontend);
     let cached = CachedList::OneEndpoint;
     run_scenario_with_extensions(cached, SETTINGS, 100, extensions, |harness| async move {
-        let shutdown = OperatorSignal::Shutdown;
-        harness.signals.send(shutdown).await.unwrap();
+        harness.request_shutdown().await;
         let mut leaf = LeafServerConnection::accept(&harness.leaf).await;
         let id = leaf.next_call().await.id;
         leaf.send_result(&id).await;
-        expect_exit(harness.served).await;
+        harness.expect_exit().await;
         let reply = reply.borrow();
         let is_answered = matches!(*reply, Some(Reply::Answer { complete: true, .. }));
         assert!(is_answered, "{reply:?}");
@@ -74,9 +64,8 @@
     let extensions = extensions_with(frontend);
     let cached = CachedList::OneEndpoint;
     run_scenario_with_extensions(cached, SETTINGS, 100, extensions, |harness| async move {
-        let shutdown = OperatorSignal::Shutdown;
-        harness.signals.send(shutdown).await.unwrap();
-        expect_exit(harness.served).await;
+        harness.request_shutdown().await;
+        harness.expect_exit().await;
         let reply = reply.borrow();
         assert_eq!(*reply, Some(Reply::Rejected { retry_after: None }));
     });
--- a/crates/core/tests/incomplete_requests.rs
+++ b/crates/core/tests/incomplete_requests.rs
@@ -3,13 +3,12 @@
 
 mod support;
 
-use aggregator_core::net::OperatorSignal;
 use support::engine_harness::SETTINGS;
 use support::socket_harness::{
-    connect_client, query_request, read_response, run_scenario, LeafServerConnection,
-    SocketHarness, HANG_TIMEOUT,
+    connect_client, expect_clean_close, query_request, read_response, run_scenario, served_client,
+    LeafServerConnection,
 };
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout, Duration};
 
@@ -26,18 +25,6 @@
     assert!(response.head.starts_with("HTTP/1.1 200"), "{response:?}");
 }
 
-/// A client with its first response, and the leaf server's connection.
-async fn served_client(harness: &SocketHarness) -> (TcpStream, LeafServerConnection) {
-    let mut client = connect_client(harness.aggregator).await;
-    let request = query_request("first", "");
-    client.write_all(request.as_bytes()).await.unwrap();
-    let mut leaf = LeafServerConnection::accept(&harness.leaf).await;
-    let call = leaf.next_call().await;
-    leaf.send_result(&call.id).await;
-    read_response(&mut client).await;
-    (client, leaf)
-}
-
 /// Sends the first half of a request and returns the other.
 async fn send_first_half(client: &mut TcpStream) -> String {
     let request = query_request("half", "");
@@ -47,14 +34,6 @@
     rest.to_string()
 }
 
-/// Expects the end of the stream, and no reset.
-async fn expect_clean_close(client: &mut TcpStream) {
-    let end = timeout(HANG_TIMEOUT, client.read(&mut [0])).await;
-    let end = end.expect("an end").map_err(|error| error.kind());
-    assert_eq!(end, Ok(0));
-    assert!(client.take_error().unwrap().is_none(), "reset");
-}
-
 async fn expect_no_frame(leaf: &mut LeafServerConnection) {
     let frame = timeout(Duration::from_secs(20), leaf.next_frame()).await;
     assert!(matches!(frame, Err(_) | Ok(None)), "{frame:?}");
@@ -69,21 +48,15 @@
     expect_clean_close(client).await;
 }
 
-async fn shut_down(harness: &SocketHarness) {
-    let shutdown = OperatorSignal::Shutdown;
-    harness.signals.send(shutdown).await.unwrap();
-}
-
 #[test]
 fn a_request_completed_after_the_drain_period_is_neither_forwarded_nor_reset() {
     run_scenario(SETTINGS, DESCRIPTORS, |harness| async move {
-        let (mut client, mut leaf) = served_client(&harness).await;
+        let (mut client, mut leaf) = served_client(&harness, "first").await;
         let rest = send_first_half(&mut client).await;
-        shut_down(&harness).await;
+        harness.request_shutdown().await;
         expect_rest_discarded(&mut client, &rest).await;
         drop(client);
-        let ended = timeout(HANG_TIMEOUT, harness.served).await;
-        assert!(ended.expect("the aggregator ends").unwrap().is_ok());
+        harness.expect_exit().await;
         expect_no_frame(&mut leaf).await;
     });
 }
@@ -91,9 +64,9 @@
 #[test]
 fn a_request_completed_within_the_drain_period_is_answered() {
     run_scenario(SETTINGS, DESCRIPTORS, |harness| async move {
-        let (mut client, mut leaf) = served_client(&harness).await;
+        let (mut client, mut leaf) = served_client(&harness, "first").await;
         let rest = send_first_half(&mut client).await;
-        shut_down(&harness).await;
+        harness.request_shutdown().await;
         sleep(Duration::from_millis(400)).await;
         client.write_all(rest.as_bytes()).await.unwrap();
         let call = leaf.next_call().await;
@@ -109,7 +82,7 @@
     run_scenario(SETTINGS, DESCRIPTORS, |harness| async move {
         let mut client = connect_client(harness.aggregator).await;
         send_first_half(&mut client).await;
-        shut_down(&harness).await;
+        harness.request_shutdown().await;
         expect_clean_close(&mut client).await;
         let connection = timeout(Duration::from_secs(20), harness.leaf.accept()).await;
         assert!(connection.is_err(), "nothing is forwarded");
@@ -119,7 +92,7 @@
 #[test]
 fn a_request_completed_after_its_client_is_evicted_is_neither_forwarded_nor_reset() {
     run_scenario(SETTINGS, DESCRIPTORS, |harness| async move {
-        let (mut client, mut leaf) = served_client(&harness).await;
+        let (mut client, mut leaf) = served_client(&harness, "first").await;
         let rest = send_first_half(&mut client).await;
         let mut others = Vec::new();
         for number in 0..CLIENT_CAPACITY {
@@ -159,7 +132,7 @@
 fn the_first_request_of_a_connection_accepted_just_before_a_shutdown_closes_it_is_answered() {
     run_scenario(SETTINGS, DESCRIPTORS, |harness| async move {
         let mut client = connect_client(harness.aggregator).await;
-        shut_down(&harness).await;
+        harness.request_shutdown().await;
         let request = query_request("first", "");
         expect_answer_after_drain_period(&mut client, &harness.leaf, "first", &request).await;
     });
@@ -170,7 +143,7 @@
     run_scenario(SETTINGS, DESCRIPTORS, |harness| async move {
         let mut client = connect_client(harness.aggregator).await;
         let rest = send_first_half(&mut client).await;
-        shut_down(&harness).await;
+        harness.request_shutdown().await;
         expect_answer_after_drain_period(&mut client, &harness.leaf, "half", &rest).await;
     });
 }
@@ -179,7 +152,7 @@
 fn a_first_request_that_crosses_the_close_of_its_connection_is_not_reset() {
     run_scenario(SETTINGS, DESCRIPTORS, |harness| async move {
         let mut at_shutdown = connect_client(harness.aggregator).await;
-        shut_down(&harness).await;
+        harness.request_shutdown().await;
         let request = query_request("crossing", "");
         expect_rest_discarded(&mut at_shutdown, &request).await;
     });
--- a/crates/core/tests/stalled_usage_log.rs
+++ b/crates/core/tests/stalled_usage_log.rs
@@ -4,17 +4,17 @@
 mod support;
 
 use aggregator_core::engine::usage::{UsageRecord, UsageWatermark};
-use aggregator_core::net::{Extensions, OperatorSignal, UsageRecorder};
+use aggregator_core::net::{Extensions, UsageRecorder};
 use std::cell::Cell;
 use std::rc::Rc;
 use support::engine_harness::SETTINGS;
 use support::socket_harness::{
     connect_client, query_request, read_response, run_scenario_with_extensions, CachedList,
-    LeafServerConnection, HANG_TIMEOUT,
+    LeafServerConnection,
 };
 use tokio::io::AsyncWriteExt;
 use tokio::sync::watch;
-use tokio::time::{timeout, Duration, Instant};
+use tokio::time::{Duration, Instant};
 
 /// When a kill may follow SIGTERM with the deadlines of the settings, less the time for which a
 /// process may be held up.
@@ -64,8 +64,7 @@
         let id = leaf.next_call().await.id;
         leaf.send_result(&id).await;
         let requested_at = Instant::now();
-        let shutdown = OperatorSignal::Shutdown;
-        harness.signals.send(shutdown).await.unwrap();
+        harness.request_shutdown().await;
         let response = read_response(&mut client).await;
         assert!(response.body.contains("held.3"), "{response:?}");
         let answered_after = requested_at.elapsed();
@@ -75,8 +74,7 @@
             "the reply waited until the log was closed"
         );
         drop(client);
-        let served = timeout(HANG_TIMEOUT, harness.served).await;
-        assert!(served.expect("the aggregator ends").unwrap().is_ok());
+        harness.expect_exit().await;
         assert!(is_closed.get(), "the log is closed at the end");
     });
 }
--- a/crates/core/tests/support/socket_harness.rs
+++ b/crates/core/tests/support/socket_harness.rs
@@ -35,6 +35,20 @@
     pub served: JoinHandle<io::Result<()>>,
 }
 
+impl SocketHarness {
+    /// Requests a graceful shutdown.
+    pub async fn request_shutdown(&self) {
+        let shutdown = OperatorSignal::Shutdown;
+        self.signals.send(shutdown).await.unwrap();
+    }
+
+    /// Waits until the aggregator has ended, which has to succeed.
+    pub async fn expect_exit(self) {
+        let served = timeout(HANG_TIMEOUT, self.served).await;
+        assert!(served.expect("the aggregator ends").unwrap().is_ok());
+    }
+}
+
 async fn listener() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -262,6 +276,33 @@
     stream
 }
 
+/// A client that was served once, with a query of this name, and is idle; the connection to the
+/// leaf server stays open.
+pub async fn served_client(
+    harness: &SocketHarness,
+    name: &str,
+) -> (TcpStream, LeafServerConnection) {
+    let mut client = connect_client(harness.aggregator).await;
+    let request = query_request(name, "");
+    client.write_all(request.as_bytes()).await.unwrap();
+    let mut leaf = LeafServerConnection::accept(&harness.leaf).await;
+    let call = leaf.next_call().await;
+    leaf.send_result(&call.id).await;
+    let response = read_response(&mut client).await;
+    assert!(response.head.starts_with("HTTP/1.1 200"), "{response:?}");
+    assert!(response.body.contains(&format!("{name}.3")), "{response:?}");
+    (client, leaf)
+}
+
+/// Expects the end of a connection as its client sees it: everything was read, and nothing was
+/// reset.
+pub async fn expect_clean_close(client: &mut TcpStream) {
+    let end = timeout(HANG_TIMEOUT, client.read(&mut [0])).await;
+    let end = end.expect("an end").map_err(|error| error.kind());
+    assert_eq!(end, Ok(0));
+    assert!(client.take_error().unwrap().is_none(), "reset");
+}
+
 async fn read_head(stream: &mut TcpStream) -> String {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
--- a/crates/core/tests/truncated_frames.rs
+++ b/crates/core/tests/truncated_frames.rs
@@ -5,8 +5,8 @@
 
 use support::engine_harness::SETTINGS;
 use support::socket_harness::{
-    connect_client, query_request, read_response, run_scenario, LeafServerConnection,
-    SocketHarness, HANG_TIMEOUT,
+    query_request, read_response, run_scenario, served_client, LeafServerConnection, SocketHarness,
+    HANG_TIMEOUT,
 };
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -26,18 +26,6 @@
     client.write_all(request.as_bytes()).await.unwrap();
 }
 
-/// A client with its first response, and the idle connection that its query went to.
-async fn served_client(harness: &SocketHarness) -> (TcpStream, LeafServerConnection) {
-    let mut client = connect_client(harness.aggregator).await;
-    send_query(&mut client, "first").await;
-    let mut leaf = LeafServerConnection::accept(&harness.leaf).await;
-    let call = leaf.next_call().await;
-    leaf.send_result(&call.id).await;
-    let response = read_response(&mut client).await;
-    assert!(response.body.contains("first.3"), "{response:?}");
-    (client, leaf)
-}
-
 /// Expects that the aggregator has closed a connection without sending anything more on it.
 async fn expect_closed(leaf: &mut LeafServerConnection) {
     let frame = timeout(HANG_TIMEOUT, leaf.next_frame()).await;
@@ -58,7 +46,7 @@
 #[test]
 fn a_frame_cut_off_by_the_idle_close_leaves_the_next_query_unharmed() {
     run_scenario(SETTINGS, 100, |harness| async move {
-        let (mut client, mut leaf) = served_client(&harness).await;
+        let (mut client, mut leaf) = served_client(&harness, "first").await;
         sleep(IDLE_CLOSE - SHORT_PAUSE).await;
         leaf.stream.write_all(TRUNCATED_FRAME).await.unwrap();
         let begun = Instant::now();
@@ -71,7 +59,7 @@
 #[test]
 fn a_frame_that_stays_incomplete_closes_its_idle_connection() {
     run_scenario(SETTINGS, 100, |harness| async move {
-        let (mut client, mut leaf) = served_client(&harness).await;
+        let (mut client, mut leaf) = served_client(&harness, "first").await;
         leaf.stream.write_all(TRUNCATED_FRAME).await.unwrap();
         let begun = Instant::now();
         expect_closed(&mut leaf).await;
@@ -83,7 +71,7 @@
 #[test]
 fn a_frame_cut_off_by_the_leaf_server_leaves_the_next_query_unharmed() {
     run_scenario(SETTINGS, 100, |harness| async move {
-        let (mut client, mut leaf) = served_client(&harness).await;
+        let (mut client, mut leaf) = served_client(&harness, "first").await;
         leaf.stream.write_all(TRUNCATED_FRAME).await.unwrap();
         drop(leaf);
         sleep(SHORT_PAUSE).await;
@@ -94,7 +82,7 @@
 #[test]
 fn an_idempotent_part_sent_behind_a_truncated_frame_is_retried_and_answered() {
     run_scenario(SETTINGS, 100, |harness| async move {
-        let (mut client, mut leaf) = served_client(&harness).await;
+        let (mut client, mut leaf) = served_client(&harness, "first").await;
         leaf.stream.write_all(TRUNCATED_FRAME).await.unwrap();
         sleep(SHORT_PAUSE).await;
         send_query(&mut client, "behind").await;
@@ -116,7 +104,7 @@
         "classes.1.semantics=non_idempotent",
     );
     run_scenario(&settings, 100, |harness| async move {
-        let (mut client, mut leaf) = served_client(&harness).await;
+        let (mut client, mut leaf) = served_client(&harness, "first").await;
         leaf.stream.write_all(TRUNCATED_FRAME).await.unwrap();
         sleep(SHORT_PAUSE).await;
         send_query(&mut client, "behind").await;
