--- a/crates/core/src/net/client_connection.rs
+++ b/crates/core/src/net/client_connection.rs
@@ -194,18 +194,17 @@
         }
     }
 
-    /// Logs how the connection has ended. A client that has gone is owed nothing; any other
-    /// request that was read has to have its response.
+    /// Logs how the connection has ended. A client that has gone is owed nothing, nor is what it has
+    /// sent behind an invalid request.
     fn log_end(&self, ending: &io::Result<Ending>) {
         let client = self.client;
         let requests = self.requests_read;
         let responses = self.responses_sent;
         match ending {
-            Ok(Ending::Closed(reason)) if requests > responses => tracing::error!(
+            Ok(Ending::Closed(CloseReason::Stopped)) if requests > responses => tracing::error!(
                 client,
                 requests,
                 responses,
-                ?reason,
                 "client connection closed with a request unanswered"
             ),
             Ok(ending) => tracing::debug!(
--- a/crates/core/src/net/driver.rs
+++ b/crates/core/src/net/driver.rs
@@ -9,7 +9,9 @@
 use super::Addresses;
 use crate::api::Nanos;
 use crate::engine::counters::Counters;
+use crate::engine::usage::{UsageRecord, UsageWatermark};
 use crate::engine::{ClientId, ConnectionId, Effect, Input};
+use crate::protocol::leaf::LeafRequest;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use tokio::task::AbortHandle;
@@ -81,47 +83,55 @@
             }),
             Effect::CloseClient { client } => self.close_client(client, ClientCommand::Close),
             Effect::DrainClient { client } => self.close_client(client, ClientCommand::Drain),
-            Effect::RecordUsage(usage) => {
-                if let Some(pending_replies) = &mut self.pending_replies {
-                    pending_replies.record(usage);
-                }
-            }
-            Effect::RecordWatermark(watermark) => {
-                if let Some(pending_replies) = &mut self.pending_replies {
-                    pending_replies.record_watermark(watermark);
-                }
-            }
+            Effect::RecordUsage(usage) => self.record_usage(usage),
+            Effect::RecordWatermark(watermark) => self.record_watermark(watermark),
             Effect::OpenConnection {
                 connection,
                 address,
             } => self.open_connection(connection, address),
-            Effect::WriteFrame { connection, frame } => {
-                if let Some(handle) = self.connections.get(&connection) {
-                    handle.write(frame);
-                }
-            }
+            Effect::WriteFrame { connection, frame } => self.write_frame(connection, frame),
             Effect::CloseConnection { connection } => drop(self.connections.remove(&connection)),
-            Effect::SendGossip { to, bytes } => {
-                if let Some(gossip) = &self.gossip {
-                    gossip.send(to, &bytes);
-                }
-            }
+            Effect::SendGossip { to, bytes } => self.send_gossip(to, &bytes),
             Effect::StartWatch {
                 watch,
                 from,
                 answer_within,
             } => self.start_watch(watch, from, Duration::from_nanos(answer_within)),
-            Effect::StartDraining => {
-                self.shared.phase.send_replace(ServingPhase::Draining);
-            }
-            Effect::StopListening => {
-                self.shared.phase.send_replace(ServingPhase::Stopped);
-            }
+            Effect::StartDraining => self.enter_phase(ServingPhase::Draining),
+            Effect::StopListening => self.enter_phase(ServingPhase::Stopped),
             Effect::ReleaseReplies => self.release_replies(),
             Effect::Exit { counters, deadline } => self.exit(&counters, deadline),
         }
     }
 
+    fn record_usage(&mut self, usage: UsageRecord) {
+        if let Some(pending_replies) = &mut self.pending_replies {
+            pending_replies.record(usage);
+        }
+    }
+
+    fn record_watermark(&mut self, watermark: UsageWatermark) {
+        if let Some(pending_replies) = &mut self.pending_replies {
+            pending_replies.record_watermark(watermark);
+        }
+    }
+
+    fn write_frame(&self, connection: ConnectionId, frame: LeafRequest) {
+        if let Some(handle) = self.connections.get(&connection) {
+            handle.write(frame);
+        }
+    }
+
+    fn send_gossip(&self, to: Option<u32>, bytes: &[u8]) {
+        if let Some(gossip) = &self.gossip {
+            gossip.send(to, bytes);
+        }
+    }
+
+    fn enter_phase(&self, phase: ServingPhase) {
+        self.shared.phase.send_replace(phase);
+    }
+
     fn open_connection(&mut self, connection: ConnectionId, address: SocketAddr) {
         self.connections.retain(|_, handle| !handle.is_closed());
         let handle = leaf_connection::open(self.shared.clone(), connection, address);
