Drain the backlog of both frontends in one place, and not without end

A flood of new connections could keep a listener open until the exit deadline. So many are taken as the system lets wait; a failed accept is waited out on both frontends.

--- a/crates/core/src/net/listener.rs
+++ b/crates/core/src/net/listener.rs
@@ -1,28 +1,19 @@
 //! Accepts the connections of clients.
 
+use super::backlog::{pause_after_failed_accept, Backlog};
 use super::client_connection;
 use super::running_frontend::RunningFrontend;
 use super::shared::Shared;
 use super::MAX_QUEUED_COMMANDS;
 use crate::engine::Input;
-use std::io;
-use std::net::SocketAddr;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout, Duration};
-
-/// The pause after a failed accept, which means that no descriptors are left.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Connections above the maximum that are still accepted: so many are being closed to make place
 /// for new ones. Without a limit, a flood would take the descriptors that connections to leaf
 /// servers need.
 const MAX_EXCESS_CONNECTIONS: usize = 16;
 
-/// How long nothing has come in before the listener closes: in that time the system has reported
-/// every connection that was waiting to be accepted.
-const BACKLOG_QUIET_TIME: Duration = Duration::from_millis(5);
-
 /// Accepts connections until the engine stops it, and then the ones that are already waiting: a
 /// listener that closes would reset them.
 pub(super) async fn accept_connections(
@@ -41,11 +32,12 @@
         }
     }
     let mut accepted = 0;
-    while let Some((stream, _)) = accept_waiting(&listener).await {
+    let mut backlog = Backlog::new(listener);
+    while let Some((stream, _)) = backlog.accept().await {
         serve_connection(&shared, stream).await;
         accepted += 1;
     }
-    drop(listener);
+    drop(backlog);
     tracing::info!(accepted, "listening stopped");
     // The engine knows all connections that were accepted.
     drop(running);
@@ -63,28 +55,11 @@
         }
         match listener.accept().await {
             Ok((stream, _)) => return stream,
-            Err(error) => pause_after_error(&error).await,
+            Err(error) => pause_after_failed_accept(&error).await,
         }
     }
 }
 
-/// Accepts a connection that is waiting to be accepted, before its listener closes; none once no
-/// more are. A failed accept ends nothing: the connection that failed is gone, others still wait.
-pub async fn accept_waiting(listener: &TcpListener) -> Option<(TcpStream, SocketAddr)> {
-    loop {
-        match timeout(BACKLOG_QUIET_TIME, listener.accept()).await {
-            Ok(Ok(accepted)) => return Some(accepted),
-            Ok(Err(error)) => pause_after_error(&error).await,
-            Err(_) => return None,
-        }
-    }
-}
-
-async fn pause_after_error(error: &io::Error) {
-    tracing::warn!("accept: {error}");
-    sleep(ACCEPT_RETRY_DELAY).await;
-}
-
 /// Announces a connection to the engine and serves it.
 async fn serve_connection(shared: &Shared, stream: TcpStream) {
     let client = shared.next_client_id();
--- a/crates/core/src/net/mod.rs
+++ b/crates/core/src/net/mod.rs
@@ -3,6 +3,7 @@
 //! for; nothing is decided here. One thread runs it all, inside a `LocalSet`, with a task for each
 //! connection.
 
+mod backlog;
 mod buffer_pool;
 mod client_connection;
 mod clock;
@@ -21,10 +22,10 @@
 mod shared;
 mod usage_recorder;
 
+pub use backlog::{pause_after_failed_accept, Backlog};
 pub use clock::Clock;
 pub use event_loop::serve;
 pub use internal_client::InternalClient;
-pub use listener::accept_waiting;
 pub use open_requests::OpenRequest;
 pub use usage_recorder::UsageRecorder;
 
--- a/crates/opensearch-gateway/src/server/connection.rs
+++ b/crates/opensearch-gateway/src/server/connection.rs
@@ -4,7 +4,7 @@
 use super::http;
 use crate::settings::GatewaySettings;
 use crate::tls::{self, ReloadableTls};
-use aggregator_core::net::{accept_waiting, InternalClient};
+use aggregator_core::net::{pause_after_failed_accept, Backlog, InternalClient};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
@@ -18,8 +18,6 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, timeout};
 
-/// Pause after a failed accept, which is usually a lack of file descriptors.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// How long connections stay open after listening has stopped: the first request follows a new
 /// connection at once. Each response closes its connection by then.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(100);
@@ -55,7 +53,8 @@
         };
         spawn_connection(&gateway, &tls, stream, peer, permit);
     }
-    while let Some((stream, peer)) = accept_waiting(&listener).await {
+    let mut backlog = Backlog::new(listener);
+    while let Some((stream, peer)) = backlog.accept().await {
         spawn_connection(&gateway, &tls, stream, peer, None);
     }
 }
@@ -70,10 +69,7 @@
     loop {
         match listener.accept().await {
             Ok(accepted) => return (permit, accepted),
-            Err(error) => {
-                tracing::warn!(%error, "cannot accept a connection");
-                sleep(ACCEPT_RETRY_DELAY).await;
-            }
+            Err(error) => pause_after_failed_accept(&error).await,
         }
     }
 }
