--- a/crates/testkit/src/bin/prove-shutdown/main.rs
+++ b/crates/testkit/src/bin/prove-shutdown/main.rs
@@ -55,6 +55,9 @@
     /// such a request is lost even if the log doesn't name it
     #[arg(long)]
     crossing_limit: Option<u64>,
+    /// File descriptors that the system allows an aggregator, in place of the 1,024 of its settings
+    #[arg(long)]
+    descriptors: Option<u32>,
     /// Keep a usage log
     #[arg(long)]
     usage_log: bool,
@@ -165,6 +168,7 @@
         gateway: true,
         client_timeout: Some(deadline),
         log_filter: Some(LOG_FILTER.into()),
+        max_descriptors: arguments.descriptors,
         program: arguments.program.clone(),
         ..InstallationOptions::new(arguments.seed, leaf)
     };
--- a/crates/testkit/src/installation/aggregator.rs
+++ b/crates/testkit/src/installation/aggregator.rs
@@ -16,6 +16,30 @@
 const READINESS_POLL_INTERVAL: Duration = Duration::from_millis(20);
 const READINESS_POLLS: u32 = 500;
 
+/// How the processes of an installation are started.
+pub(super) struct LaunchOptions {
+    /// The path of the aggregators' program.
+    pub(super) program: PathBuf,
+    /// What they log, where it is not the default.
+    pub(super) log_filter: Option<String>,
+    /// The file descriptors that the system allows each, where they are fewer than its settings
+    /// say.
+    pub(super) max_descriptors: Option<u32>,
+}
+
+impl LaunchOptions {
+    fn command(&self) -> Command {
+        let Some(max_descriptors) = self.max_descriptors else {
+            return Command::new(&self.program);
+        };
+        // The shell becomes the program, so that signals reach it.
+        let script = format!("ulimit -n {max_descriptors} && exec \"$0\" \"$@\"");
+        let mut command = Command::new("sh");
+        command.arg("-c").arg(script).arg(&self.program);
+        command
+    }
+}
+
 /// An aggregator, running or not.
 pub struct Aggregator {
     /// Its name.
@@ -69,9 +93,9 @@
         fs::write(&self.settings_file, settings)
     }
 
-    /// Starts the process, with this filter of its log, and does not wait until it is ready.
-    pub(super) fn launch(&mut self, program: &Path, log_filter: Option<&str>) -> io::Result<()> {
-        let mut command = Command::new(program);
+    /// Starts the process and does not wait until it is ready.
+    pub(super) fn launch(&mut self, options: &LaunchOptions) -> io::Result<()> {
+        let mut command = options.command();
         command
             .arg("--config")
             .arg(&self.platform_file)
@@ -80,7 +104,7 @@
             .env_remove("BALANCER_CONFIG")
             .env_remove("QUERY_AGGREGATOR_SETTINGS")
             .env_remove("QUERY_AGGREGATOR_LOG");
-        if let Some(filter) = log_filter {
+        if let Some(filter) = &options.log_filter {
             command.env("QUERY_AGGREGATOR_LOG", filter);
         }
         self.process = Some(Process::start(&mut command, &self.log)?);
--- a/crates/testkit/src/installation/mod.rs
+++ b/crates/testkit/src/installation/mod.rs
@@ -16,6 +16,7 @@
 use crate::discovery::Discovery;
 use crate::leaf::LeafOptions;
 use crate::process::{sibling_program, ProgramError};
+use aggregator::LaunchOptions;
 use config::PlatformParameters;
 use leaves::LeafFleet;
 use std::fmt::Write as _;
@@ -69,6 +70,9 @@
     pub client_timeout: Option<Duration>,
     /// What the aggregators log, where it is not the default.
     pub log_filter: Option<String>,
+    /// The file descriptors that the system allows each aggregator, where they are fewer than its
+    /// settings say.
+    pub max_descriptors: Option<u32>,
     /// The aggregators' program, where it is not the one that was built along with this one.
     pub program: Option<PathBuf>,
 }
@@ -84,6 +88,7 @@
             ledger_settings: String::new(),
             client_timeout: None,
             log_filter: None,
+            max_descriptors: None,
             program: None,
         }
     }
@@ -97,7 +102,7 @@
     pub ledger: Ledger,
     /// The path of the aggregator's program.
     pub program: PathBuf,
-    log_filter: Option<String>,
+    launch: LaunchOptions,
     discovery: Discovery,
     leaves: LeafFleet,
 }
@@ -119,8 +124,12 @@
         let mut installation = Installation {
             aggregators: Vec::new(),
             ledger: Ledger::new(folder, &program),
+            launch: LaunchOptions {
+                program: program.clone(),
+                log_filter: options.log_filter.clone(),
+                max_descriptors: options.max_descriptors,
+            },
             program,
-            log_filter: options.log_filter.clone(),
             discovery: Discovery::start(ip).await?,
             leaves: LeafFleet::new(ip, options.leaf, options.seed),
         };
@@ -144,7 +153,7 @@
     /// # Errors
     /// It can't be started.
     pub fn launch_aggregator(&mut self, index: usize) -> io::Result<()> {
-        self.aggregators[index].launch(&self.program, self.log_filter.as_deref())
+        self.aggregators[index].launch(&self.launch)
     }
 
     /// Starts an aggregator, also one that was killed, and waits until it is ready.
