--- a/crates/testkit/src/bin/prove-shutdown/main.rs
+++ b/crates/testkit/src/bin/prove-shutdown/main.rs
@@ -3,10 +3,10 @@
 //! Real aggregators are shut down under load, again and again, for client deadlines on both sides
 //! of every phase of a shutdown. Leaf servers hang, answer late or answer at once; clients ask
 //! again at once, pause, rest until they are closed, stop in the middle of a request, or send many
-//! searches at once to the OpenSearch gateway; processes
-//! are held up for a moment; SIGKILL follows at the earliest moment that the platform allows. A
-//! request is lost if its aggregator has logged that it was read, and its client has no response
-//! although it has stayed.
+//! searches at once to the OpenSearch gateway; processes reload their configuration or are held up
+//! for a moment; SIGKILL follows at the earliest moment that the platform allows. A request is lost
+//! if its aggregator has logged that it was read, and its client has no response although it has
+//! stayed.
 
 mod client;
 mod judge;
--- a/crates/testkit/src/bin/prove-shutdown/round.rs
+++ b/crates/testkit/src/bin/prove-shutdown/round.rs
@@ -7,21 +7,21 @@
 use aggregator_testkit::random;
 use rand::rngs::StdRng;
 use rand::Rng;
+use std::collections::VecDeque;
 use std::ops::Range;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, sleep_until};
+use tokio::time::sleep;
 
 /// How long clients ask before the shutdown, in milliseconds.
 const LOAD_BEFORE_SHUTDOWN_MS: Range<u64> = 250..600;
 /// How long after SIGTERM new connections keep coming, in milliseconds.
 const NEW_CONNECTIONS_MS: Range<u64> = 200..400;
-/// How long a process is held up at most, in milliseconds, and when that begins.
+/// How long a process is held up, in milliseconds.
 const HELD_UP_MS: Range<u64> = 20..150;
-const HELD_UP_AT_MS: Range<u64> = 0..800;
-/// Of so many shutdowns, one holds its process up.
-const HELD_UP_ONE_IN: u64 = 3;
+/// When a process is disturbed, in milliseconds after SIGTERM.
+const DISTURBED_AT_MS: Range<u64> = 0..800;
 /// The longest deadline that delays SIGKILL, and what comes on top of it.
 const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
 const KILL_GRACE: Duration = Duration::from_millis(700);
@@ -124,8 +124,9 @@
         sleep(new_connections).await;
         phase.send_replace(Phase::NoNewConnections);
     });
-    let hold_up = HoldUp::plan(requested_at, &mut random);
-    let end = wait_for_end(aggregator, requested_at, options.kill_after(), &hold_up).await;
+    let mut disturbances = Disturbances::plan(requested_at, &mut random);
+    let kill_after = options.kill_after();
+    let end = wait_for_end(aggregator, requested_at, kill_after, &mut disturbances).await;
     let mut requests = Vec::new();
     while let Some(records) = clients.join_next().await {
         requests.extend(records?);
@@ -136,7 +137,7 @@
         duration: end.duration,
         was_killed: end.was_killed,
         is_clean: end.is_clean,
-        held_up: hold_up.map_or(Duration::ZERO, |hold_up| hold_up.length),
+        held_up: disturbances.held_up,
         requests,
         log: aggregator.log_text().split_off(earlier_log),
     })
@@ -165,29 +166,51 @@
     clients
 }
 
-/// A moment in which the process does not run.
+/// A signal to the process beside the shutdown, and when it is sent.
 #[derive(Clone, Copy)]
-struct HoldUp {
-    begins_at: Instant,
-    length: Duration,
+struct Disturbance {
+    at: Instant,
+    signal: Signal,
 }
 
-impl HoldUp {
-    fn plan(requested_at: Instant, random: &mut StdRng) -> Option<HoldUp> {
-        let begins_after = Duration::from_millis(random.random_range(HELD_UP_AT_MS));
+/// The disturbances of one shutdown, in their order.
+struct Disturbances {
+    pending: VecDeque<Disturbance>,
+    held_up: Duration,
+}
+
+impl Disturbances {
+    /// One shutdown in three holds its process up, another one reloads its configuration.
+    fn plan(requested_at: Instant, random: &mut StdRng) -> Disturbances {
+        let at = requested_at + Duration::from_millis(random.random_range(DISTURBED_AT_MS));
         let length = Duration::from_millis(random.random_range(HELD_UP_MS));
-        let happens = random.random_range(0..HELD_UP_ONE_IN) == 0;
-        happens.then_some(HoldUp {
-            begins_at: requested_at + begins_after,
-            length,
-        })
+        let disturbance = |at: Instant, signal: Signal| Disturbance { at, signal };
+        match random.random_range(0..3) {
+            0 => Disturbances {
+                pending: VecDeque::from([
+                    disturbance(at, Signal::Stop),
+                    disturbance(at + length, Signal::Continue),
+                ]),
+                held_up: length,
+            },
+            1 => Disturbances {
+                pending: VecDeque::from([disturbance(at, Signal::Reload)]),
+                held_up: Duration::ZERO,
+            },
+            _ => Disturbances {
+                pending: VecDeque::new(),
+                held_up: Duration::ZERO,
+            },
+        }
     }
 
-    async fn inject(self, aggregator: &Aggregator) {
-        sleep_until(self.begins_at.into()).await;
-        aggregator.send_signal(Signal::Stop);
-        sleep(self.length).await;
-        aggregator.send_signal(Signal::Continue);
+    /// Sends the signals that are due.
+    fn inject_due(&mut self, aggregator: &Aggregator) {
+        let is_due = |next: &Disturbance| next.at <= Instant::now();
+        while let Some(due) = self.pending.front().copied().filter(is_due) {
+            aggregator.send_signal(due.signal);
+            self.pending.pop_front();
+        }
     }
 }
 
@@ -197,21 +220,16 @@
     is_clean: bool,
 }
 
-/// Waits until the process has ended, and kills it once that may be done.
+/// Waits until the process has ended, disturbs it meanwhile, and kills it once that may be done.
 async fn wait_for_end(
     aggregator: &mut Aggregator,
     requested_at: Instant,
     kill_after: Duration,
-    hold_up: &Option<HoldUp>,
+    disturbances: &mut Disturbances,
 ) -> ProcessEnd {
-    let mut pending_hold_up = *hold_up;
     let mut was_killed = false;
     loop {
-        if let Some(hold_up) = pending_hold_up.filter(|hold_up| hold_up.begins_at <= Instant::now())
-        {
-            hold_up.inject(aggregator).await;
-            pending_hold_up = None;
-        }
+        disturbances.inject_due(aggregator);
         if let Some(status) = aggregator.exit_status() {
             return ProcessEnd {
                 duration: requested_at.elapsed(),
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -47,6 +47,8 @@
 pub enum Signal {
     /// Requests a graceful shutdown.
     Terminate,
+    /// Requests a reload of the configuration.
+    Reload,
     /// Ends the process at once.
     Kill,
     /// Holds the process up.
@@ -60,6 +62,7 @@
     fn option(self) -> &'static str {
         match self {
             Signal::Terminate => "-TERM",
+            Signal::Reload => "-HUP",
             Signal::Kill => "-KILL",
             Signal::Stop => "-STOP",
             Signal::Continue => "-CONT",
