--- a/crates/core/src/engine/queries.rs
+++ b/crates/core/src/engine/queries.rs
@@ -211,7 +211,7 @@
         let spent = now.saturating_sub(arrived) + CLIENT_TIMEOUT_MARGIN;
         let remaining = timeout.saturating_sub(spent);
         match self.shutdown.answer_deadline() {
-            // Nothing waits for an answer any more that only a process that goes on could give.
+            // The process ends: nothing more is forwarded.
             Some(_) if self.shutdown.has_exited() => 0,
             Some(answer_deadline) => remaining.min(answer_deadline.saturating_sub(now)),
             None => remaining,
--- a/crates/core/src/engine/shutdown.rs
+++ b/crates/core/src/engine/shutdown.rs
@@ -23,9 +23,9 @@
 /// How long all goes on after a shutdown was requested: new connections keep coming for 0.4 s.
 const DRAIN_PERIOD: Nanos = 500 * MILLISECOND;
 
-/// The earliest kill comes this long after the longest deadline, of which no more than
-/// `MAX_COUNTED_DEADLINE` counts.
+/// The earliest kill comes this long after the longest deadline.
 const KILL_GRACE: Nanos = 700 * MILLISECOND;
+/// A longer deadline does not delay the kill any further.
 const MAX_COUNTED_DEADLINE: Nanos = 3_000 * MILLISECOND;
 
 /// How long before the earliest kill every query is answered. A process may be held up for 150 ms
