--- a/crates/core/src/net/client_connection.rs
+++ b/crates/core/src/net/client_connection.rs
@@ -194,8 +194,8 @@
         }
     }
 
-    /// Logs how the connection has ended. A client that has gone is owed nothing, nor is what it has
-    /// sent behind an invalid request.
+    /// Logs how the connection has ended. A client that has gone is owed nothing, nor is one for
+    /// what it has sent behind an invalid request.
     fn log_end(&self, ending: &io::Result<Ending>) {
         let client = self.client;
         let requests = self.requests_read;
--- a/crates/testkit/src/bin/prove-shutdown/judge.rs
+++ b/crates/testkit/src/bin/prove-shutdown/judge.rs
@@ -92,8 +92,14 @@
         let before = shutdown.requested_at.saturating_duration_since(instant);
         after.as_secs_f64() - before.as_secs_f64()
     };
+    let end = match (shutdown.was_killed, shutdown.held_up.as_millis()) {
+        (true, _) => "killed".to_string(),
+        (false, 0) => "by itself".to_string(),
+        (false, ms) => format!("by itself, held up for {ms} ms"),
+    };
     format!(
-        "{}: {} ({:?}) connected {:.3} s, sent {:.3} s, {:?} {:.3} s after SIGTERM; the process ended {:.3} s after it{}{}",
+        "{}: {} ({:?}) connected {:.3} s, sent {:.3} s, {:?} {:.3} s after SIGTERM; \
+         the process ended {:.3} s after it, {end}",
         shutdown.aggregator,
         request.name,
         request.habit,
@@ -102,10 +108,5 @@
         request.outcome,
         since_request(request.ended_at),
         shutdown.duration.as_secs_f64(),
-        if shutdown.was_killed { ", killed" } else { "" },
-        match shutdown.held_up.as_millis() {
-            0 => String::new(),
-            ms => format!(", held up for {ms} ms"),
-        },
     )
 }
