--- a/crates/testkit/src/bin/prove-shutdown/client.rs
+++ b/crates/testkit/src/bin/prove-shutdown/client.rs
@@ -95,7 +95,7 @@
     pub gateway_address: SocketAddr,
     /// The time that each request states.
     pub deadline: Duration,
-    /// The time after which a client stops waiting.
+    /// The time after which a client stops waiting for the answer to a query.
     pub patience: Duration,
     pub phase: watch::Receiver<Phase>,
 }
@@ -180,7 +180,7 @@
             return false;
         }
         let sent_at = Instant::now();
-        let response = timeout(self.options.patience, read_response(stream)).await;
+        let response = timeout(self.patience(), read_response(stream)).await;
         let (outcome, usable) = match response {
             Ok(Ok(head)) => {
                 let status = head.status;
@@ -200,6 +200,15 @@
         usable
     }
 
+    /// How long the client waits for a response.
+    fn patience(&self) -> Duration {
+        match self.habit {
+            // Searches of one request wait for each other.
+            Habit::Searching => self.options.patience + self.options.deadline,
+            _ => self.options.patience,
+        }
+    }
+
     async fn send_half_a_request(&mut self, stream: &mut TcpStream) {
         let request = self.render("half");
         let half = &request.as_bytes()[..request.len() / 2];
--- a/crates/testkit/src/bin/prove-shutdown/round.rs
+++ b/crates/testkit/src/bin/prove-shutdown/round.rs
@@ -61,8 +61,7 @@
 
     fn patience(&self) -> Duration {
         match self.kill {
-            // Searches of one request wait for each other.
-            KillPolicy::AtTheEarliest => 2 * self.deadline + LATE_TOLERANCE,
+            KillPolicy::AtTheEarliest => self.deadline + LATE_TOLERANCE,
             KillPolicy::Never => HANG_TIMEOUT,
         }
     }
