Record the usage log's last watermark after a forced exit too

Since the exit no longer forgets clients, a client that never closed left the log without the mark that nothing follows, and the settlement would have waited for it. The mark is recorded once no input can follow, in every kind of exit.

--- a/crates/core/src/engine/input.rs
+++ b/crates/core/src/engine/input.rs
@@ -76,6 +76,8 @@
     },
     /// The operator requests a graceful shutdown.
     ShutdownRequested,
+    /// The process exits, and no input follows.
+    InputsEnded,
     /// All inputs that were ready have been applied: the policy decides now, and frames are
     /// written.
     BatchEnded,
--- a/crates/core/src/engine/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -208,6 +208,7 @@
             Input::WatchEnded { watch } => self.on_watch_ended(watch),
             Input::ConfigurationReloaded { usable } => self.on_configuration_reloaded(usable),
             Input::ShutdownRequested => self.on_shutdown_requested(now),
+            Input::InputsEnded => self.record_final_watermark(),
             Input::BatchEnded => {
                 self.end_batch(now);
                 self.flush_pending_writes(now);
--- a/crates/core/src/engine/shutdown.rs
+++ b/crates/core/src/engine/shutdown.rs
@@ -142,8 +142,8 @@
     pub(super) fn on_exit_deadline(&mut self) {
         if !self.shutdown.exited {
             self.log_shutdown_state("exit deadline");
-            self.exit();
         }
+        self.exit();
     }
 
     /// Requests the exit of the process once nothing is left that could need an answer.
@@ -151,14 +151,13 @@
         let nothing_left = self.queries.is_empty()
             && self.clients.is_empty()
             && self.shutdown.running_frontends == 0;
-        if self.shutdown.drain_period_ended && !self.shutdown.exited && nothing_left {
-            self.record_final_watermark();
+        if self.shutdown.drain_period_ended && nothing_left {
             self.exit();
         }
     }
 
     fn exit(&mut self) {
-        let Some(schedule) = self.shutdown.schedule else {
+        let Some(schedule) = self.shutdown.schedule.filter(|_| !self.shutdown.exited) else {
             return;
         };
         self.shutdown.exited = true;
--- a/crates/core/src/net/event_loop.rs
+++ b/crates/core/src/net/event_loop.rs
@@ -100,6 +100,7 @@
         while let Ok(input) = self.queued_inputs.try_recv() {
             self.apply(now, input);
         }
+        self.apply(now, Input::InputsEnded);
     }
 
     /// When the next timer is due. One timer serves the engine and the pending replies, as setting
--- a/crates/core/tests/support/engine_harness.rs
+++ b/crates/core/tests/support/engine_harness.rs
@@ -162,7 +162,10 @@
             }
             Effect::SendGossip { .. } | Effect::StartDraining | Effect::ReleaseReplies => {}
             Effect::StopListening => self.is_listening = false,
-            Effect::Exit { .. } => self.has_exited = true,
+            Effect::Exit { .. } => {
+                self.has_exited = true;
+                self.apply(Input::InputsEnded);
+            }
         }
     }
 
--- a/crates/core/tests/usage.rs
+++ b/crates/core/tests/usage.rs
@@ -139,6 +139,19 @@
     );
 }
 
+#[test]
+fn the_last_watermark_is_recorded_though_a_client_never_closes() {
+    let mut harness = recording(1);
+    harness.closes_are_pending = true;
+    harness.connect_client();
+    harness.apply(Input::ShutdownRequested);
+    harness.advance(7000);
+    assert!(
+        harness.has_exited && harness.watermarks.last().unwrap().end,
+        "the settlement would wait for further records"
+    );
+}
+
 #[test]
 fn nothing_is_recorded_unless_it_is_enabled() {
     let mut harness = EngineHarness::new(1);
