--- a/crates/core/tests/readiness.rs
+++ b/crates/core/tests/readiness.rs
@@ -4,8 +4,8 @@
 
 use support::engine_harness::SETTINGS;
 use support::socket_harness::{
-    connect_client, endpoint, query_request, read_response, run_scenario, run_scenario_with_cached,
-    snapshot, CachedList, LeafServerConnection, SocketHarness, WatchConnection,
+    connect_client, endpoint, read_response, run_scenario, run_scenario_with_cached, served_client,
+    snapshot, CachedList, SocketHarness, WatchConnection,
 };
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -24,17 +24,6 @@
     response.head.starts_with("HTTP/1.1 200")
 }
 
-async fn expect_answer(harness: &SocketHarness) {
-    let mut client = connect_client(harness.aggregator).await;
-    let request = query_request("cached", "");
-    client.write_all(request.as_bytes()).await.unwrap();
-    let mut leaf = LeafServerConnection::accept(&harness.leaf).await;
-    let call = leaf.next_call().await;
-    leaf.send_result(&call.id).await;
-    let response = read_response(&mut client).await;
-    assert!(response.body.contains("cached.3"), "{response:?}");
-}
-
 /// Ends every watch without a response until the outage is over.
 async fn refuse_watches_until(discovery: &TcpListener, end: Instant) {
     while let Ok(accepted) = timeout_at(end, discovery.accept()).await {
@@ -73,7 +62,7 @@
         let started = Instant::now();
         assert!(is_ready(&harness).await);
         assert!(started.elapsed() < Duration::from_secs(1));
-        expect_answer(&harness).await;
+        served_client(&harness, "cached").await;
     });
 }
 
@@ -83,7 +72,7 @@
         let started = Instant::now();
         assert!(is_ready(&harness).await);
         assert!(started.elapsed() < Duration::from_secs(1));
-        expect_answer(&harness).await;
+        served_client(&harness, "cached").await;
     });
 }
 
