--- a/crates/core/src/net/listener.rs
+++ b/crates/core/src/net/listener.rs
@@ -6,6 +6,7 @@
 use super::shared::Shared;
 use super::MAX_QUEUED_COMMANDS;
 use crate::engine::Input;
+use std::pin::pin;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
@@ -22,10 +23,11 @@
     listener: TcpListener,
     max_connections: usize,
 ) {
+    let mut stopped = pin!(shared.listening_stopped());
     loop {
         tokio::select! {
             biased;
-            () = shared.listening_stopped() => break,
+            () = &mut stopped => break,
             stream = accept_next(&shared, &listener, max_connections) => {
                 serve_connection(&shared, stream).await;
             }
