--- a/review/standins/second_copy.rs
+++ b/review/standins/second_copy.rs
@@ -16,7 +16,7 @@
 /// Work of a part; the site states 140 to 180 ms for this class.
 const WORK: Duration = Duration::from_millis(160);
 /// Time between an answer and its second copy: the two are two packets.
-const COPY_DELAY: Duration = Duration::from_micros(100);
+const COPY_DELAY: Duration = Duration::from_micros(300);
 const TEXT: &str = "c41e77d0";
 
 /// Times at which each part began to run, by part id.
