--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -192,14 +192,24 @@
 /// Processes that this case has started and that have not been waited for.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// Ends all aggregators and this process, whose case could not run.
+pub fn give_up(why: &str) -> ! {
+    for id in STARTED.lock().unwrap().iter() {
+        let _ = Command::new("/bin/sh").args(["-c", &format!("kill -KILL {id}")]).status();
+    }
+    let _ = fs::remove_dir_all(temporary_folder());
+    println!("could not run: {why}");
+    std::process::exit(COULD_NOT_RUN);
+}
+
+fn temporary_folder() -> PathBuf {
+    std::env::temp_dir().join(format!("review-{}", std::process::id()))
+}
+
 fn start_watchdog() {
     thread::spawn(|| {
         thread::sleep(MAX_RUN);
-        for id in STARTED.lock().unwrap().iter() {
-            let _ = Command::new("/bin/sh").args(["-c", &format!("kill -KILL {id}")]).status();
-        }
-        println!("could not run: the case takes too long");
-        std::process::exit(COULD_NOT_RUN);
+        give_up("the case takes too long");
     });
 }
 
@@ -232,7 +242,7 @@
 
 impl Mixer {
     pub fn start(record: &Record, name: &str, address: SocketAddr, discovery: SocketAddr, config: &str) -> Mixer {
-        let folder = std::env::temp_dir().join(format!("review-{}-{name}", std::process::id()));
+        let folder = temporary_folder().join(name);
         let private = folder.join("tmp");
         fs::create_dir_all(&private).expect("temporary folder");
         let config_path = folder.join("config.json");
@@ -275,8 +285,8 @@
             }
             thread::sleep(ms(20));
         }
-        self.record.say("could not run: the aggregator is not ready");
-        std::process::exit(COULD_NOT_RUN);
+        self.record.line("the aggregator is not ready");
+        give_up("the aggregator is not ready");
     }
 
     pub fn signal(&self, name: &str) {
@@ -305,7 +315,7 @@
         for line in lines.iter().skip(lines.len().saturating_sub(40)) {
             self.record.line(format!("log of the aggregator: {line}"));
         }
-        let _ = fs::remove_dir_all(&self.folder);
+        let _ = fs::remove_dir_all(temporary_folder());
     }
 }
 
@@ -345,6 +355,16 @@
     format!("{hash:016x}")
 }
 
+/// Records the parts that arrived at leaf servers. Each runs on arrival, for the time of its work.
+pub fn record_arrivals(record: &Record, leaves: &[Leaf]) {
+    for leaf in leaves {
+        for part in leaf.arrivals() {
+            let (name, id, wait) = (&leaf.state.name, &part.id, part.wait_ms);
+            record.line_at(part.at, format!("{name} received and ran part {id}, d={wait}"));
+        }
+    }
+}
+
 impl Leaf {
     pub fn start(name: &str, work_ms: u64) -> Leaf {
         let listener = listen();
--- a/review/standins/held_connections.rs
+++ b/review/standins/held_connections.rs
@@ -55,6 +55,7 @@
         client
     }).collect();
     let results: Vec<Option<bool>> = clients.into_iter().map(|client| client.join().unwrap_or(None)).collect();
+    record_arrivals(&record, &leaves);
     let sent = results.iter().flatten().count();
     let lost = results.iter().flatten().filter(|answered| !**answered).count();
     record.say(format!(
@@ -79,7 +80,8 @@
         let Ok(mut stream) = connect(address) else { continue };
         let id = format!("{:016x}", 0xbad0_0000_0000_0000u64 + u64::from(number));
         if stream.write_all(&query(&id).bytes()).is_ok() {
-            streams.push(stream);
+            record.line(format!("bad client sent {id}"));
+            streams.push((id, stream));
         }
         thread::sleep(BAD_GAP);
     }
@@ -87,15 +89,17 @@
     let until = Instant::now() + ms(1200);
     let mut answered = 0;
     let mut closed = 0;
-    for stream in &mut streams {
-        match read_reply(stream, until.max(Instant::now() + ms(1))) {
+    for (id, stream) in &mut streams {
+        let outcome = read_reply(stream, until.max(Instant::now() + ms(1)));
+        record.line(format!("bad client got for {id}: {}", outcome.text()));
+        match outcome {
             Outcome::Reply(_) => answered += 1,
             Outcome::Ended(_) => closed += 1,
             Outcome::Nothing => {}
         }
     }
     record.say(format!("{answered} of them are answered, {closed} closed, the others have neither yet"));
-    streams
+    streams.into_iter().map(|(_, stream)| stream).collect()
 }
 
 fn query(id: &str) -> Query<'_> {
--- a/review/standins/second_copy.rs
+++ b/review/standins/second_copy.rs
@@ -68,6 +68,7 @@
         thread::sleep(ms(300));
     }
     thread::sleep(ms(500));
+    record_arrivals(&record, &leaves);
 
     let runs = runs.lock().unwrap();
     let repeated = runs.values().filter(|times| times.len() > 1).count();
--- a/review/standins/slow_discovery.rs
+++ b/review/standins/slow_discovery.rs
@@ -50,6 +50,7 @@
     stop.store(true, Ordering::SeqCst);
     let served: u64 = clients.into_iter().map(|client| client.join().unwrap_or(0)).sum();
 
+    record_arrivals(&record, &leaves);
     let limit = drained_at + ms(TOLD_MS + GRACE_MS);
     let arrivals = drained.arrivals();
     let before = arrivals.iter().filter(|part| part.at < drained_at).count();
@@ -92,10 +93,10 @@
         if stream.write_all(&query.bytes()).is_err() {
             break;
         }
-        match read_reply(&mut stream, Instant::now() + ms(5000)) {
-            Outcome::Reply(reply) if reply.status == 200 => served += 1,
-            other => record.line(format!("client {number}, request {id}: {}", other.text())),
-        }
+        record.line(format!("client {number} sent {id}"));
+        let outcome = read_reply(&mut stream, Instant::now() + ms(5000));
+        record.line(format!("client {number} got for {id}: {}", outcome.text()));
+        served += u64::from(matches!(outcome, Outcome::Reply(reply) if reply.status == 200));
         thread::sleep(ms(40));
     }
     served
