Log when no connection is accepted because too many clients are connected

Suspects: descriptors used up (accept fails); the limit of connections reached with idle, lingering or waiting clients; the event loop stuck. The new line tells them apart by its fields, once a second.

--- a/crates/core/src/net/client_registry.rs
+++ b/crates/core/src/net/client_registry.rs
@@ -81,6 +81,11 @@
         self.lingering.set(self.lingering.get() - 1);
     }
 
+    /// Returns the number of connections that only wait for their client to close its side.
+    pub(super) fn lingering(&self) -> usize {
+        self.lingering.get()
+    }
+
     /// Asks one lingering connection, if there is any, to end and make room for a new one.
     pub(super) fn request_capacity(&self) {
         if self.lingering.get() > 0 {
--- a/crates/core/src/net/listener.rs
+++ b/crates/core/src/net/listener.rs
@@ -8,11 +8,14 @@
 use crate::engine::Input;
 use std::pin::pin;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{timeout_at, Duration, Instant};
 
 /// Number of connections above the maximum that are still accepted while the engine closes others
 /// to make room. Without a limit, a flood of connections would take the file descriptors that
 /// connections to leaf servers need.
 const MAX_EXCESS_CONNECTIONS: usize = 16;
+/// Interval of the warnings while no connection is accepted because too many are open.
+const STALL_WARNING_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Accepts connections until the drain period of a shutdown ends (`engine/shutdown.rs`), and then
 /// those that are left in the backlog, which closing the listener would reset.
@@ -50,9 +53,7 @@
         if shared.clients.len() >= max_connections {
             shared.clients.request_capacity();
         }
-        while shared.clients.len() >= max_connections + MAX_EXCESS_CONNECTIONS {
-            shared.clients.client_ended().notified().await;
-        }
+        wait_for_capacity(shared, max_connections + MAX_EXCESS_CONNECTIONS).await;
         match listener.accept().await {
             Ok((stream, _)) => return stream,
             Err(error) => pause_after_failed_accept(&error).await,
@@ -60,6 +61,24 @@
     }
 }
 
+/// Waits until fewer than `max_clients` clients are connected.
+async fn wait_for_capacity(shared: &Shared, max_clients: usize) {
+    let clients = &shared.clients;
+    let mut next_warning = Instant::now() + STALL_WARNING_INTERVAL;
+    while clients.len() >= max_clients {
+        let client_ended = clients.client_ended().notified();
+        if timeout_at(next_warning, client_ended).await.is_err() {
+            tracing::warn!(
+                clients = clients.len(),
+                lingering = clients.lingering(),
+                open_requests = shared.open_requests.count(),
+                "no connections are accepted: too many clients are connected"
+            );
+            next_warning += STALL_WARNING_INTERVAL;
+        }
+    }
+}
+
 /// Announces a connection to the engine and spawns the task that serves it.
 async fn serve_connection(shared: &Shared, stream: TcpStream) {
     let RegisteredClient { client, commands } = shared.clients.register();
