Reject queries from more clients than the capacity, so that connections can be freed

Requests of other clients on new connections get no answer, 10 of 10, until one of the 131 clients leaves.

Cause: above the capacity for clients (45% of the descriptors) 16 more are accepted, and idle clients are evicted when one of them connects. Queries were admitted from these 16 as well. A client with an open query can't be evicted, so a burst that is faster than the leaf servers fills all 131 places while nobody is idle. Later all are idle, but evictions happen only when a client connects, and the listener waits for a place before it accepts one.

Fix: with as many open queries as the capacity for clients a query is rejected on arrival (503, Retry-After where allowed), as it is above open_cap. So at most 115 of the 131 places wait for replies; the client of every other place is idle or rejected and gives way to the next one that connects.

--- a/crates/core/src/engine/queries.rs
+++ b/crates/core/src/engine/queries.rs
@@ -26,8 +26,8 @@
     ///
     /// 1. A query whose client has disconnected is dropped.
     /// 2. A query with the id of an open query is an invalid request.
-    /// 3. A query that exceeds the capacity for open queries and parts (`limits.open_cap`) is
-    ///    rejected.
+    /// 3. A query that exceeds the capacity for open queries and parts (`limits.open_cap`), or the
+    ///    capacity for clients, is rejected.
     /// 4. A query whose client has no time left is rejected, and so is every query when the process
     ///    exits.
     ///
@@ -48,7 +48,10 @@
         }
         let open_queries = self.queries.len();
         let open_parts = self.queries.count_open_parts();
-        if open_queries + open_parts >= self.settings.max_open {
+        // Clients above the capacity can only be closed while they have no open query, and no
+        // further client can connect until some are closed.
+        let is_client_capacity_used = open_queries >= self.clients.capacity();
+        if is_client_capacity_used || open_queries + open_parts >= self.settings.max_open {
             self.counters.received.over_capacity += 1;
             tracing::info!(
                 client,
--- a/crates/core/tests/reducer/clients.rs
+++ b/crates/core/tests/reducer/clients.rs
@@ -1,6 +1,7 @@
 //! Eviction of clients when many are connected, and the readiness check.
 
-use crate::support::engine_harness::{EngineHarness, START};
+use crate::is_rejected;
+use crate::support::engine_harness::{EngineHarness, SETTINGS, START};
 use aggregator_core::engine::{ClientId, Effect, Input};
 use aggregator_core::protocol::query::{ClientRequest, QueryReply};
 
@@ -58,6 +59,26 @@
     assert!(!late.iter().any(is_closed));
 }
 
+/// Guards against a listener that waits for clients none of which can be evicted: every client above
+/// the capacity must be able to make room for the next one.
+#[test]
+fn clients_above_the_capacity_never_wait_for_a_reply() {
+    let settings = SETTINGS.replace("limits.open_cap=60", "limits.open_cap=10000");
+    let mut harness = EngineHarness::with_settings(&settings, 1);
+    let clients: Vec<ClientId> = (0..500).map(|_| harness.send_query(1, &[1.0])).collect();
+    let (waiting, above) = clients.split_at(460);
+    let waits = |client: &ClientId| harness.last_reply(*client).is_none();
+    assert!(waiting.iter().all(waits));
+    assert!(above
+        .iter()
+        .all(|client| is_rejected(harness.last_reply(*client))));
+    let (_newest, earlier) = above.split_last().unwrap();
+    assert_eq!(
+        harness.closed_clients, earlier,
+        "expected that each client above the capacity makes room for the next one"
+    );
+}
+
 #[test]
 fn readiness_requires_endpoints_and_no_shutdown_request() {
     let is_ready = |harness: &mut EngineHarness| {
