End lingering connections while the listener waits for a place

What callers saw: 54 clients connect at once on 40 descriptors, say nothing and stay; a request on the next connection is answered after 1 s.

The listener asked one lingering connection to end before it accepted one, and then waited for a client to end, without asking again. Clients that were evicted in the meantime lingered for their second, since they don't close their side.

Fix: the start of lingering wakes the listener, and while it waits for a place it asks the oldest lingering connection to end each time. The request to end goes to one connection; before, one that was not received was kept and ended the next connection at the start of its lingering. Input that has arrived is discarded before a connection ends, so that it causes no reset.

Test: clients_that_are_silent_and_do_not_close_their_connections failed before the fix (answered after 1 s, 0.5 s allowed) and passes with it.

--- a/crates/core/src/net/client_connection/linger.rs
+++ b/crates/core/src/net/client_connection/linger.rs
@@ -18,11 +18,12 @@
     stream.codec_mut().discard_input();
     let _ = stream.get_mut().shutdown().await;
     let discard = async { while let Some(Ok(_)) = stream.next().await {} };
-    shared.clients.begin_lingering();
+    let end_requested = shared.clients.begin_lingering();
     tokio::select! {
+        // Input that has arrived is discarded first, since it would cause a reset.
+        biased;
         _ = timeout(LINGER_TIMEOUT, discard) => {}
         // A new connection needs the capacity that this one occupies.
-        () = shared.clients.capacity_needed() => {}
+        _ = end_requested => {}
     }
-    shared.clients.end_lingering();
 }
--- a/crates/core/src/net/client_registry.rs
+++ b/crates/core/src/net/client_registry.rs
@@ -5,9 +5,9 @@
 use super::MAX_QUEUED_COMMANDS;
 use crate::engine::ClientId;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::{mpsc, oneshot, Notify};
 
 /// The connected clients, and the notifications for tasks that wait for one of them to end. All
 /// clones refer to the same state.
@@ -16,9 +16,9 @@
     commands: Rc<RefCell<HashMap<ClientId, mpsc::Sender<ClientCommand>>>>,
     last_client: Rc<Cell<ClientId>>,
     client_ended: Rc<Notify>,
-    /// Number of connections that only wait for their client to close its side.
-    lingering: Rc<Cell<usize>>,
-    capacity_needed: Rc<Notify>,
+    /// Connections that only wait for their client to close its side, oldest first. A message asks
+    /// the connection to end.
+    lingering: Rc<RefCell<VecDeque<oneshot::Sender<()>>>>,
 }
 
 /// A client that was added to the registry.
@@ -64,37 +64,41 @@
         }
     }
 
-    /// Returns the notification that is sent whenever a client is removed or a request ends
-    /// (`open_requests.rs`). There may then be capacity for another connection, or the shutdown may
-    /// have nothing left to wait for.
+    /// Returns the notification that is sent whenever a client is removed, its connection begins to
+    /// linger, or a request ends (`open_requests.rs`). There may then be capacity for another
+    /// connection, or the shutdown may have nothing left to wait for.
     pub(super) fn client_ended(&self) -> &Rc<Notify> {
         &self.client_ended
     }
 
-    /// Counts a connection that only waits for its client to close its side.
-    pub(super) fn begin_lingering(&self) {
-        self.lingering.set(self.lingering.get() + 1);
-    }
-
-    /// Removes a connection that [`begin_lingering`](Self::begin_lingering) has counted.
-    pub(super) fn end_lingering(&self) {
-        self.lingering.set(self.lingering.get() - 1);
+    /// Adds a connection that only waits for its client to close its side. The returned receiver
+    /// gets a message when the connection must end to make room for a new one.
+    pub(super) fn begin_lingering(&self) -> oneshot::Receiver<()> {
+        let (end, end_requested) = oneshot::channel();
+        let mut lingering = self.lingering.borrow_mut();
+        lingering.retain(|connection| !connection.is_closed());
+        lingering.push_back(end);
+        self.client_ended.notify_one();
+        end_requested
     }
 
-    /// Returns the number of connections that only wait for their client to close its side.
+    /// Returns the number of connections that linger and have not been asked to end.
     pub(super) fn lingering(&self) -> usize {
-        self.lingering.get()
+        let lingering = self.lingering.borrow();
+        lingering
+            .iter()
+            .filter(|connection| !connection.is_closed())
+            .count()
     }
 
-    /// Asks one lingering connection, if there is any, to end and make room for a new one.
-    pub(super) fn request_capacity(&self) {
-        if self.lingering.get() > 0 {
-            self.capacity_needed.notify_one();
+    /// Asks the connection that has lingered for longest, if there is any, to end and make room for
+    /// a new one.
+    pub(super) fn end_oldest_lingering(&self) {
+        let mut lingering = self.lingering.borrow_mut();
+        while let Some(oldest) = lingering.pop_front() {
+            if oldest.send(()).is_ok() {
+                return;
+            }
         }
     }
-
-    /// Waits until a lingering connection has to make room for a new one.
-    pub(super) async fn capacity_needed(&self) {
-        self.capacity_needed.notified().await;
-    }
 }
--- a/crates/core/src/net/listener.rs
+++ b/crates/core/src/net/listener.rs
@@ -51,7 +51,7 @@
 async fn accept_next(shared: &Shared, listener: &TcpListener, max_connections: usize) -> TcpStream {
     loop {
         if shared.clients.len() >= max_connections {
-            shared.clients.request_capacity();
+            shared.clients.end_oldest_lingering();
         }
         wait_for_capacity(shared, max_connections + MAX_EXCESS_CONNECTIONS).await;
         match listener.accept().await {
@@ -61,11 +61,12 @@
     }
 }
 
-/// Waits until fewer than `max_clients` clients are connected.
+/// Waits until fewer than `max_clients` clients are connected. Meanwhile, no connection lingers.
 async fn wait_for_capacity(shared: &Shared, max_clients: usize) {
     let clients = &shared.clients;
     let mut next_warning = Instant::now() + STALL_WARNING_INTERVAL;
     while clients.len() >= max_clients {
+        clients.end_oldest_lingering();
         let client_ended = clients.client_ended().notified();
         if timeout_at(next_warning, client_ended).await.is_err() {
             tracing::warn!(
--- a/crates/core/tests/client_capacity.rs
+++ b/crates/core/tests/client_capacity.rs
@@ -41,6 +41,17 @@
     clients
 }
 
+/// Connects clients without letting the aggregator run in between, so that it finds all of them in
+/// the backlog of its listener.
+fn connect_at_once(aggregator: SocketAddr, clients: usize) -> Vec<TcpStream> {
+    let connect = |_| {
+        let stream = std::net::TcpStream::connect(aggregator).unwrap();
+        stream.set_nonblocking(true).unwrap();
+        TcpStream::from_std(stream).unwrap()
+    };
+    (0..clients).map(connect).collect()
+}
+
 /// Answers all calls of the aggregator.
 async fn serve_calls(listener: TcpListener) {
     loop {
@@ -89,3 +100,15 @@
         drop(waiting);
     });
 }
+
+/// Guards against a listener that accepts nothing until evicted clients close their connections.
+#[test]
+fn clients_that_are_silent_and_do_not_close_their_connections() {
+    run_scenario(&settings(), DESCRIPTORS, |harness| async move {
+        tokio::task::spawn_local(serve_calls(harness.leaf));
+        let silent = connect_at_once(harness.aggregator, FLOOD_CLIENTS);
+        let response = expect_response(harness.aggregator, "new").await;
+        assert!(response.head.starts_with("HTTP/1.1 200"), "{response:?}");
+        drop(silent);
+    });
+}
