Give an evicted client that has just connected the time for its first request

What callers saw: while many idle clients stay connected, clients that connect at the same time and send their first request 1 to 20 ms later get the end of the connection instead of an answer.

Cause: above the capacity each new client evicts two, and clients that have sent no query come first. These are the ones that connected just before. Their connections were closed at once, unless the request had already arrived; what arrived later was read and discarded.

Fix: an evicted client that has not sent a request yet may send it within 100 ms of its connecting, the time that it has at the end of the drain period too, and in any case within 5 ms. Its reply closes the connection.

Test: clients_that_send_their_first_request_shortly_after_connecting failed before the fix (end of the connection) and passes with it.

--- a/crates/core/src/engine/effect.rs
+++ b/crates/core/src/engine/effect.rs
@@ -22,7 +22,8 @@
         close: bool,
     },
     /// Close the connection of an idle client to make room for a new one, unless a complete request
-    /// has arrived on it. In that case, the reply to the request closes the connection.
+    /// has arrived on it. In that case, the reply to the request closes the connection. A client
+    /// that has just connected has a short time for its first request.
     CloseClient {
         /// Idle client to evict.
         client: ClientId,
--- a/crates/core/src/net/client_command.rs
+++ b/crates/core/src/net/client_command.rs
@@ -10,7 +10,8 @@
         /// Whether to close the connection after the reply.
         close: bool,
     },
-    /// Close the connection, unless a complete request has arrived on it.
+    /// Close the connection, unless a complete request has arrived on it or the first request of a
+    /// new connection arrives shortly after.
     Close,
     /// Close the connection at the end of the drain period (`engine/shutdown.rs`), after a short
     /// wait for a request in transit.
--- a/crates/core/src/net/client_connection/next_request.rs
+++ b/crates/core/src/net/client_connection/next_request.rs
@@ -16,8 +16,12 @@
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for which a connection that is closed at the end of the drain period waits for the rest of
 /// a request, or for the first request, which clients send at once on a new connection. Short
-/// enough to answer the request before the answer deadline of `engine/shutdown.rs`.
+/// enough to answer the request before the answer deadline of `engine/shutdown.rs`. The first
+/// request of an evicted client may arrive within this time from the opening of the connection on.
 const LAST_REQUEST_TIMEOUT: Duration = Duration::from_millis(100);
+/// Minimum time for which an evicted client's first request is waited for. Within this time, the
+/// operating system has reported a request that has arrived.
+const MIN_FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(5);
 
 const REQUEST_TOO_SLOW: RequestError = RequestError {
     status: 408,
@@ -58,9 +62,9 @@
                 MessageRead::TimedOut => began_at = None,
             },
             command = commands.recv() => match command {
-                // A complete request that has arrived is served. The rest of an incomplete one is
-                // not waited for, since new clients need the capacity.
-                Some(ClientCommand::Close) => return last_request(stream, Duration::ZERO).await,
+                Some(ClientCommand::Close) => {
+                    return last_request(stream, eviction_timeout(opened_at)).await;
+                }
                 Some(ClientCommand::Drain) => {
                     let is_expected = opened_at.is_some() || is_in_request(stream);
                     let time_limit = if is_expected { LAST_REQUEST_TIMEOUT } else { Duration::ZERO };
@@ -74,6 +78,16 @@
     }
 }
 
+/// Returns the time for which an evicted client may still send a request. A new client sends its
+/// first request at once, and a close would cross it. Otherwise, only a complete request that has
+/// arrived is served, since new clients need the capacity.
+fn eviction_timeout(opened_at: Option<Instant>) -> Duration {
+    opened_at.map_or(Duration::ZERO, |opened_at| {
+        let remaining = LAST_REQUEST_TIMEOUT.saturating_sub(opened_at.elapsed());
+        remaining.max(MIN_FIRST_REQUEST_TIMEOUT)
+    })
+}
+
 /// Reads one more request if it is complete within `time_limit`. Otherwise, the connection has to
 /// be closed.
 async fn last_request(stream: &mut ClientStream, time_limit: Duration) -> io::Result<NextRequest> {
--- a/crates/core/tests/client_capacity.rs
+++ b/crates/core/tests/client_capacity.rs
@@ -23,6 +23,9 @@
 /// Time after which everything that was sent has been handled.
 const TRANSIT_TIME: Duration = Duration::from_millis(1);
 
+/// Time from the opening of a connection to its first request, as on a busy machine.
+const FIRST_REQUEST_DELAY: Duration = Duration::from_millis(20);
+
 /// Returns settings in which only the number of clients limits the number of open queries.
 fn settings() -> String {
     SETTINGS.replace("limits.open_cap=60", "limits.open_cap=1000")
@@ -112,3 +115,26 @@
         drop(silent);
     });
 }
+
+/// Guards against the eviction of new clients that have not had the time to send a request, while
+/// clients that have sent theirs stay connected.
+#[test]
+fn clients_that_send_their_first_request_shortly_after_connecting() {
+    run_scenario(&settings(), DESCRIPTORS, |harness| async move {
+        tokio::task::spawn_local(serve_calls(harness.leaf));
+        let mut idle = connect_at_once(harness.aggregator, CLIENT_CAPACITY);
+        for (number, client) in idle.iter_mut().enumerate() {
+            send_query(client, &format!("idle-{number}")).await;
+            read_response(client).await;
+        }
+        let mut clients = connect_at_once(harness.aggregator, CLIENT_CAPACITY);
+        sleep(FIRST_REQUEST_DELAY).await;
+        for (number, client) in clients.iter_mut().enumerate() {
+            send_query(client, &format!("new-{number}")).await;
+        }
+        for client in &mut clients {
+            let response = read_response(client).await;
+            assert!(response.head.starts_with("HTTP/1.1 200"), "{response:?}");
+        }
+    });
+}
