Replace the longest idle leaf connection when all connections are in the table

What callers would see: with more leaf servers than connections to them (40% of the descriptors), queries that need a leaf server without a connection fail or are rejected, until an idle connection has reached 90% of its idle timeout (27 of 30 s). Each of their attempts ends as unreachable, which the policy takes for a fault of the replica.

Cause: find_or_open_connection returned None when the table was full, whatever the connections in it did.

Fix: a full table closes the connection that has been idle for longest and opens the new one. Connections in use are never closed for it; connections.idle_closed counts these closes too.

Tests: a_new_connection_replaces_the_one_that_has_been_idle_for_longest failed before the fix (no answer for shard 409, with 409 connections to 420 replicas) and passes with it; a_connection_in_use_is_not_replaced guards the fix.

--- a/crates/core/src/engine/connection_table.rs
+++ b/crates/core/src/engine/connection_table.rs
@@ -85,6 +85,14 @@
         self.get(id).is_some_and(LeafConnection::is_idle)
     }
 
+    /// Returns the connection that has been idle for longest, or `None` if no connection is idle.
+    pub(super) fn longest_idle(&self) -> Option<ConnectionId> {
+        let connections = self.connections.iter();
+        let idle = connections.filter(|(_, connection)| connection.state.is_idle());
+        let longest = idle.min_by_key(|(_, connection)| connection.idle_timer.idle_since());
+        longest.map(|(id, _)| *id)
+    }
+
     /// Adds a connection that is being established.
     pub(super) fn insert(&mut self, id: ConnectionId, replica: ReplicaId, now: Nanos) {
         let connection = ReplicaConnection {
--- a/crates/core/src/engine/connections.rs
+++ b/crates/core/src/engine/connections.rs
@@ -76,7 +76,8 @@
 
     /// Returns a connection to a replica with capacity for an attempt with this wire id, or for a
     /// health check, which has none. Prefers the oldest connection, so that few stay in use. Opens
-    /// a new one if none has capacity, and returns `None` if that is not possible.
+    /// a new one if none has capacity, in place of an idle one if the table is full. Returns `None`
+    /// if that is not possible.
     pub(super) fn find_or_open_connection(
         &mut self,
         now: Nanos,
@@ -94,7 +95,9 @@
 
     fn open_connection(&mut self, now: Nanos, replica: ReplicaId) -> Option<ConnectionId> {
         if self.connections.is_full() {
-            return None;
+            let longest_idle = self.connections.longest_idle()?;
+            self.counters.connections.idle_closed += 1;
+            self.close_connection(now, longest_idle);
         }
         let id = self.ids.allocate();
         let address = self.endpoints.add_connection(replica, id)?;
--- a/crates/core/src/engine/counters.rs
+++ b/crates/core/src/engine/counters.rs
@@ -46,7 +46,8 @@
     pub retries: u64,
     /// Invalid requests, rejected before they reached the policy.
     pub invalid: u64,
-    /// Queries rejected before they reached the policy because too many were open.
+    /// Queries rejected before they reached the policy because too many were open, or because the
+    /// queries of too many clients were.
     pub over_capacity: u64,
     /// Queries rejected before they reached the policy because the client had no time left, or
     /// because the process was about to exit.
@@ -140,7 +141,8 @@
     pub silent: u64,
     /// Connections to leaf servers closed because of a malformed response.
     pub malformed: u64,
-    /// Connections to leaf servers closed because they were idle.
+    /// Connections to leaf servers closed because they were idle for the idle period, or to make
+    /// room for another connection.
     pub idle_closed: u64,
 }
 
--- a/crates/core/src/engine/idle_timer.rs
+++ b/crates/core/src/engine/idle_timer.rs
@@ -30,6 +30,11 @@
         }
     }
 
+    /// Returns the time at which the latest idle period began.
+    pub(super) fn idle_since(&self) -> Nanos {
+        self.idle_since
+    }
+
     /// Returns the time of the next check, or `None` if no timer is set.
     pub(super) fn due(&self) -> Option<Nanos> {
         self.due
--- a/crates/core/tests/reducer/connections.rs
+++ b/crates/core/tests/reducer/connections.rs
@@ -1,8 +1,13 @@
 //! Connections to leaf servers: when they are opened, reused and closed.
 
-use crate::sent_parts;
-use crate::support::engine_harness::{EngineHarness, SETTINGS};
-use aggregator_core::protocol::leaf::LeafRequest;
+use crate::support::engine_harness::{address, query, EngineHarness, SETTINGS};
+use crate::{is_complete, sent_parts};
+use aggregator_core::engine::{ClientId, Input};
+use aggregator_core::protocol::leaf::{LeafRequest, PartStatus};
+use aggregator_core::protocol::query::ClientRequest;
+
+/// Connections to leaf servers for which the descriptors of the harness suffice.
+const CONNECTION_CAPACITY: usize = 409;
 
 /// Returns the number of parts of each call that was sent, in order.
 fn parts_per_call(harness: &EngineHarness) -> Vec<usize> {
@@ -120,7 +125,6 @@
 /// The remaining descriptors are for clients, the watch and the process itself.
 #[test]
 fn leaf_connections_use_no_more_than_their_share_of_the_descriptors() {
-    const MAX_CONNECTIONS: usize = 409;
     let settings = SETTINGS.replace("open_cap=60", "open_cap=9999");
     let mut harness = EngineHarness::with_settings(&settings, 500);
     let mut peak = 0;
@@ -129,7 +133,71 @@
         peak = peak.max(harness.connections.len());
     }
     assert_eq!(
-        peak, MAX_CONNECTIONS,
+        peak, CONNECTION_CAPACITY,
         "expected 40 percent of the 1,024 descriptors"
     );
 }
+
+/// Creates an engine with this number of replicas, each of which holds one shard: replica 1 holds
+/// shard 0, and so on.
+fn engine_with_a_shard_per_replica(replicas: u64) -> EngineHarness {
+    let settings = SETTINGS
+        .replace("extra.places=1", &format!("extra.places={replicas}"))
+        .replace("extra.ranges=8", &format!("extra.ranges={replicas}"));
+    let mut harness = EngineHarness::with_settings(&settings, 0);
+    let line = |replica: u64| {
+        serde_json::json!({"name": format!("s-{replica}"), "address": address(replica),
+            "group": replica - 1, "status": "up"})
+    };
+    let lines: Vec<_> = (1..=replicas).map(line).collect();
+    let snapshot = serde_json::json!({"index": 2, "snapshot": true, "endpoints": lines});
+    for replica in 1..=replicas {
+        harness.set_status_of_address(&address(replica), "up");
+    }
+    let update = serde_json::from_value(snapshot).expect("valid endpoint list");
+    harness.apply(Input::EndpointsUpdated(update));
+    harness
+}
+
+/// Sends a query with a part at this shard and opens the connection for it.
+fn query_shard(harness: &mut EngineHarness, shard: u32) -> ClientId {
+    let client = harness.connect_client();
+    let mut query = query(&format!("shard-{shard}"), 1, &[1.0], 5000);
+    query.parts[0].shard = shard;
+    harness.send_request(client, ClientRequest::Query(query));
+    harness.open_all_connections();
+    client
+}
+
+/// Guards against queries that fail because all connections lead to other replicas and are idle.
+#[test]
+fn a_new_connection_replaces_the_one_that_has_been_idle_for_longest() {
+    const REPLICAS: u64 = 420;
+    let mut harness = engine_with_a_shard_per_replica(REPLICAS);
+    for shard in 0..REPLICAS as u32 {
+        let client = query_shard(&mut harness, shard);
+        harness.respond_to_all();
+        let reply = harness.last_reply(client);
+        assert!(is_complete(reply), "shard {shard}: {reply:?}");
+        harness.advance(1);
+    }
+    assert_eq!(harness.connections.len(), CONNECTION_CAPACITY);
+    let latest: Vec<String> = (1..=REPLICAS).skip(11).map(address).collect();
+    let connected = harness.connections.values();
+    let connected: Vec<String> = connected.map(|socket| socket.address.clone()).collect();
+    assert_eq!(connected, latest);
+}
+
+#[test]
+fn a_connection_in_use_is_not_replaced() {
+    let mut harness = engine_with_a_shard_per_replica(CONNECTION_CAPACITY as u64 + 1);
+    let in_use = query_shard(&mut harness, 0);
+    for shard in 1..=CONNECTION_CAPACITY as u32 {
+        query_shard(&mut harness, shard);
+        let newest = *harness.connections.keys().next_back().unwrap();
+        harness.respond_to_oldest(newest, PartStatus::Ok);
+    }
+    let first = harness.first_connection();
+    harness.respond_to_oldest(first, PartStatus::Ok);
+    assert!(is_complete(harness.last_reply(in_use)));
+}
