--- a/crates/core/tests/reducer/clients.rs
+++ b/crates/core/tests/reducer/clients.rs
@@ -59,8 +59,8 @@
     assert!(!late.iter().any(is_closed));
 }
 
-/// Guards against a listener that waits for clients none of which can be evicted: every client above
-/// the capacity must be able to make room for the next one.
+/// Guards against a listener that waits while no client can be evicted: each client above the
+/// capacity must be able to make room for the next one.
 #[test]
 fn clients_above_the_capacity_never_wait_for_a_reply() {
     let settings = SETTINGS.replace("limits.open_cap=60", "limits.open_cap=10000");
