Clarify comments and name the capacities in the tests of the connection limits

The listener's comment said that no connection lingers while it waits, but they are ended one after the other. No behaviour, bound or assertion changes.

--- a/crates/core/src/net/listener.rs
+++ b/crates/core/src/net/listener.rs
@@ -61,7 +61,8 @@
     }
 }
 
-/// Waits until fewer than `max_clients` clients are connected. Meanwhile, no connection lingers.
+/// Waits until fewer than `max_clients` clients are connected. Meanwhile, lingering connections are
+/// ended one after the other.
 async fn wait_for_capacity(shared: &Shared, max_clients: usize) {
     let clients = &shared.clients;
     let mut next_warning = Instant::now() + STALL_WARNING_INTERVAL;
--- a/crates/core/tests/client_capacity.rs
+++ b/crates/core/tests/client_capacity.rs
@@ -22,7 +22,6 @@
 const MAX_RESPONSE_TIME: Duration = Duration::from_millis(500);
 /// Time after which everything that was sent has been handled.
 const TRANSIT_TIME: Duration = Duration::from_millis(1);
-
 /// Time from the opening of a connection to its first request, as on a busy machine.
 const FIRST_REQUEST_DELAY: Duration = Duration::from_millis(20);
 
--- a/crates/core/tests/reducer/clients.rs
+++ b/crates/core/tests/reducer/clients.rs
@@ -5,6 +5,9 @@
 use aggregator_core::engine::{ClientId, Effect, Input};
 use aggregator_core::protocol::query::{ClientRequest, QueryReply};
 
+/// Number of clients for which the descriptors of the harness suffice.
+const CLIENT_CAPACITY: usize = 460;
+
 /// Connects a client, sends a query from it and answers the query.
 fn connect_and_query(harness: &mut EngineHarness) -> ClientId {
     let client = harness.send_query(1, &[1.0]);
@@ -66,7 +69,7 @@
     let settings = SETTINGS.replace("limits.open_cap=60", "limits.open_cap=10000");
     let mut harness = EngineHarness::with_settings(&settings, 1);
     let clients: Vec<ClientId> = (0..500).map(|_| harness.send_query(1, &[1.0])).collect();
-    let (waiting, above) = clients.split_at(460);
+    let (waiting, above) = clients.split_at(CLIENT_CAPACITY);
     let waits = |client: &ClientId| harness.last_reply(*client).is_none();
     assert!(waiting.iter().all(waits));
     assert!(above
--- a/crates/core/tests/reducer/connections.rs
+++ b/crates/core/tests/reducer/connections.rs
@@ -182,7 +182,8 @@
         harness.advance(1);
     }
     assert_eq!(harness.connections.len(), CONNECTION_CAPACITY);
-    let latest: Vec<String> = (1..=REPLICAS).skip(11).map(address).collect();
+    let first_connected = REPLICAS - CONNECTION_CAPACITY as u64 + 1;
+    let latest: Vec<String> = (first_connected..=REPLICAS).map(address).collect();
     let connected = harness.connections.values();
     let connected: Vec<String> = connected.map(|socket| socket.address.clone()).collect();
     assert_eq!(connected, latest);
