--- a/crates/core/src/engine/counters.rs
+++ b/crates/core/src/engine/counters.rs
@@ -46,8 +46,8 @@
     pub retries: u64,
     /// Invalid requests, rejected before they reached the policy.
     pub invalid: u64,
-    /// Queries rejected before they reached the policy because too many queries and parts were open,
-    /// or because too many clients were waiting for replies.
+    /// Queries rejected before they reached the policy because too many queries and parts were
+    /// open, or because too many clients were waiting for replies.
     pub over_capacity: u64,
     /// Queries rejected before they reached the policy because the client had no time left, or
     /// because the process was about to exit.
