--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -9,6 +9,7 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -417,13 +418,24 @@
     pub record: Record,
     pub scheduler: Scheduler,
     pub parts: Arc<Mutex<Vec<PartSeen>>>,
-    /// Work of a part.
+    /// Work of a part, which differs by up to a seventh among the parts.
     pub work: Duration,
+    /// If not 0, each answer of this number is spoilt: its length announces eight bytes more than are
+    /// sent.
+    pub spoils_every: u64,
+    answers: Arc<AtomicU64>,
 }
 
 impl Leaves {
     pub fn new(record: &Record, work: Duration) -> Leaves {
-        Leaves { record: record.clone(), scheduler: Scheduler::start(), parts: Arc::default(), work }
+        Leaves {
+            record: record.clone(),
+            scheduler: Scheduler::start(),
+            parts: Arc::default(),
+            work,
+            spoils_every: 0,
+            answers: Arc::default(),
+        }
     }
 
     /// Starts a leaf server, and returns its address.
@@ -488,10 +500,18 @@
             self.parts.lock().unwrap().push(part);
             let (writer, id) = (writer.clone(), id.to_string());
             let value = value_of(&id, &text);
-            self.scheduler.after(self.work, move || {
+            let spread = Numbers(at.to_bits()).below(1_000) as f64 / 7_000.0;
+            let number = self.answers.fetch_add(1, Ordering::Relaxed) + 1;
+            let is_spoilt = self.spoils_every > 0 && number % self.spoils_every == 0;
+            let (record, name) = (self.record.clone(), name.to_string());
+            self.scheduler.after(self.work.mul_f64(1.0 - spread), move || {
                 let body = format!("A{id} ok 1.0 -\n{value}");
+                let sent = if is_spoilt { body.len() - 8 } else { body.len() };
                 let mut frame = (body.len() as u32).to_be_bytes().to_vec();
-                frame.extend_from_slice(body.as_bytes());
+                frame.extend_from_slice(&body.as_bytes()[..sent]);
+                if is_spoilt {
+                    record.line(&format!("{name}: spoilt answer to {id}, its length does not fit"));
+                }
                 let _ = writer.lock().unwrap().write_all(&frame);
             });
         }
