--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -7,6 +7,7 @@
 use std::fs::{self, File};
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -275,6 +276,7 @@
     pub address: SocketAddr,
     pub list: Arc<(Mutex<List>, Condvar)>,
     mode: Arc<Mutex<(Mode, u64)>>,
+    /// Blanks of a level of the list; 0 for a list in one line.
     indent: usize,
     record: Record,
     name: String,
@@ -453,24 +455,22 @@
         address
     }
 
-    fn serve(&self, name: &str, mut stream: TcpStream) {
+    fn serve(&self, name: &str, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let writer = Arc::new(Mutex::new(match stream.try_clone() {
-            Ok(writer) => writer,
-            Err(_) => return,
-        }));
+        let stream = Arc::new(stream);
+        let mut reader = &*stream;
         loop {
             let mut length = [0; 4];
-            if stream.read_exact(&mut length).is_err() {
+            if reader.read_exact(&mut length).is_err() {
                 return;
             }
             let mut frame = vec![0; u32::from_be_bytes(length) as usize];
-            if stream.read_exact(&mut frame).is_err() {
+            if reader.read_exact(&mut frame).is_err() {
                 return;
             }
             let at = self.record.seconds();
             match frame.first() {
-                Some(b'Q') => self.on_call(name, at, &frame[1..], &writer),
+                Some(b'Q') => self.on_call(name, at, &frame[1..], &stream),
                 Some(b'X') => {
                     let id = String::from_utf8_lossy(&frame[1..]).into_owned();
                     self.record.line(&format!("{name}: given up {id}"));
@@ -480,7 +480,7 @@
         }
     }
 
-    fn on_call(&self, name: &str, at: f64, mut rest: &[u8], writer: &Arc<Mutex<TcpStream>>) {
+    fn on_call(&self, name: &str, at: f64, mut rest: &[u8], stream: &Arc<TcpStream>) {
         while let Some(end) = rest.iter().position(|byte| *byte == b'\n') {
             let line = String::from_utf8_lossy(&rest[..end]).into_owned();
             let fields: Vec<&str> = line.split(' ').collect();
@@ -498,7 +498,7 @@
             };
             self.record.line(&format!("{name}: part {id} d={}", part.wait_ms));
             self.parts.lock().unwrap().push(part);
-            let (writer, id) = (writer.clone(), id.to_string());
+            let (stream, id) = (stream.clone(), id.to_string());
             let value = value_of(&id, &text);
             let spread = Numbers(at.to_bits()).below(1_000) as f64 / 7_000.0;
             let number = self.answers.fetch_add(1, Ordering::Relaxed) + 1;
@@ -512,7 +512,8 @@
                 if is_spoilt {
                     record.line(&format!("{name}: spoilt answer to {id}, its length does not fit"));
                 }
-                let _ = writer.lock().unwrap().write_all(&frame);
+                // Only the scheduler writes, so frames do not mix.
+                let _ = (&*stream).write_all(&frame);
             });
         }
     }
@@ -613,7 +614,10 @@
         let root = std::env::var("REPOSITORY").unwrap_or_else(|_| ".".to_string());
         let run = deploy_command(Path::new(&root), "run");
         let log = fs::OpenOptions::new().create(true).append(true).open(self.folder.join("log"));
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        // The mixer ends with this process, however that ends.
+        unsafe { command.pre_exec(end_with_parent) };
+        let child = command
             .arg("-c")
             .arg(run)
             .current_dir(&root)
@@ -694,6 +698,20 @@
     }
 }
 
+extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
+/// Has the system kill this process when the one that started it ends.
+fn end_with_parent() -> std::io::Result<()> {
+    const SET_PARENT_DEATH_SIGNAL: i32 = 1;
+    const KILL: u64 = 9;
+    match unsafe { prctl(SET_PARENT_DEATH_SIGNAL, KILL, 0_u64, 0_u64, 0_u64) } {
+        0 => Ok(()),
+        _ => Err(std::io::Error::last_os_error()),
+    }
+}
+
 /// Returns a command of the deploy file.
 pub fn deploy_command(root: &Path, key: &str) -> String {
     let text = fs::read_to_string(root.join("deploy/balancer.toml"))
