--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -280,6 +280,8 @@
     indent: usize,
     record: Record,
     name: String,
+    /// Speed at which the list is written; 0 for at once.
+    pub bytes_per_second: Arc<AtomicU64>,
     /// When each call ended that got no answer, by seconds of the record.
     pub given_up: Arc<Mutex<Vec<f64>>>,
     /// Greatest version that was written whole to the mixer, with its time.
@@ -303,6 +305,7 @@
             indent,
             record: record.clone(),
             name: name.to_string(),
+            bytes_per_second: Arc::default(),
             given_up: Arc::default(),
             told: Arc::default(),
         };
@@ -322,6 +325,19 @@
         *current = (mode, current.1 + 1);
     }
 
+    /// Writes at the speed of discovery, in pieces of a tenth of a second.
+    fn write_slowly(&self, stream: &mut TcpStream, bytes: &[u8]) -> std::io::Result<()> {
+        let speed = self.bytes_per_second.load(Ordering::Relaxed);
+        if speed == 0 {
+            return stream.write_all(bytes);
+        }
+        for piece in bytes.chunks((speed / 10).max(1) as usize) {
+            stream.write_all(piece)?;
+            sleep_ms(100 * piece.len() as u64 / (speed / 10).max(1));
+        }
+        Ok(())
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Some(head) = read_head(&mut stream) else { return };
@@ -367,7 +383,7 @@
                 return;
             }
             let chunk = format!("{:x}\r\n{text}\r\n", text.len());
-            if stream.write_all(chunk.as_bytes()).is_err() {
+            if self.write_slowly(&mut stream, chunk.as_bytes()).is_err() {
                 self.record.line(&format!(
                     "discovery {}: the watch from={version} ended while {} bytes were written",
                     self.name,
