--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,8 +1,8 @@
 #!/bin/sh
-# Plays the case: clients that send many queries at once.
+# Plays the case: a client leaves, and a bad client with the id of its open request is accepted.
 # TROUBLE=0 does the same without the disruption.
 # Exit code: 0 the rule held, 1 it was broken, 2 the case could not run.
-name=at_once
+name=reused_id
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 root=$(cd "$folder/../.." && pwd) || exit 2
 for needed in "$root/target/review-2/$name" "$root/target/release/query-aggregator"; do
