--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -439,7 +439,7 @@
     /// Work of a part, which differs by up to a seventh among the parts.
     pub work: Duration,
     /// If not 0, each answer of this number is spoilt: its length announces eight bytes more than are
-    /// sent.
+    /// sent, and every other time eight bytes less.
     pub spoils_every: u64,
     answers: Arc<AtomicU64>,
 }
@@ -519,14 +519,19 @@
             let spread = Numbers(at.to_bits()).below(1_000) as f64 / 7_000.0;
             let number = self.answers.fetch_add(1, Ordering::Relaxed) + 1;
             let is_spoilt = self.spoils_every > 0 && number % self.spoils_every == 0;
+            let is_longer = is_spoilt && number / self.spoils_every % 2 == 1;
             let (record, name) = (self.record.clone(), name.to_string());
             self.scheduler.after(self.work.mul_f64(1.0 - spread), move || {
                 let body = format!("A{id} ok 1.0 -\n{value}");
-                let sent = if is_spoilt { body.len() - 8 } else { body.len() };
-                let mut frame = (body.len() as u32).to_be_bytes().to_vec();
+                let (announced, sent) = match (is_spoilt, is_longer) {
+                    (false, _) => (body.len(), body.len()),
+                    (true, true) => (body.len(), body.len() - 8),
+                    (true, false) => (body.len() - 8, body.len()),
+                };
+                let mut frame = (announced as u32).to_be_bytes().to_vec();
                 frame.extend_from_slice(&body.as_bytes()[..sent]);
                 if is_spoilt {
-                    record.line(&format!("{name}: spoilt answer to {id}, its length does not fit"));
+                    record.line(&format!("{name}: spoilt answer to {id}, announces {announced} bytes and has {sent}"));
                 }
                 // Only the scheduler writes, so frames do not mix.
                 let _ = (&*stream).write_all(&frame);
--- a/review/standins-2/spoilt_length.rs
+++ b/review/standins-2/spoilt_length.rs
@@ -70,7 +70,7 @@
         .collect();
     thread::sleep(Duration::from_secs(SECONDS));
     *stop.lock().unwrap() = true;
-    let mut sums = [0_u64; 3];
+    let mut sums = [0_u64; 4];
     for client in clients {
         let counts = client.join().unwrap_or_default();
         sums.iter_mut().zip(counts).for_each(|(sum, count)| *sum += count);
@@ -80,16 +80,20 @@
             record.say(&format!("{} has ended: {status}", mixer.name));
         }
     }
-    let [answers, values, wrong] = sums;
-    record.say(&format!("{answers} answers with {values} values, {wrong} of which no leaf server made for the request"));
-    wrong > 0
+    let [answers, values, mixed, cut] = sums;
+    record.say(&format!(
+        "{answers} answers with {values} values; {} of them no leaf server made for the request: {mixed} have bytes of another answer, {cut} are cut short",
+        mixed + cut
+    ));
+    mixed + cut > 0
 }
 
-/// Sends queries one after the other. Returns the numbers of answers, values and wrong values.
-fn run_client(number: u64, listen: SocketAddr, record: &Record, stop: &Mutex<bool>) -> [u64; 3] {
+/// Sends queries one after the other. Returns the numbers of answers, of values, of values with bytes of
+/// another answer, and of other wrong values.
+fn run_client(number: u64, listen: SocketAddr, record: &Record, stop: &Mutex<bool>) -> [u64; 4] {
     let mut numbers = Numbers(number);
     let mut client = Client::new(listen);
-    let mut counts = [0; 3];
+    let mut counts = [0; 4];
     let mut sent = 0;
     while !*stop.lock().unwrap() {
         sleep_ms(700 + numbers.below(1_400));
@@ -117,7 +121,8 @@
             counts[1] += 1;
             let expected = value_of(&format!("{id}.{shard}"), &id);
             if value != expected {
-                counts[2] += 1;
+                let is_cut = expected.starts_with(&value);
+                counts[if is_cut { 3 } else { 2 }] += 1;
                 record.line(&format!("WRONG: {id} shard {shard} got {value:?}, its value is {expected:?}"));
             }
         }
