--- a/review/standins-2/at_once.rs
+++ b/review/standins-2/at_once.rs
@@ -64,7 +64,7 @@
         .collect();
     let lost: u64 = clients.into_iter().map(|client| client.join().unwrap_or(0)).sum();
     if let Some(status) = mixer.ended() {
-        record.say(&format!("the mixer has ended: {status}"));
+        cannot_run(&format!("the mixer has ended: {status}"));
     }
     record.say(&format!("{lost} of {} queries got no final answer by 0.5 s after their time", CLIENTS * ROUNDS * AT_ONCE));
     lost > 0
--- a/review/standins-2/large_list.rs
+++ b/review/standins-2/large_list.rs
@@ -109,7 +109,7 @@
     }
     for (mixer, _) in &mut mixers {
         if let Some(status) = mixer.ended() {
-            record.say(&format!("{} has ended: {status}", mixer.name));
+            cannot_run(&format!("{} has ended: {status}", mixer.name));
         }
         let log = mixer.log();
         let mut ended = log.lines().filter(|line| line.contains("watch on discovery ended"));
@@ -155,5 +155,8 @@
         "{} parts; {late} reached a draining leaf server over {GRACE:.2} s after its drain was told, the last {latest:.3} s after it",
         parts.len()
     ));
+    if parts.is_empty() {
+        cannot_run("no part was sent");
+    }
     late > 0
 }
--- a/review/standins-2/late_poll.rs
+++ b/review/standins-2/late_poll.rs
@@ -109,7 +109,7 @@
     }
     for (mixer, _) in &mut mixers {
         if let Some(status) = mixer.ended() {
-            record.say(&format!("{} has ended: {status}", mixer.name));
+            cannot_run(&format!("{} has ended: {status}", mixer.name));
         }
     }
     judge(&leaves, &draining, &reachable, record)
@@ -155,5 +155,8 @@
         parts.len(),
         mixers.len()
     ));
+    if parts.is_empty() {
+        cannot_run("no part was sent");
+    }
     late > 0
 }
--- a/review/standins-2/reused_id.rs
+++ b/review/standins-2/reused_id.rs
@@ -60,9 +60,12 @@
         sleep_ms(700);
     }
     if let Some(status) = mixer.ended() {
-        record.say(&format!("the mixer has ended: {status}"));
+        cannot_run(&format!("the mixer has ended: {status}"));
     }
     record.say(&format!("{values} values were served to the second client; {foreign} of them were made for the first client's request"));
+    if values == 0 {
+        cannot_run("no values were served");
+    }
     foreign > 0
 }
 
--- a/review/standins-2/spoilt_length.rs
+++ b/review/standins-2/spoilt_length.rs
@@ -77,7 +77,7 @@
     }
     for mixer in &mut mixers {
         if let Some(status) = mixer.ended() {
-            record.say(&format!("{} has ended: {status}", mixer.name));
+            cannot_run(&format!("{} has ended: {status}", mixer.name));
         }
     }
     let [answers, values, mixed, cut] = sums;
@@ -85,6 +85,9 @@
         "{answers} answers with {values} values; {} of them no leaf server made for the request: {mixed} have bytes of another answer, {cut} are cut short",
         mixed + cut
     ));
+    if values == 0 {
+        cannot_run("no values were served");
+    }
     mixed + cut > 0
 }
 
