Reject frames of leaf servers whose length contradicts the bytes behind them

Cause: LeafCodec::decode took any bytes for the rest of a frame, and accepted a frame whatever follows it. A NUL byte is valid UTF-8, so a value may contain the start of the next frame.

Fix: a frame that contains the first byte of frames (0), or that is followed by anything that may be the rest of its text, is malformed. Lengths are far below 2^24, so the first byte is always 0; no text contains it. Bytes that cannot continue UTF-8 text are still noise behind a sound result.

--- a/crates/core/src/protocol/leaf/codec.rs
+++ b/crates/core/src/protocol/leaf/codec.rs
@@ -1,4 +1,9 @@
 //! Encodes and decodes the frames of [`LeafRequest`] and [`LeafResponse`].
+//!
+//! The length of a frame from a leaf server may be wrong. Since the first byte of every valid
+//! length is [`FRAME_START`], which does not occur in the text of a frame, both kinds of wrong
+//! lengths are detected: a frame that is too long contains the start of the next one, and behind a
+//! frame that is too short the rest of its text follows.
 
 use super::{CallPart, LeafRequest, LeafResponse, PartStatus};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -11,6 +16,9 @@
 const MAX_PART_RESULT_BYTES: usize = 64 * 1024 + 512;
 /// Maximum length of a frame of any other kind.
 const MAX_STATUS_BYTES: usize = 1024;
+/// First byte of each frame: the most significant byte of its length, which is zero because all
+/// valid lengths are far below 2^24.
+const FRAME_START: u8 = 0;
 
 const CALL: u8 = b'Q';
 const CANCEL: u8 = b'X';
@@ -96,12 +104,29 @@
         src.advance(LENGTH_BYTES);
         let body = Bytes::copy_from_slice(&src[..length]);
         src.advance(length);
-        let frame = decode_body(&body);
+        let frame = if body.contains(&FRAME_START) || may_continue_text(src) {
+            malformed(&body)
+        } else {
+            decode_body(&body)
+        };
         self.is_out_of_sync = matches!(frame, LeafResponse::Malformed(_));
         Ok(Some(frame))
     }
 }
 
+/// Returns whether `following`, which has arrived directly behind a frame, may be the rest of that
+/// frame's text. Neither the start of another frame nor bytes that no UTF-8 text begins with can
+/// be: the latter are noise behind a complete frame.
+fn may_continue_text(following: &[u8]) -> bool {
+    match following.first() {
+        None | Some(&FRAME_START) => false,
+        Some(_) => std::str::from_utf8(following).map_or_else(
+            |error| error.valid_up_to() > 0 || error.error_len().is_none(),
+            |_| true,
+        ),
+    }
+}
+
 /// Returns whether a frame of this kind may have this length. `kind` is `None` if the kind has not
 /// arrived yet.
 fn is_valid_length(kind: Option<u8>, length: usize) -> bool {
--- a/crates/core/tests/leaf_codec.rs
+++ b/crates/core/tests/leaf_codec.rs
@@ -117,3 +117,114 @@
         "expected no id, since the rest of the id may be missing"
     );
 }
+
+/// Part results whose length does not fit, with other frames behind them.
+mod wrong_length {
+    use super::{decode_in_pieces, frame, LeafCodec, LeafResponse, PartStatus};
+    use proptest::prelude::*;
+    use proptest::test_runner::RngSeed;
+
+    /// Length of a frame's length prefix, in bytes.
+    const LENGTH_BYTES: usize = 4;
+
+    /// Returns the frame of a result whose length is off by `error` bytes.
+    fn result_with_wrong_length(id: &str, value: &str, error: i32) -> Vec<u8> {
+        let mut frame = frame(&format!("A{id} ok 1 -\n{value}"));
+        let length = (frame.len() - LENGTH_BYTES) as u32;
+        let announced = length.checked_add_signed(error).unwrap();
+        frame[..LENGTH_BYTES].copy_from_slice(&announced.to_be_bytes());
+        frame
+    }
+
+    fn sound_result(id: &str, value: &str) -> Vec<u8> {
+        result_with_wrong_length(id, value, 0)
+    }
+
+    /// Guards against a value that is served together with the beginning of the next frame.
+    #[test]
+    fn a_result_that_is_too_long_is_malformed() {
+        for excess in 1..=20 {
+            let input = [
+                result_with_wrong_length("q1.3", "40df6412", excess),
+                sound_result("q2.5", "5be2a07c"),
+            ]
+            .concat();
+            for pieces in [1, 7, 100] {
+                let found = decode_in_pieces(&mut LeafCodec::default(), &input, &[pieces]);
+                let expected = [LeafResponse::Malformed(Some("q1.3".to_string()))];
+                assert_eq!(found, expected, "{excess} bytes too long");
+            }
+        }
+    }
+
+    /// Guards against a value that is served without its end.
+    #[test]
+    fn a_result_that_is_too_short_is_malformed() {
+        for missing in 1..=8 {
+            let cut_off = result_with_wrong_length("q1.3", "40df6412", -missing);
+            let followed = [cut_off.clone(), sound_result("q2.5", "5be2a07c")].concat();
+            for input in [cut_off, followed] {
+                let found = decode_in_pieces(&mut LeafCodec::default(), &input, &[input.len()]);
+                let expected = [LeafResponse::Malformed(Some("q1.3".to_string()))];
+                assert_eq!(found, expected, "{missing} bytes too short");
+            }
+        }
+    }
+
+    /// Guards against a rejected part that counts as never executed although its length is wrong.
+    #[test]
+    fn a_rejection_that_is_too_long_is_malformed() {
+        let mut rejection = frame("Aq1.3 busy 0 -\n");
+        rejection[LENGTH_BYTES - 1] += 6;
+        let input = [rejection, sound_result("q2.5", "5be2a07c")].concat();
+        let found = decode_in_pieces(&mut LeafCodec::default(), &input, &[input.len()]);
+        assert_eq!(found, [LeafResponse::Malformed(Some("q1.3".to_string()))]);
+    }
+
+    /// A result as a leaf server sends it.
+    #[derive(Clone, Debug)]
+    struct SentResult {
+        value: String,
+        /// Difference between the announced and the real length.
+        length_error: i32,
+    }
+
+    fn any_result() -> impl Strategy<Value = SentResult> {
+        let length_error = prop_oneof![3 => Just(0), 1 => -12..=40];
+        ("[a-z0-9\u{e9}\u{20ac}]{1,24}", length_error).prop_map(|(value, length_error)| {
+            SentResult {
+                value,
+                length_error,
+            }
+        })
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig {
+            cases: 512, rng_seed: RngSeed::Fixed(7), failure_persistence: None, ..Default::default()
+        })]
+
+        /// Guards against any value that no leaf server made, whatever the lengths are.
+        #[test]
+        fn a_served_value_is_the_one_that_was_sent(
+            results in prop::collection::vec(any_result(), 1..6),
+            pieces in prop::collection::vec(1_usize..200, 1..6),
+        ) {
+            let mut input = Vec::new();
+            for (number, result) in results.iter().enumerate() {
+                let SentResult { value, length_error } = result;
+                input.extend(result_with_wrong_length(&format!("q.{number}"), value, *length_error));
+            }
+            // A frame that is too short cannot be told from a sound one until more has arrived.
+            let is_any_too_short = results.iter().any(|result| result.length_error < 0);
+            let pieces = if is_any_too_short { vec![input.len()] } else { pieces };
+            for frame in decode_in_pieces(&mut LeafCodec::default(), &input, &pieces) {
+                if let LeafResponse::PartResult { id, status, value, .. } = frame {
+                    let number: usize = id.strip_prefix("q.").unwrap().parse().unwrap();
+                    prop_assert_eq!(status, PartStatus::Ok);
+                    prop_assert_eq!(&value, results[number].value.as_bytes());
+                }
+            }
+        }
+    }
+}
