Parse pipelined requests when they are read, and bound their memory over all clients

Cause: PipelinedRequests limited the number of requests and the bytes of their bodies for each connection, but kept the heads, as one string for each name and value, and had no limit over all connections. limits.memory_mb was not read.

Fix: a request is parsed when it is read, so that only its query is kept. Over the budget a request gets 503 with Retry-After.

--- a/crates/aggregator/src/cli/check.rs
+++ b/crates/aggregator/src/cli/check.rs
@@ -5,7 +5,7 @@
 use crate::configuration;
 use crate::files::Files;
 use crate::settings::{self, SettingsError, SCHEMA};
-use aggregator_core::config::Config;
+use aggregator_core::config::{Config, BYTES_PER_MB};
 use ini_config::{Origin, Settings};
 use opensearch_gateway::settings::GatewaySettings;
 use std::path::Path;
@@ -63,6 +63,10 @@
         reloadable("discovery", addresses.discovery.to_string()),
         reloadable("peers", addresses.peers.len().to_string()),
         fixed("limits.sockets", config.max_descriptors.to_string()),
+        fixed(
+            "limits.memory_mb",
+            (config.memory_limit / BYTES_PER_MB).to_string(),
+        ),
         fixed("known", known),
         fixed("settings.classes", settings.classes.join(" ")),
         fixed("settings.orgs", settings.tenants.join(" ")),
--- a/crates/aggregator/src/process/mod.rs
+++ b/crates/aggregator/src/process/mod.rs
@@ -87,6 +87,7 @@
         policy_seed: config.seed,
         cached_endpoints: config.cached_endpoints,
         max_descriptors: config.max_descriptors,
+        memory_limit: config.memory_limit,
     };
     let mut engine = Engine::new(clock.now(), options);
     if let Some(usage_log) = &usage_log {
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -15,5 +15,5 @@
 pub use addresses::Addresses;
 pub use aggregator_settings::{parse_aggregator_settings, AggregatorSettings};
 pub use error::{ConfigError, PlatformSettingsError};
-pub use platform::Config;
+pub use platform::{Config, BYTES_PER_MB};
 pub use policy_settings::parse_policy_settings;
--- a/crates/core/src/config/platform.rs
+++ b/crates/core/src/config/platform.rs
@@ -14,6 +14,11 @@
 /// Maximum number of file descriptors of one aggregator, even if the configuration allows more.
 const MAX_DESCRIPTORS: usize = 1024;
 
+/// Memory limit in MB if the configuration states none.
+const DEFAULT_MEMORY_MB: u64 = 192;
+/// Number of bytes of a MB in the configuration.
+pub const BYTES_PER_MB: u64 = 1024 * 1024;
+
 /// The file as the platform writes it, with the platform's names for the fields.
 #[derive(Deserialize)]
 struct ConfigFile {
@@ -35,6 +40,7 @@
 #[derive(Deserialize)]
 struct Limits {
     sockets: usize,
+    memory_mb: Option<u64>,
 }
 
 /// Configuration with which an aggregator is started.
@@ -52,6 +58,8 @@
     pub seed: u64,
     /// Maximum number of open file descriptors.
     pub max_descriptors: usize,
+    /// Memory over which the platform kills the process, in bytes.
+    pub memory_limit: u64,
     /// Endpoint list that was received last, according to the configuration file. It is used until
     /// discovery sends an update, and may be stale.
     pub cached_endpoints: EndpointUpdate,
@@ -76,7 +84,11 @@
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::InvalidSeed {
             seed: file.seed.clone(),
         })?;
+        let memory_mb = file.limits.as_ref().and_then(|limits| limits.memory_mb);
         Ok(Config {
+            memory_limit: memory_mb
+                .unwrap_or(DEFAULT_MEMORY_MB)
+                .saturating_mul(BYTES_PER_MB),
             name: file.name,
             listen: file.listen,
             seed,
@@ -107,7 +119,7 @@
         if self.listen != next.listen {
             changed.push("listen");
         }
-        if self.max_descriptors != next.max_descriptors {
+        if self.max_descriptors != next.max_descriptors || self.memory_limit != next.memory_limit {
             changed.push("limits");
         }
         if self.addresses.gossip_listen != next.addresses.gossip_listen {
--- a/crates/core/src/engine/clients.rs
+++ b/crates/core/src/engine/clients.rs
@@ -57,10 +57,19 @@
                 let json = serde_json::to_vec_pretty(&self.counters).unwrap_or_default();
                 self.send_reply(now, client, QueryReply::Stats(json));
             }
+            Err(RequestError::OUT_OF_MEMORY) => self.on_unread_request(now, client),
             Err(error) => self.on_invalid_request(now, client, error),
         }
     }
 
+    /// Rejects a request that was not read to its end because no memory was left for it.
+    fn on_unread_request(&mut self, now: Nanos, client: ClientId) {
+        self.counters.received.over_capacity += 1;
+        tracing::debug!(client, "request rejected: no memory left");
+        let retry_after = self.settings.retry_after;
+        self.send_reply(now, client, QueryReply::Rejected { retry_after });
+    }
+
     pub(super) fn on_invalid_request(&mut self, now: Nanos, client: ClientId, error: RequestError) {
         self.counters.received.invalid += 1;
         // Logged at debug level: some clients send nothing but invalid requests, as fast as they
--- a/crates/core/src/engine/counters.rs
+++ b/crates/core/src/engine/counters.rs
@@ -47,7 +47,8 @@
     /// Invalid requests, rejected before they reached the policy.
     pub invalid: u64,
     /// Queries rejected before they reached the policy because too many queries and parts were
-    /// open, or because too many clients were waiting for replies.
+    /// open, because too many clients were waiting for replies, or because no memory was left for
+    /// the requests of clients.
     pub over_capacity: u64,
     /// Queries rejected before they reached the policy because the client had no time left, or
     /// because the process was about to exit.
--- a/crates/core/src/engine/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -73,6 +73,10 @@
 /// Share of the file descriptors for connections to clients, in percent.
 const CLIENT_PERCENT: usize = 45;
 
+/// Share of the memory limit for the requests of clients beyond the allowance of each connection,
+/// in percent. The rest is for the connections themselves, the endpoint list and the program.
+const CLIENT_MEMORY_PERCENT: u64 = 12;
+
 /// Time within which a watch must be answered when discovery pushes the endpoint list. The local
 /// agent answers immediately. Restarting an unanswered watch early yields the list soon after
 /// discovery has become available again.
@@ -96,6 +100,8 @@
     watch: CurrentWatch,
     connections: ConnectionTable,
     clients: ClientTable,
+    /// Memory for the requests of clients, in bytes.
+    client_memory: usize,
     queries: OpenQueryTable,
     attempts: AttemptTable,
     health_checks: HealthCheckTable,
@@ -115,6 +121,7 @@
             policy_seed,
             cached_endpoints,
             max_descriptors,
+            memory_limit,
         } = options;
         let is_list_polled = policy_settings.endpoint_list_polled;
         let answer_timeout = if is_list_polled {
@@ -133,6 +140,7 @@
             watch: CurrentWatch::new(answer_timeout),
             connections: ConnectionTable::new(max_descriptors * LEAF_CONNECTION_PERCENT / 100),
             clients: ClientTable::new(max_descriptors * CLIENT_PERCENT / 100),
+            client_memory: client_memory(memory_limit),
             queries: OpenQueryTable::default(),
             attempts: AttemptTable::default(),
             health_checks: HealthCheckTable::default(),
@@ -167,6 +175,12 @@
         self.clients.capacity()
     }
 
+    /// Returns the memory for the requests of all clients beyond the allowance of each connection,
+    /// in bytes.
+    pub fn client_memory(&self) -> usize {
+        self.client_memory
+    }
+
     /// Returns the time at which the current batch must end even if no further input arrives.
     /// `Some(0)` means immediately, `None` that neither an event nor a timer is pending.
     pub fn next_due(&self) -> Option<Nanos> {
@@ -237,3 +251,8 @@
         }
     }
 }
+
+fn client_memory(memory_limit: u64) -> usize {
+    let bytes = memory_limit / 100 * CLIENT_MEMORY_PERCENT;
+    usize::try_from(bytes).unwrap_or(usize::MAX)
+}
--- a/crates/core/src/engine/options.rs
+++ b/crates/core/src/engine/options.rs
@@ -18,4 +18,6 @@
     pub cached_endpoints: EndpointUpdate,
     /// Maximum number of file descriptors that the process may open.
     pub max_descriptors: usize,
+    /// Memory over which the platform kills the process, in bytes.
+    pub memory_limit: u64,
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod config;
 pub mod engine;
+pub mod memory;
 pub mod net;
 pub mod protocol;
 
--- a/crates/core/src/net/client_connection/mod.rs
+++ b/crates/core/src/net/client_connection/mod.rs
@@ -9,6 +9,7 @@
 mod linger;
 mod next_request;
 mod pipelined_requests;
+mod received_request;
 mod serving;
 
 use super::client_command::ClientCommand;
--- a/crates/core/src/net/client_connection/serving.rs
+++ b/crates/core/src/net/client_connection/serving.rs
@@ -3,14 +3,16 @@
 
 use super::ending::{log_ending, CloseReason, Ending, ExchangeCounts};
 use super::next_request::{next_request, NextRequest};
-use super::pipelined_requests::{DecodedRequest, PipelinedRequests, ReadAhead, ReceivedRequest};
+use super::pipelined_requests::{PipelinedRequests, ReadAhead};
+use super::received_request::ReceivedRequest;
 use super::ClientStream;
 use crate::api::Nanos;
 use crate::engine::{ClientId, Input};
+use crate::memory::ConnectionMemory;
 use crate::net::client_command::ClientCommand;
 use crate::net::shared::Shared;
-use crate::protocol::http::Response;
-use crate::protocol::query::{parse_request, render_reply, ClientRequest, QueryReply};
+use crate::protocol::http::{Request, RequestError, Response};
+use crate::protocol::query::{render_reply, ClientRequest, QueryReply};
 use futures_util::{SinkExt, StreamExt};
 use std::io;
 use tokio::sync::mpsc;
@@ -34,10 +36,7 @@
 /// Outcome of handing a request to the engine.
 enum Submission {
     /// The engine has the request and will reply.
-    Accepted {
-        /// Whether the connection may serve another request afterwards.
-        keep_alive: bool,
-    },
+    Accepted,
     /// The event loop has ended, and no part of the request was forwarded.
     Stopped,
 }
@@ -48,6 +47,8 @@
     client: ClientId,
     pub(super) stream: ClientStream,
     commands: mpsc::Receiver<ClientCommand>,
+    /// Memory that is held for the requests of this connection.
+    memory: ConnectionMemory,
     counts: ExchangeCounts,
 }
 
@@ -64,6 +65,7 @@
             client,
             stream,
             commands,
+            memory: shared.client_memory.open_account(),
             counts: ExchangeCounts::default(),
         }
     }
@@ -86,12 +88,13 @@
             let ReceivedRequest {
                 arrived_at,
                 request,
+                keep_alive,
+                memory,
                 open_request,
             } = received;
-            let keep_alive = match self.submit(arrived_at, request).await {
-                Submission::Accepted { keep_alive } => keep_alive,
-                Submission::Stopped => return self.reject_at_exit().await,
-            };
+            if let Submission::Stopped = self.submit(arrived_at, request).await {
+                return self.reject_at_exit().await;
+            }
             let (reply, close) = match self.wait_for_reply(&mut pipeline).await? {
                 ReplyWait::Reply { reply, close } => (reply, close),
                 ReplyWait::Disconnected => return Ok(Ending::Disconnected),
@@ -108,7 +111,7 @@
                 ..render_reply(&reply)
             };
             self.respond(response).await?;
-            drop(open_request);
+            drop((memory, open_request));
             if is_last {
                 return Ok(Ending::Closed(CloseReason::LastResponse));
             }
@@ -119,23 +122,18 @@
         next_request(&mut self.stream, &mut self.commands, opened_at).await
     }
 
-    /// Counts a request whose last byte has just been read.
-    fn on_request_read(&mut self, request: DecodedRequest) -> ReceivedRequest {
+    /// Counts and parses a request whose last byte has just been read.
+    fn on_request_read(&mut self, request: Result<Request, RequestError>) -> ReceivedRequest {
         self.counts.requests_read += 1;
-        ReceivedRequest {
-            arrived_at: self.shared.clock.now(),
-            request,
-            open_request: self.shared.open_requests.open(),
-        }
+        ReceivedRequest::new(self.shared, &self.memory, request)
     }
 
-    /// Parses a request and hands it to the engine.
-    async fn submit(&self, arrived_at: Nanos, request: DecodedRequest) -> Submission {
-        let keep_alive = request.as_ref().is_ok_and(|request| request.keep_alive);
-        let request = request.and_then(|request| parse_request(&request, &self.shared.names));
-        // Not kept alive after an invalid request: a client that sends invalid requests would send
-        // another one as soon as it has its response.
-        let keep_alive = keep_alive && request.is_ok();
+    /// Hands a request to the engine.
+    async fn submit(
+        &self,
+        arrived_at: Nanos,
+        request: Result<ClientRequest, RequestError>,
+    ) -> Submission {
         if let Ok(ClientRequest::Query(query)) = &request {
             tracing::debug!(client = self.client, name = query.name, "request read");
         }
@@ -145,7 +143,7 @@
             request,
         };
         match self.shared.inputs.send(input).await {
-            Ok(()) => Submission::Accepted { keep_alive },
+            Ok(()) => Submission::Accepted,
             Err(_) => Submission::Stopped,
         }
     }
--- a/crates/core/src/net/event_loop.rs
+++ b/crates/core/src/net/event_loop.rs
@@ -10,6 +10,7 @@
 use crate::api::Nanos;
 use crate::config::Addresses;
 use crate::engine::{Engine, Input};
+use crate::memory::MemoryBudget;
 use crate::protocol::query::NameTables;
 use std::io;
 use tokio::net::TcpListener;
@@ -38,7 +39,8 @@
     extensions: Extensions,
 ) -> io::Result<()> {
     let (inputs, queued_inputs) = mpsc::channel(MAX_QUEUED_INPUTS);
-    let shared = Shared::new(clock, names, inputs);
+    let client_memory = MemoryBudget::new(engine.client_memory());
+    let shared = Shared::new(clock, names, client_memory, inputs);
     let gossip = match addresses.gossip_listen {
         Some(listen) => Some(GossipSocket::bind(&shared, listen, &addresses).await?),
         None => None,
--- a/crates/core/src/net/shared.rs
+++ b/crates/core/src/net/shared.rs
@@ -5,6 +5,7 @@
 use super::open_requests::OpenRequests;
 use super::Clock;
 use crate::engine::Input;
+use crate::memory::MemoryBudget;
 use crate::protocol::query::NameTables;
 use std::rc::Rc;
 use tokio::sync::{mpsc, watch};
@@ -26,6 +27,8 @@
 pub(super) struct Shared {
     pub(super) clock: Clock,
     pub(super) buffers: BufferPool,
+    /// Memory for the requests of all clients.
+    pub(super) client_memory: MemoryBudget,
     /// Input queue of the engine.
     pub(super) inputs: mpsc::Sender<Input>,
     pub(super) clients: ClientRegistry,
@@ -37,11 +40,17 @@
 }
 
 impl Shared {
-    pub(super) fn new(clock: Clock, names: NameTables, inputs: mpsc::Sender<Input>) -> Shared {
+    pub(super) fn new(
+        clock: Clock,
+        names: NameTables,
+        client_memory: MemoryBudget,
+        inputs: mpsc::Sender<Input>,
+    ) -> Shared {
         let clients = ClientRegistry::default();
         Shared {
             clock,
             buffers: BufferPool::default(),
+            client_memory,
             inputs,
             open_requests: OpenRequests::new(clients.client_ended().clone()),
             clients,
--- a/crates/core/src/protocol/http/mod.rs
+++ b/crates/core/src/protocol/http/mod.rs
@@ -36,6 +36,18 @@
         RequestError { status: 400, why }
     }
 
+    /// Error for a request that was sent too far ahead of the answers to earlier ones.
+    pub const TOO_MANY_REQUESTS: RequestError = RequestError {
+        status: 429,
+        why: "too many requests ahead of their answers",
+    };
+
+    /// Error for a request for which no memory is left. The client may retry it.
+    pub const OUT_OF_MEMORY: RequestError = RequestError {
+        status: 503,
+        why: "too many requests are held in memory",
+    };
+
     /// Error for a body that is longer than [`MAX_BODY_BYTES`].
     const BODY_TOO_LARGE: RequestError = RequestError {
         status: 413,
--- a/crates/core/src/protocol/query/mod.rs
+++ b/crates/core/src/protocol/query/mod.rs
@@ -14,6 +14,11 @@
 use bytes::Bytes;
 use serde::Serialize;
 
+/// Number of allocations of a query: name, parts, text and the count of its references.
+const QUERY_ALLOCATIONS: usize = 4;
+/// Memory that an allocation takes beyond its size, at most, in bytes.
+const ALLOCATION_OVERHEAD_BYTES: usize = 24;
+
 /// Names by which requests refer to classes and tenants, and the limits of a query.
 #[derive(Clone, Debug, Default)]
 pub struct NameTables {
@@ -61,6 +66,18 @@
     pub text: Bytes,
 }
 
+impl QueryRequest {
+    /// Returns the memory that the query uses beyond its own size, in bytes.
+    fn heap_bytes(&self) -> usize {
+        let key_bytes = self.idempotency_key.as_ref().map_or(0, String::capacity);
+        self.name.capacity()
+            + key_bytes
+            + self.parts.capacity() * size_of::<QueryPart>()
+            + self.text.len()
+            + QUERY_ALLOCATIONS * ALLOCATION_OVERHEAD_BYTES
+    }
+}
+
 /// A valid request of a client.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ClientRequest {
@@ -72,6 +89,16 @@
     Stats,
 }
 
+impl ClientRequest {
+    /// Returns the memory that the request uses beyond its own size, in bytes.
+    pub fn heap_bytes(&self) -> usize {
+        match self {
+            ClientRequest::Query(query) => query.heap_bytes(),
+            ClientRequest::Ready | ClientRequest::Stats => 0,
+        }
+    }
+}
+
 /// Result of one part within an answer.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct QueryHit {
--- a/crates/core/tests/configuration.rs
+++ b/crates/core/tests/configuration.rs
@@ -39,3 +39,23 @@
     invalid["extra"]["second_step"][0] = 3.into();
     assert!(config(&invalid).is_err());
 }
+
+#[test]
+fn the_memory_limit_is_stated_in_megabytes() {
+    let settings = serde_json::json!({
+        "classes": [{"name": "a", "aim_ns": 2, "give_up_ns": 6, "semantics": "read_like"}],
+        "extra": {"places": 1, "reach": 1, "ranges": 2, "class_need": [1.0], "least_share": [0.6],
+            "partial_earns": [0.9], "second_step": [0]},
+        "replicas_of_me": 1, "tick_ns": 5,
+    });
+    let config = |limits: serde_json::Value| {
+        let file = serde_json::json!({"name": "n0", "listen": "127.0.0.1:0",
+            "discovery": "127.0.0.1:1", "seed": "1", "limits": limits, "settings": settings});
+        Config::parse(&file.to_string()).unwrap()
+    };
+    let small = config(serde_json::json!({"memory_mb": 32, "sockets": 256}));
+    let unstated = config(serde_json::json!({"sockets": 256}));
+    assert_eq!(small.memory_limit, 32 * 1024 * 1024);
+    assert_eq!(unstated.memory_limit, 192 * 1024 * 1024);
+    assert_eq!(small.fields_requiring_restart(&unstated), ["limits"]);
+}
--- a/crates/core/tests/support/engine_harness.rs
+++ b/crates/core/tests/support/engine_harness.rs
@@ -18,6 +18,8 @@
 pub const START: u64 = 1_000_000 * MS;
 /// Maximum number of file descriptors of the engine.
 const DESCRIPTORS: usize = 1024;
+/// Memory limit of the process that runs the engine, in bytes.
+pub const MEMORY_LIMIT: u64 = 128 * 1024 * 1024;
 /// Value of `limits.streams_per_conn` in [`SETTINGS`].
 const STREAMS_PER_CONNECTION: usize = 4;
 
@@ -102,6 +104,7 @@
             policy_seed: seed,
             cached_endpoints: endpoint_update(1, true, &lines),
             max_descriptors: DESCRIPTORS,
+            memory_limit: MEMORY_LIMIT,
         };
         let statuses = (1..=replicas).map(|replica| (address(replica), "up".to_string()));
         let mut harness = EngineHarness {
--- a/crates/core/tests/support/socket_harness.rs
+++ b/crates/core/tests/support/socket_harness.rs
@@ -5,6 +5,7 @@
 pub mod discovery;
 pub mod leaf_server;
 
+use super::engine_harness::MEMORY_LIMIT;
 use aggregator_core::config::{parse_aggregator_settings, parse_policy_settings, Addresses};
 use aggregator_core::engine::{Engine, EngineOptions};
 use aggregator_core::net::{self, Clock, Extensions, OperatorSignal};
@@ -94,6 +95,8 @@
     pub settings: &'a str,
     /// Maximum number of file descriptors, which limits the number of clients.
     pub descriptors: usize,
+    /// Memory limit in bytes, which limits what is held for the requests of clients.
+    pub memory_limit: u64,
     pub cached_list: CachedList,
     pub time: TestTime,
     /// Optional components. If there is a usage recorder, the engine records usage.
@@ -106,6 +109,7 @@
         SocketScenario {
             settings,
             descriptors,
+            memory_limit: MEMORY_LIMIT,
             cached_list: CachedList::OneEndpoint,
             time: TestTime::Paused,
             extensions: Extensions::default(),
@@ -158,6 +162,7 @@
             policy_seed: POLICY_SEED,
             cached_endpoints,
             max_descriptors: self.descriptors,
+            memory_limit: self.memory_limit,
         };
         let mut engine = Engine::new(clock.now(), options);
         if self.extensions.recorder.is_some() {
