Send a wire id on a connection only if no response to an earlier attempt can arrive

Cause: all attempts at a part have the same wire id, and so have the parts of a later query with the same id. A response ended whatever attempt with its id was in flight on the connection.

Fix: a connection accepts no attempt whose wire id belongs to an earlier one that was not answered, or that was answered less than 200 ms ago, since a copy may follow directly behind. After 256 unanswered attempts a connection is replaced.

a_second_query_with_the_id_of_an_open_one_is_rejected expected the same connection for a query right behind a response under the same id, which is the fault. It now expects another connection.

The new property test fails without the check.

--- a/crates/core/src/engine/connections.rs
+++ b/crates/core/src/engine/connections.rs
@@ -3,7 +3,7 @@
 use super::effect::Effect;
 use super::idle_timer::IdleCheck;
 use super::ids::ConnectionId;
-use super::leaf_connection::{ConnectionEnd, LeafConnectionPhase};
+use super::leaf_connection::{ConnectionEnd, LeafConnection, LeafConnectionPhase};
 use super::timers::Timer;
 use super::Engine;
 use crate::api::{AttemptOutcome, LoadReport, Nanos, ReplicaId};
@@ -45,9 +45,11 @@
     }
 
     /// Handles a connection that has become idle: keeps it for the idle period if its replica is
-    /// ready, closes it otherwise.
+    /// ready and the connection can be used again, closes it otherwise.
     pub(super) fn on_connection_idle(&mut self, now: Nanos, id: ConnectionId) {
-        if !self.leads_to_ready_replica(id) {
+        let connection = self.connections.get(id);
+        let is_worn_out = connection.is_some_and(LeafConnection::is_worn_out);
+        if is_worn_out || !self.leads_to_ready_replica(id) {
             return self.close_connection(now, id);
         }
         let due = now + self.idle_period();
@@ -88,7 +90,7 @@
         let mut oldest_first = self.endpoints.connections_of(replica)?.iter().copied();
         let found = oldest_first.find(|id| {
             let connection = self.connections.get(*id);
-            connection.is_some_and(|connection| connection.has_capacity(max_streams, wire_id))
+            connection.is_some_and(|connection| connection.has_capacity(max_streams, wire_id, now))
         });
         found.or_else(|| self.open_connection(now, replica))
     }
--- a/crates/core/src/engine/leaf_connection/in_flight.rs
+++ b/crates/core/src/engine/leaf_connection/in_flight.rs
@@ -1,14 +1,11 @@
 //! The attempts of a connection that have not ended, by wire id. Attempts that are still queued are
 //! included.
 
+use super::ended_ids::EndedIds;
 use super::write_queue::CallEntry;
 use crate::api::Nanos;
 use crate::engine::ids::{AttemptId, WireId};
-use std::collections::{BTreeMap, VecDeque};
-
-/// Maximum number of wire ids of ended attempts that are kept, to distinguish a late response from
-/// an unknown one. A leaf server has fewer responses in transit.
-const MAX_ENDED_IDS: usize = 64;
+use std::collections::BTreeMap;
 
 /// What the wire id of a response refers to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,8 +15,7 @@
     /// An attempt that had already ended: the response is a duplicate, or was sent before the
     /// cancellation arrived.
     AlreadyEnded,
-    /// Neither a written attempt nor one of those that ended most recently: the response is
-    /// malformed.
+    /// Neither a written attempt nor one that has ended: the response is malformed.
     Unknown,
 }
 
@@ -33,13 +29,11 @@
     pub(super) is_written: bool,
 }
 
-/// The attempts of a connection that have not ended, and the wire ids of those that ended most
-/// recently.
+/// The attempts of a connection that have not ended, and the wire ids of those that have.
 #[derive(Debug, Default)]
 pub(super) struct InFlightAttempts {
     attempts: BTreeMap<WireId, AttemptProgress>,
-    /// Wire ids of ended attempts whose frames were passed to the socket, oldest first.
-    ended_ids: VecDeque<WireId>,
+    ended_ids: EndedIds,
 }
 
 impl InFlightAttempts {
@@ -60,8 +54,17 @@
         self.attempts.is_empty()
     }
 
-    pub(super) fn contains(&self, wire_id: &str) -> bool {
-        self.attempts.contains_key(wire_id)
+    /// Returns whether an attempt with this wire id may be added: only if each response with the id
+    /// from now on belongs to that attempt.
+    pub(super) fn may_add(&self, wire_id: &str, now: Nanos) -> bool {
+        !self.ended_ids.is_full()
+            && !self.attempts.contains_key(wire_id)
+            && !self.ended_ids.may_be_answered(wire_id, now)
+    }
+
+    /// Returns whether no attempt may be added any more.
+    pub(super) fn is_worn_out(&self) -> bool {
+        self.ended_ids.is_full()
     }
 
     /// Returns the attempts in the order of their wire ids.
@@ -89,20 +92,18 @@
         }
     }
 
-    /// Ends the attempt that a response refers to. If that attempt has not been written yet, the
-    /// response belongs to an earlier attempt with the same wire id.
-    pub(super) fn match_response(&mut self, wire_id: &str) -> ResponseMatch {
+    /// Ends the attempt that a response refers to, which was received at `now`. If that attempt has
+    /// not been written yet, the response belongs to an earlier attempt with the same wire id.
+    pub(super) fn match_response(&mut self, wire_id: &str, now: Nanos) -> ResponseMatch {
         let entry = self.attempts.get_key_value(wire_id);
         match entry.filter(|(_, progress)| progress.is_written) {
             Some((wire_id, progress)) => {
                 let (wire_id, attempt) = (wire_id.clone(), progress.attempt);
                 self.attempts.remove(&wire_id);
-                self.remember_ended(wire_id);
+                self.ended_ids.add_answered(wire_id, now);
                 ResponseMatch::Attempt(attempt)
             }
-            None if self.ended_ids.iter().any(|ended| **ended == *wire_id) => {
-                ResponseMatch::AlreadyEnded
-            }
+            None if self.ended_ids.on_late_response(wire_id, now) => ResponseMatch::AlreadyEnded,
             None => ResponseMatch::Unknown,
         }
     }
@@ -129,11 +130,8 @@
         self.attempts.remove_entry(&wire_id)
     }
 
-    /// Keeps the wire id of an attempt that has ended, to recognize a late response to it.
-    pub(super) fn remember_ended(&mut self, wire_id: WireId) {
-        if self.ended_ids.len() == MAX_ENDED_IDS {
-            self.ended_ids.pop_front();
-        }
-        self.ended_ids.push_back(wire_id);
+    /// Records that an attempt whose frame was passed to the socket has ended without a response.
+    pub(super) fn on_ended_without_response(&mut self, wire_id: WireId) {
+        self.ended_ids.add_unanswered(wire_id);
     }
 }
--- a/crates/core/src/engine/leaf_connection/mod.rs
+++ b/crates/core/src/engine/leaf_connection/mod.rs
@@ -3,10 +3,16 @@
 //! It holds the frames that wait to be written and the attempts in flight, and decides which frame
 //! is written next. It has no socket: the engine calls it for each event that the socket reports.
 //!
-//! Invariants: the socket writes at most one frame at a time, and each attempt that is queued
-//! leaves the connection exactly once, through its response, [`LeafConnection::cancel_attempt`] or
-//! [`LeafConnection::end`].
+//! Invariants:
+//!
+//! - The socket writes at most one frame at a time.
+//! - Each attempt that is queued leaves the connection exactly once, through its response,
+//!   [`LeafConnection::cancel_attempt`] or [`LeafConnection::end`].
+//! - A response ends only the attempt that it was made for: a wire id is not sent again while a
+//!   response to an earlier attempt may still arrive (`ended_ids.rs`). This requires that callers
+//!   queue an attempt only if [`LeafConnection::has_capacity`] returns `true` for its wire id.
 
+mod ended_ids;
 mod in_flight;
 mod write_queue;
 
@@ -92,10 +98,16 @@
     /// Returns whether one more attempt with this wire id, or a health check without one, may be
     /// sent. Two attempts with the same wire id cannot be distinguished, and nothing new is sent
     /// while the connection is unresponsive.
-    pub fn has_capacity(&self, max_streams: usize, wire_id: Option<&str>) -> bool {
+    pub fn has_capacity(&self, max_streams: usize, wire_id: Option<&str>, now: Nanos) -> bool {
         !self.is_unresponsive
             && self.streams_in_use() < max_streams
-            && !wire_id.is_some_and(|wire_id| self.in_flight.contains(wire_id))
+            && wire_id.is_none_or(|wire_id| self.in_flight.may_add(wire_id, now))
+    }
+
+    /// Returns whether no further attempt may be sent, whatever its wire id is, because too many
+    /// earlier ones were not answered. Such a connection is closed once it is idle.
+    pub fn is_worn_out(&self) -> bool {
+        self.in_flight.is_worn_out()
     }
 
     fn streams_in_use(&self) -> usize {
@@ -168,9 +180,10 @@
         self.is_unresponsive = false;
     }
 
-    /// Ends the attempt that a response refers to.
+    /// Ends the attempt that a response refers to. The response must have been reported by
+    /// [`LeafConnection::on_activity`] before.
     pub fn match_response(&mut self, wire_id: &str) -> ResponseMatch {
-        self.in_flight.match_response(wire_id)
+        self.in_flight.match_response(wire_id, self.last_activity)
     }
 
     /// Returns the attempt that a malformed response is attributed to: the attempt with its wire
@@ -218,7 +231,7 @@
         if self.queue.remove_attempt(attempt) {
             return false;
         }
-        self.in_flight.remember_ended(wire_id.clone());
+        self.in_flight.on_ended_without_response(wire_id.clone());
         self.queue.push(OutgoingFrame::Cancel(wire_id));
         if let Some(write_started_at) = progress.write_started_at {
             let no_activity_since = self.last_activity <= write_started_at;
--- a/crates/core/tests/connection.rs
+++ b/crates/core/tests/connection.rs
@@ -23,6 +23,9 @@
     }
 }
 
+/// Maximum number of attempts in flight on a connection.
+const MAX_STREAMS: usize = 4;
+
 /// An operation on a connection or an event that it handles. The numbers select an attempt.
 #[derive(Clone, Debug)]
 enum Step {
@@ -95,6 +98,14 @@
     }
 }
 
+/// Returns the entry of the attempt at a part, with a wire id that other parts may share.
+fn call_entry_with_id(part: u64, wire_id: &str) -> CallEntry {
+    CallEntry {
+        attempt: AttemptId { part, number: 0 },
+        wire_id: wire_id.into(),
+    }
+}
+
 fn call(attempt: AttemptId) -> OutgoingFrame {
     OutgoingFrame::Call(vec![call_entry(attempt)])
 }
@@ -348,3 +359,125 @@
         _ => harness.advance(ms),
     }
 }
+
+/// Attempts that share a few wire ids, and a leaf server that answers each of them at any time,
+/// once or twice in a row, whether or not it was cancelled.
+mod shared_wire_ids {
+    use super::{call_entry_with_id, fixed_seed_config, MAX_STREAMS, MS};
+    use aggregator_core::engine::leaf_connection::{
+        CallEntry, CallPlacement, LeafConnection, OutgoingFrame, ResponseMatch,
+    };
+    use aggregator_core::engine::AttemptId;
+    use proptest::prelude::*;
+
+    /// Number of different wire ids.
+    const WIRE_IDS: u64 = 3;
+
+    #[derive(Clone, Debug)]
+    enum Step {
+        Queue(u64),
+        Cancel(usize),
+        Respond { nth: usize, is_sent_twice: bool },
+        Wait(u64),
+    }
+
+    fn step() -> impl Strategy<Value = Step> {
+        let respond = (0_usize..8, any::<bool>())
+            .prop_map(|(nth, is_sent_twice)| Step::Respond { nth, is_sent_twice });
+        prop_oneof![
+            4 => (0..WIRE_IDS).prop_map(Step::Queue),
+            2 => (0_usize..8).prop_map(Step::Cancel),
+            3 => respond,
+            1 => (1_u64..1500).prop_map(Step::Wait),
+        ]
+    }
+
+    /// A connection, and what its leaf server has received and not answered.
+    struct AnsweredConnection {
+        connection: LeafConnection,
+        now: u64,
+        in_flight: Vec<AttemptId>,
+        received: Vec<CallEntry>,
+    }
+
+    impl AnsweredConnection {
+        fn take_step(&mut self, step_number: u64, step: Step) -> Result<(), TestCaseError> {
+            match step {
+                Step::Queue(wire_id) => self.queue(step_number, wire_id),
+                Step::Cancel(nth) => self.cancel(nth),
+                Step::Respond { nth, is_sent_twice } => self.respond(nth, is_sent_twice)?,
+                Step::Wait(ms) => self.now += ms * MS,
+            }
+            self.write_frames();
+            Ok(())
+        }
+
+        fn queue(&mut self, step_number: u64, wire_id: u64) {
+            let entry = call_entry_with_id(step_number, &format!("q.{wire_id}"));
+            let connection = &mut self.connection;
+            if connection.has_capacity(MAX_STREAMS, Some(&entry.wire_id), self.now) {
+                self.in_flight.push(entry.attempt);
+                connection.queue_attempt(entry, CallPlacement::NewCall);
+            }
+        }
+
+        fn cancel(&mut self, nth: usize) {
+            if nth < self.in_flight.len() {
+                let attempt = self.in_flight.remove(nth);
+                self.connection.cancel_attempt(attempt, self.now, u64::MAX);
+            }
+        }
+
+        fn respond(&mut self, nth: usize, is_sent_twice: bool) -> Result<(), TestCaseError> {
+            if nth >= self.received.len() {
+                return Ok(());
+            }
+            let CallEntry { attempt, wire_id } = self.received.remove(nth);
+            let expected = match self.in_flight.iter().position(|other| *other == attempt) {
+                Some(position) => {
+                    self.in_flight.remove(position);
+                    ResponseMatch::Attempt(attempt)
+                }
+                None => ResponseMatch::AlreadyEnded,
+            };
+            self.connection.on_activity(self.now);
+            prop_assert_eq!(self.connection.match_response(&wire_id), expected);
+            if is_sent_twice {
+                let copy = self.connection.match_response(&wire_id);
+                prop_assert_eq!(copy, ResponseMatch::AlreadyEnded);
+            }
+            Ok(())
+        }
+
+        fn write_frames(&mut self) {
+            while let Some(frame) = self.connection.next_frame(self.now) {
+                self.connection.on_frame_written();
+                if let OutgoingFrame::Call(call) = frame {
+                    self.received.extend(call);
+                }
+            }
+        }
+    }
+
+    proptest! {
+        #![proptest_config(fixed_seed_config(1024))]
+
+        /// Guards against a response that ends another attempt with the same wire id.
+        #[test]
+        fn a_response_ends_only_the_attempt_that_it_was_made_for(
+            steps in prop::collection::vec(step(), 1..60),
+        ) {
+            let mut connection = LeafConnection::new(0);
+            connection.on_opened(0);
+            let mut answered = AnsweredConnection {
+                connection,
+                now: 0,
+                in_flight: Vec::new(),
+                received: Vec::new(),
+            };
+            for (step_number, step) in steps.into_iter().enumerate() {
+                answered.take_step(step_number as u64, step)?;
+            }
+        }
+    }
+}
--- a/crates/core/tests/reducer/main.rs
+++ b/crates/core/tests/reducer/main.rs
@@ -7,6 +7,7 @@
 mod endpoints;
 mod malformed_responses;
 mod queries;
+mod reused_ids;
 mod shutdown;
 mod shutdown_deadlines;
 #[path = "../support/mod.rs"]
--- a/crates/core/tests/reducer/queries.rs
+++ b/crates/core/tests/reducer/queries.rs
@@ -158,11 +158,17 @@
     );
     harness.respond_to_all();
     send_with_same_id(&mut harness);
+    harness.open_all_connections();
+    let sent = sent_parts(&harness);
     assert_eq!(
-        sent_parts(&harness).len(),
+        sent.len(),
         2,
         "expected the id to be accepted once the first query has ended"
     );
+    assert_ne!(
+        sent[0], sent[1],
+        "expected another connection, since a copy of the first response may follow"
+    );
 }
 
 /// Replicas, clients and queries come and go, each with a new name. A table that kept an entry for
--- a/crates/core/tests/support/socket_harness/leaf_server.rs
+++ b/crates/core/tests/support/socket_harness/leaf_server.rs
@@ -55,7 +55,12 @@
 
     /// Sends the result of a part, with the part's id as the value.
     pub async fn send_result(&mut self, id: &str) {
-        let result = format!("A{id} ok 1 -\n{id}");
+        self.send_value(id, id).await;
+    }
+
+    /// Sends the result of a part, with this value.
+    pub async fn send_value(&mut self, id: &str, value: &str) {
+        let result = format!("A{id} ok 1 -\n{value}");
         let frame = [&(result.len() as u32).to_be_bytes()[..], result.as_bytes()].concat();
         self.stream.write_all(&frame).await.unwrap();
     }
