Bound the memory of incomplete requests over all clients, and replace grown buffers

What callers saw: a process that passes its memory limit and is killed, with 450 clients that stop in the middle of a large request or write it slowly.

Cause: up to 64 KiB of a body were held for each connection, without a limit over all of them; each connection had two buffers of 16 KiB, and those that had grown were kept.

Evidence: the peak follows the bytes that the clients have sent (450 times 63 kB), and 49 to 56 MB remain when they have gone; whole queries alone come to 31 MB.

Fix: the codec takes the memory for a request that it reads from the account of the connection, and rejects the request with 503 and Retry-After if the budget is used up. Buffers have 4 KiB, and one that has grown is replaced when it is empty.

--- a/crates/aggregator/tests/memory/program.rs
+++ b/crates/aggregator/tests/memory/program.rs
@@ -8,6 +8,7 @@
 use std::{fs, net};
 use tempfile::TempDir;
 use tokio::net::TcpListener;
+use tokio::sync::{Mutex, MutexGuard};
 
 /// Memory limit of the program, in MB: the least that the platform sets.
 const MEMORY_MB: u64 = 32;
@@ -15,11 +16,14 @@
 /// Descriptors of the program: the most that the platform sets. Clients may use 45% of them.
 const DESCRIPTORS: u32 = 1024;
 
+static ONE_AT_A_TIME: Mutex<()> = Mutex::const_new(());
+
 /// The running program, which is killed when the value is dropped.
 pub struct Program {
     /// Address at which clients connect.
     pub address: SocketAddr,
     child: Child,
+    _turn: MutexGuard<'static, ()>,
     _folder: TempDir,
     /// Agent that does not answer.
     _discovery: TcpListener,
@@ -27,8 +31,10 @@
 }
 
 impl Program {
-    /// Starts the program and waits until it answers.
+    /// Starts the program and waits until it answers. Waits until no other test runs one, since the
+    /// clients of several tests may need more descriptors than the test process may open.
     pub async fn start() -> Program {
+        let turn = ONE_AT_A_TIME.lock().await;
         let leaf = HangingLeaf::start().await;
         let discovery = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = free_address();
@@ -60,6 +66,7 @@
         let program = Program {
             address,
             child,
+            _turn: turn,
             _folder: folder,
             _discovery: discovery,
             _leaf: leaf,
--- a/crates/core/src/memory.rs
+++ b/crates/core/src/memory.rs
@@ -11,7 +11,10 @@
 /// Memory that each connection may hold without taking it from the budget, in bytes.
 pub const CONNECTION_ALLOWANCE_BYTES: usize = 4 * 1024;
 /// Maximum memory that is held for the requests of one connection, in bytes.
-pub const MAX_CONNECTION_BYTES: usize = 160 * 1024;
+pub const MAX_CONNECTION_BYTES: usize = 256 * 1024;
+
+/// Memory that an allocation takes beyond its size, at most, in bytes.
+pub(crate) const ALLOCATION_OVERHEAD_BYTES: usize = 24;
 
 /// Why memory cannot be reserved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
--- a/crates/core/src/net/buffer_pool.rs
+++ b/crates/core/src/net/buffer_pool.rs
@@ -6,9 +6,10 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio_util::codec::{Encoder, Framed, FramedParts};
 
-/// Size of a buffer, in bytes. It holds the head of a request and nearly every frame and response.
-pub(super) const BUFFER_BYTES: usize = 16 * 1024;
-/// Maximum number of unused buffers that are kept, 4 MiB in total.
+/// Size of a buffer, in bytes. It holds nearly every request, frame and response; a buffer grows for
+/// a larger one. With the most descriptors, the buffers of all connections take 8 MB.
+pub(super) const BUFFER_BYTES: usize = 4 * 1024;
+/// Maximum number of unused buffers that are kept, 1 MiB in total.
 const MAX_FREE_BUFFERS: usize = 256;
 
 /// The unused buffers. All clones refer to the same pool.
@@ -34,6 +35,18 @@
         }
     }
 
+    /// Replaces the buffers of a connection that have grown for a large message and are empty.
+    pub(super) fn shrink<T, C>(&self, framed: &mut Framed<T, C>) {
+        self.shrink_buffer(framed.read_buffer_mut());
+        self.shrink_buffer(framed.write_buffer_mut());
+    }
+
+    fn shrink_buffer(&self, buffer: &mut BytesMut) {
+        if buffer.is_empty() && buffer.try_reclaim(BUFFER_BYTES + 1) {
+            *buffer = self.take();
+        }
+    }
+
     /// Wraps a connection, on which messages of type `M` are written, with a codec and two buffers
     /// of the pool.
     pub(super) fn frame<M, T: AsyncRead + AsyncWrite, C: Encoder<M>>(
--- a/crates/core/src/net/client_connection/mod.rs
+++ b/crates/core/src/net/client_connection/mod.rs
@@ -35,10 +35,11 @@
 ) {
     // A response must not wait for more data to fill a packet.
     let _ = stream.set_nodelay(true);
+    let memory = shared.client_memory.open_account();
     let stream = shared
         .buffers
-        .frame::<Response, _, _>(stream, ServerCodec::default());
-    let mut connection = ClientConnection::new(&shared, client, stream, commands);
+        .frame::<Response, _, _>(stream, ServerCodec::new(&memory));
+    let mut connection = ClientConnection::new(&shared, client, stream, commands, memory);
     let ending = connection.serve_requests().await;
     // From here on, the engine sends this client no commands. The connection still counts towards
     // the maximum until it is removed from the registry.
--- a/crates/core/src/net/client_connection/received_request.rs
+++ b/crates/core/src/net/client_connection/received_request.rs
@@ -59,12 +59,3 @@
         let _ = self.memory.resize(0);
     }
 }
-
-impl From<ReservationError> for RequestError {
-    fn from(error: ReservationError) -> RequestError {
-        match error {
-            ReservationError::ConnectionLimit => RequestError::TOO_MANY_REQUESTS,
-            ReservationError::BudgetExhausted => RequestError::OUT_OF_MEMORY,
-        }
-    }
-}
--- a/crates/core/src/net/client_connection/serving.rs
+++ b/crates/core/src/net/client_connection/serving.rs
@@ -59,13 +59,14 @@
         client: ClientId,
         stream: ClientStream,
         commands: mpsc::Receiver<ClientCommand>,
+        memory: ConnectionMemory,
     ) -> ClientConnection<'a> {
         ClientConnection {
             shared,
             client,
             stream,
             commands,
-            memory: shared.client_memory.open_account(),
+            memory,
             counts: ExchangeCounts::default(),
         }
     }
@@ -125,6 +126,7 @@
     /// Counts and parses a request whose last byte has just been read.
     fn on_request_read(&mut self, request: Result<Request, RequestError>) -> ReceivedRequest {
         self.counts.requests_read += 1;
+        self.shared.buffers.shrink(&mut self.stream);
         ReceivedRequest::new(self.shared, &self.memory, request)
     }
 
@@ -193,6 +195,7 @@
             Err(_) => return Err(io::ErrorKind::TimedOut.into()),
         }
         self.counts.responses_sent += 1;
+        self.shared.buffers.shrink(&mut self.stream);
         Ok(())
     }
 
--- a/crates/core/src/net/leaf_connection.rs
+++ b/crates/core/src/net/leaf_connection.rs
@@ -100,6 +100,7 @@
             queued = queued_frames.recv() => {
                 let Some(frame) = queued else { return Ok(()) };
                 framed.send(frame).await?;
+                shared.buffers.shrink(framed);
                 let _ = shared.inputs.send(Input::FrameWritten { connection }).await;
             }
             received = read_message(framed, &mut began_at, FRAME_TIMEOUT) => {
@@ -116,6 +117,7 @@
                         framed.codec_mut().end_truncated_frame(&received)
                     }
                 };
+                shared.buffers.shrink(framed);
                 let _ = shared.inputs.send(Input::FrameReceived { connection, frame }).await;
             }
         }
--- a/crates/core/src/protocol/http/head.rs
+++ b/crates/core/src/protocol/http/head.rs
@@ -2,6 +2,7 @@
 
 use super::body::BodyReader;
 use super::{RequestError, MAX_BODY_BYTES, MAX_HEADERS, MAX_HEAD_BYTES};
+use crate::memory::ALLOCATION_OVERHEAD_BYTES;
 use bytes::{Buf, Bytes, BytesMut};
 
 /// A header field of a request.
@@ -29,6 +30,18 @@
 }
 
 impl Request {
+    /// Returns the memory that the head uses beyond its own size, in bytes.
+    pub(super) fn heap_bytes(&self) -> usize {
+        let field_bytes = self.headers.iter().map(|header| {
+            header.name.capacity() + header.value.capacity() + 2 * ALLOCATION_OVERHEAD_BYTES
+        });
+        self.method.capacity()
+            + self.path.capacity()
+            + 3 * ALLOCATION_OVERHEAD_BYTES
+            + self.headers.capacity() * size_of::<HeaderField>()
+            + field_bytes.sum::<usize>()
+    }
+
     /// Returns the value of the first header field with this name, which must be in lower case.
     pub fn header(&self, name: &str) -> Option<&str> {
         find_header(&self.headers, name)
--- a/crates/core/src/protocol/http/mod.rs
+++ b/crates/core/src/protocol/http/mod.rs
@@ -13,9 +13,11 @@
 pub use server::ServerCodec;
 pub use watch::{WatchCodec, WatchRequest};
 
+use crate::memory::ReservationError;
+
 /// Maximum length of the body of a request, in bytes.
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
-/// Maximum length of the head of a message, in bytes. A head has to fit into one pooled buffer.
+/// Maximum length of the head of a message, in bytes.
 pub const MAX_HEAD_BYTES: usize = 8 * 1024;
 /// Maximum number of header fields of a message.
 const MAX_HEADERS: usize = 64;
@@ -54,3 +56,12 @@
         why: "body too large",
     };
 }
+
+impl From<ReservationError> for RequestError {
+    fn from(error: ReservationError) -> RequestError {
+        match error {
+            ReservationError::ConnectionLimit => RequestError::TOO_MANY_REQUESTS,
+            ReservationError::BudgetExhausted => RequestError::OUT_OF_MEMORY,
+        }
+    }
+}
--- a/crates/core/src/protocol/http/server.rs
+++ b/crates/core/src/protocol/http/server.rs
@@ -1,22 +1,41 @@
 //! Server codec, which decodes requests and encodes responses.
 
-use super::body::{BodyError, BodyProgress};
+use super::body::{BodyError, BodyProgress, BodyReader};
 use super::head::RequestHead;
 use super::{Request, RequestError, Response, MAX_BODY_BYTES};
+use crate::memory::{ConnectionMemory, MemoryBudget, MemoryReservation};
 use bytes::BytesMut;
 use std::io;
 use tokio_util::codec::{Decoder, Encoder};
 
-/// Codec for the server side of one connection. After an invalid request it discards all further
-/// input, since the start of the next request is unknown.
-#[derive(Default)]
+/// Codec for the server side of one connection. After an invalid request, or one for which no
+/// memory is left, it discards all further input, since the start of the next request is unknown.
 pub struct ServerCodec {
     head: Option<RequestHead>,
     body: BytesMut,
+    /// Memory for the request that is being read.
+    memory: MemoryReservation,
     discards_input: bool,
 }
 
+impl Default for ServerCodec {
+    /// Creates a codec without a limit over several connections.
+    fn default() -> ServerCodec {
+        ServerCodec::new(&MemoryBudget::new(usize::MAX).open_account())
+    }
+}
+
 impl ServerCodec {
+    /// Creates a codec that takes the memory for incomplete requests from the given account.
+    pub fn new(memory: &ConnectionMemory) -> ServerCodec {
+        ServerCodec {
+            head: None,
+            body: BytesMut::new(),
+            memory: memory.empty_reservation(),
+            discards_input: false,
+        }
+    }
+
     /// Returns whether the head of a request has been read while its body is still incomplete.
     pub fn is_in_request(&self) -> bool {
         self.head.is_some()
@@ -25,11 +44,20 @@
     /// Discards the rest of the current request and all further input.
     pub fn discard_input(&mut self) {
         self.discards_input = true;
+        self.drop_request();
+    }
+
+    /// Drops what has been read of the current request.
+    fn drop_request(&mut self) {
+        self.head = None;
+        self.body = BytesMut::new();
+        // Cannot fail, since the reservation becomes smaller.
+        let _ = self.memory.resize(0);
     }
 
     fn read_request(&mut self, src: &mut BytesMut) -> Result<Option<Request>, RequestError> {
         if self.head.is_none() {
-            self.head = RequestHead::parse(src)?;
+            self.read_head(src)?;
         }
         let Some(head) = &mut self.head else {
             return Ok(None);
@@ -42,13 +70,33 @@
                 BodyError::TooLarge => RequestError::BODY_TOO_LARGE,
             })?;
         if progress == BodyProgress::Incomplete {
+            // A chunked body grows as it is read.
+            let head_bytes = head.request.heap_bytes();
+            self.memory.resize(head_bytes + self.body.capacity())?;
             return Ok(None);
         }
         let body = std::mem::take(&mut self.body).freeze();
-        Ok(self.head.take().map(|head| Request {
+        let request = self.head.take().map(|head| Request {
             body,
             ..head.request
-        }))
+        });
+        self.drop_request();
+        Ok(request)
+    }
+
+    /// Reads the head of a request, and reserves the memory for it and for a body of known length.
+    fn read_head(&mut self, src: &mut BytesMut) -> Result<(), RequestError> {
+        let Some(head) = RequestHead::parse(src)? else {
+            return Ok(());
+        };
+        let body_bytes = match head.body_reader {
+            BodyReader::Length(length) => length,
+            _ => 0,
+        };
+        self.memory.resize(head.request.heap_bytes() + body_bytes)?;
+        self.body.reserve(body_bytes);
+        self.head = Some(head);
+        Ok(())
     }
 }
 
@@ -62,7 +110,9 @@
             return Ok(None);
         }
         let item = self.read_request(src).transpose();
-        self.discards_input = matches!(item, Some(Err(_)));
+        if matches!(item, Some(Err(_))) {
+            self.discard_input();
+        }
         Ok(item)
     }
 
--- a/crates/core/src/protocol/query/mod.rs
+++ b/crates/core/src/protocol/query/mod.rs
@@ -11,13 +11,12 @@
 
 use super::http::RequestError;
 use crate::api::Nanos;
+use crate::memory::ALLOCATION_OVERHEAD_BYTES;
 use bytes::Bytes;
 use serde::Serialize;
 
 /// Number of allocations of a query: name, parts, text and the count of its references.
 const QUERY_ALLOCATIONS: usize = 4;
-/// Memory that an allocation takes beyond its size, at most, in bytes.
-const ALLOCATION_OVERHEAD_BYTES: usize = 24;
 
 /// Names by which requests refer to classes and tenants, and the limits of a query.
 #[derive(Clone, Debug, Default)]
--- a/crates/core/tests/client_memory.rs
+++ b/crates/core/tests/client_memory.rs
@@ -131,4 +131,23 @@
             assert!(response.head.starts_with("HTTP/1.1 200"), "{response:?}");
         });
     }
+
+    /// Guards against a large body that is read although there is no memory to hold it, and against
+    /// a client that gets no final answer then.
+    #[test]
+    fn a_body_that_does_not_fit_is_rejected_before_it_is_read() {
+        run_without_budget(|harness| async move {
+            let head = "POST /lookup HTTP/1.1\r\nX-Request-ID: large\r\n";
+            for framing in ["Content-Length: 60000", "Transfer-Encoding: chunked"] {
+                let mut client = connect_client(harness.aggregator).await;
+                let part = format!("{head}{framing}\r\n\r\nea60\r\n{}", "x".repeat(10_000));
+                client.write_all(part.as_bytes()).await.unwrap();
+                let rejection = read_response(&mut client).await;
+                let is_retriable = rejection.head.starts_with("HTTP/1.1 503")
+                    && rejection.head.contains("Retry-After: ");
+                assert!(is_retriable, "{framing}: {rejection:?}");
+                expect_clean_close(&mut client).await;
+            }
+        });
+    }
 }
