Limit the rate of log lines that clients and leaf servers can cause

What callers saw: none of them gets an answer, after one client has sent some hundred queries that are rejected on arrival, if nobody reads the log; otherwise 30 MB of log in five seconds.

Cause: a line at level info for each such query. The log is written to standard error, and the write waits for room, on the one thread that serves all clients.

The field suppressed says how many were left out.

What else happens on an unread log, over hours, is open.

--- a/crates/aggregator/tests/memory/main.rs
+++ b/crates/aggregator/tests/memory/main.rs
@@ -3,6 +3,8 @@
 
 #![cfg(target_os = "linux")]
 
+#[path = "../support/addresses.rs"]
+mod addresses;
 mod clients;
 mod leaf;
 mod program;
--- a/crates/aggregator/tests/memory/program.rs
+++ b/crates/aggregator/tests/memory/program.rs
@@ -1,11 +1,12 @@
 //! The program under test, whose leaf server never answers, so that all queries stay open.
 
+use super::addresses::free_address;
 use super::clients::get_stats;
 use super::leaf::HangingLeaf;
 use serde_json::json;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::fs;
+use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
-use std::{fs, net};
 use tempfile::TempDir;
 use tokio::net::TcpListener;
 use tokio::sync::{Mutex, MutexGuard};
@@ -101,12 +102,3 @@
         let _ = self.child.wait();
     }
 }
-
-/// Returns an address for the program: a free port of an address that no other process of the tests
-/// uses.
-fn free_address() -> SocketAddr {
-    let [_, high, middle, low] = std::process::id().to_be_bytes();
-    let ip = Ipv4Addr::new(127, 120 + high % 100, middle, low.max(1));
-    let listener = net::TcpListener::bind((ip, 0)).unwrap();
-    listener.local_addr().unwrap()
-}
--- a/crates/core/src/engine/frames.rs
+++ b/crates/core/src/engine/frames.rs
@@ -106,7 +106,14 @@
                 self.on_health_check_result(now, id, ok, &report);
             }
             LeafResponse::ProtocolError(message) => {
-                tracing::warn!(connection = id, message, "leaf server rejected a frame");
+                if let Some(suppressed) = self.log_throttles.rejected_frame.admit(now) {
+                    tracing::warn!(
+                        connection = id,
+                        message,
+                        suppressed,
+                        "leaf server rejected a frame"
+                    );
+                }
             }
             LeafResponse::Malformed(wire_id) => {
                 self.on_malformed_response(now, id, wire_id.as_deref());
@@ -149,12 +156,15 @@
         self.counters.connections.malformed += 1;
         let failed = connection.attempt_of_malformed_response(wire_id);
         let written_attempts = connection.written_attempts();
-        tracing::info!(
-            connection = id,
-            replica = replica.map(|replica| replica.0),
-            id = wire_id,
-            "malformed response: closing the connection"
-        );
+        if let Some(suppressed) = self.log_throttles.malformed_response.admit(now) {
+            tracing::info!(
+                connection = id,
+                replica = replica.map(|replica| replica.0),
+                id = wire_id,
+                suppressed,
+                "malformed response: closing the connection"
+            );
+        }
         if let Some(failed) = failed {
             self.on_attempt_ended(now, failed, AttemptOutcome::Error, LoadReport::new());
         }
--- a/crates/core/src/engine/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -31,6 +31,7 @@
 mod input;
 pub mod leaf_connection;
 mod load_reports;
+mod log_throttle;
 mod options;
 mod queries;
 mod query_table;
@@ -58,6 +59,7 @@
 use endpoints::CurrentWatch;
 use health_checks::HealthCheckTable;
 use ids::IdAllocator;
+use log_throttle::LogThrottles;
 use query_table::OpenQueryTable;
 use shutdown::ShutdownState;
 use timers::TimerQueue;
@@ -107,6 +109,7 @@
     health_checks: HealthCheckTable,
     shutdown: ShutdownState,
     counters: EngineCounters,
+    log_throttles: LogThrottles,
     /// `None` while usage is not recorded.
     watermarks: Option<WatermarkTracker>,
 }
@@ -146,6 +149,7 @@
             health_checks: HealthCheckTable::default(),
             shutdown: ShutdownState::default(),
             counters: EngineCounters::default(),
+            log_throttles: LogThrottles::default(),
             watermarks: None,
         };
         engine.load_cached_endpoints(&cached_endpoints);
--- a/crates/core/src/engine/queries.rs
+++ b/crates/core/src/engine/queries.rs
@@ -53,25 +53,31 @@
         let is_client_capacity_used = open_queries >= self.clients.capacity();
         if is_client_capacity_used || open_queries + open_parts >= self.settings.max_open {
             self.counters.received.over_capacity += 1;
-            tracing::info!(
-                client,
-                name,
-                open_queries,
-                open_parts,
-                "query rejected: over capacity"
-            );
+            if let Some(suppressed) = self.log_throttles.over_capacity.admit(now) {
+                tracing::info!(
+                    client,
+                    name,
+                    open_queries,
+                    open_parts,
+                    suppressed,
+                    "query rejected: over capacity"
+                );
+            }
             return self.reject_on_arrival(now, &query);
         }
         let client_timeout = self.remaining_client_timeout(now, &query);
         if client_timeout == 0 {
             self.counters.received.too_late += 1;
-            let timeout_ms = query.request.timeout / MILLISECOND;
-            tracing::info!(
-                client,
-                name,
-                timeout_ms,
-                "query rejected: client has no time left"
-            );
+            if let Some(suppressed) = self.log_throttles.too_late.admit(now) {
+                let timeout_ms = query.request.timeout / MILLISECOND;
+                tracing::info!(
+                    client,
+                    name,
+                    timeout_ms,
+                    suppressed,
+                    "query rejected: client has no time left"
+                );
+            }
             return self.reject_on_arrival(now, &query);
         }
         self.accept_query(now, query, client_timeout);
