Reject a query with the id of one that has ended and may have been executed

What leaf servers saw: a part of a class that must not be executed twice runs again, when its id comes again after its client has left.

Cause: an id was compared with those of open queries only.

Evidence: on the reducer the part is sent again at the instant of the second request; without a second request nothing is sent.

A query with such an id gets 409, as with the id of an open query. If nothing was executed, the id is accepted at once.

--- a/crates/core/src/engine/attempts.rs
+++ b/crates/core/src/engine/attempts.rs
@@ -144,6 +144,9 @@
             ?outcome,
             "attempt ended"
         );
+        if outcome.may_have_been_executed() {
+            self.queries.mark_executed(id.part);
+        }
         self.timers
             .cancel(attempt.times_out_at, Timer::AttemptTimeout(id));
         self.report_attempt_ended(id, attempt.replica, outcome, report);
--- a/crates/core/src/engine/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -8,7 +8,7 @@
 //!
 //! The state is kept in one table per kind of entity, with private fields: `client_table`,
 //! `connection_table` (each connection has a [`leaf_connection`] and an `idle_timer`),
-//! `endpoint_table`, `query_table`, `attempt_table` and `watermark_tracker`. The small tables of
+//! `endpoint_table`, `query_table`, `recent_queries`, `attempt_table` and `watermark_tracker`. The small tables of
 //! `health_checks`, `timers` and `shutdown` are defined in the same file as their handlers. The
 //! other handlers are methods of [`Engine`] in `clients`, `connections`, `endpoints`, `frames`,
 //! `queries`, `replies`, `attempts` and `usage_log`.
@@ -35,6 +35,7 @@
 mod options;
 mod queries;
 mod query_table;
+mod recent_queries;
 mod replies;
 mod shutdown;
 mod timers;
@@ -61,6 +62,7 @@
 use ids::IdAllocator;
 use log_throttle::LogThrottles;
 use query_table::OpenQueryTable;
+use recent_queries::RecentQueries;
 use shutdown::ShutdownState;
 use timers::TimerQueue;
 use watermark_tracker::WatermarkTracker;
@@ -105,6 +107,7 @@
     /// Memory for the requests of clients, in bytes.
     client_memory: usize,
     queries: OpenQueryTable,
+    recent_queries: RecentQueries,
     attempts: AttemptTable,
     health_checks: HealthCheckTable,
     shutdown: ShutdownState,
@@ -132,6 +135,8 @@
         } else {
             PUSHED_LIST_TIMEOUT
         };
+        let classes = policy_settings.classes.iter();
+        let recent_queries = RecentQueries::new(classes.map(|class| class.idempotency).collect());
         let mut engine = Engine {
             endpoints: EndpointTable::new(settings.zones.clone()),
             settings,
@@ -145,6 +150,7 @@
             clients: ClientTable::new(max_descriptors * CLIENT_PERCENT / 100),
             client_memory: client_memory(memory_limit),
             queries: OpenQueryTable::default(),
+            recent_queries,
             attempts: AttemptTable::default(),
             health_checks: HealthCheckTable::default(),
             shutdown: ShutdownState::default(),
@@ -198,6 +204,7 @@
     /// no matter how many replicas, clients and query ids have come and gone.
     pub fn retained_entries(&self) -> usize {
         self.queries.entries()
+            + self.recent_queries.len()
             + self.attempts.len()
             + self.clients.len()
             + self.connections.len()
--- a/crates/core/src/engine/queries.rs
+++ b/crates/core/src/engine/queries.rs
@@ -13,6 +13,15 @@
 /// aggregator.
 const CLIENT_TIMEOUT_MARGIN: Nanos = 8 * MILLISECOND;
 
+const ID_OF_OPEN_QUERY: RequestError = RequestError {
+    status: 409,
+    why: "X-Request-ID is that of an open query",
+};
+const ID_OF_RECENT_QUERY: RequestError = RequestError {
+    status: 409,
+    why: "X-Request-ID is that of a recent query",
+};
+
 /// A query that has arrived and has not been passed to the policy yet.
 #[derive(Debug)]
 pub(super) struct ArrivedQuery {
@@ -25,7 +34,8 @@
     /// Passes a query to the policy or rejects it on arrival. The checks are made in this order:
     ///
     /// 1. A query whose client has disconnected is dropped.
-    /// 2. A query with the id of an open query is an invalid request.
+    /// 2. A query with the id of an open query, or of one that ended recently and may have been
+    ///    executed, is an invalid request.
     /// 3. A query that exceeds the capacity for open queries and parts (`limits.open_cap`), or the
     ///    capacity for clients, is rejected.
     /// 4. A query whose client has no time left is rejected, and so is every query when the process
@@ -40,11 +50,10 @@
         }
         // Its parts would have the same wire ids as those of the open query.
         if self.queries.has_name(name) {
-            let error = RequestError {
-                status: 409,
-                why: "X-Request-ID is that of an open query",
-            };
-            return self.on_invalid_request(now, client, error);
+            return self.on_invalid_request(now, client, ID_OF_OPEN_QUERY);
+        }
+        if self.recent_queries.contains(now, name) {
+            return self.on_invalid_request(now, client, ID_OF_RECENT_QUERY);
         }
         let open_queries = self.queries.len();
         let open_parts = self.queries.count_open_parts();
@@ -183,10 +192,16 @@
     /// have not been passed to a socket are never sent, whether or not cancellation is allowed.
     pub(super) fn end_query(&mut self, now: Nanos, id: RequestId) -> Option<EndedQuery> {
         let ended = self.queries.remove(id)?;
+        let mut may_have_been_executed = ended.may_have_been_executed();
         for part in &ended.query.parts {
             for attempt in self.unsent_attempts_of(*part) {
                 self.cancel_attempt(now, attempt, AttemptOutcome::Cancelled);
             }
+            may_have_been_executed |= self.attempts.of_part(*part).next().is_some();
+        }
+        if may_have_been_executed {
+            let query = &ended.query;
+            self.recent_queries.insert(now, &query.name, query.class);
         }
         let deadline = ended.query.deadline;
         self.timers.cancel(deadline, Timer::ReplyDeadline(id));
--- a/crates/core/src/engine/query_table.rs
+++ b/crates/core/src/engine/query_table.rs
@@ -42,6 +42,8 @@
     pub(super) cross_zone_attempts: u8,
     /// Result of the first successful attempt.
     pub(super) value: Option<String>,
+    /// Whether the part may have been executed by an attempt that has ended.
+    may_have_been_executed: bool,
 }
 
 impl OpenPart {
@@ -56,6 +58,7 @@
             attempts: 0,
             cross_zone_attempts: 0,
             value: None,
+            may_have_been_executed: false,
         }
     }
 
@@ -94,6 +97,11 @@
         self.parts.iter().map(|part| part.weight).sum()
     }
 
+    /// Returns whether a part may have been executed by an attempt that has ended.
+    pub(super) fn may_have_been_executed(&self) -> bool {
+        self.parts.iter().any(|part| part.may_have_been_executed)
+    }
+
     /// Returns the total weight of the parts with a result.
     pub(super) fn covered_weight(&self) -> f64 {
         let covered = self.parts.iter().filter(|part| part.value.is_some());
@@ -185,6 +193,13 @@
         }
     }
 
+    /// Records that a part may have been executed, if it has not ended.
+    pub(super) fn mark_executed(&mut self, part: RequestId) {
+        if let Some(part) = self.parts.get_mut(&part) {
+            part.may_have_been_executed = true;
+        }
+    }
+
     /// Moves all deadlines after `latest` to `latest`. Returns the affected queries with their
     /// former deadlines.
     pub(super) fn shorten_deadlines(&mut self, latest: Nanos) -> Vec<(RequestId, Nanos)> {
--- a/crates/policy/src/api/event.rs
+++ b/crates/policy/src/api/event.rs
@@ -63,6 +63,14 @@
     NotSent,
 }
 
+impl AttemptOutcome {
+    /// Returns whether the replica may have executed the part.
+    pub fn may_have_been_executed(self) -> bool {
+        use AttemptOutcome::{NotSent, Rejected, Unreachable};
+        !matches!(self, Rejected | Unreachable | NotSent)
+    }
+}
+
 /// Load values that a replica reports about itself. The operator defines their order.
 pub type LoadReport = Vec<f32>;
 
--- a/crates/policy/src/state/attempt.rs
+++ b/crates/policy/src/state/attempt.rs
@@ -47,8 +47,8 @@
     /// Returns whether the replica may have executed the part. This is assumed until the attempt
     /// ends.
     pub fn may_have_been_executed(&self) -> bool {
-        use AttemptOutcome::{NotSent, Rejected, Unreachable};
-        !matches!(self.outcome, Some(Rejected | Unreachable | NotSent))
+        self.outcome
+            .is_none_or(AttemptOutcome::may_have_been_executed)
     }
 }
 
