Forward a query only after all that has arrived behind it is read

What leaf servers saw: attempts up to 0.45 s after the client had closed its connection, with 100 to 300 clients that send hundreds of requests at once and close; 0.1 s is allowed.

Cause: a request was handed to the engine as soon as it was decoded. The input behind it, with the close at its end, was read while the reply was awaited, half a megabyte at a stretch.

Evidence: the delay grows with the bytes of all clients.

Fix: before a query is forwarded, what has arrived behind it is read; behind more than 64 KiB the query waits until nothing has come for 250 ms. A reported close counts at once. Other tasks get their turn after each pipelined request. A client that sends without a pause for 1 s gets 429.

--- a/crates/core/src/net/client_connection/mod.rs
+++ b/crates/core/src/net/client_connection/mod.rs
@@ -8,6 +8,7 @@
 mod ending;
 mod linger;
 mod next_request;
+mod peer_close;
 mod pipelined_requests;
 mod received_request;
 mod serving;
--- a/crates/core/src/net/client_connection/next_request.rs
+++ b/crates/core/src/net/client_connection/next_request.rs
@@ -1,10 +1,11 @@
 //! Waits for the next request on an idle connection.
 
 use super::ending::CloseReason;
+use super::peer_close::DecodedRequest;
 use super::ClientStream;
 use crate::net::client_command::ClientCommand;
 use crate::net::read_message::{read_message, MessageRead};
-use crate::protocol::http::{Request, RequestError};
+use crate::protocol::http::RequestError;
 use futures_util::StreamExt;
 use std::io;
 use tokio::sync::mpsc;
@@ -29,8 +30,7 @@
 
 /// Outcome of the wait for the next request.
 pub(super) enum NextRequest {
-    /// A request was decoded, or is invalid for this reason.
-    Received(Result<Request, RequestError>),
+    Received(DecodedRequest),
     /// The client has closed the connection.
     Disconnected,
     /// The aggregator has to close the connection.
--- a/crates/core/src/net/client_connection/received_request.rs
+++ b/crates/core/src/net/client_connection/received_request.rs
@@ -1,10 +1,11 @@
 //! A request that was read from a client, with the memory that is held for it.
 
+use super::peer_close::DecodedRequest;
 use crate::api::Nanos;
 use crate::memory::{ConnectionMemory, MemoryReservation, ReservationError};
 use crate::net::open_requests::OpenRequest;
 use crate::net::shared::Shared;
-use crate::protocol::http::{Request, RequestError};
+use crate::protocol::http::RequestError;
 use crate::protocol::query::{parse_request, ClientRequest};
 
 /// A request with its time of arrival. It is parsed as soon as it is read: the head of a request
@@ -27,7 +28,7 @@
     pub(super) fn new(
         shared: &Shared,
         memory: &ConnectionMemory,
-        request: Result<Request, RequestError>,
+        request: DecodedRequest,
     ) -> ReceivedRequest {
         let mut received = ReceivedRequest {
             arrived_at: shared.clock.now(),
@@ -51,6 +52,11 @@
         })
     }
 
+    /// Returns whether the request is a valid query.
+    pub(super) fn is_query(&self) -> bool {
+        matches!(self.request, Ok(ClientRequest::Query(_)))
+    }
+
     /// Replaces the request by an error, after whose response the connection is closed.
     pub(super) fn reject(&mut self, error: RequestError) {
         self.request = Err(error);
--- a/crates/core/src/net/client_connection/serving.rs
+++ b/crates/core/src/net/client_connection/serving.rs
@@ -3,6 +3,7 @@
 
 use super::ending::{log_ending, CloseReason, Ending, ExchangeCounts};
 use super::next_request::{next_request, NextRequest};
+use super::peer_close::{next_arrival, next_request_unless_closed, Arrival, DecodedRequest};
 use super::pipelined_requests::{PipelinedRequests, ReadAhead};
 use super::received_request::ReceivedRequest;
 use super::ClientStream;
@@ -11,15 +12,25 @@
 use crate::memory::ConnectionMemory;
 use crate::net::client_command::ClientCommand;
 use crate::net::shared::Shared;
-use crate::protocol::http::{Request, RequestError, Response};
+use crate::protocol::http::{RequestError, Response};
 use crate::protocol::query::{render_reply, ClientRequest, QueryReply};
-use futures_util::{SinkExt, StreamExt};
+use futures_util::SinkExt;
 use std::io;
 use tokio::sync::mpsc;
-use tokio::time::{timeout, Duration, Instant};
+use tokio::task::yield_now;
+use tokio::time::{sleep, timeout, Duration, Instant};
 
 /// Maximum time to write a response. A client that does not read it in time is disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Maximum time for which the input behind a request is read before the request is forwarded. A
+/// client that sends without a pause for longer gets status 429.
+const READ_AHEAD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Number of bytes behind a request that arrive at once. Of more input, the client's operating
+/// system holds back a part until earlier input is read.
+const MAX_BYTES_AT_ONCE: u64 = 64 * 1024;
+/// Time within which input that was held back arrives, even if it has to be sent again.
+const TRANSIT_TIME: Duration = Duration::from_millis(250);
 
 /// Outcome of the wait for a reply.
 enum ReplyWait {
@@ -33,6 +44,14 @@
     Stopped,
 }
 
+/// Outcome of reading the input behind a request.
+enum ReadAheadEnd {
+    /// Everything that has arrived is read.
+    AllRead,
+    /// The client has closed the connection.
+    Disconnected,
+}
+
 /// Outcome of handing a request to the engine.
 enum Submission {
     /// The engine has the request and will reply.
@@ -77,7 +96,7 @@
         let mut opened_at = Some(Instant::now());
         let mut is_closing = false;
         loop {
-            let received = match pipeline.pop() {
+            let mut received = match pipeline.pop() {
                 Some(received) => received,
                 None if is_closing => return Ok(Ending::Closed(CloseReason::LastResponse)),
                 None => match self.next_request(opened_at.take()).await? {
@@ -86,6 +105,14 @@
                     NextRequest::Close(reason) => return Ok(Ending::Closed(reason)),
                 },
             };
+            if received.is_query() {
+                match timeout(READ_AHEAD_TIMEOUT, self.read_ahead(&mut pipeline)).await {
+                    Ok(Ok(ReadAheadEnd::AllRead)) => {}
+                    Ok(Ok(ReadAheadEnd::Disconnected)) => return Ok(Ending::Disconnected),
+                    Ok(Err(error)) => return Err(error),
+                    Err(_) => received.reject(RequestError::TOO_MANY_REQUESTS),
+                }
+            }
             let ReceivedRequest {
                 arrived_at,
                 request,
@@ -124,7 +151,7 @@
     }
 
     /// Counts and parses a request whose last byte has just been read.
-    fn on_request_read(&mut self, request: Result<Request, RequestError>) -> ReceivedRequest {
+    fn on_request_read(&mut self, request: DecodedRequest) -> ReceivedRequest {
         self.counts.requests_read += 1;
         self.shared.buffers.shrink(&mut self.stream);
         ReceivedRequest::new(self.shared, &self.memory, request)
@@ -166,19 +193,45 @@
                     Some(ClientCommand::Close | ClientCommand::Drain) => {}
                     None => return Ok(ReplyWait::Stopped),
                 },
-                next = self.stream.next() => match next {
-                    Some(request) => {
-                        let received = self.on_request_read(request?);
-                        if pipeline.push(received) == ReadAhead::Stop {
-                            self.stream.codec_mut().discard_input();
-                        }
-                    }
+                next = next_request_unless_closed(&mut self.stream) => match next {
+                    Some(request) => self.queue_request(request?, pipeline).await,
                     None => return Ok(ReplyWait::Disconnected),
                 },
             }
         }
     }
 
+    /// Reads everything that has arrived behind a request, so that the end of the connection is
+    /// noticed before the request is forwarded.
+    async fn read_ahead(&mut self, pipeline: &mut PipelinedRequests) -> io::Result<ReadAheadEnd> {
+        let mut waited_at = self.stream.codec().consumed_bytes();
+        loop {
+            match next_arrival(&mut self.stream).await? {
+                Arrival::Request(request) => self.queue_request(request, pipeline).await,
+                Arrival::Closed => return Ok(ReadAheadEnd::Disconnected),
+                Arrival::Nothing => {
+                    let consumed = self.stream.codec().consumed_bytes();
+                    if consumed - waited_at <= MAX_BYTES_AT_ONCE {
+                        return Ok(ReadAheadEnd::AllRead);
+                    }
+                    waited_at = consumed;
+                    sleep(TRANSIT_TIME).await;
+                }
+            }
+        }
+    }
+
+    /// Queues a request that was sent before the reply to an earlier one.
+    async fn queue_request(&mut self, request: DecodedRequest, pipeline: &mut PipelinedRequests) {
+        let received = self.on_request_read(request);
+        if pipeline.push(received) == ReadAhead::Stop {
+            self.stream.codec_mut().discard_input();
+        }
+        // Other tasks get their turn after each request, and the runtime asks the operating system
+        // for closed connections.
+        yield_now().await;
+    }
+
     /// Rejects a request that the engine could not accept any more, and ends the connection.
     async fn reject_at_exit(&mut self) -> io::Result<Ending> {
         let response = Response {
--- a/crates/core/src/protocol/http/server.rs
+++ b/crates/core/src/protocol/http/server.rs
@@ -16,6 +16,8 @@
     /// Memory for the request that is being read.
     memory: MemoryReservation,
     discards_input: bool,
+    /// Number of bytes that were decoded or discarded.
+    consumed_bytes: u64,
 }
 
 impl Default for ServerCodec {
@@ -33,9 +35,15 @@
             body: BytesMut::new(),
             memory: memory.empty_reservation(),
             discards_input: false,
+            consumed_bytes: 0,
         }
     }
 
+    /// Returns the number of bytes that were decoded or discarded since the connection was opened.
+    pub fn consumed_bytes(&self) -> u64 {
+        self.consumed_bytes
+    }
+
     /// Returns whether the head of a request has been read while its body is still incomplete.
     pub fn is_in_request(&self) -> bool {
         self.head.is_some()
@@ -105,11 +113,14 @@
     type Error = io::Error;
 
     fn decode(&mut self, src: &mut BytesMut) -> io::Result<Option<Self::Item>> {
-        if self.discards_input {
+        let available = src.len();
+        let item = if self.discards_input {
             src.clear();
-            return Ok(None);
-        }
-        let item = self.read_request(src).transpose();
+            None
+        } else {
+            self.read_request(src).transpose()
+        };
+        self.consumed_bytes += (available - src.len()) as u64;
         if matches!(item, Some(Err(_))) {
             self.discard_input();
         }
