Hand a query without input behind it to the engine in the same turn

A query waited for one more turn of its task even if nothing had arrived behind it, as with usual clients.

--- a/crates/core/src/net/client_connection/peer_close.rs
+++ b/crates/core/src/net/client_connection/peer_close.rs
@@ -14,10 +14,6 @@
 use tokio::io::Interest;
 use tokio::task::{coop, yield_now};
 
-/// Number of turns of the task in a row that must find nothing to read. The runtime asks the
-/// operating system for further input between two turns.
-const EMPTY_TURNS: u32 = 2;
-
 /// A decoded request, or the reason why it is invalid.
 pub(super) type DecodedRequest = Result<Request, RequestError>;
 
@@ -40,21 +36,16 @@
 
 /// Reads a request that has already arrived, without waiting for further input.
 pub(super) async fn next_arrival(stream: &mut ClientStream) -> io::Result<Arrival> {
-    let mut empty_turns = 0;
-    while empty_turns < EMPTY_TURNS {
+    loop {
         let polled = poll_fn(|context| Poll::Ready(poll_request(stream, context))).await;
         match polled {
             Poll::Ready(Some(request)) => return request.map(Arrival::Request),
             Poll::Ready(None) => return Ok(Arrival::Closed),
-            Poll::Pending if coop::has_budget_remaining() => empty_turns += 1,
+            Poll::Pending if coop::has_budget_remaining() => return Ok(Arrival::Nothing),
             // The task has used up its turn, and there may be more to read.
-            Poll::Pending => empty_turns = 0,
-        }
-        if empty_turns < EMPTY_TURNS {
-            yield_now().await;
+            Poll::Pending => yield_now().await,
         }
     }
-    Ok(Arrival::Nothing)
 }
 
 fn poll_request(
--- a/crates/core/src/net/client_connection/serving.rs
+++ b/crates/core/src/net/client_connection/serving.rs
@@ -204,18 +204,19 @@
     /// Reads everything that has arrived behind a request, so that the end of the connection is
     /// noticed before the request is forwarded.
     async fn read_ahead(&mut self, pipeline: &mut PipelinedRequests) -> io::Result<ReadAheadEnd> {
-        let mut waited_at = self.stream.codec().consumed_bytes();
+        let first_byte = self.stream.codec().consumed_bytes();
+        let mut read_before = 0;
         loop {
             match next_arrival(&mut self.stream).await? {
                 Arrival::Request(request) => self.queue_request(request, pipeline).await,
                 Arrival::Closed => return Ok(ReadAheadEnd::Disconnected),
                 Arrival::Nothing => {
-                    let consumed = self.stream.codec().consumed_bytes();
-                    if consumed - waited_at <= MAX_BYTES_AT_ONCE {
+                    let read = self.stream.codec().consumed_bytes() - first_byte;
+                    if read == read_before {
                         return Ok(ReadAheadEnd::AllRead);
                     }
-                    waited_at = consumed;
-                    sleep(TRANSIT_TIME).await;
+                    read_before = read;
+                    wait_for_further_input(read).await;
                 }
             }
         }
@@ -257,3 +258,13 @@
         log_ending(self.client, self.counts, ending);
     }
 }
+
+/// Waits for input that may be in transit when this many bytes have been read behind a request.
+async fn wait_for_further_input(read_bytes: u64) {
+    if read_bytes > MAX_BYTES_AT_ONCE {
+        sleep(TRANSIT_TIME).await;
+    } else {
+        // The runtime asks the operating system for further input before the next turn.
+        yield_now().await;
+    }
+}
