Split the serving loop of a client's connection, and move reading ahead to a file of its own

serve_requests had 53 lines with six outcomes. One function now takes the next request, one serves it, and what is read behind a request has its own file.

--- a/crates/core/src/net/client_connection/mod.rs
+++ b/crates/core/src/net/client_connection/mod.rs
@@ -10,6 +10,7 @@
 mod next_request;
 mod peer_close;
 mod pipelined_requests;
+mod read_ahead;
 mod received_request;
 mod serving;
 
--- a/crates/core/src/net/client_connection/peer_close.rs
+++ b/crates/core/src/net/client_connection/peer_close.rs
@@ -3,7 +3,7 @@
 //! A client may leave much unread input behind when it closes. Its requests must not be forwarded
 //! any more. The end of the input arrives only behind the input itself, of which the client's
 //! operating system may still hold a part. So a request is forwarded only once everything that has
-//! arrived behind it is read (`serving.rs`).
+//! arrived behind it is read (`read_ahead.rs`).
 
 use super::ClientStream;
 use crate::protocol::http::{Request, RequestError};
--- a/crates/core/src/net/client_connection/serving.rs
+++ b/crates/core/src/net/client_connection/serving.rs
@@ -3,8 +3,9 @@
 
 use super::ending::{log_ending, CloseReason, Ending, ExchangeCounts};
 use super::next_request::{next_request, NextRequest};
-use super::peer_close::{next_arrival, next_request_unless_closed, Arrival, DecodedRequest};
-use super::pipelined_requests::{PipelinedRequests, ReadAhead};
+use super::peer_close::next_request_unless_closed;
+use super::pipelined_requests::PipelinedRequests;
+use super::read_ahead::ReadAheadEnd;
 use super::received_request::ReceivedRequest;
 use super::ClientStream;
 use crate::api::Nanos;
@@ -16,22 +17,12 @@
 use crate::protocol::query::{render_reply, ClientRequest, QueryReply};
 use futures_util::SinkExt;
 use std::io;
+use std::ops::ControlFlow::{self, Break, Continue};
 use tokio::sync::mpsc;
-use tokio::task::yield_now;
-use tokio::time::{sleep, timeout, Duration, Instant};
+use tokio::time::{timeout, Duration, Instant};
 
 /// Maximum time to write a response. A client that does not read it in time is disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Maximum time for which the input behind a request is read before the request is forwarded. A
-/// client that sends without a pause for longer gets status 429.
-const READ_AHEAD_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Number of bytes behind a request that arrive at once. Of more input, the client's operating
-/// system holds back a part until earlier input is read.
-const MAX_BYTES_AT_ONCE: u64 = 64 * 1024;
-/// Time within which input that was held back arrives, even if it has to be sent again.
-const TRANSIT_TIME: Duration = Duration::from_millis(250);
-
 /// Outcome of the wait for a reply.
 enum ReplyWait {
     Reply {
@@ -44,14 +35,6 @@
     Stopped,
 }
 
-/// Outcome of reading the input behind a request.
-enum ReadAheadEnd {
-    /// Everything that has arrived is read.
-    AllRead,
-    /// The client has closed the connection.
-    Disconnected,
-}
-
 /// Outcome of handing a request to the engine.
 enum Submission {
     /// The engine has the request and will reply.
@@ -62,13 +45,17 @@
 
 /// A client's connection while it is served.
 pub(super) struct ClientConnection<'a> {
-    shared: &'a Shared,
+    pub(super) shared: &'a Shared,
     client: ClientId,
     pub(super) stream: ClientStream,
     commands: mpsc::Receiver<ClientCommand>,
     /// Memory that is held for the requests of this connection.
-    memory: ConnectionMemory,
-    counts: ExchangeCounts,
+    pub(super) memory: ConnectionMemory,
+    /// Requests that were read before the replies to earlier ones.
+    pub(super) pipeline: PipelinedRequests,
+    /// Whether the connection is closed once the requests that were read are answered.
+    is_closing: bool,
+    pub(super) counts: ExchangeCounts,
 }
 
 impl<'a> ClientConnection<'a> {
@@ -86,75 +73,94 @@
             stream,
             commands,
             memory,
+            pipeline: PipelinedRequests::default(),
+            is_closing: false,
             counts: ExchangeCounts::default(),
         }
     }
 
     /// Serves requests one after the other until the connection ends. Returns how it ended.
     pub(super) async fn serve_requests(&mut self) -> io::Result<Ending> {
-        let mut pipeline = PipelinedRequests::default();
+        let ending = self.serve_until_end().await;
+        // What is not answered any more must not delay a shutdown.
+        self.pipeline = PipelinedRequests::default();
+        ending
+    }
+
+    async fn serve_until_end(&mut self) -> io::Result<Ending> {
         let mut opened_at = Some(Instant::now());
-        let mut is_closing = false;
         loop {
-            let mut received = match pipeline.pop() {
-                Some(received) => received,
-                None if is_closing => return Ok(Ending::Closed(CloseReason::LastResponse)),
-                None => match self.next_request(opened_at.take()).await? {
-                    NextRequest::Received(request) => self.on_request_read(request),
-                    NextRequest::Disconnected => return Ok(Ending::Disconnected),
-                    NextRequest::Close(reason) => return Ok(Ending::Closed(reason)),
-                },
+            let received = match self.next_received(opened_at.take()).await? {
+                Continue(received) => received,
+                Break(ending) => return Ok(ending),
             };
-            if received.is_query() {
-                match timeout(READ_AHEAD_TIMEOUT, self.read_ahead(&mut pipeline)).await {
-                    Ok(Ok(ReadAheadEnd::AllRead)) => {}
-                    Ok(Ok(ReadAheadEnd::Disconnected)) => return Ok(Ending::Disconnected),
-                    Ok(Err(error)) => return Err(error),
-                    Err(_) => received.reject(RequestError::TOO_MANY_REQUESTS),
-                }
-            }
-            let ReceivedRequest {
-                arrived_at,
-                request,
-                keep_alive,
-                memory,
-                open_request,
-            } = received;
-            if let Submission::Stopped = self.submit(arrived_at, request).await {
-                return self.reject_at_exit().await;
-            }
-            let (reply, close) = match self.wait_for_reply(&mut pipeline).await? {
-                ReplyWait::Reply { reply, close } => (reply, close),
-                ReplyWait::Disconnected => return Ok(Ending::Disconnected),
-                ReplyWait::Stopped => return Ok(Ending::Closed(CloseReason::Stopped)),
-            };
-            if close && !is_closing {
-                // Requests that were read are still served; later input is discarded.
-                is_closing = true;
-                self.stream.codec_mut().discard_input();
-            }
-            let is_last = !keep_alive || is_closing && pipeline.is_empty();
-            let response = Response {
-                close: is_last,
-                ..render_reply(&reply)
-            };
-            self.respond(response).await?;
-            drop((memory, open_request));
-            if is_last {
-                return Ok(Ending::Closed(CloseReason::LastResponse));
+            if let Break(ending) = self.serve(received).await? {
+                return Ok(ending);
             }
         }
     }
 
-    async fn next_request(&mut self, opened_at: Option<Instant>) -> io::Result<NextRequest> {
-        next_request(&mut self.stream, &mut self.commands, opened_at).await
+    /// Returns the next request, of those that were read already or from the socket. `opened_at` is
+    /// the time at which the connection opened if no request has arrived yet.
+    async fn next_received(
+        &mut self,
+        opened_at: Option<Instant>,
+    ) -> io::Result<ControlFlow<Ending, ReceivedRequest>> {
+        if let Some(received) = self.pipeline.pop() {
+            return Ok(Continue(received));
+        }
+        if self.is_closing {
+            return Ok(Break(Ending::Closed(CloseReason::LastResponse)));
+        }
+        let next = next_request(&mut self.stream, &mut self.commands, opened_at).await?;
+        Ok(match next {
+            NextRequest::Received(request) => Continue(self.on_request_read(request)),
+            NextRequest::Disconnected => Break(Ending::Disconnected),
+            NextRequest::Close(reason) => Break(Ending::Closed(reason)),
+        })
     }
 
-    /// Counts and parses a request whose last byte has just been read.
-    fn on_request_read(&mut self, request: DecodedRequest) -> ReceivedRequest {
-        self.counts.requests_read += 1;
-        self.shared.buffers.shrink(&mut self.stream);
-        ReceivedRequest::new(self.shared, &self.memory, request)
+    /// Hands a request to the engine and writes the response.
+    async fn serve(&mut self, mut received: ReceivedRequest) -> io::Result<ControlFlow<Ending>> {
+        if received.is_query() {
+            match self.read_ahead().await? {
+                ReadAheadEnd::AllRead => {}
+                ReadAheadEnd::Disconnected => return Ok(Break(Ending::Disconnected)),
+                ReadAheadEnd::Endless => received.reject(RequestError::TOO_MANY_REQUESTS),
+            }
+        }
+        let ReceivedRequest {
+            arrived_at,
+            request,
+            keep_alive,
+            memory,
+            open_request,
+        } = received;
+        if let Submission::Stopped = self.submit(arrived_at, request).await {
+            return self.reject_at_exit().await.map(Break);
+        }
+        let (reply, close) = match self.wait_for_reply().await? {
+            ReplyWait::Reply { reply, close } => (reply, close),
+            ReplyWait::Disconnected => return Ok(Break(Ending::Disconnected)),
+            ReplyWait::Stopped => return Ok(Break(Ending::Closed(CloseReason::Stopped))),
+        };
+        if close && !self.is_closing {
+            // Requests that were read are still served; later input is discarded.
+            self.is_closing = true;
+            self.stream.codec_mut().discard_input();
+        }
+        let is_last = !keep_alive || self.is_closing && self.pipeline.is_empty();
+        let response = Response {
+            close: is_last,
+            ..render_reply(&reply)
+        };
+        self.respond(response).await?;
+        drop((memory, open_request));
+        Ok(if is_last {
+            Break(Ending::Closed(CloseReason::LastResponse))
+        } else {
+            Continue(())
+        })
     }
 
     /// Hands a request to the engine.
@@ -180,7 +186,7 @@
     /// Waits for the reply to the open request. Input is read while waiting, so that the end of
     /// the connection is noticed at once. Requests that arrive early are queued with their times of
     /// arrival, from which their timeouts run.
-    async fn wait_for_reply(&mut self, pipeline: &mut PipelinedRequests) -> io::Result<ReplyWait> {
+    async fn wait_for_reply(&mut self) -> io::Result<ReplyWait> {
         loop {
             tokio::select! {
                 biased;
@@ -194,45 +200,13 @@
                     None => return Ok(ReplyWait::Stopped),
                 },
                 next = next_request_unless_closed(&mut self.stream) => match next {
-                    Some(request) => self.queue_request(request?, pipeline).await,
+                    Some(request) => self.queue_request(request?).await,
                     None => return Ok(ReplyWait::Disconnected),
                 },
             }
         }
     }
 
-    /// Reads everything that has arrived behind a request, so that the end of the connection is
-    /// noticed before the request is forwarded.
-    async fn read_ahead(&mut self, pipeline: &mut PipelinedRequests) -> io::Result<ReadAheadEnd> {
-        let first_byte = self.stream.codec().consumed_bytes();
-        let mut read_before = 0;
-        loop {
-            match next_arrival(&mut self.stream).await? {
-                Arrival::Request(request) => self.queue_request(request, pipeline).await,
-                Arrival::Closed => return Ok(ReadAheadEnd::Disconnected),
-                Arrival::Nothing => {
-                    let read = self.stream.codec().consumed_bytes() - first_byte;
-                    if read == read_before {
-                        return Ok(ReadAheadEnd::AllRead);
-                    }
-                    read_before = read;
-                    wait_for_further_input(read).await;
-                }
-            }
-        }
-    }
-
-    /// Queues a request that was sent before the reply to an earlier one.
-    async fn queue_request(&mut self, request: DecodedRequest, pipeline: &mut PipelinedRequests) {
-        let received = self.on_request_read(request);
-        if pipeline.push(received) == ReadAhead::Stop {
-            self.stream.codec_mut().discard_input();
-        }
-        // Other tasks get their turn after each request, and the runtime asks the operating system
-        // for closed connections.
-        yield_now().await;
-    }
-
     /// Rejects a request that the engine could not accept any more, and ends the connection.
     async fn reject_at_exit(&mut self) -> io::Result<Ending> {
         let response = Response {
@@ -258,13 +232,3 @@
         log_ending(self.client, self.counts, ending);
     }
 }
-
-/// Waits for input that may be in transit when this many bytes have been read behind a request.
-async fn wait_for_further_input(read_bytes: u64) {
-    if read_bytes > MAX_BYTES_AT_ONCE {
-        sleep(TRANSIT_TIME).await;
-    } else {
-        // The runtime asks the operating system for further input before the next turn.
-        yield_now().await;
-    }
-}
