--- a/crates/core/src/net/client_connection/read_ahead.rs
+++ b/crates/core/src/net/client_connection/read_ahead.rs
@@ -3,13 +3,13 @@
 //! The client may have closed its connection behind a request. What has arrived is read first, so
 //! that a close is noticed and the request is not forwarded (`peer_close.rs`).
 
-use super::peer_close::{next_arrival, Arrival, DecodedRequest};
+use super::peer_close::{next_arrival, next_request_unless_closed, Arrival, DecodedRequest};
 use super::pipelined_requests::ReadAhead;
 use super::received_request::ReceivedRequest;
 use super::serving::ClientConnection;
 use std::io;
 use tokio::task::yield_now;
-use tokio::time::{sleep, timeout, Duration};
+use tokio::time::{timeout, Duration};
 
 /// Maximum time for which the input behind a request is read.
 const READ_AHEAD_TIMEOUT: Duration = Duration::from_secs(1);
@@ -49,12 +49,26 @@
                         return Ok(ReadAheadEnd::AllRead);
                     }
                     bytes_before = bytes;
-                    wait_for_further_input(bytes).await;
+                    self.wait_for_further_input(bytes).await?;
                 }
             }
         }
     }
 
+    /// Waits for input that may be in transit when this many bytes have been read behind a request.
+    async fn wait_for_further_input(&mut self, read_bytes: u64) -> io::Result<()> {
+        if read_bytes <= MAX_BYTES_AT_ONCE {
+            // The runtime asks the operating system for further input before the next turn.
+            yield_now().await;
+            return Ok(());
+        }
+        let next = timeout(TRANSIT_TIME, next_request_unless_closed(&mut self.stream)).await;
+        if let Ok(Some(request)) = next {
+            self.queue_request(request?).await;
+        }
+        Ok(())
+    }
+
     /// Counts and parses a request whose last byte has just been read.
     pub(super) fn on_request_read(&mut self, request: DecodedRequest) -> ReceivedRequest {
         self.counts.requests_read += 1;
@@ -73,13 +87,3 @@
         yield_now().await;
     }
 }
-
-/// Waits for input that may be in transit when this many bytes have been read behind a request.
-async fn wait_for_further_input(read_bytes: u64) {
-    if read_bytes > MAX_BYTES_AT_ONCE {
-        sleep(TRANSIT_TIME).await;
-    } else {
-        // The runtime asks the operating system for further input before the next turn.
-        yield_now().await;
-    }
-}
