--- a/crates/core/src/engine/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -8,10 +8,10 @@
 //!
 //! The state is kept in one table per kind of entity, with private fields: `client_table`,
 //! `connection_table` (each connection has a [`leaf_connection`] and an `idle_timer`),
-//! `endpoint_table`, `query_table`, `recent_queries`, `attempt_table` and `watermark_tracker`. The small tables of
-//! `health_checks`, `timers` and `shutdown` are defined in the same file as their handlers. The
-//! other handlers are methods of [`Engine`] in `clients`, `connections`, `endpoints`, `frames`,
-//! `queries`, `replies`, `attempts` and `usage_log`.
+//! `endpoint_table`, `query_table`, `recent_queries`, `attempt_table` and `watermark_tracker`. The
+//! small tables of `health_checks`, `timers` and `shutdown` are defined in the same file as their
+//! handlers. The other handlers are methods of [`Engine`] in `clients`, `connections`, `endpoints`,
+//! `frames`, `queries`, `replies`, `attempts` and `usage_log`.
 
 mod actions;
 mod attempt_table;
--- a/crates/core/src/net/buffer_pool.rs
+++ b/crates/core/src/net/buffer_pool.rs
@@ -6,8 +6,8 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio_util::codec::{Encoder, Framed, FramedParts};
 
-/// Size of a buffer, in bytes. It holds nearly every request, frame and response; a buffer grows for
-/// a larger one. With the most descriptors, the buffers of all connections take 8 MB.
+/// Size of a buffer, in bytes. It holds nearly every request, frame and response; a buffer grows
+/// for a larger one. With the most descriptors, the buffers of all connections take 8 MB.
 pub(super) const BUFFER_BYTES: usize = 4 * 1024;
 /// Maximum number of unused buffers that are kept, 1 MiB in total.
 const MAX_FREE_BUFFERS: usize = 256;
