Keep timed ids of queries and of attempts in one kind of table

The ids of recent queries and the answered wire ids of a connection had the same map with a queue of additions, written twice today. TimedKeys holds it once. No change of behavior; the tests of aggregator-core pass.

--- a/crates/core/src/engine/leaf_connection/ended_ids.rs
+++ b/crates/core/src/engine/leaf_connection/ended_ids.rs
@@ -8,8 +8,9 @@
 
 use crate::api::Nanos;
 use crate::engine::ids::WireId;
+use crate::engine::timed_keys::TimedKeys;
 use crate::engine::MILLISECOND;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 
 /// Time after a response within which a copy of it may arrive. Leaf servers send copies directly
 /// behind the original. Within this time, a retry needs another connection.
@@ -27,23 +28,16 @@
     /// Ids of attempts that have ended without a response. It may arrive at any time.
     unanswered: BTreeSet<WireId>,
     /// Ids of attempts with a response, and the time of the response.
-    answered: BTreeMap<WireId, Nanos>,
-    /// The answered ids in the order of their responses.
-    answered_in_order: VecDeque<AnsweredId>,
-}
-
-#[derive(Debug)]
-struct AnsweredId {
-    wire_id: WireId,
-    answered_at: Nanos,
+    answered: TimedKeys<WireId>,
 }
 
 impl EndedIds {
     /// Returns whether a response to an earlier attempt with this wire id may still arrive.
     pub(super) fn may_be_answered(&self, wire_id: &str, now: Nanos) -> bool {
-        let is_recent =
-            |answered_at: &Nanos| now.saturating_sub(*answered_at) < DUPLICATE_RESPONSE_TIME;
-        self.unanswered.contains(wire_id) || self.answered.get(wire_id).is_some_and(is_recent)
+        self.unanswered.contains(wire_id)
+            || self
+                .answered
+                .is_newer_than(wire_id, DUPLICATE_RESPONSE_TIME, now)
     }
 
     /// Returns whether so many attempts have not been answered that the connection must not be used
@@ -54,18 +48,16 @@
 
     /// Adds an attempt that has ended without a response.
     pub(super) fn add_unanswered(&mut self, wire_id: WireId) {
-        self.answered.remove(&wire_id);
+        self.answered.remove(&*wire_id);
         self.unanswered.insert(wire_id);
     }
 
     /// Adds an attempt that has ended with a response.
     pub(super) fn add_answered(&mut self, wire_id: WireId, now: Nanos) {
-        self.answered.insert(wire_id.clone(), now);
-        self.answered_in_order.push_back(AnsweredId {
-            wire_id,
-            answered_at: now,
-        });
-        self.drop_old_answered(now);
+        self.answered.insert(wire_id, now);
+        while self.answered.len() > MIN_ANSWERED_IDS
+            && self.answered.drop_older_than(DUPLICATE_RESPONSE_TIME, now)
+        {}
     }
 
     /// Handles a response to an attempt that is not in flight. Returns whether the attempt is one
@@ -76,22 +68,7 @@
                 self.add_answered(wire_id, now);
                 true
             }
-            None => self.answered.contains_key(wire_id),
-        }
-    }
-
-    fn drop_old_answered(&mut self, now: Nanos) {
-        while self.answered_in_order.len() > MIN_ANSWERED_IDS {
-            let is_old = |oldest: &mut AnsweredId| {
-                now.saturating_sub(oldest.answered_at) >= DUPLICATE_RESPONSE_TIME
-            };
-            let Some(oldest) = self.answered_in_order.pop_front_if(is_old) else {
-                return;
-            };
-            // A later attempt with the same id may have been answered since.
-            if self.answered.get(&oldest.wire_id) == Some(&oldest.answered_at) {
-                self.answered.remove(&oldest.wire_id);
-            }
+            None => self.answered.contains(wire_id),
         }
     }
 }
--- a/crates/core/src/engine/mod.rs
+++ b/crates/core/src/engine/mod.rs
@@ -38,6 +38,7 @@
 mod recent_queries;
 mod replies;
 mod shutdown;
+mod timed_keys;
 mod timers;
 pub mod usage;
 mod usage_log;
--- a/crates/core/src/engine/recent_queries.rs
+++ b/crates/core/src/engine/recent_queries.rs
@@ -4,9 +4,9 @@
 //! at the leaf servers, so it is rejected for some time: until responses to the earlier one are no
 //! longer in transit or, if parts must not be executed twice, for as long as the id is kept.
 
+use super::timed_keys::TimedKeys;
 use super::MILLISECOND;
 use crate::api::{Idempotency, Nanos};
-use std::collections::{BTreeMap, VecDeque};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Time for which the id of an idempotent query is kept.
@@ -37,7 +37,7 @@
 
     /// Returns the number of ids.
     pub(super) fn len(&self) -> usize {
-        self.idempotent.by_age.len() + self.non_idempotent.by_age.len()
+        self.idempotent.hashes.len() + self.non_idempotent.hashes.len()
     }
 
     /// Adds a query that has ended and of which parts may have been executed.
@@ -60,54 +60,27 @@
 #[derive(Debug)]
 struct RecentIds {
     retention: Nanos,
-    /// Time at which the latest query with an id has ended, by the hash of the id.
-    ended_at: BTreeMap<u64, Nanos>,
-    by_age: VecDeque<RecentId>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct RecentId {
-    hash: u64,
-    ended_at: Nanos,
+    hashes: TimedKeys<u64>,
 }
 
 impl RecentIds {
     fn new(retention: Nanos) -> RecentIds {
         RecentIds {
             retention,
-            ended_at: BTreeMap::new(),
-            by_age: VecDeque::new(),
+            hashes: TimedKeys::default(),
         }
     }
 
     fn insert(&mut self, now: Nanos, name: &str) {
-        let id = RecentId {
-            hash: xxh3_64(name.as_bytes()),
-            ended_at: now,
-        };
-        self.ended_at.insert(id.hash, now);
-        self.by_age.push_back(id);
-        self.drop_oldest(now);
+        self.hashes.insert(xxh3_64(name.as_bytes()), now);
+        if self.hashes.len() > MAX_IDS {
+            self.hashes.drop_oldest();
+        }
+        while self.hashes.drop_older_than(self.retention, now) {}
     }
 
     fn contains(&self, now: Nanos, name: &str) -> bool {
-        let ended_at = self.ended_at.get(&xxh3_64(name.as_bytes()));
-        ended_at.is_some_and(|ended_at| self.is_kept(now, *ended_at))
-    }
-
-    fn is_kept(&self, now: Nanos, ended_at: Nanos) -> bool {
-        now.saturating_sub(ended_at) < self.retention
-    }
-
-    fn drop_oldest(&mut self, now: Nanos) {
-        while let Some(oldest) = self.by_age.front().copied() {
-            if self.by_age.len() <= MAX_IDS && self.is_kept(now, oldest.ended_at) {
-                return;
-            }
-            self.by_age.pop_front();
-            if self.ended_at.get(&oldest.hash) == Some(&oldest.ended_at) {
-                self.ended_at.remove(&oldest.hash);
-            }
-        }
+        let hash = xxh3_64(name.as_bytes());
+        self.hashes.is_newer_than(&hash, self.retention, now)
     }
 }
--- a/crates/core/src/net/client_connection/serving.rs
+++ b/crates/core/src/net/client_connection/serving.rs
@@ -23,6 +23,7 @@
 
 /// Maximum time to write a response. A client that does not read it in time is disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Outcome of the wait for a reply.
 enum ReplyWait {
     Reply {
