--- a/crates/aggregator/tests/support/aggregator_process.rs
+++ b/crates/aggregator/tests/support/aggregator_process.rs
@@ -1,5 +1,7 @@
 //! Runs the aggregator as a process: its configuration file, signals and log.
 
+#![allow(dead_code, reason = "each test program uses only some of the methods")]
+
 use std::fs;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
--- a/crates/aggregator/tests/unread_log.rs
+++ b/crates/aggregator/tests/unread_log.rs
@@ -2,81 +2,50 @@
 
 mod support {
     pub mod addresses;
+    pub mod aggregator_process;
 }
 
 use serde_json::json;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 use support::addresses::free_address;
-use tempfile::TempDir;
+use support::aggregator_process::{AggregatorProcess, HANG_TIMEOUT};
 
-/// Time after which a test fails because the program hangs. Tests wait for events only.
-const HANG_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time between two attempts to connect to a program that is starting.
 const CONNECT_RETRY_DELAY: Duration = Duration::from_millis(10);
 /// Number of requests whose log lines, if each had one, would not fit into a pipe.
 const REQUESTS: usize = 2000;
 
-/// A running program, which is killed when the value is dropped. Its log is a pipe that is not
-/// read.
-struct Program {
-    child: Child,
-    address: SocketAddr,
-    _folder: TempDir,
+/// Starts the program at this address. Its log is a pipe that is not read.
+fn start(address: SocketAddr) -> AggregatorProcess {
+    let config = json!({
+        "name": "n0", "listen": address, "discovery": "127.0.0.1:1", "seed": "1",
+        "known": {"index": 41, "snapshot": true, "endpoints": []},
+        "settings": {
+            "classes": [{"name": "lookup", "aim_ns": 1_000_000_000,
+                "give_up_ns": 2_000_000_000_u64, "semantics": "read_like"}],
+            "extra": {"places": 1, "reach": 1, "ranges": 2, "class_need": [1.0],
+                "least_share": [0.6], "partial_earns": [0.9], "second_step": [0]},
+            "replicas_of_me": 1, "tick_ns": 5_000_000,
+        },
+    });
+    AggregatorProcess::start("unread-log", &config.to_string())
 }
 
-impl Program {
-    fn start() -> Program {
-        let address = free_address();
-        let config = json!({
-            "name": "n0", "listen": address, "discovery": "127.0.0.1:1", "seed": "1",
-            "known": {"index": 41, "snapshot": true, "endpoints": []},
-            "settings": {
-                "classes": [{"name": "lookup", "aim_ns": 1_000_000_000,
-                    "give_up_ns": 2_000_000_000_u64, "semantics": "read_like"}],
-                "extra": {"places": 1, "reach": 1, "ranges": 2, "class_need": [1.0],
-                    "least_share": [0.6], "partial_earns": [0.9], "second_step": [0]},
-                "replicas_of_me": 1, "tick_ns": 5_000_000,
-            },
-        });
-        let folder = TempDir::new().unwrap();
-        let config_path = folder.path().join("config.json");
-        std::fs::write(&config_path, config.to_string()).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_query-aggregator"))
-            .env("BALANCER_CONFIG", &config_path)
-            .env("QUERY_AGGREGATOR_LOG", "info")
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("the program should start");
-        Program {
-            child,
-            address,
-            _folder: folder,
-        }
-    }
-
-    fn connect(&self) -> TcpStream {
-        let started = Instant::now();
-        loop {
-            match TcpStream::connect(self.address) {
-                Ok(stream) => {
-                    stream.set_nodelay(true).unwrap();
-                    stream.set_read_timeout(Some(HANG_TIMEOUT)).unwrap();
-                    return stream;
-                }
-                Err(error) => assert!(started.elapsed() < HANG_TIMEOUT, "not started: {error}"),
+/// Connects to a program that may still be starting.
+fn connect(address: SocketAddr) -> TcpStream {
+    let started = Instant::now();
+    loop {
+        match TcpStream::connect(address) {
+            Ok(stream) => {
+                stream.set_nodelay(true).unwrap();
+                stream.set_read_timeout(Some(HANG_TIMEOUT)).unwrap();
+                return stream;
             }
-            std::thread::sleep(CONNECT_RETRY_DELAY);
+            Err(error) => assert!(started.elapsed() < HANG_TIMEOUT, "not started: {error}"),
         }
-    }
-}
-
-impl Drop for Program {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        std::thread::sleep(CONNECT_RETRY_DELAY);
     }
 }
 
@@ -106,10 +75,11 @@
 
 /// Guards against one client that stops the program for all others: the program waited for its log
 /// line of each rejected request to be read.
-#[test]
-fn requests_are_answered_while_the_log_is_full() {
-    let program = Program::start();
-    let mut stream = program.connect();
+#[tokio::test]
+async fn requests_are_answered_while_the_log_is_full() {
+    let address = free_address();
+    let _program = start(address);
+    let mut stream = connect(address);
     let mut reader = BufReader::new(stream.try_clone().unwrap());
     let body = "{\"shards\":[{\"shard\":0,\"weight\":1.0}],\"q\":\"text\"}";
     for number in 0..REQUESTS {
